Lay out the repository, schemas and tools

Cause: an empty repository. The package is flat; messages, records and settings come from schemas by datamodel-code-generator and the committed code is checked against them. No measurement yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+CODE := sapphireyard standins bench scripts tests
+
+.PHONY: setup generate check test demo
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+generate: setup
+	$(BIN)/python -m scripts.generate
+
+check: setup
+	$(BIN)/black --quiet --check $(CODE)
+	$(BIN)/isort --quiet --check $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/python -m scripts.generate --check
+
+test: check
+	$(BIN)/python -m scripts.run_tests
+
+demo: setup
+	$(BIN)/python -m scripts.demo
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of sapphireyard against baselines."""
--- /dev/null
+++ b/sapphireyard/exceptions.py
@@ -0,0 +1,161 @@
+"""The errors of sapphireyard: a shallow tree under `YardError`.
+
+Each error has a stable ``code``, and those that can reach a caller say with
+``executed`` whether the request was run and with ``retry_after`` when to come
+back.
+"""
+
+from dataclasses import dataclass
+
+EXECUTED_NO = "no"
+EXECUTED_UNKNOWN = "unknown"
+EXECUTED_YES = "yes"
+
+
+class YardError(Exception):
+    """Base of all errors raised by sapphireyard."""
+
+    code = "internal_error"
+
+
+@dataclass(frozen=True)
+class Finding:
+    """One fault in some input, with the place where it stands.
+
+    Parameters
+    ----------
+    place : str
+        File, row and field, header, or flag and variable.
+    message : str
+        What is wrong, in words for the person who wrote the input.
+    """
+
+    place: str
+    message: str
+
+    def __str__(self):
+        return f"{self.place}: {self.message}"
+
+
+class SettingsError(YardError):
+    """Settings that cannot be used; carries every finding."""
+
+    code = "invalid_settings"
+
+    def __init__(self, findings):
+        super().__init__("; ".join(map(str, findings)))
+        self.findings = tuple(findings)
+
+
+class StoreError(YardError):
+    """Base of the errors of the object store."""
+
+    code = "store_error"
+
+
+class StoreConflict(StoreError):
+    """A create found the object present, or an update another version."""
+
+    code = "store_conflict"
+
+
+class StoreUnavailable(StoreError):
+    """The store did not answer; a write may have taken effect."""
+
+    code = "store_unavailable"
+
+
+class StoreGone(StoreError):
+    """The watch position is no longer kept; list again."""
+
+    code = "store_gone"
+
+
+class JournalSealed(YardError):
+    """Another host sealed this journal; this incarnation owns nothing more."""
+
+    code = "journal_sealed"
+
+
+class PeerError(YardError):
+    """Base of the errors between the system's own processes."""
+
+    code = "peer_error"
+
+
+class PeerUnavailable(PeerError):
+    """A peer could not be reached, or its connection ended.
+
+    Parameters
+    ----------
+    detail : str
+        What was seen.
+    sent : bool
+        False when the request cannot have reached the peer.
+    """
+
+    code = "peer_unavailable"
+
+    def __init__(self, detail, *, sent=True):
+        super().__init__(detail)
+        self.sent = sent
+
+
+class CallError(YardError):
+    """An error answer to a caller.
+
+    Parameters
+    ----------
+    code : str
+        Stable code, a key of `STATUSES`.
+    detail : str
+        Explanation for the caller.
+    executed : {'no', 'unknown', 'yes'}
+        Whether the request was run. ``no`` is a promise.
+    retry_after : float, optional
+        Seconds after which a repeat may succeed.
+    findings : sequence of Finding, optional
+        All faults of an invalid request.
+    """
+
+    def __init__(
+        self, code, detail, *, executed=EXECUTED_NO, retry_after=None, findings=()
+    ):
+        super().__init__(f"{code}: {detail}")
+        self.code = code
+        self.detail = detail
+        self.executed = executed
+        self.retry_after = retry_after
+        self.findings = tuple(findings)
+
+    @property
+    def status(self):
+        """int: The HTTP status of the answer."""
+        return STATUSES[self.code]
+
+
+STATUSES = {
+    "invalid_request": 400,
+    "key_unknown": 401,
+    "key_withdrawn": 401,
+    "budget_exceeded": 402,
+    "not_allowed": 403,
+    "route_unknown": 404,
+    "program_unknown": 404,
+    "sequence_gap": 409,
+    "sequence_conflict": 409,
+    "outcome_unknown": 409,
+    "program_ended": 409,
+    "request_too_large": 413,
+    "quarantined": 422,
+    "rate_exceeded": 429,
+    "internal_error": 500,
+    "upstream_failed": 502,
+    "overloaded": 503,
+    "history_unavailable": 503,
+    "store_unavailable": 503,
+    "draining": 503,
+    "configuration_stale": 503,
+    "deadline_exceeded": 504,
+}
+"""HTTP status of each code that a caller can see."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Developer commands: code generation, tests and the demo."""
--- /dev/null
+++ b/scripts/generate.py
@@ -0,0 +1,80 @@
+"""Generates ``sapphireyard/generated_*.py`` from the files in ``schema``.
+
+``--check`` compares the committed code with the schema and writes nothing.
+"""
+
+import argparse
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEMA = ROOT / "schema"
+PACKAGE = ROOT / "sapphireyard"
+BORDER_SCHEMAS = {"settings", "tables", "api"}
+"""Schemas of data that comes from people or callers: validated models."""
+
+
+def generate_module(source, target):
+    """Write the module generated from `source` to `target`."""
+    border = source.stem in BORDER_SCHEMAS
+    model_type = "pydantic_v2.BaseModel" if border else "dataclasses.dataclass"
+    command = [
+        sys.executable,
+        "-m",
+        "datamodel_code_generator",
+        "--input",
+        str(source),
+        "--input-file-type",
+        "jsonschema",
+        "--output",
+        str(target),
+        "--output-model-type",
+        model_type,
+        "--target-python-version",
+        "3.11",
+        "--use-standard-collections",
+        "--use-union-operator",
+        "--use-schema-description",
+        "--use-field-description",
+        "--disable-timestamp",
+        "--enum-field-as-literal",
+        "all",
+        "--use-default",
+    ]
+    if border:
+        command += ["--extra-fields", "forbid", "--field-constraints"]
+    subprocess.run(command, check=True, cwd=ROOT)
+
+
+def find_stale(directory):
+    """Return the names of committed modules that differ from the schema."""
+    stale = []
+    for source in sorted(SCHEMA.glob("*.yaml")):
+        fresh = Path(directory) / f"generated_{source.stem}.py"
+        generate_module(source, fresh)
+        committed = PACKAGE / fresh.name
+        if not committed.exists() or committed.read_text() != fresh.read_text():
+            stale.append(committed.name)
+    return stale
+
+
+def main():
+    """Generate or check every module; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    options = parser.parse_args()
+    if not options.check:
+        for source in sorted(SCHEMA.glob("*.yaml")):
+            generate_module(source, PACKAGE / f"generated_{source.stem}.py")
+        return 0
+    with tempfile.TemporaryDirectory() as directory:
+        stale = find_stale(directory)
+    for name in stale:
+        print(f"{name}: differs from its schema; run `make generate`")
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside sapphireyard."""
