--- /dev/null
+++ b/sapphireyard/clocks.py
@@ -0,0 +1,15 @@
+"""Clocks: the only place where the package reads the time."""
+
+import time
+
+
+class Clock:
+    """The time of this host. Tests pass a subclass with virtual time."""
+
+    def monotonic(self):
+        """Return seconds from an arbitrary start; never goes back."""
+        return time.monotonic()
+
+    def wall(self):
+        """Return seconds since the epoch; for records and logs, not decisions."""
+        return time.time()
--- a/sapphireyard/generated_messages.py
+++ b/sapphireyard/generated_messages.py
@@ -25,11 +25,11 @@
     Newest protocol version spoken.
     """
     oldest_protocol: int
-    configuration: int | None = 0
+    configuration: int = 0
     """
     Version of the configuration in force.
     """
-    assignment: int | None = 0
+    assignment: int = 0
     """
     Version of the assignment known.
     """
@@ -43,7 +43,7 @@
 
     code: str
     detail: str
-    executed: str | None = 'unknown'
+    executed: str = 'unknown'
     retry_after: float | None = None
 
 
@@ -64,37 +64,37 @@
     program: str
     route: str
     body: str
-    root: str | None = ''
+    root: str = ''
     """
     Program whose owner serves the call; empty when unknown.
     """
-    parent: str | None = ''
-    sequence: int | None = 0
+    parent: str = ''
+    sequence: int = 0
     """
     0 when the caller gave none.
     """
-    stream: bool | None = False
-    idempotency_key: str | None = ''
-    key_digest: str | None = ''
+    stream: bool = False
+    idempotency_key: str = ''
+    key_digest: str = ''
     """
     Digest of the caller's key; withdrawn keys end running calls.
     """
-    deadline_seconds: float | None = 0
+    deadline_seconds: float = 0
     """
     Seconds left when sent; 0 for the route's timeout.
     """
-    budget_tokens: int | None = 0
-    budget_calls: int | None = 0
-    budget_seconds: float | None = 0
-    hops: int | None = 0
+    budget_tokens: int = 0
+    budget_calls: int = 0
+    budget_seconds: float = 0
+    hops: int = 0
 
 
 @dataclass
 class AnswerStart:
     status: int
-    program: str | None = ''
-    sequence: int | None = 0
-    streamed: bool | None = False
+    program: str = ''
+    sequence: int = 0
+    streamed: bool = False
 
 
 @dataclass
@@ -112,20 +112,20 @@
     The end of an answer, sent only after the call is journalled. `body` is the whole answer when it was not streamed.
     """
 
-    body: str | None = ''
+    body: str = ''
 
 
 @dataclass
 class InspectProgram:
     customer: str
     program: str
-    root: str | None = ''
-    history: bool | None = False
-    end: bool | None = False
+    root: str = ''
+    history: bool = False
+    end: bool = False
     """
     End the program.
     """
-    hops: int | None = 0
+    hops: int = 0
 
 
 @dataclass
--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -24,15 +24,15 @@
     """
     Wall-clock time in seconds since the epoch.
     """
-    budget_tokens: int | None = 0
+    budget_tokens: int = 0
     """
     0 for no limit.
     """
-    budget_calls: int | None = 0
+    budget_calls: int = 0
     """
     0 for no limit.
     """
-    budget_seconds: float | None = 0
+    budget_seconds: float = 0
     """
     0 for no limit.
     """
@@ -63,8 +63,8 @@
     route: str
     repeatable: bool
     tokens: int
-    upstream: str | None = ''
-    idempotency_key: str | None = ''
+    upstream: str = ''
+    idempotency_key: str = ''
 
 
 @dataclass
@@ -92,7 +92,7 @@
     """
     Tokens settled; the reservation is returned.
     """
-    idempotency_key: str | None = ''
+    idempotency_key: str = ''
 
 
 @dataclass
@@ -122,12 +122,12 @@
     state: str
     digest: str
     route: str
-    repeatable: bool | None = False
-    tokens: int | None = 0
-    status: int | None = 0
-    request: str | None = ''
-    answer: str | None = ''
-    idempotency_key: str | None = ''
+    repeatable: bool = False
+    tokens: int = 0
+    status: int = 0
+    request: str = ''
+    answer: str = ''
+    idempotency_key: str = ''
 
 
 @dataclass
@@ -149,20 +149,20 @@
     program: str
     root: str
     opened_at: float
-    budget_tokens: int | None = 0
-    budget_calls: int | None = 0
-    budget_seconds: float | None = 0
-    spent_tokens: int | None = 0
-    spent_calls: int | None = 0
-    ended: str | None = ''
+    budget_tokens: int = 0
+    budget_calls: int = 0
+    budget_seconds: float = 0
+    spent_tokens: int = 0
+    spent_calls: int = 0
+    ended: str = ''
     """
     Reason of the end
     """
-    link: bool | None = False
+    link: bool = False
     """
     True for a ProgramLinked entry.
     """
-    calls: list[SnapshotCall] | None = field(default_factory=list)
+    calls: list[SnapshotCall] = field(default_factory=list)
 
 
 @dataclass
@@ -179,4 +179,4 @@
     Unique to this write; tells whose write took effect.
     """
     records: list[EncodedRecord]
-    seal: str | None = ''
+    seal: str = ''
--- a/sapphireyard/generated_settings.py
+++ b/sapphireyard/generated_settings.py
@@ -24,7 +24,7 @@
     """
     Failure domain of this host.
     """
-    region: str | None = Field('local', max_length=64)
+    region: str = Field('local', max_length=64)
     """
     Region of this host.
     """
@@ -40,55 +40,55 @@
     """
     Address of the object API.
     """
-    host_list: str | None = ''
+    host_list: str = ''
     """
     Address of the platform's host list.
     """
-    data_folder: str | None = ''
+    data_folder: str = ''
     """
     Folder on the host's disk; empty when it has none.
     """
-    log_format: Literal['json', 'text'] | None = 'json'
+    log_format: Literal['json', 'text'] = 'json'
     """
     Form of log lines.
     """
-    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] | None = 'INFO'
+    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     """
     Lowest level that is logged.
     """
-    renewal_seconds: float | None = Field(2.0, gt=0.0)
+    renewal_seconds: float = Field(2.0, gt=0.0)
     """
     Seconds between renewals of the member object.
     """
-    expiry_seconds: float | None = Field(6.0, gt=0.0)
+    expiry_seconds: float = Field(6.0, gt=0.0)
     """
     Seconds without renewal after which a host may be sealed.
     """
-    withdrawal_seconds: float | None = Field(8.0, gt=0.0)
+    withdrawal_seconds: float = Field(8.0, gt=0.0)
     """
     Seconds without news of the configuration after which callers are refused.
     """
-    commit_interval_seconds: float | None = Field(0.05, ge=0.0)
+    commit_interval_seconds: float = Field(0.05, ge=0.0)
     """
     Least seconds between two journal segments.
     """
-    partitions: int | None = Field(256, ge=1, le=16384)
+    partitions: int = Field(256, ge=1, le=16384)
     """
     Partitions of the program space; used when the assignment is first written.
     """
-    body_bytes: int | None = Field(4194304, ge=1024)
+    body_bytes: int = Field(4194304, ge=1024)
     """
     Largest body of a request in bytes.
     """
-    header_bytes: int | None = Field(16384, ge=1024)
+    header_bytes: int = Field(16384, ge=1024)
     """
     Largest header of a request in bytes.
     """
-    address_ttl_seconds: int | None = Field(10, ge=1)
+    address_ttl_seconds: int = Field(10, ge=1)
     """
     Seconds for which callers may keep an address answer.
     """
-    stop_seconds: float | None = Field(120.0, gt=0.0)
+    stop_seconds: float = Field(120.0, gt=0.0)
     """
     Longest wait for running calls at a planned stop.
     """
--- /dev/null
+++ b/sapphireyard/yard.py
@@ -0,0 +1,75 @@
+"""The central object, which carries the configuration and the services."""
+
+from sapphireyard.clocks import Clock
+
+
+class Yard:
+    """One process of sapphireyard: its settings, clock, store and services.
+
+    Build one in a binary, set the services that the binary runs, and pass it
+    to each of them. There are no globals.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    store : Store
+        The platform's object store.
+    clock : Clock, optional
+        Source of time; virtual in tests.
+
+    Attributes
+    ----------
+    incarnation : int
+        Number of this run of the host; each start takes a greater one.
+    peers : Peers
+        Streams to and from other hosts.
+    configuration : ConfigurationService
+        The tables in force.
+    programs : Programs
+        State of the programs owned here.
+    journal : JournalService
+        Durable records of this host.
+    ownership : OwnershipService
+        Owners of partitions and this host's part in them.
+    limits : LimitService
+        Fleet-wide rates.
+    slots : SlotService
+        Admission slots of upstreams.
+    quarantine : QuarantineService
+        Requests that crash upstreams.
+    retries : RetryBudget
+        How many repeats may be sent upstream.
+    outliers : OutlierDetector
+        Upstreams that fail more than others.
+    upstreams : Upstreams
+        Connections to upstreams.
+    dispatcher : Dispatcher
+        Carries calls on their owner.
+    gateway : Gateway
+        The callers' HTTP interface.
+    """
+
+    def __init__(self, settings, store, *, clock=None):
+        self.settings = settings
+        self.store = store
+        self.clock = clock or Clock()
+        self.incarnation = 0
+        self.peers = None
+        self.configuration = None
+        self.programs = None
+        self.journal = None
+        self.ownership = None
+        self.limits = None
+        self.slots = None
+        self.quarantine = None
+        self.retries = None
+        self.outliers = None
+        self.upstreams = None
+        self.dispatcher = None
+        self.gateway = None
+
+    @property
+    def host(self):
+        """str: Name of this host."""
+        return self.settings.host
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -42,6 +42,10 @@
         "--enum-field-as-literal",
         "all",
         "--use-default",
+        "--strict-nullable",
+        "--formatters",
+        "black",
+        "isort",
     ]
     if border:
         command += ["--extra-fields", "forbid", "--field-constraints"]
