--- /dev/null
+++ b/sapphireyard/_requests.py
@@ -0,0 +1,125 @@
+"""Reads callers' requests: headers, bodies, and every fault in them."""
+
+import json
+import re
+
+from pydantic import ValidationError
+
+from sapphireyard.exceptions import CallError, Finding
+from sapphireyard.generated_api import CallHeaders, ChatBody
+
+HEADER_PREFIX = "Sapphireyard-"
+PROGRAM_PATTERN = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
+BUDGET_FIELDS = ("tokens", "calls", "seconds")
+
+
+def read_headers(headers):
+    """Return the checked `CallHeaders` of a request.
+
+    Raises
+    ------
+    CallError
+        ``invalid_request`` with all findings.
+    """
+    findings = []
+    values = {
+        "program": headers.get(HEADER_PREFIX + "Program", ""),
+        "parent": headers.get(HEADER_PREFIX + "Parent", ""),
+        "idempotency_key": headers.get("Idempotency-Key", ""),
+    }
+    for name in ("sequence", "deadline"):
+        text = headers.get(HEADER_PREFIX + name.capitalize())
+        if text is not None:
+            values[name] = text
+    budget = headers.get(HEADER_PREFIX + "Budget")
+    if budget is not None:
+        values |= _read_budget(budget, findings)
+    try:
+        checked = CallHeaders(**values)
+    except ValidationError as error:
+        findings += [
+            Finding(f"header {_name_header(item['loc'][0])}", item["msg"])
+            for item in error.errors()
+        ]
+    if findings:
+        raise _refuse(findings)
+    if checked.parent and not checked.program:
+        place = f"header {HEADER_PREFIX}Parent"
+        raise _refuse([Finding(place, "needs a Sapphireyard-Program header")])
+    if checked.sequence and not checked.program:
+        place = f"header {HEADER_PREFIX}Sequence"
+        raise _refuse([Finding(place, "needs a Sapphireyard-Program header")])
+    return checked
+
+
+def _name_header(field):
+    if field == "idempotency_key":
+        return "Idempotency-Key"
+    if field.startswith("budget_"):
+        return f"{HEADER_PREFIX}Budget"
+    return HEADER_PREFIX + field.capitalize()
+
+
+def _read_budget(text, findings):
+    values = {}
+    for item in text.split(","):
+        name, separator, amount = item.strip().partition("=")
+        if not separator or name not in BUDGET_FIELDS or f"budget_{name}" in values:
+            finding = f"{item.strip()!r} is not one of tokens=N, calls=N, seconds=N"
+            findings.append(Finding(f"header {HEADER_PREFIX}Budget", finding))
+            continue
+        values[f"budget_{name}"] = amount
+    return values
+
+
+def read_json(data):
+    """Return the JSON object in `data`.
+
+    Raises
+    ------
+    CallError
+        ``invalid_request``: it is not a JSON object.
+    """
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise _refuse([Finding("body", f"is not JSON: {error}")]) from error
+    if not isinstance(body, dict):
+        raise _refuse([Finding("body", "is not a JSON object")])
+    return body
+
+
+def check_chat(body):
+    """Check the body of a chat completion.
+
+    Raises
+    ------
+    CallError
+        ``invalid_request`` with all findings.
+    """
+    try:
+        ChatBody.model_validate(body, strict=True)
+    except ValidationError as error:
+        findings = [
+            Finding("body." + ".".join(map(str, item["loc"])), item["msg"])
+            for item in error.errors()
+        ]
+        raise _refuse(findings) from error
+    if body.get("n", 1) != 1:
+        raise _refuse([Finding("body.n", "only one choice is supported")])
+
+
+def check_program_id(program):
+    """Refuse an id of a program in a path that cannot be one.
+
+    Raises
+    ------
+    CallError
+        ``invalid_request``.
+    """
+    if not PROGRAM_PATTERN.fullmatch(program):
+        raise _refuse([Finding("program", "is not an id of a program")])
+
+
+def _refuse(findings):
+    return CallError("invalid_request", f"{len(findings)} findings", findings=findings)
--- /dev/null
+++ b/sapphireyard/calls.py
@@ -0,0 +1,149 @@
+"""Calls of a program: their state and the rules of admission.
+
+`admit` decides what becomes of a call that arrives for a program; it changes
+nothing.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError
+
+CALL_RESERVED = "reserved"
+CALL_COMPLETED = "completed"
+CALL_UNKNOWN = "unknown"
+
+GAP_RETRY_SECONDS = 1.0
+TAIL_RETRY_SECONDS = 5.0
+
+
+@dataclass
+class Call:
+    """One call of a program, as far as it is durable.
+
+    Parameters
+    ----------
+    sequence : int
+        Place in the program, from 1.
+    state : str
+        ``reserved``, ``completed`` or ``unknown``.
+    digest : str
+        Digest of the request's content.
+    route : str
+        Name of the route.
+    repeatable : bool
+        Whether the call may be run again.
+    tokens : int
+        Tokens reserved or, once completed, used.
+    status : int
+        HTTP status of the answer, 0 while there is none.
+    request, answer : str
+        JSON texts, empty while there is no answer.
+    idempotency_key : str
+        The caller's key, may be empty.
+    """
+
+    sequence: int
+    state: str
+    digest: str
+    route: str
+    repeatable: bool = False
+    tokens: int = 0
+    status: int = 0
+    request: str = ""
+    answer: str = ""
+    idempotency_key: str = ""
+
+    @property
+    def is_model_turn(self):
+        """bool: Whether the call is a turn of the conversation."""
+        return self.status == 200 and '"choices"' in self.answer
+
+
+class Admission(enum.Enum):
+    """What is to be done with a call that arrives."""
+
+    RUN = "run"
+    JOIN = "join"
+    REPLAY = "replay"
+    WAIT = "wait"
+
+
+@dataclass(frozen=True)
+class Decision:
+    """An admission and the sequence it is about."""
+
+    admission: Admission
+    sequence: int
+
+
+def admit(program, *, sequence, digest, idempotency_key):
+    """Decide what becomes of a call.
+
+    Parameters
+    ----------
+    program : Program
+        The program it belongs to.
+    sequence : int
+        The caller's number, 0 for the next one.
+    digest : str
+        Digest of the content.
+    idempotency_key : str
+        The caller's key, may be empty.
+
+    Returns
+    -------
+    Decision
+
+    Raises
+    ------
+    CallError
+        The call conflicts with an earlier one, has an unknown outcome, or the
+        program has ended.
+    """
+    known = program.sequences_by_key.get(idempotency_key) if idempotency_key else None
+    if known is not None:
+        return _decide_repeat(program, known, digest)
+    if sequence in program.calls:
+        return _decide_repeat(program, sequence, digest)
+    if program.ended:
+        raise CallError("program_ended", f"the program ended: {program.ended}")
+    expected = program.next_sequence
+    if program.running is not None:
+        return Decision(Admission.WAIT, sequence)
+    if sequence > expected:
+        return Decision(Admission.WAIT, sequence)
+    return Decision(Admission.RUN, expected)
+
+
+def _decide_repeat(program, sequence, digest):
+    call = program.calls[sequence]
+    if call.digest != digest:
+        raise CallError(
+            "sequence_conflict",
+            f"sequence {sequence} was issued with another content",
+        )
+    if call.state == CALL_COMPLETED:
+        return Decision(Admission.REPLAY, sequence)
+    if call.state == CALL_UNKNOWN:
+        raise CallError(
+            "outcome_unknown",
+            f"sequence {sequence} may have run and cannot be repeated",
+            executed=EXECUTED_UNKNOWN,
+        )
+    return Decision(Admission.JOIN, sequence)
+
+
+def explain_gap(program, sequence):
+    """Return the error for a call that came before those it follows."""
+    if program.tail_uncertain:
+        return CallError(
+            "history_unavailable",
+            "the last calls of the program cannot be read yet",
+            retry_after=TAIL_RETRY_SECONDS,
+        )
+    return CallError(
+        "sequence_gap",
+        f"sequence {sequence} was issued, {program.next_sequence} is next",
+        retry_after=GAP_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/sapphireyard/completions.py
@@ -0,0 +1,171 @@
+"""Chat completions in the OpenAI form: digests, prompts, streamed answers."""
+
+import json
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+DIGEST_BYTES = 16
+TRANSPORT_FIELDS = ("stream", "stream_options")
+"""Fields which say how an answer travels, not what is asked."""
+
+
+def dump_json(value):
+    """Return the compact JSON text of `value`."""
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False)
+
+
+def digest_content(route, body):
+    """Return the digest of what a call asks, as hexadecimal text.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    body : dict
+        Parsed JSON body.
+    """
+    asked = {key: body[key] for key in body if key not in TRANSPORT_FIELDS}
+    text = json.dumps(asked, sort_keys=True, separators=(",", ":"))
+    return digest_text(f"{route}\n{text}")
+
+
+def digest_text(text):
+    """Return the digest of `text` as hexadecimal text."""
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def digest_program(key):
+    """Return the opaque name under which upstreams know a program."""
+    return digest_text(key)
+
+
+def collect_messages(program):
+    """Return the messages of a program's conversation so far."""
+    messages = []
+    for call in program.calls.values():
+        if not call.is_model_turn:
+            continue
+        messages.extend(json.loads(call.request)["messages"])
+        messages.append(json.loads(call.answer)["choices"][0]["message"])
+    return messages
+
+
+def build_prompt(history, body, answer_tokens):
+    """Return the request body for a model engine.
+
+    Parameters
+    ----------
+    history : list of dict
+        Messages of the earlier turns.
+    body : dict
+        The caller's body, whose messages are new.
+    answer_tokens : int
+        Longest answer in tokens.
+    """
+    return {
+        **body,
+        "messages": history + body["messages"],
+        "max_tokens": answer_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+
+
+@dataclass
+class _ToolCall:
+    id: str = ""
+    type: str = "function"
+    name: str = ""
+    arguments: str = ""
+
+    def add(self, delta):
+        function = delta.get("function") or {}
+        self.id = delta.get("id") or self.id
+        self.type = delta.get("type") or self.type
+        self.name += function.get("name") or ""
+        self.arguments += function.get("arguments") or ""
+
+    def as_message(self):
+        function = {"name": self.name, "arguments": self.arguments}
+        return {"id": self.id, "type": self.type, "function": function}
+
+
+@dataclass
+class CompletionAssembler:
+    """Builds the whole answer from the chunks of a stream.
+
+    Feed each chunk to `add`; `build` gives the answer once `finished`.
+    """
+
+    id: str = ""
+    model: str = ""
+    created: int = 0
+    role: str = "assistant"
+    finish_reason: str | None = None
+    usage: dict | None = None
+    _content: list = field(default_factory=list)
+    _tool_calls: dict = field(default_factory=dict)
+
+    @property
+    def finished(self):
+        """bool: Whether the engine said that the answer is complete."""
+        return self.finish_reason is not None
+
+    def add(self, chunk):
+        """Take in one parsed chunk."""
+        self.id = chunk.get("id") or self.id
+        self.model = chunk.get("model") or self.model
+        self.created = chunk.get("created") or self.created
+        self.usage = chunk.get("usage") or self.usage
+        for choice in chunk.get("choices") or ():
+            self._add_delta(choice.get("delta") or {})
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+
+    def _add_delta(self, delta):
+        self.role = delta.get("role") or self.role
+        if delta.get("content"):
+            self._content.append(delta["content"])
+        for tool_delta in delta.get("tool_calls") or ():
+            index = tool_delta.get("index", 0)
+            self._tool_calls.setdefault(index, _ToolCall()).add(tool_delta)
+
+    def build(self):
+        """Return the answer as a chat completion."""
+        message = {"role": self.role, "content": "".join(self._content)}
+        if self._tool_calls:
+            ordered = sorted(self._tool_calls.items())
+            message["tool_calls"] = [call.as_message() for _, call in ordered]
+        choice = {"index": 0, "message": message, "finish_reason": self.finish_reason}
+        return {
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": self.usage,
+        }
+
+
+def count_tokens(answer, *, otherwise):
+    """Return the tokens an answer used, or `otherwise` if it doesn't say."""
+    usage = answer.get("usage") or {}
+    total = usage.get("total_tokens")
+    if not isinstance(total, int) or total < 0:
+        return otherwise
+    return total
+
+
+def restream(answer):
+    """Return the chunks which stream a stored answer again."""
+    choice = answer["choices"][0]
+    message = dict(choice["message"])
+    for index, tool_call in enumerate(message.get("tool_calls", ())):
+        message["tool_calls"][index] = {"index": index, **tool_call}
+    head = {key: answer[key] for key in ("id", "created", "model") if key in answer} | {
+        "object": "chat.completion.chunk"
+    }
+    end = {"index": 0, "delta": {}, "finish_reason": choice["finish_reason"]}
+    return [
+        {**head, "choices": [{"index": 0, "delta": message, "finish_reason": None}]},
+        {**head, "choices": [end], "usage": answer.get("usage")},
+    ]
--- /dev/null
+++ b/sapphireyard/connections.py
@@ -0,0 +1,298 @@
+"""One internal connection: many requests at once over one TCP stream.
+
+Both ends may ask. Each request has an id of the asking end; answers are
+matched by it, so late or crossed answers reach their own request or nobody.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+
+from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
+from sapphireyard.frames import FrameError, FrameKind, FrameReader, encode_frame
+from sapphireyard.generated_messages import Failure
+
+logger = logging.getLogger(__name__)
+
+STREAM_WINDOW_ITEMS = 64
+"""Items a sender may have under way in one stream without a credit."""
+
+PING_SECONDS = 1.0
+SILENCE_SECONDS = 3.0
+"""Seconds without a byte after which a connection counts as dead."""
+
+
+class Connection(asyncio.Protocol):
+    """One end of a connection between two hosts.
+
+    Made by `Peers`; use its `request` to ask and its `tell` for messages
+    without an answer.
+
+    Parameters
+    ----------
+    peers : Peers
+        The owner, which serves the requests that arrive.
+    """
+
+    def __init__(self, peers):
+        self._peers = peers
+        self._reader = FrameReader()
+        self._transport = None
+        self._ids = itertools.count(1)
+        self._incoming = {}
+        self._outgoing = {}
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._heard_at = 0.0
+        self._watch = None
+        self.hello = asyncio.get_running_loop().create_future()
+        self.closed = asyncio.Event()
+
+    @property
+    def host(self):
+        """str: Name of the other end, empty before its hello."""
+        return self.remote.host if self.remote else ""
+
+    @property
+    def remote(self):
+        """Hello: What the other end said of itself, or None."""
+        if not self.hello.done() or self.hello.exception():
+            return None
+        return self.hello.result()
+
+    @property
+    def is_open(self):
+        """bool: Whether requests can still be sent."""
+        return self._transport is not None and not self.closed.is_set()
+
+    def connection_made(self, transport):
+        self._transport = transport
+        self._heard_at = asyncio.get_running_loop().time()
+        name, fields = self._peers.codec.dump(self._peers.describe())
+        self._send(FrameKind.HELLO, 0, name, fields)
+        self._watch = asyncio.ensure_future(self._watch_silence())
+
+    def data_received(self, data):
+        self._heard_at = asyncio.get_running_loop().time()
+        try:
+            for frame in self._reader.feed(data):
+                self._receive(frame)
+        except (FrameError, ValueError, TypeError, IndexError) as error:
+            logger.warning("peer %s broke the protocol: %s", self.host or "?", error)
+            self.close()
+
+    def connection_lost(self, error):
+        self.closed.set()
+        self._can_write.set()
+        if self._watch:
+            self._watch.cancel()
+        if not self.hello.done():
+            self.hello.set_exception(PeerUnavailable("closed before hello", sent=False))
+            self.hello.exception()
+        for answers in self._outgoing.values():
+            answers.fail(PeerUnavailable(f"connection to {self.host} ended"))
+        for task in self._incoming.values():
+            task.cancel()
+        self._outgoing.clear()
+        self._peers.forget(self)
+
+    def pause_writing(self):
+        self._can_write.clear()
+
+    def resume_writing(self):
+        self._can_write.set()
+
+    def close(self):
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def tell(self, message):
+        """Send a message that has no answer."""
+        name, fields = self._peers.codec.dump(message)
+        self._send(FrameKind.TELL, 0, name, fields)
+
+    @contextlib.asynccontextmanager
+    async def request(self, message, *, timeout):
+        """Send a request; give the async iterator of its answer's messages.
+
+        Leaving the context before the end cancels the request.
+        """
+        if not self.is_open:
+            raise PeerUnavailable(f"no connection to {self.host}", sent=False)
+        request_id = next(self._ids)
+        answers = _Answers(lambda: self._send(FrameKind.CREDIT, request_id, 1))
+        self._outgoing[request_id] = answers
+        name, fields = self._peers.codec.dump(message)
+        self._send(FrameKind.REQUEST, request_id, name, fields, timeout)
+        try:
+            yield answers
+        finally:
+            if self._outgoing.pop(request_id, None) and not answers.ended:
+                self._send(FrameKind.CANCEL, request_id)
+
+    def _send(self, *parts):
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode_frame(*parts))
+
+    def _receive(self, frame):
+        kind, request_id, *rest = frame
+        if kind == FrameKind.PING:
+            self._send(FrameKind.PONG, 0)
+        elif kind == FrameKind.HELLO:
+            self._receive_hello(*rest[:2])
+        elif kind == FrameKind.REQUEST:
+            self._receive_request(request_id, *rest[:3])
+        elif kind == FrameKind.TELL:
+            message = self._peers.codec.load(*rest[:2])
+            self._peers.receive_tell(self, message)
+        elif kind in (FrameKind.CANCEL, FrameKind.CREDIT):
+            self._receive_control(kind, request_id)
+        elif kind in (FrameKind.ITEM, FrameKind.END, FrameKind.FAIL):
+            self._receive_answer(kind, request_id, rest)
+
+    def _receive_hello(self, name, fields):
+        hello = self._peers.codec.load(name, fields)
+        mine = self._peers.describe()
+        if self.hello.done():
+            return
+        if (
+            hello.protocol < mine.oldest_protocol
+            or hello.oldest_protocol > mine.protocol
+        ):
+            error = PeerUnavailable(
+                f"{hello.host} speaks protocol {hello.protocol}", sent=False
+            )
+            self.hello.set_exception(error)
+            self.hello.exception()
+            self.close()
+            return
+        self.hello.set_result(hello)
+        self._peers.receive_hello(self, hello)
+
+    def _receive_request(self, request_id, name, fields, timeout):
+        responder = _Responder(self, request_id)
+        task = asyncio.ensure_future(responder.run(name, fields, timeout))
+        task.responder = responder
+        self._incoming[request_id] = task
+        task.add_done_callback(lambda _: self._incoming.pop(request_id, None))
+
+    def _receive_control(self, kind, request_id):
+        task = self._incoming.get(request_id)
+        if task is None:
+            return
+        if kind == FrameKind.CANCEL:
+            task.cancel()
+        else:
+            task.responder.add_credit()
+
+    def _receive_answer(self, kind, request_id, rest):
+        answers = self._outgoing.get(request_id)
+        if answers is None:
+            return
+        if kind == FrameKind.ITEM:
+            answers.add(self._peers.codec.load(*rest[:2]))
+        elif kind == FrameKind.END:
+            answers.end()
+        else:
+            failure = self._peers.codec.load(*rest[:2])
+            answers.fail(
+                CallError(
+                    failure.code,
+                    failure.detail,
+                    executed=failure.executed,
+                    retry_after=failure.retry_after,
+                )
+            )
+
+    async def _watch_silence(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            before = loop.time()
+            await asyncio.sleep(PING_SECONDS)
+            stood_still = loop.time() - before > SILENCE_SECONDS
+            if stood_still:
+                self._heard_at = loop.time()
+            if loop.time() - self._heard_at > SILENCE_SECONDS:
+                logger.warning("peer %s is silent; connection closed", self.host)
+                self.close()
+                return
+            self._send(FrameKind.PING, 0)
+
+
+class _Responder:
+    """Serves one request that arrived on a connection."""
+
+    def __init__(self, connection, request_id):
+        self._connection = connection
+        self._request_id = request_id
+        self._credits = asyncio.Semaphore(STREAM_WINDOW_ITEMS)
+
+    def add_credit(self):
+        self._credits.release()
+
+    async def run(self, name, fields, timeout):
+        connection = self._connection
+        try:
+            message = connection._peers.codec.load(name, fields)
+            async with asyncio.timeout(timeout):
+                async for item in connection._peers.serve(connection, message):
+                    await self._credits.acquire()
+                    await connection._can_write.wait()
+                    item_name, item_fields = connection._peers.codec.dump(item)
+                    connection._send(
+                        FrameKind.ITEM, self._request_id, item_name, item_fields
+                    )
+            connection._send(FrameKind.END, self._request_id)
+        except asyncio.CancelledError:
+            self._fail("peer_error", "the request was cancelled")
+            raise
+        except CallError as error:
+            self._fail(error.code, error.detail, error.executed, error.retry_after)
+        except TimeoutError:
+            self._fail("deadline_exceeded", "no answer before the deadline")
+        except PeerError as error:
+            self._fail(error.code, str(error))
+        except Exception:
+            logger.exception("request %s failed", name)
+            self._fail("internal_error", "internal error")
+
+    def _fail(self, code, detail, executed="unknown", retry_after=None):
+        failure = Failure(
+            code=code, detail=detail, executed=executed, retry_after=retry_after
+        )
+        name, fields = self._connection._peers.codec.dump(failure)
+        self._connection._send(FrameKind.FAIL, self._request_id, name, fields)
+
+
+class _Answers:
+    """The messages of one answer, as an async iterator."""
+
+    def __init__(self, give_credit):
+        self._queue = asyncio.Queue()
+        self._give_credit = give_credit
+        self.ended = False
+
+    def add(self, message):
+        self._queue.put_nowait((message, None))
+
+    def end(self):
+        self.ended = True
+        self._queue.put_nowait((None, None))
+
+    def fail(self, error):
+        self.ended = True
+        self._queue.put_nowait((None, error))
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        message, error = await self._queue.get()
+        if error is not None:
+            raise error
+        if message is None:
+            raise StopAsyncIteration
+        self._give_credit()
+        return message
--- /dev/null
+++ b/sapphireyard/dispatcher.py
@@ -0,0 +1,365 @@
+"""Serves calls on the owner of their program.
+
+The dispatcher admits a call by its program's state, joins repeats to the run
+under way, replays stored answers, and has an `Executor` carry out the rest.
+"""
+
+import asyncio
+import json
+import logging
+
+import mode
+
+from sapphireyard.calls import CALL_COMPLETED, Admission, admit, explain_gap
+from sapphireyard.completions import digest_content, dump_json, restream
+from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
+from sapphireyard.executor import Execution, Executor
+from sapphireyard.generated_messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerStart,
+    Done,
+    ForwardCall,
+    InspectProgram,
+    LinkProgram,
+    ProgramElsewhere,
+    ProgramView,
+)
+from sapphireyard.generated_records import (
+    ProgramEnded,
+    ProgramLinked,
+    ProgramOpened,
+)
+from sapphireyard.programs import Program
+from sapphireyard.runs import Run
+
+logger = logging.getLogger(__name__)
+
+GAP_SECONDS = 2.0
+"""Seconds for which a call waits for the ones before it to arrive."""
+
+LINK_SECONDS = 5.0
+ENDED_BY_CALLER = "ended by the caller"
+
+
+class Dispatcher(mode.Service):
+    """Serves the calls and queries of programs owned by this host.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._executor = Executor(yard)
+        self._runs = set()
+        yard.peers.register_stream(ForwardCall, self.carry)
+        yard.peers.register(InspectProgram, self.inspect)
+        yard.peers.register(LinkProgram, self.link)
+
+    @property
+    def running_calls(self):
+        """int: Calls under way on this host."""
+        return len(self._runs)
+
+    async def on_stop(self):
+        for run in list(self._runs):
+            run.task.cancel()
+
+    async def carry(self, call, context):
+        """Serve a `ForwardCall`; yield the messages of its answer.
+
+        Raises
+        ------
+        NotOwner
+            Another host owns the program.
+        CallError
+            The call was refused or failed.
+        """
+        deadline = self._yard.clock.monotonic() + call.deadline_seconds
+        body = json.loads(call.body)
+        digest = digest_content(call.route, body)
+        if not call.program:
+            program, partition = Program("", "", self._yard.clock.wall()), None
+            run = self._begin(program, partition, call, body, 1, digest, deadline)
+            async for message in run.follow(stream=call.stream):
+                yield message
+            return
+        partition = await self._enter(call.root, deadline)
+        elsewhere = self._find_elsewhere(partition, call.root)
+        if elsewhere:
+            yield ProgramElsewhere(root=elsewhere)
+            return
+        program = await self._open(partition, call, deadline)
+        decision = await self._admit(program, partition, call, digest, deadline)
+        if decision.admission is Admission.REPLAY:
+            for message in self._replay(program, decision.sequence, call):
+                yield message
+            return
+        run = program.running
+        if decision.admission is Admission.RUN:
+            run = self._begin(
+                program, partition, call, body, decision.sequence, digest, deadline
+            )
+        async for message in run.follow(stream=call.stream):
+            yield message
+
+    async def inspect(self, query, context):
+        """Serve an `InspectProgram`."""
+        deadline = self._yard.clock.monotonic() + LINK_SECONDS
+        key = f"{query.customer}/{query.program}"
+        root = query.root or key
+        partition = await self._enter(root, deadline)
+        elsewhere = self._find_elsewhere(partition, root)
+        if elsewhere:
+            return ProgramElsewhere(root=elsewhere)
+        program = self._yard.programs.get(partition, key)
+        if program is None:
+            raise CallError("program_unknown", f"no program {query.program!r}")
+        if query.end:
+            await self.end(partition, program, ENDED_BY_CALLER)
+        view = describe_history(program) if query.history else describe(program)
+        return ProgramView(body=dump_json(view))
+
+    async def link(self, request, context):
+        """Serve a `LinkProgram`: note where a sub-agent's state lives."""
+        deadline = self._yard.clock.monotonic() + LINK_SECONDS
+        partition = await self._enter(request.program, deadline)
+        if self._yard.programs.get(partition, request.program) is None:
+            record = ProgramLinked(request.program, request.root)
+            await self._yard.journal.commit([record], partition=partition)
+            self._yard.programs.apply(partition, record)
+        return Done()
+
+    async def end(self, partition, program, reason):
+        """End a program and its sub-agents, and release engine memory."""
+        family = [
+            each
+            for each in self._yard.programs.each(partition)
+            if each is program or (program.is_root and each.root == program.key)
+        ]
+        records = [ProgramEnded(each.key, reason) for each in family if not each.ended]
+        if not records:
+            return
+        await self._yard.journal.commit(records, partition=partition)
+        for record in records:
+            self._yard.programs.apply(partition, record)
+        for each in family:
+            if each.running is not None:
+                self._executor.cancel(each.running)
+            await self._executor.release(each)
+
+    def end_runs_of_keys(self, is_withdrawn):
+        """Stop running calls whose key was withdrawn."""
+        for run in list(self._runs):
+            if run.key_digest and is_withdrawn(run.key_digest):
+                self._executor.cancel(
+                    run,
+                    CallError(
+                        "key_withdrawn", "the key was withdrawn", executed="unknown"
+                    ),
+                )
+
+    async def _enter(self, root, deadline):
+        """Return the partition of `root` once this host may serve it."""
+        ownership = self._yard.ownership
+        while True:
+            location = ownership.locate(root)
+            if not location.is_self:
+                raise NotOwner(location.host)
+            left = deadline - self._yard.clock.monotonic()
+            if left <= 0:
+                raise CallError("deadline_exceeded", "the program is being recovered")
+            await ownership.wait_ready(location.partition, timeout=left)
+            if not self._yard.programs.is_held(location.partition):
+                ownership.check_owned(location.partition)
+                return location.partition
+            try:
+                async with asyncio.timeout(left):
+                    await self._yard.programs.wait_released(location.partition)
+            except TimeoutError:
+                continue
+
+    def _find_elsewhere(self, partition, key):
+        program = self._yard.programs.get(partition, key)
+        if program is None or program.is_root:
+            return ""
+        home = self._yard.ownership.locate(program.root)
+        if not program.link and home.partition == partition:
+            return ""
+        return program.root
+
+    async def _open(self, partition, call, deadline):
+        key = f"{call.customer}/{call.program}"
+        program = self._yard.programs.get(partition, key)
+        if program is not None:
+            return program
+        root = key
+        if call.parent:
+            parent = self._yard.programs.get(
+                partition, f"{call.customer}/{call.parent}"
+            )
+            if parent is None:
+                raise CallError("program_unknown", f"no program {call.parent!r}")
+            root = parent.root
+            await self._link(key, root, partition)
+        elif call.root != key:
+            raise CallError("program_unknown", f"no program {call.program!r}")
+        await self._enter(root, deadline)
+        record = ProgramOpened(
+            program=key,
+            root=root,
+            opened_at=self._yard.clock.wall(),
+            budget_tokens=call.budget_tokens,
+            budget_calls=call.budget_calls,
+            budget_seconds=call.budget_seconds,
+        )
+        self._yard.programs.apply(partition, record)
+        program = self._yard.programs.get(partition, key)
+        program.opening = record
+        return program
+
+    async def _link(self, key, root, partition):
+        location = self._yard.ownership.locate(key)
+        if location.partition == partition:
+            return
+        await self._yard.peers.ask(
+            location.host, LinkProgram(key, root), timeout=LINK_SECONDS
+        )
+
+    async def _admit(self, program, partition, call, digest, deadline):
+        clock = self._yard.clock
+        gap_deadline = min(deadline, clock.monotonic() + GAP_SECONDS)
+        while True:
+            if self._yard.programs.is_held(partition):
+                await self._enter(program.root, deadline)
+                program = self._yard.programs.get(partition, program.key) or program
+            decision = admit(
+                program,
+                sequence=call.sequence,
+                digest=digest,
+                idempotency_key=call.idempotency_key,
+            )
+            if decision.admission is not Admission.WAIT:
+                return decision
+            if program.running is not None:
+                gap_deadline = min(deadline, clock.monotonic() + GAP_SECONDS)
+                limit = deadline
+            else:
+                limit = gap_deadline
+            left = limit - clock.monotonic()
+            if left <= 0:
+                raise self._explain_wait(program, call)
+            await self._wait_turn(program, left)
+
+    def _explain_wait(self, program, call):
+        if program.running is None:
+            return explain_gap(program, call.sequence)
+        return CallError(
+            "deadline_exceeded",
+            "an earlier call of the program was still running",
+            retry_after=GAP_SECONDS,
+        )
+
+    async def _wait_turn(self, program, seconds):
+        try:
+            async with asyncio.timeout(seconds), program.turn:
+                await program.turn.wait()
+        except TimeoutError:
+            return
+
+    def _begin(self, program, partition, call, body, sequence, digest, deadline):
+        run = Run(
+            program=call.program,
+            sequence=sequence,
+            digest=digest,
+            key_digest=call.key_digest,
+        )
+        execution = Execution(
+            run=run,
+            program=program,
+            partition=partition,
+            call=call,
+            body=body,
+            deadline=deadline,
+        )
+        program.running = run
+        run.task = asyncio.ensure_future(self._run(execution))
+        self._runs.add(run)
+        return run
+
+    async def _run(self, execution):
+        run = execution.run
+        try:
+            await self._executor.execute(execution)
+        except CallError as error:
+            run.fail(error)
+        except JournalSealed:
+            run.fail(execution.explain_loss())
+        except asyncio.CancelledError:
+            run.fail(execution.explain_loss())
+        except Exception:
+            logger.exception("call failed", extra={"program": execution.program.key})
+            run.fail(execution.explain_failure())
+        finally:
+            self._runs.discard(run)
+            execution.program.running = None
+            await self._yard.programs.notify()
+            async with execution.program.turn:
+                execution.program.turn.notify_all()
+
+    def _replay(self, program, sequence, call):
+        stored = program.calls[sequence]
+        assert stored.state == CALL_COMPLETED
+        start = AnswerStart(
+            status=stored.status, program=call.program, sequence=sequence
+        )
+        if not call.stream or not stored.is_model_turn:
+            return [start, AnswerEnd(body=stored.answer)]
+        start.streamed = True
+        chunks = restream(json.loads(stored.answer))
+        return [
+            start,
+            *(AnswerChunk(data=dump_json(chunk)) for chunk in chunks),
+            AnswerEnd(),
+        ]
+
+
+def describe(program):
+    """Return what a caller may know of a program, as a JSON object."""
+    return {
+        "program": program.key.split("/", 1)[1],
+        "root": program.root.split("/", 1)[1],
+        "state": "ended" if program.ended else "active",
+        "reason": program.ended,
+        "next_sequence": program.next_sequence,
+        "running": program.running is not None,
+        "unknown_outcomes": program.unknown_sequences(),
+        "budget": {
+            "tokens": program.budget_tokens,
+            "calls": program.budget_calls,
+            "seconds": program.budget_seconds,
+        },
+        "used": {"tokens": program.spent_tokens, "calls": program.spent_calls},
+    }
+
+
+def describe_history(program):
+    """Return the calls of a program with requests and answers."""
+    return {
+        "program": program.key.split("/", 1)[1],
+        "calls": [
+            {
+                "sequence": call.sequence,
+                "route": call.route,
+                "state": call.state,
+                "status": call.status,
+                "request": json.loads(call.request) if call.request else None,
+                "answer": json.loads(call.answer) if call.answer else None,
+            }
+            for call in program.calls.values()
+        ],
+    }
--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -134,6 +134,20 @@
         return STATUSES[self.code]
 
 
+class NotOwner(CallError):
+    """The host that was asked does not own the program; ask its owner.
+
+    Parameters
+    ----------
+    owner : str
+        Name of the owner as far as known.
+    """
+
+    def __init__(self, owner):
+        super().__init__("not_owner", f"the owner is {owner}", retry_after=0.0)
+        self.owner = owner
+
+
 STATUSES = {
     "invalid_request": 400,
     "key_unknown": 401,
@@ -155,6 +169,7 @@
     "history_unavailable": 503,
     "store_unavailable": 503,
     "draining": 503,
+    "not_owner": 503,
     "configuration_stale": 503,
     "deadline_exceeded": 504,
 }
--- /dev/null
+++ b/sapphireyard/frames.py
@@ -0,0 +1,157 @@
+"""Framing and codec of the internal streams.
+
+A frame is a big-endian 32-bit length and a msgpack array. The first element
+is the `FrameKind`, the second the request id, the rest depends on the kind.
+Messages travel as their class name and a map of their fields; unknown fields
+are ignored, so that neighbouring versions understand each other.
+"""
+
+import dataclasses
+import enum
+import struct
+
+import msgpack
+from pydantic import TypeAdapter, ValidationError
+
+from sapphireyard.exceptions import PeerError
+
+HEADER = struct.Struct("!I")
+FRAME_BYTES = 8 * 1024 * 1024
+"""Largest frame accepted, in bytes."""
+
+
+class FrameKind(enum.IntEnum):
+    """Purpose of a frame."""
+
+    HELLO = 0
+    REQUEST = 1
+    ITEM = 2
+    END = 3
+    FAIL = 4
+    CANCEL = 5
+    PING = 6
+    PONG = 7
+    TELL = 8
+    CREDIT = 9
+
+
+class FrameError(PeerError):
+    """A frame that breaks the protocol."""
+
+    code = "frame_error"
+
+
+class MessageCodec:
+    """Turns generated message classes into plain maps and back.
+
+    Register the modules whose dataclasses may travel, then use `dump` and
+    `load`.
+    """
+
+    def __init__(self):
+        self._adapters = {}
+        self._fields = {}
+
+    def register_module(self, module):
+        """Make all dataclasses defined in `module` known."""
+        for value in vars(module).values():
+            if dataclasses.is_dataclass(value) and value.__module__ == module.__name__:
+                self._register(value)
+
+    def _register(self, message_class):
+        name = message_class.__name__
+        self._adapters[name] = TypeAdapter(message_class)
+        fields = dataclasses.fields(message_class)
+        self._fields[message_class] = tuple(field.name for field in fields)
+
+    def dump(self, message):
+        """Return the class name and the fields of `message`."""
+        names = self._fields[type(message)]
+        values = {name: _plain(getattr(message, name)) for name in names}
+        return type(message).__name__, values
+
+    def load(self, name, values):
+        """Return the validated message of class `name`.
+
+        Raises
+        ------
+        FrameError
+            The class is unknown or the fields don't fit it.
+        """
+        adapter = self._adapters.get(name)
+        if adapter is None:
+            raise FrameError(f"unknown message {name!r}")
+        try:
+            return adapter.validate_python(values)
+        except ValidationError as error:
+            raise FrameError(f"bad {name}: {error.error_count()} findings") from error
+
+
+def _plain(value):
+    if dataclasses.is_dataclass(value):
+        return {
+            field.name: _plain(getattr(value, field.name))
+            for field in dataclasses.fields(value)
+        }
+    if isinstance(value, (list, tuple)):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
+
+
+def encode_frame(*parts):
+    """Return the bytes of one frame."""
+    payload = msgpack.packb(parts)
+    return HEADER.pack(len(payload)) + payload
+
+
+class FrameReader:
+    """Cuts a byte stream into frames.
+
+    Feed it what arrives; it returns the whole frames and keeps the rest.
+    """
+
+    def __init__(self):
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        """Return the list of frames completed by `data`.
+
+        Raises
+        ------
+        FrameError
+            A frame is too long or not msgpack.
+        """
+        self._buffer += data
+        frames = []
+        start = 0
+        while True:
+            frame, start = self._cut(start)
+            if frame is None:
+                break
+            frames.append(frame)
+        del self._buffer[:start]
+        return frames
+
+    def _cut(self, start):
+        body = start + HEADER.size
+        if len(self._buffer) < body:
+            return None, start
+        (length,) = HEADER.unpack_from(self._buffer, start)
+        if length > FRAME_BYTES:
+            raise FrameError(f"frame of {length} bytes")
+        end = body + length
+        if len(self._buffer) < end:
+            return None, start
+        return _unpack(self._buffer[body:end]), end
+
+
+def _unpack(payload):
+    try:
+        frame = msgpack.unpackb(payload, strict_map_key=False)
+    except (ValueError, msgpack.exceptions.UnpackException) as error:
+        raise FrameError("frame is not msgpack") from error
+    if not isinstance(frame, list) or len(frame) < 2:
+        raise FrameError("frame has no kind and request")
+    return frame
--- /dev/null
+++ b/sapphireyard/gateway.py
@@ -0,0 +1,436 @@
+"""The callers' HTTP interface.
+
+Any entry host accepts any call, and passes it to the owner of the program
+over the internal streams. The caller's key is checked here and goes no
+further.
+"""
+
+import asyncio
+import contextlib
+import logging
+import secrets
+
+import mode
+from aiohttp import web
+
+from sapphireyard._problems import build_problem_response, describe_problem
+from sapphireyard._requests import (
+    check_chat,
+    check_program_id,
+    read_headers,
+    read_json,
+)
+from sapphireyard.completions import digest_text, dump_json
+from sapphireyard.exceptions import (
+    EXECUTED_NO,
+    EXECUTED_UNKNOWN,
+    CallError,
+    PeerUnavailable,
+    YardError,
+)
+from sapphireyard.generated_messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerStart,
+    ForwardCall,
+    InspectProgram,
+    ProgramElsewhere,
+)
+
+logger = logging.getLogger(__name__)
+
+BODY_SECONDS = 10.0
+"""Longest time a caller may take to send a body."""
+
+WRITE_SECONDS = 30.0
+"""Longest time a caller may leave a part of an answer unread."""
+
+REROUTE_SECONDS = 0.05
+"""Pause before a call is sent to a new owner."""
+
+QUERY_SECONDS = 10.0
+HOPS = 8
+"""Most times a call follows a moved program without a pause."""
+
+SHUTDOWN_SECONDS = 1.0
+PUBLIC_CUSTOMER = "public"
+"""Customer of requests without a key on routes open to all."""
+
+
+class Gateway(mode.Service):
+    """Serves callers over HTTP.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    add_routes : sequence of callable, optional
+        Each is called with the application and the yard to add more routes.
+    """
+
+    def __init__(self, yard, *, add_routes=()):
+        super().__init__()
+        self._yard = yard
+        self._add_routes = add_routes
+        self._runner = None
+        self._site = None
+        self._requests = {}
+        self.draining = False
+
+    @property
+    def address(self):
+        """str: IP:PORT on which callers are served."""
+        ip, port = self._site._server.sockets[0].getsockname()[:2]
+        return f"{ip}:{port}"
+
+    @property
+    def open_requests(self):
+        """int: Requests of callers under way."""
+        return len(self._requests)
+
+    def build_application(self):
+        """Return the aiohttp application."""
+        settings = self._yard.settings
+        app = web.Application(
+            client_max_size=settings.body_bytes, middlewares=[self._handle]
+        )
+        app.router.add_get("/healthz", self._serve_health)
+        app.router.add_get("/readyz", self._serve_ready)
+        app.router.add_get("/v1/address", self._serve_address)
+        app.router.add_post("/v1/chat/completions", self._serve_chat)
+        app.router.add_post("/v1/call/{route}", self._serve_call)
+        app.router.add_get("/v1/programs/{program}", self._serve_program)
+        app.router.add_get("/v1/programs/{program}/history", self._serve_history)
+        app.router.add_delete("/v1/programs/{program}", self._serve_end)
+        for add in self._add_routes:
+            add(app, self._yard)
+        return app
+
+    async def listen(self):
+        """Open the callers' socket."""
+        settings = self._yard.settings
+        self._runner = web.AppRunner(
+            self.build_application(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=settings.header_bytes,
+            max_field_size=settings.header_bytes,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self._runner.setup()
+        ip, port = settings.caller_address.rsplit(":", 1)
+        self._site = web.TCPSite(self._runner, ip, int(port))
+        await self._site.start()
+
+    async def on_start(self):
+        if self._site is None:
+            await self.listen()
+
+    async def on_stop(self):
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def end_requests_of_keys(self, is_withdrawn):
+        """Cancel the open requests whose key was withdrawn."""
+        for task, key_digest in list(self._requests.items()):
+            if key_digest and is_withdrawn(key_digest):
+                task.cancel("key_withdrawn")
+
+    @web.middleware
+    async def _handle(self, request, handler):
+        task = asyncio.current_task()
+        self._requests[task] = ""
+        try:
+            return await handler(request)
+        except CallError as error:
+            return build_problem_response(error)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self._yard.settings.body_bytes
+            error = CallError("request_too_large", f"the limit is {limit} bytes")
+            return build_problem_response(error)
+        except web.HTTPException as error:
+            if error.status == 404:
+                return build_problem_response(
+                    CallError("route_unknown", f"no {request.method} {request.path}")
+                )
+            raise
+        except asyncio.CancelledError as error:
+            if error.args != ("key_withdrawn",):
+                raise
+            task.uncancel()
+            withdrawn = CallError(
+                "key_withdrawn", "the key was withdrawn", executed=EXECUTED_UNKNOWN
+            )
+            return build_problem_response(withdrawn)
+        except YardError as error:
+            logger.warning("request failed: %s", error)
+            return build_problem_response(
+                CallError("internal_error", error.code, executed=EXECUTED_UNKNOWN)
+            )
+        except Exception:
+            logger.exception("request failed")
+            return build_problem_response(
+                CallError("internal_error", "fault", executed=EXECUTED_UNKNOWN)
+            )
+        finally:
+            self._requests.pop(task, None)
+
+    async def _serve_health(self, request):
+        return web.json_response({"status": "alive", "host": self._yard.host})
+
+    async def _serve_ready(self, request):
+        if self.draining:
+            raise CallError("draining", "the host is leaving", retry_after=1)
+        self._yard.configuration.check_fresh()
+        return web.json_response({"status": "ready", "host": self._yard.host})
+
+    async def _serve_address(self, request):
+        principal = self._authenticate(request)
+        program = request.query.get("program", "")
+        if program:
+            check_program_id(program)
+        members = self._yard.ownership.successors(f"{principal.customer}/{program}")
+        return web.json_response(
+            {
+                "addresses": [
+                    {
+                        "address": member.caller_address,
+                        "failure_domain": member.failure_domain,
+                    }
+                    for member in members
+                ],
+                "ttl_seconds": self._yard.settings.address_ttl_seconds,
+            }
+        )
+
+    async def _serve_chat(self, request):
+        body = await self._read_body(request)
+        check_chat(body)
+        route = self._find_route(body["model"], kind="model")
+        return await self._serve(request, route, body, stream=body.get("stream", False))
+
+    async def _serve_call(self, request):
+        body = await self._read_body(request)
+        route = self._find_route(request.match_info["route"], kind="service")
+        return await self._serve(request, route, body, stream=False)
+
+    async def _serve_program(self, request):
+        return await self._inspect(request)
+
+    async def _serve_history(self, request):
+        return await self._inspect(request, history=True)
+
+    async def _serve_end(self, request):
+        return await self._inspect(request, end=True)
+
+    async def _read_body(self, request):
+        try:
+            async with asyncio.timeout(BODY_SECONDS):
+                return read_json(await request.read())
+        except TimeoutError as error:
+            raise CallError("invalid_request", "the body came too slowly") from error
+
+    def _find_route(self, name, *, kind):
+        self._yard.configuration.check_fresh()
+        route = self._yard.configuration.current.routes.get(name)
+        if route is None or route.kind != kind:
+            raise CallError("route_unknown", f"no {kind} route {name!r}")
+        return route
+
+    def _authenticate(self, request, *, is_open=False):
+        """Return the principal of a request; see `ConfigurationService`."""
+        self._yard.configuration.check_fresh()
+        header = request.headers.get("Authorization", "")
+        scheme, _, key = header.partition(" ")
+        if is_open and not header:
+            return None
+        if scheme.lower() != "bearer" or not key.strip():
+            raise CallError("key_unknown", "a bearer key is needed")
+        principal = self._yard.configuration.authenticate(key.strip())
+        self._requests[asyncio.current_task()] = principal.key_digest
+        return principal
+
+    async def _serve(self, request, route, body, *, stream):
+        principal = self._authenticate(request, is_open=route.open)
+        customer = principal.customer if principal else PUBLIC_CUSTOMER
+        if not route.open and route.customers and customer not in route.customers:
+            raise CallError("not_allowed", f"route {route.name!r} is not for you")
+        headers = read_headers(request.headers)
+        call = ForwardCall(
+            customer=customer,
+            program=headers.program,
+            root=f"{customer}/{headers.parent or headers.program}",
+            parent=headers.parent,
+            sequence=headers.sequence,
+            route=route.name,
+            body=dump_json(body),
+            stream=stream,
+            idempotency_key=headers.idempotency_key,
+            key_digest=principal.key_digest if principal else "",
+            budget_tokens=headers.budget_tokens,
+            budget_calls=headers.budget_calls,
+            budget_seconds=headers.budget_seconds,
+        )
+        self._complete_identity(call, route)
+        seconds = route.timeout_seconds
+        if headers.deadline:
+            seconds = min(seconds, headers.deadline)
+        answer = self._follow(call, self._yard.clock.monotonic() + seconds)
+        async with contextlib.aclosing(answer):
+            return await self._reply(request, answer)
+
+    def _complete_identity(self, call, route):
+        """Give a call what lets it be sent again to a new owner safely."""
+        needs_journal = not route.repeatable or call.idempotency_key
+        if not call.program and needs_journal:
+            call.program = self._choose_program(call)
+            call.root = f"{call.customer}/{call.program}"
+        if call.program and not call.idempotency_key:
+            call.idempotency_key = f"~{secrets.token_hex(12)}"
+
+    def _choose_program(self, call):
+        """Return a program id for a call without one.
+
+        An idempotency key always leads to the same id, so that repeats meet.
+        """
+        if call.idempotency_key:
+            return f"~key:{digest_text(call.idempotency_key)}"
+        return f"~{secrets.token_hex(12)}"
+
+    async def _follow(self, call, deadline):
+        """Yield the messages of a call's answer, from whoever owns it."""
+        clock = self._yard.clock
+        started = False
+        sent = False
+        hops = 0
+        while True:
+            left = deadline - clock.monotonic()
+            if left <= 0:
+                raise CallError(
+                    "deadline_exceeded",
+                    "no answer before the deadline",
+                    executed=EXECUTED_UNKNOWN if sent else EXECUTED_NO,
+                )
+            owner = self._find_owner(call)
+            call.deadline_seconds = left
+            call.hops = hops
+            elsewhere = ""
+            try:
+                answers = self._yard.peers.stream(owner, call, timeout=left)
+                async with contextlib.aclosing(answers):
+                    async for message in answers:
+                        if isinstance(message, ProgramElsewhere):
+                            elsewhere = message.root
+                            break
+                        started = True
+                        yield message
+                if not elsewhere:
+                    return
+                call.root = elsewhere
+            except CallError as error:
+                if error.code != "not_owner":
+                    raise
+            except PeerUnavailable as error:
+                sent = sent or error.sent
+                if started or (error.sent and not call.program):
+                    raise CallError(
+                        "outcome_unknown",
+                        "the owner was lost while the call ran; repeat its sequence",
+                        executed=EXECUTED_UNKNOWN,
+                        retry_after=1,
+                    ) from error
+            hops += 1
+            if not elsewhere or hops > HOPS:
+                await asyncio.sleep(REROUTE_SECONDS)
+
+    def _find_owner(self, call):
+        if not call.program:
+            return self._yard.host
+        return self._yard.ownership.locate(call.root).host
+
+    async def _reply(self, request, answer):
+        start = await anext(answer)
+        assert isinstance(start, AnswerStart), f"{start} is no start of an answer"
+        headers = {}
+        if start.program:
+            headers["Sapphireyard-Program"] = start.program
+            headers["Sapphireyard-Sequence"] = str(start.sequence)
+        if not start.streamed:
+            end = await anext(answer)
+            assert isinstance(end, AnswerEnd), f"{end} is no end of an answer"
+            return web.Response(
+                status=start.status,
+                text=end.body,
+                content_type="application/json",
+                headers=headers,
+            )
+        return await self._reply_stream(request, answer, headers)
+
+    async def _reply_stream(self, request, answer, headers):
+        response = web.StreamResponse(
+            headers={"Cache-Control": "no-store", **headers},
+        )
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        try:
+            async for message in answer:
+                if isinstance(message, AnswerChunk):
+                    await self._write(response, f"data: {message.data}\n\n")
+                elif isinstance(message, AnswerEnd):
+                    await self._write(response, "data: [DONE]\n\n")
+        except CallError as error:
+            await self._write_error(response, error)
+        except asyncio.CancelledError as error:
+            if error.args != ("key_withdrawn",):
+                raise
+            asyncio.current_task().uncancel()
+            withdrawn = CallError(
+                "key_withdrawn", "the key was withdrawn", executed=EXECUTED_UNKNOWN
+            )
+            await self._write_error(response, withdrawn)
+        await response.write_eof()
+        return response
+
+    async def _write_error(self, response, error):
+        text = dump_json({"error": describe_problem(error)})
+        await self._write(response, f"event: error\ndata: {text}\n\n")
+
+    async def _write(self, response, text):
+        async with asyncio.timeout(WRITE_SECONDS):
+            await response.write(text.encode())
+
+    async def _inspect(self, request, *, history=False, end=False):
+        principal = self._authenticate(request)
+        program = request.match_info["program"]
+        check_program_id(program)
+        query = InspectProgram(
+            customer=principal.customer,
+            program=program,
+            root=f"{principal.customer}/{program}",
+            history=history,
+            end=end,
+        )
+        deadline = self._yard.clock.monotonic() + QUERY_SECONDS
+        view = await self._query(query, deadline)
+        return web.Response(text=view.body, content_type="application/json")
+
+    async def _query(self, query, deadline):
+        clock = self._yard.clock
+        while clock.monotonic() < deadline:
+            owner = self._yard.ownership.locate(query.root).host
+            left = deadline - clock.monotonic()
+            try:
+                view = await self._yard.peers.ask(owner, query, timeout=left)
+            except CallError as error:
+                if error.code != "not_owner":
+                    raise
+                await asyncio.sleep(REROUTE_SECONDS)
+            except PeerUnavailable:
+                await asyncio.sleep(REROUTE_SECONDS)
+            else:
+                if not isinstance(view, ProgramElsewhere):
+                    return view
+                query.root = view.root
+        raise CallError(
+            "deadline_exceeded", "the program's owner did not answer", retry_after=1
+        )
--- a/sapphireyard/generated_messages.py
+++ b/sapphireyard/generated_messages.py
@@ -144,3 +144,12 @@
 
     program: str
     root: str
+
+
+@dataclass
+class ProgramElsewhere:
+    """
+    The state of the program lives with the owner of `root`; ask there.
+    """
+
+    root: str
--- /dev/null
+++ b/sapphireyard/peers.py
@@ -0,0 +1,251 @@
+"""Requests between the system's own hosts.
+
+`Peers` keeps one connection to each host that is asked and serves the
+requests of others. Customers' keys never travel here.
+"""
+
+import asyncio
+import contextlib
+import logging
+from dataclasses import dataclass
+
+import mode
+
+from sapphireyard import generated_messages
+from sapphireyard.connections import Connection
+from sapphireyard.exceptions import PeerError, PeerUnavailable
+from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_messages import Hello
+
+logger = logging.getLogger(__name__)
+
+PROTOCOL = 1
+OLDEST_PROTOCOL = 1
+CONNECT_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class PeerContext:
+    """Who sent a request."""
+
+    host: str
+    incarnation: int
+
+
+class Peers(mode.Service):
+    """Streams to and from the other hosts.
+
+    Register handlers before the start; then `ask`, `stream` or `tell`.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._handlers = {}
+        self._stream_handlers = {}
+        self._hello_callbacks = []
+        self._connections = {}
+        self._accepted = set()
+        self._connecting = {}
+        self._server = None
+        self.codec = MessageCodec()
+        self.codec.register_module(generated_messages)
+        self.static_addresses = {}
+
+    @property
+    def address(self):
+        """str: IP:PORT on which this host listens."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return f"{ip}:{port}"
+
+    def register(self, message_class, handler):
+        """Serve `message_class` with ``await handler(message, context)``."""
+        self._handlers[message_class] = handler
+
+    def register_stream(self, message_class, handler):
+        """Serve `message_class` with an async generator of messages."""
+        self._stream_handlers[message_class] = handler
+
+    def on_hello(self, callback):
+        """Call ``callback(host, hello)`` for each greeting of a peer."""
+        self._hello_callbacks.append(callback)
+
+    async def listen(self):
+        """Open the listening socket; done before the start of other services."""
+        if self._server is not None:
+            return
+        ip, port = self._yard.settings.peer_address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, ip, int(port))
+
+    async def on_start(self):
+        await self.listen()
+
+    async def on_stop(self):
+        if self._server is not None:
+            self._server.close()
+        for connection in [*self._connections.values(), *self._accepted]:
+            connection.close()
+
+    def _accept(self):
+        connection = Connection(self)
+        self._accepted.add(connection)
+        return connection
+
+    def describe(self):
+        """Return this host's own greeting."""
+        configuration = getattr(self._yard.configuration, "current", None)
+        assignment = getattr(self._yard.ownership, "assignment", None)
+        return Hello(
+            host=self._yard.host,
+            incarnation=self._yard.incarnation,
+            protocol=PROTOCOL,
+            oldest_protocol=OLDEST_PROTOCOL,
+            configuration=configuration.version if configuration else 0,
+            assignment=assignment.version if assignment else 0,
+        )
+
+    def receive_hello(self, connection, hello):
+        """Pass on the greeting of a peer."""
+        for callback in self._hello_callbacks:
+            callback(hello.host, hello)
+
+    def receive_tell(self, connection, message):
+        """Serve a message that has no answer."""
+        self.add_future(self._serve_tell(connection, message))
+
+    async def _serve_tell(self, connection, message):
+        try:
+            async for _ in self.serve(connection, message):
+                pass
+        except Exception:
+            logger.exception("message %s failed", type(message).__name__)
+
+    def forget(self, connection):
+        """Drop a connection that ended."""
+        self._accepted.discard(connection)
+        for host, known in list(self._connections.items()):
+            if known is connection:
+                del self._connections[host]
+
+    async def serve(self, connection, message):
+        """Yield the answer's messages to a request of `connection`."""
+        remote = connection.remote if connection is not None else self.describe()
+        context = PeerContext(
+            host=remote.host if remote else "",
+            incarnation=remote.incarnation if remote else 0,
+        )
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            yield await handler(message, context)
+            return
+        stream_handler = self._stream_handlers.get(type(message))
+        if stream_handler is None:
+            raise PeerError(f"no handler for {type(message).__name__}")
+        async with contextlib.aclosing(stream_handler(message, context)) as items:
+            async for item in items:
+                yield item
+
+    async def ask(self, host, message, *, timeout):
+        """Return the single message that answers a request.
+
+        Raises
+        ------
+        PeerUnavailable
+            No answer in `timeout` seconds; ``sent`` tells if it can have run.
+        CallError
+            The answer is an error.
+        """
+        async with contextlib.aclosing(
+            self.stream(host, message, timeout=timeout)
+        ) as answers:
+            async for answer in answers:
+                return answer
+        raise PeerUnavailable(f"empty answer from {host}")
+
+    async def stream(self, host, message, *, timeout):
+        """Yield the messages that answer a request; see `ask` for errors."""
+        deadline = asyncio.get_running_loop().time() + timeout
+        async with contextlib.aclosing(
+            self._request(host, message, timeout)
+        ) as answers:
+            while True:
+                try:
+                    async with asyncio.timeout_at(deadline):
+                        answer = await anext(answers)
+                except StopAsyncIteration:
+                    return
+                except TimeoutError as error:
+                    raise PeerUnavailable(
+                        f"no answer from {host} in {timeout:g} s"
+                    ) from error
+                yield answer
+
+    async def _request(self, host, message, timeout):
+        if host == self._yard.host:
+            async with contextlib.aclosing(self.serve(None, message)) as answers:
+                async for answer in answers:
+                    yield answer
+            return
+        connection = await self._connect(host)
+        async with connection.request(message, timeout=timeout) as answers:
+            async for answer in answers:
+                yield answer
+
+    def tell(self, host, message):
+        """Send a message without answer, if the host can be reached."""
+        self.add_future(self._tell(host, message))
+
+    async def _tell(self, host, message):
+        if host == self._yard.host:
+            await self._serve_tell(None, message)
+            return
+        try:
+            connection = await self._connect(host)
+        except PeerUnavailable as error:
+            logger.debug("message to %s dropped: %s", host, error)
+            return
+        connection.tell(message)
+
+    async def _connect(self, host):
+        connection = self._connections.get(host)
+        if connection is not None and connection.is_open:
+            return connection
+        pending = self._connecting.get(host)
+        if pending is None:
+            pending = asyncio.ensure_future(self._open(host))
+            self._connecting[host] = pending
+            pending.add_done_callback(lambda _: self._connecting.pop(host, None))
+        return await asyncio.shield(pending)
+
+    async def _open(self, host):
+        ip, port = self._find_address(host).rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self), ip, int(port)
+                )
+                hello = await connection.hello
+        except (OSError, TimeoutError) as error:
+            raise PeerUnavailable(f"{host}: {error}", sent=False) from error
+        if hello.host != host:
+            connection.close()
+            raise PeerUnavailable(f"{ip}:{port} is {hello.host}", sent=False)
+        self._connections[host] = connection
+        return connection
+
+    def _find_address(self, host):
+        address = self.static_addresses.get(host)
+        if address is not None:
+            return address
+        assignment = self._yard.ownership.assignment if self._yard.ownership else None
+        member = assignment.members.get(host) if assignment else None
+        if member is None:
+            raise PeerUnavailable(f"{host} is not a member", sent=False)
+        return member.peer_address
--- /dev/null
+++ b/sapphireyard/programs.py
@@ -0,0 +1,309 @@
+"""Programs: the state of each agent program, folded from journal records.
+
+A program belongs to a partition by its root. `Programs` holds the programs of
+the partitions owned by this host; `Program` is one of them. Every change of
+durable state is a record passed to `Programs.apply`, whether it was made here
+or read back at a recovery.
+"""
+
+import asyncio
+from collections import defaultdict
+from functools import singledispatchmethod
+
+from sapphireyard.calls import CALL_COMPLETED, CALL_RESERVED, CALL_UNKNOWN, Call
+from sapphireyard.exceptions import EXECUTED_NO
+from sapphireyard.generated_records import (
+    CallAbandoned,
+    CallCompleted,
+    CallReserved,
+    ProgramEnded,
+    ProgramLinked,
+    ProgramOpened,
+    ProgramSnapshot,
+    SnapshotCall,
+)
+
+
+class Program:
+    """The state of one program.
+
+    Parameters
+    ----------
+    key : str
+        ``customer/id``.
+    root : str
+        Key of the program whose budget is drawn on; its own key for a root.
+    opened_at : float
+        Wall-clock seconds.
+
+    Attributes
+    ----------
+    calls : dict of int to Call
+        Calls by sequence, from 1, in order.
+    ended : str
+        Reason of the end; empty while the program lives.
+    link : bool
+        True when this is only the note that the state lives with the root.
+    tail_uncertain : bool
+        True when the last calls may be missing after a recovery.
+    """
+
+    def __init__(self, key, root, opened_at):
+        self.key = key
+        self.root = root
+        self.opened_at = opened_at
+        self.budget_tokens = 0
+        self.budget_calls = 0
+        self.budget_seconds = 0.0
+        self.spent_tokens = 0
+        self.spent_calls = 0
+        self.calls = {}
+        self.sequences_by_key = {}
+        self.ended = ""
+        self.link = False
+        self.tail_uncertain = False
+        self.running = None
+        self.opening = None
+        self.upstreams = set()
+        self.turn = asyncio.Condition()
+
+    @property
+    def is_root(self):
+        """bool: Whether the budget is this program's own."""
+        return self.key == self.root
+
+    @property
+    def next_sequence(self):
+        """int: The sequence that may run next."""
+        sequence = len(self.calls) + 1
+        last = self.calls.get(sequence - 1)
+        if last is not None and last.state == CALL_RESERVED:
+            return sequence - 1
+        return sequence
+
+    @property
+    def context_tokens(self):
+        """int: Tokens of the history, as counted by the last model answer."""
+        for call in reversed(self.calls.values()):
+            if call.state == CALL_COMPLETED and call.is_model_turn:
+                return call.tokens
+        return 0
+
+    def unknown_sequences(self):
+        """Return the sequences whose outcome is unknown."""
+        return [n for n, call in self.calls.items() if call.state == CALL_UNKNOWN]
+
+    def seconds_left(self, now):
+        """Return the seconds of the budget left at wall-clock `now`, or None."""
+        if not self.budget_seconds:
+            return None
+        return self.opened_at + self.budget_seconds - now
+
+
+class Programs:
+    """The programs of all partitions that this host owns."""
+
+    def __init__(self):
+        self._partitions = defaultdict(dict)
+        self._held = set()
+        self._changed = asyncio.Condition()
+
+    def __len__(self):
+        return sum(map(len, self._partitions.values()))
+
+    def get(self, partition, key):
+        """Return the program called `key`, or None."""
+        programs = self._partitions.get(partition)
+        return programs.get(key) if programs else None
+
+    def each(self, partition=None):
+        """Return the programs of one partition, or of all."""
+        if partition is not None:
+            return list(self._partitions.get(partition, {}).values())
+        return [
+            program
+            for programs in self._partitions.values()
+            for program in programs.values()
+        ]
+
+    def apply(self, partition, record):
+        """Fold one record into the state of its program."""
+        self._fold(record, self._partitions[partition])
+
+    @singledispatchmethod
+    def _fold(self, record, programs):
+        raise TypeError(f"{type(record).__name__} is not a program record")
+
+    @_fold.register
+    def _(self, record: ProgramOpened, programs):
+        if record.program in programs:
+            return
+        program = Program(record.program, record.root, record.opened_at)
+        program.budget_tokens = record.budget_tokens
+        program.budget_calls = record.budget_calls
+        program.budget_seconds = record.budget_seconds
+        programs[record.program] = program
+
+    @_fold.register
+    def _(self, record: ProgramLinked, programs):
+        program = Program(record.program, record.root, 0.0)
+        program.link = True
+        programs[record.program] = program
+
+    @_fold.register
+    def _(self, record: CallReserved, programs):
+        program = programs[record.program]
+        assert record.sequence == program.next_sequence, (
+            f"{record.program}: sequence {record.sequence} reserved, "
+            f"{program.next_sequence} is next"
+        )
+        program.calls[record.sequence] = Call(
+            sequence=record.sequence,
+            state=CALL_RESERVED,
+            digest=record.digest,
+            route=record.route,
+            repeatable=record.repeatable,
+            tokens=record.tokens,
+            idempotency_key=record.idempotency_key,
+        )
+        _index_key(program, record)
+        _spend(programs, program, tokens=record.tokens, calls=1)
+
+    @_fold.register
+    def _(self, record: CallCompleted, programs):
+        program = programs[record.program]
+        call = program.calls[record.sequence]
+        assert call.state == CALL_RESERVED, f"call {record.sequence} is {call.state}"
+        _spend(programs, program, tokens=record.tokens - call.tokens, calls=0)
+        call.state = CALL_COMPLETED
+        call.tokens = record.tokens
+        call.status = record.status
+        call.request = record.request
+        call.answer = record.answer
+
+    @_fold.register
+    def _(self, record: CallAbandoned, programs):
+        program = programs.get(record.program)
+        call = program.calls.get(record.sequence) if program else None
+        if call is None:
+            return
+        assert call.state == CALL_RESERVED, f"call {record.sequence} is {call.state}"
+        if record.executed == EXECUTED_NO:
+            _spend(programs, program, tokens=-call.tokens, calls=-1)
+        if record.executed != EXECUTED_NO and not call.repeatable:
+            call.state = CALL_UNKNOWN
+            return
+        del program.calls[record.sequence]
+        program.sequences_by_key.pop(call.idempotency_key, None)
+
+    @_fold.register
+    def _(self, record: ProgramEnded, programs):
+        program = programs.get(record.program)
+        if program is not None:
+            program.ended = program.ended or record.reason
+
+    @_fold.register
+    def _(self, record: ProgramSnapshot, programs):
+        program = Program(record.program, record.root, record.opened_at)
+        program.budget_tokens = record.budget_tokens
+        program.budget_calls = record.budget_calls
+        program.budget_seconds = record.budget_seconds
+        program.spent_tokens = record.spent_tokens
+        program.spent_calls = record.spent_calls
+        program.ended = record.ended
+        program.link = record.link
+        for item in record.calls:
+            program.calls[item.sequence] = Call(**vars(item))
+            _index_key(program, item)
+        programs[record.program] = program
+
+    def snapshot(self, partition):
+        """Return a `ProgramSnapshot` of each program of a partition."""
+        return [_take_snapshot(program) for program in self.each(partition)]
+
+    def finish_recovery(self, partition, *, tail_uncertain=False):
+        """Settle what earlier owners left open, after all records were folded.
+
+        A reserved call of an earlier owner may have run: one that may not be
+        repeated becomes unknown; any other is open again, its reservation
+        stays spent.
+
+        Returns
+        -------
+        list of CallAbandoned
+            The records of these changes, already applied; journal them.
+        """
+        records = []
+        for program in self.each(partition):
+            program.tail_uncertain = tail_uncertain
+            for call in list(program.calls.values()):
+                if call.state == CALL_RESERVED:
+                    record = CallAbandoned(program.key, call.sequence, "unknown")
+                    self.apply(partition, record)
+                    records.append(record)
+        return records
+
+    def drop(self, partition):
+        """Forget a partition that this host no longer owns."""
+        self._partitions.pop(partition, None)
+        self._held.discard(partition)
+
+    def is_held(self, partition):
+        """Return whether new calls of the partition have to wait."""
+        return partition in self._held
+
+    async def wait_released(self, partition):
+        """Wait while the partition is held for a move."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: partition not in self._held)
+
+    async def quiesce(self, partition):
+        """Hold new calls of a partition back and wait for the running ones."""
+        self._held.add(partition)
+        async with self._changed:
+            await self._changed.wait_for(lambda: not self._is_busy(partition))
+
+    async def resume(self, partition):
+        """Let the calls of a held partition go on."""
+        self._held.discard(partition)
+        await self.notify()
+
+    async def notify(self):
+        """Wake those who wait for a change of held or running calls."""
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _is_busy(self, partition):
+        return any(program.running is not None for program in self.each(partition))
+
+
+def _index_key(program, item):
+    if item.idempotency_key:
+        program.sequences_by_key[item.idempotency_key] = item.sequence
+
+
+def _spend(programs, program, *, tokens, calls):
+    payers = {program.key, program.root}
+    for key in payers:
+        payer = programs.get(key)
+        if payer is None:
+            continue
+        payer.spent_tokens += tokens
+        payer.spent_calls += calls
+        assert payer.spent_tokens >= 0, f"{key} spent {payer.spent_tokens} tokens"
+
+
+def _take_snapshot(program):
+    return ProgramSnapshot(
+        program=program.key,
+        root=program.root,
+        opened_at=program.opened_at,
+        budget_tokens=program.budget_tokens,
+        budget_calls=program.budget_calls,
+        budget_seconds=program.budget_seconds,
+        spent_tokens=program.spent_tokens,
+        spent_calls=program.spent_calls,
+        ended=program.ended,
+        link=program.link,
+        calls=[SnapshotCall(**vars(call)) for call in program.calls.values()],
+    )
--- /dev/null
+++ b/sapphireyard/upstreams.py
@@ -0,0 +1,204 @@
+"""HTTP towards upstreams: model engines and plain services.
+
+Customers' keys never go there. A call that may not be repeated gets a fresh
+connection, so that a connection that went silent unnoticed cannot leave its
+outcome unknown.
+"""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import mode
+
+from sapphireyard.completions import dump_json
+from sapphireyard.exceptions import YardError
+
+CONNECT_SECONDS = 1.0
+PROGRESS_SECONDS = 20.0
+"""Seconds without a byte of an answer after which an upstream counts as silent."""
+
+ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer of an upstream, in bytes."""
+
+STREAM_END = "[DONE]"
+
+
+class UpstreamError(YardError):
+    """An upstream gave no whole answer.
+
+    Parameters
+    ----------
+    detail : str
+        What was seen.
+    sent : bool
+        False when the request cannot have reached the upstream.
+    crashed : bool
+        True when the connection broke while the request ran.
+    """
+
+    code = "upstream_failed"
+
+    def __init__(self, detail, *, sent, crashed=False):
+        super().__init__(detail)
+        self.sent = sent
+        self.crashed = crashed
+
+
+class Upstreams(mode.Service):
+    """Connections to upstreams.
+
+    Use `stream_completion` for model engines and `call_service` for plain
+    services.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._pooled = None
+        self._single = None
+
+    async def on_start(self):
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_SECONDS, sock_read=PROGRESS_SECONDS
+        )
+        self._pooled = self._open_session(timeout, force_close=False)
+        self._single = self._open_session(timeout, force_close=True)
+
+    async def on_stop(self):
+        for session in (self._pooled, self._single):
+            if session is not None:
+                await session.close()
+
+    def _open_session(self, timeout, *, force_close):
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=force_close, use_dns_cache=False
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=True,
+        )
+
+    async def stream_completion(self, address, body, *, program):
+        """Yield the texts of the events of a streamed chat completion.
+
+        Parameters
+        ----------
+        address : str
+            IP:PORT of the engine.
+        body : dict
+            Request body.
+        program : str
+            Opaque digest of the program.
+
+        Raises
+        ------
+        UpstreamError
+            No whole answer came.
+        UpstreamRefusal
+            The engine answered with an error status.
+        """
+        headers = {"Sapphireyard-Program-Digest": program}
+        url = f"http://{address}/v1/chat/completions"
+        async with self._post(self._pooled, url, body, headers) as response:
+            if response.status != 200:
+                text = await _read_text(response)
+                raise UpstreamRefusal(response.status, text)
+            async for data in _read_events(response):
+                if data == STREAM_END:
+                    return
+                yield data
+        raise UpstreamError(f"{address}: stream ended early", sent=True, crashed=True)
+
+    async def call_service(self, address, path, body, *, idempotency_key, repeatable):
+        """Return status and text of a plain service's answer.
+
+        Raises
+        ------
+        UpstreamError
+            No whole answer came.
+        """
+        session = self._pooled if repeatable else self._single
+        headers = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
+        url = f"http://{address}/{path}"
+        async with self._post(session, url, body, headers) as response:
+            return response.status, await _read_text(response)
+
+    async def release_program(self, address, program):
+        """Ask an engine to drop what it holds of a program."""
+        url = f"http://{address}/cache/release"
+        async with self._post(self._pooled, url, {"program": program}, {}) as response:
+            await response.read()
+
+    @contextlib.asynccontextmanager
+    async def _post(self, session, url, body, headers):
+        data = dump_json(body).encode()
+        headers = {"Content-Type": "application/json", **headers}
+        try:
+            async with session.post(url, data=data, headers=headers) as response:
+                yield response
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(str(error), sent=False) from error
+        except aiohttp.ServerTimeoutError as error:
+            unsent = isinstance(error, aiohttp.ConnectionTimeoutError)
+            detail = f"{url}: {type(error).__name__}"
+            raise UpstreamError(detail, sent=not unsent) from error
+        except (aiohttp.ClientError, ConnectionError, asyncio.TimeoutError) as error:
+            detail = f"{url}: {type(error).__name__}"
+            raise UpstreamError(detail, sent=True, crashed=True) from error
+
+
+class UpstreamRefusal(YardError):
+    """An upstream answered with an error status; the answer is whole."""
+
+    code = "upstream_failed"
+
+    def __init__(self, status, text):
+        super().__init__(f"status {status}")
+        self.status = status
+        self.text = text
+
+
+async def _read_text(response):
+    data = bytearray()
+    async for piece in response.content.iter_any():
+        data += piece
+        if len(data) > ANSWER_BYTES:
+            raise UpstreamError("the answer is too large", sent=True)
+    return data.decode(errors="replace")
+
+
+async def _read_events(response):
+    buffer = bytearray()
+    async for piece in response.content.iter_any():
+        buffer += piece.replace(b"\r", b"")
+        while (end := buffer.find(b"\n\n")) >= 0:
+            event = bytes(buffer[:end]).decode(errors="replace")
+            del buffer[: end + 2]
+            data = [
+                line[5:].strip() for line in event.split("\n") if line[:5] == "data:"
+            ]
+            if data:
+                yield "\n".join(data)
+        if len(buffer) > ANSWER_BYTES:
+            raise UpstreamError("an event is too large", sent=True)
+
+
+def parse_chunk(data):
+    """Return a streamed event's JSON object.
+
+    Raises
+    ------
+    UpstreamError
+        It is not a JSON object, or the engine reports an error in it.
+    """
+    try:
+        chunk = json.loads(data)
+    except ValueError as error:
+        raise UpstreamError("an event is not JSON", sent=True) from error
+    if not isinstance(chunk, dict) or "error" in chunk:
+        raise UpstreamError("the engine reported an error", sent=True)
+    return chunk
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -15,6 +15,9 @@
 BORDER_SCHEMAS = {"settings", "tables", "api"}
 """Schemas of data that comes from people or callers: validated models."""
 
+OPEN_SCHEMAS = {"api"}
+"""Border schemas whose data may have further fields, which are passed on."""
+
 
 def generate_module(source, target):
     """Write the module generated from `source` to `target`."""
@@ -48,7 +51,8 @@
         "isort",
     ]
     if border:
-        command += ["--extra-fields", "forbid", "--field-constraints"]
+        extra = "ignore" if source.stem in OPEN_SCHEMAS else "forbid"
+        command += ["--extra-fields", extra, "--field-constraints"]
     subprocess.run(command, check=True, cwd=ROOT)
 
 
