Add a store in memory with faults

Cause: journals, ownership and the stand-ins need a store that loses answers, conflicts, holds calls and goes out on demand. Change: standins/memory.py, class MemoryStore(Store) with a list of faults.

--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,223 @@
+"""An object store in memory that can fail in the ways the platform's can."""
+
+import asyncio
+from collections import Counter, deque
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from sapphireyard.exceptions import StoreConflict, StoreGone, StoreUnavailable
+from sapphireyard.stores import ObjectChange, Store, StoredObject, WatchResult
+
+VALUE_BYTES = 1_000_000
+"""Largest value in bytes."""
+
+KEPT_CHANGES = 100_000
+"""Changes kept for watches; older positions are gone."""
+
+DROP = "drop"
+"""The call has no effect and no answer."""
+
+LOSE = "lose"
+"""The call takes effect, but its answer is lost."""
+
+CONFLICT = "conflict"
+"""The call is answered with a conflict and has no effect."""
+
+HOLD_BEFORE = "hold_before"
+"""The call waits for the fault's gate before it takes effect."""
+
+HOLD_AFTER = "hold_after"
+"""The call takes effect, then waits for the gate before it answers."""
+
+
+@dataclass
+class Fault:
+    """A fault that strikes the next calls that match it.
+
+    Parameters
+    ----------
+    kind : str
+        One of the kinds of this module.
+    operation : str, optional
+        Name of a method of `Store`; empty matches each.
+    prefix : str, optional
+        Start of the object's name.
+    count : int, optional
+        How many calls it strikes; negative for all until it is removed.
+    """
+
+    kind: str
+    operation: str = ""
+    prefix: str = ""
+    count: int = 1
+
+    def __post_init__(self):
+        self.gate = asyncio.Event()
+        self.struck = 0
+
+    def matches(self, operation, name):
+        """Return whether this fault strikes the call."""
+        if self.count == 0:
+            return False
+        if self.operation and self.operation != operation:
+            return False
+        return name.startswith(self.prefix)
+
+    def strike(self):
+        """Count one call struck."""
+        self.struck += 1
+        self.count -= 1 if self.count > 0 else 0
+
+
+class MemoryStore(Store):
+    """A `Store` in memory with faults; several hosts may share one.
+
+    Attributes
+    ----------
+    out : bool
+        While true no call has an effect or an answer.
+    delay_seconds : float
+        Time that each call takes.
+    faults : list of Fault
+        Faults to come; the first that matches strikes.
+    calls : Counter
+        Calls by operation, those that failed included.
+    """
+
+    def __init__(self):
+        self._objects = {}
+        self._changes = deque(maxlen=KEPT_CHANGES)
+        self._revision = 0
+        self._changed = asyncio.Condition()
+        self.out = False
+        self.delay_seconds = 0.0
+        self.faults = []
+        self.calls = Counter()
+
+    @property
+    def revision(self):
+        """int: Number of changes made so far."""
+        return self._revision
+
+    def add_fault(self, kind, **options):
+        """Add a `Fault` and return it."""
+        fault = Fault(kind, **options)
+        self.faults.append(fault)
+        return fault
+
+    @contextmanager
+    def outage(self):
+        """Put the store out for the length of a block."""
+        self.out = True
+        try:
+            yield
+        finally:
+            self.out = False
+
+    async def get(self, name):
+        return await self._run("get", name, lambda: self._objects.get(name))
+
+    async def create(self, name, value):
+        def effect():
+            if name in self._objects:
+                raise StoreConflict(f"{name} exists")
+            return self._put(name, value, 1)
+
+        return await self._run("create", name, effect)
+
+    async def update(self, name, value, *, expected_version):
+        def effect():
+            self._check_version(name, expected_version)
+            return self._put(name, value, expected_version + 1)
+
+        return await self._run("update", name, effect)
+
+    async def delete(self, name, *, expected_version):
+        def effect():
+            self._check_version(name, expected_version)
+            del self._objects[name]
+            self._note_change(name, 0)
+
+        return await self._run("delete", name, effect)
+
+    async def list(self, prefix, *, after="", limit=1000):
+        def effect():
+            names = sorted(
+                name
+                for name in self._objects
+                if name.startswith(prefix) and name > after
+            )
+            return [(name, self._objects[name].version) for name in names[:limit]]
+
+        return await self._run("list", prefix, effect)
+
+    async def watch(self, prefix, *, after_revision, timeout_seconds):
+        await self._run("watch", prefix, lambda: None)
+        if after_revision is None:
+            return WatchResult((), self._revision)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._wait_changes(prefix, after_revision)
+        except TimeoutError:
+            return WatchResult((), max(after_revision, self._revision))
+
+    async def _wait_changes(self, prefix, after_revision):
+        async with self._changed:
+            while True:
+                changes = self._find_changes(prefix, after_revision)
+                if changes:
+                    return WatchResult(changes, changes[-1].revision)
+                await self._changed.wait()
+
+    def _find_changes(self, prefix, after_revision):
+        oldest = self._revision - len(self._changes)
+        if after_revision < oldest or after_revision > self._revision:
+            raise StoreGone(f"revision {after_revision} is no longer kept")
+        return tuple(
+            change
+            for change in self._changes
+            if change.revision > after_revision and change.name.startswith(prefix)
+        )
+
+    async def _run(self, operation, name, effect):
+        self.calls[operation] += 1
+        fault = next((f for f in self.faults if f.matches(operation, name)), None)
+        if fault is not None:
+            fault.strike()
+        kind = fault.kind if fault is not None else ""
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
+        if kind == HOLD_BEFORE:
+            await fault.gate.wait()
+        if self.out or kind == DROP:
+            raise StoreUnavailable(f"no answer to {operation} {name}")
+        if kind == CONFLICT:
+            raise StoreConflict(f"{name} was changed")
+        result = effect()
+        await self._announce()
+        if kind == HOLD_AFTER:
+            await fault.gate.wait()
+        if kind == LOSE:
+            raise StoreUnavailable(f"answer to {operation} {name} was lost")
+        return result
+
+    async def _announce(self):
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _check_version(self, name, expected_version):
+        stored = self._objects.get(name)
+        version = stored.version if stored is not None else 0
+        if stored is None or version != expected_version:
+            raise StoreConflict(f"{name} has version {version}")
+
+    def _put(self, name, value, version):
+        if len(value) > VALUE_BYTES:
+            raise ValueError(f"{name}: {len(value)} bytes exceed {VALUE_BYTES}")
+        self._objects[name] = StoredObject(name, bytes(value), version)
+        self._note_change(name, version)
+        return version
+
+    def _note_change(self, name, version):
+        self._revision += 1
+        self._changes.append(ObjectChange(name, version, self._revision))
