--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,229 @@
+"""The platform's object API over HTTP, on an object store in memory."""
+
+import asyncio
+import math
+import time
+from collections import Counter
+from typing import Literal
+
+from aiohttp import web
+
+from sapphireyard.exceptions import StoreConflict, StoreGone
+from standins._serving import (
+    Faults,
+    ServerOptions,
+    StandIn,
+    drop_connection,
+    hang,
+    run_main,
+)
+from standins.memory import MemoryStore
+
+VERSION_HEADER = "Object-Version"
+
+VALUE_BYTES = 1_000_000
+"""Largest value in bytes."""
+
+WRITES = {"create", "update", "delete"}
+
+
+class ObjectFaults(Faults):
+    """Faults of the object API.
+
+    Attributes
+    ----------
+    outage : {'none', 'refuse', 'hang', 'drop'}
+        What meets each call: status 503, no answer, or a cut connection.
+    delay_seconds : float
+        Time that each call waits first.
+    lose_answers : int
+        How many coming writes take effect and lose their answer.
+    lose_every : int
+        Every so many writes one loses its answer; 0 for none.
+    reads_per_second, writes_per_second : float
+        Rates beyond which calls are answered with 429; 0 for no limit.
+    """
+
+    outage: Literal["none", "refuse", "hang", "drop"] = "none"
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+    lose_every: int = 0
+    reads_per_second: float = 0.0
+    writes_per_second: float = 0.0
+
+
+class Rate:
+    """A token bucket of one second's calls."""
+
+    def __init__(self):
+        self._level = math.inf
+        self._updated_at = 0.0
+
+    def take(self, now, per_second):
+        """Return whether a call at `now` (seconds) is within the rate."""
+        if not per_second:
+            return True
+        gained = (now - self._updated_at) * per_second
+        self._level = min(max(per_second, 1.0), self._level + gained)
+        self._updated_at = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+class ObjectServer(StandIn):
+    """The object API; `calls` counts by kind, a waiting watch as one call."""
+
+    faults_class = ObjectFaults
+
+    def __init__(self, store=None):
+        self.store = store or MemoryStore()
+        self.calls = Counter()
+        self._writes = 0
+        self._reads_rate = Rate()
+        self._writes_rate = Rate()
+        self._disturbed = asyncio.Event()
+        super().__init__()
+
+    def add_routes(self, router):
+        router.add_get("/statistics", self._show_statistics)
+        router.add_get("/objects", self._list)
+        router.add_get("/objects/{name:.+}", self._get)
+        router.add_put("/objects/{name:.+}", self._put)
+        router.add_delete("/objects/{name:.+}", self._delete)
+        router.add_get("/watch", self._watch)
+
+    def faults_changed(self):
+        self._disturbed.set()
+        self._disturbed = asyncio.Event()
+
+    async def strike(self, request):
+        if request.path in ("/statistics", "/healthz"):
+            return None
+        kind = _name_kind(request)
+        self.calls[kind] += 1
+        if self.faults.delay_seconds:
+            await asyncio.sleep(self.faults.delay_seconds)
+        if self.faults.outage != "none":
+            return await self._meet_outage(request)
+        if not self._within_rate(kind):
+            return web.Response(status=429, headers={"Retry-After": "1"})
+        return None
+
+    async def _meet_outage(self, request):
+        if self.faults.outage == "refuse":
+            return web.Response(status=503)
+        if self.faults.outage == "drop":
+            return drop_connection(request)
+        await hang()
+
+    def _within_rate(self, kind):
+        now = time.monotonic()
+        if kind in WRITES:
+            return self._writes_rate.take(now, self.faults.writes_per_second)
+        return self._reads_rate.take(now, self.faults.reads_per_second)
+
+    async def _show_statistics(self, request):
+        return web.json_response(dict(self.calls))
+
+    async def _get(self, request):
+        stored = await self.store.get(request.match_info["name"])
+        if stored is None:
+            return web.Response(status=404)
+        headers = {VERSION_HEADER: str(stored.version)}
+        return web.Response(body=stored.value, headers=headers)
+
+    async def _put(self, request):
+        name = request.match_info["name"]
+        value = await request.read()
+        if len(value) > VALUE_BYTES:
+            return web.Response(status=413)
+        try:
+            if request.headers.get("If-None-Match") == "*":
+                version = await self.store.create(name, value)
+            else:
+                expected = int(request.headers["If-Match"])
+                version = await self.store.update(
+                    name, value, expected_version=expected
+                )
+        except StoreConflict as error:
+            return web.Response(status=412, text=str(error))
+        except (KeyError, ValueError) as error:
+            return web.Response(status=400, text=f"If-Match: {error}")
+        headers = {VERSION_HEADER: str(version)}
+        return self._answer_write(request, web.Response(headers=headers))
+
+    async def _delete(self, request):
+        try:
+            expected = int(request.headers["If-Match"])
+            name = request.match_info["name"]
+            await self.store.delete(name, expected_version=expected)
+        except StoreConflict as error:
+            return web.Response(status=412, text=str(error))
+        except (KeyError, ValueError) as error:
+            return web.Response(status=400, text=f"If-Match: {error}")
+        return self._answer_write(request, web.Response())
+
+    def _answer_write(self, request, response):
+        self._writes += 1
+        every = self.faults.lose_every
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return drop_connection(request)
+        if every and self._writes % every == 0:
+            return drop_connection(request)
+        return response
+
+    async def _list(self, request):
+        pairs = await self.store.list(
+            request.query.get("prefix", ""),
+            after=request.query.get("after", ""),
+            limit=int(request.query.get("limit", "1000")),
+        )
+        return web.json_response(
+            [{"name": name, "version": version} for name, version in pairs]
+        )
+
+    async def _watch(self, request):
+        after = request.query.get("after")
+        watch = asyncio.ensure_future(
+            self.store.watch(
+                request.query.get("prefix", ""),
+                after_revision=None if after is None else int(after),
+                timeout_seconds=float(request.query.get("timeout", "30")),
+            )
+        )
+        disturbed = asyncio.ensure_future(self._disturbed.wait())
+        try:
+            await asyncio.wait({watch, disturbed}, return_when=asyncio.FIRST_COMPLETED)
+            if not watch.done() and self.faults.outage != "none":
+                return await self._meet_outage(request)
+            return _encode_watch(await watch)
+        except StoreGone as error:
+            return web.Response(status=410, text=str(error))
+        finally:
+            watch.cancel()
+            disturbed.cancel()
+
+
+def _encode_watch(result):
+    changes = [
+        {"name": change.name, "version": change.version, "revision": change.revision}
+        for change in result.changes
+    ]
+    return web.json_response({"changes": changes, "revision": result.revision})
+
+
+def _name_kind(request):
+    if request.path == "/watch":
+        return "watch"
+    if request.path == "/objects":
+        return "list"
+    if request.method == "PUT":
+        return "create" if "If-None-Match" in request.headers else "update"
+    return request.method.lower()
+
+
+if __name__ == "__main__":
+    run_main(ServerOptions, lambda options: ObjectServer())
