--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,16 +22,13 @@
     run_main,
 )
 from standins.answers import (
-    DEFAULT_MAX_TOKENS,
-    answer_tokens,
+    EngineAnswer,
     chain_digests,
     count_tokens,
     digest_messages,
 )
 from standins.timing import EngineTiming, Evicted, Finished, Tokens
 
-PROGRAM_HEADER = "Sapphireyard-Program-Digest"
-
 EXIT_STATUS = 1
 """Exit status of a death that was ordered."""
 
@@ -195,7 +192,7 @@
         if marker and marker in text:
             self.exit(EXIT_STATUS)
         self.evidence.executions[digest_messages(messages)] += 1
-        answer = _Answer(request, body, messages)
+        answer = EngineAnswer(request, body, messages)
         try:
             queue = self._submit(answer)
         except ValueError as error:
@@ -335,68 +332,6 @@
         return web.json_response({"tokens": tokens})
 
 
-class _Answer:
-    """One request and the forms of its answer."""
-
-    def __init__(self, request, body, messages):
-        self.request = request
-        self.request_id = ""
-        self.messages = messages
-        self.model = body.get("model", "")
-        self.streamed = bool(body.get("stream"))
-        options = body.get("stream_options") or {}
-        self.with_usage = bool(options.get("include_usage"))
-        self.max_tokens = int(body.get("max_tokens") or DEFAULT_MAX_TOKENS)
-        self.tokens = answer_tokens(messages, self.max_tokens)
-        self.prompt_tokens = sum(map(count_tokens, messages))
-        self.program = request.headers.get(PROGRAM_HEADER) or digest_messages(messages)
-
-    @property
-    def finish_reason(self):
-        """str: Why the answer ended."""
-        return "length" if len(self.tokens) >= self.max_tokens else "stop"
-
-    def encode_token(self, index):
-        """Return the event of one token."""
-        text = self.tokens[index] if index == 0 else " " + self.tokens[index]
-        return self._encode_chunk({"delta": {"content": text}, "finish_reason": None})
-
-    def encode_end(self, finished):
-        """Return the events after the last token."""
-        end = {"delta": {}, "finish_reason": self.finish_reason}
-        lines = [self._encode_chunk(end)]
-        if self.with_usage:
-            lines.append(self._encode_chunk(None, usage=self._usage(finished)))
-        return [*lines, b"data: [DONE]\n\n"]
-
-    def encode_whole(self, finished):
-        """Return the body of an answer that is not streamed."""
-        message = {"role": "assistant", "content": " ".join(self.tokens)}
-        choice = {"index": 0, "message": message, "finish_reason": self.finish_reason}
-        return {
-            **self._head("chat.completion"),
-            "choices": [choice],
-            "usage": self._usage(finished),
-        }
-
-    def _head(self, kind):
-        head = {"id": self.request_id, "object": kind, "created": int(time.time())}
-        return {**head, "model": self.model}
-
-    def _encode_chunk(self, choice, **extra):
-        choices = [] if choice is None else [{"index": 0, **choice}]
-        chunk = {**self._head("chat.completion.chunk"), "choices": choices, **extra}
-        return b"data: " + json.dumps(chunk).encode() + b"\n\n"
-
-    def _usage(self, finished):
-        return {
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": len(self.tokens),
-            "total_tokens": self.prompt_tokens + len(self.tokens),
-            "prompt_tokens_details": {"cached_tokens": finished.cached_tokens},
-        }
-
-
 def _answer_error(status, code, message):
     error = {"error": {"code": code, "type": code, "message": message}}
     return web.json_response(error, status=status)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,8 +9,8 @@
 import aiohttp
 
 from standins._serving import serving
-from standins.answers import answer_text, count_tokens
-from standins.engine import PROGRAM_HEADER, EngineOptions, EngineServer
+from standins.answers import PROGRAM_HEADER, answer_text, count_tokens
+from standins.engine import EngineOptions, EngineServer
 from standins.hosts import HostsServer
 from standins.relay import Relay
 from standins.service import ServiceOptions, ServiceServer
