--- a/sapphireyard/connections.py
+++ b/sapphireyard/connections.py
@@ -18,10 +18,6 @@
 STREAM_WINDOW_ITEMS = 64
 """Items a sender may have under way in one stream without a credit."""
 
-PING_SECONDS = 1.0
-SILENCE_SECONDS = 3.0
-"""Seconds without a byte after which a connection counts as dead."""
-
 
 class Connection(asyncio.Protocol):
     """One end of a connection between two hosts.
@@ -45,6 +41,7 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._heard_at = 0.0
+        self._used_at = 0.0
         self._watch = None
         self.hello = asyncio.get_running_loop().create_future()
         self.closed = asyncio.Event()
@@ -68,7 +65,7 @@
 
     def connection_made(self, transport):
         self._transport = transport
-        self._heard_at = asyncio.get_running_loop().time()
+        self._heard_at = self._used_at = asyncio.get_running_loop().time()
         name, fields = self._peers.codec.dump(self._peers.describe())
         self._send(FrameKind.HELLO, 0, name, fields)
         self._watch = asyncio.ensure_future(self._watch_silence())
@@ -110,6 +107,7 @@
 
     def tell(self, message):
         """Send a message that has no answer."""
+        self._used_at = asyncio.get_running_loop().time()
         name, fields = self._peers.codec.dump(message)
         self._send(FrameKind.TELL, 0, name, fields)
 
@@ -122,6 +120,7 @@
         if not self.is_open:
             raise PeerUnavailable(f"no connection to {self.host}", sent=False)
         request_id = next(self._ids)
+        self._used_at = asyncio.get_running_loop().time()
         answers = _Answers(lambda: self._send(FrameKind.CREDIT, request_id, 1))
         self._outgoing[request_id] = answers
         name, fields = self._peers.codec.dump(message)
@@ -138,6 +137,8 @@
 
     def _receive(self, frame):
         kind, request_id, *rest = frame
+        if kind not in (FrameKind.PING, FrameKind.PONG):
+            self._used_at = self._heard_at
         if kind == FrameKind.PING:
             self._send(FrameKind.PONG, 0)
         elif kind == FrameKind.HELLO:
@@ -208,18 +209,28 @@
 
     async def _watch_silence(self):
         loop = asyncio.get_running_loop()
+        silence = self._peers.silence_seconds
         while True:
             before = loop.time()
-            await asyncio.sleep(PING_SECONDS)
-            stood_still = loop.time() - before > SILENCE_SECONDS
-            if stood_still:
-                self._heard_at = loop.time()
-            if loop.time() - self._heard_at > SILENCE_SECONDS:
+            await asyncio.sleep(self._peers.ping_seconds)
+            now = loop.time()
+            if now - before > silence:
+                # This process stood still itself; the other end gets its time.
+                self._heard_at = now
+            if now - self._heard_at > silence:
                 logger.warning("peer %s is silent; connection closed", self.host)
                 self.close()
                 return
+            if self._is_idle(now):
+                self.close()
+                return
             self._send(FrameKind.PING, 0)
 
+    def _is_idle(self, now):
+        if self._outgoing or self._incoming:
+            return False
+        return now - self._used_at > self._peers.idle_seconds
+
 
 class _Responder:
     """Serves one request that arrived on a connection."""
@@ -236,8 +247,9 @@
         connection = self._connection
         try:
             message = connection._peers.codec.load(name, fields)
-            async with asyncio.timeout(timeout):
-                async for item in connection._peers.serve(connection, message):
+            items = connection._peers.serve(connection, message)
+            async with asyncio.timeout(timeout), contextlib.aclosing(items):
+                async for item in items:
                     await self._credits.acquire()
                     await connection._can_write.wait()
                     item_name, item_fields = connection._peers.codec.dump(item)
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -323,11 +323,15 @@
             grant.upstream.address, prompt, program=name
         )
         execution.sent = True
+        last_chunks = []
         try:
             async with contextlib.aclosing(events):
                 async for data in events:
                     assembler.add(parse_chunk(data))
-                    execution.run.add_chunk(data)
+                    if assembler.finished:
+                        last_chunks.append(data)
+                    else:
+                        execution.run.add_chunk(data)
         except UpstreamRefusal as refusal:
             if refusal.status >= FIRST_RETRIED_STATUS:
                 raise UpstreamError(str(refusal), sent=True) from refusal
@@ -341,7 +345,7 @@
             output_tokens=usage.get("completion_tokens", 0),
             cached_tokens=details.get("cached_tokens", 0),
         )
-        return _Answer(200, dump_json(answer), answer)
+        return _Answer(200, dump_json(answer), answer, tuple(last_chunks))
 
     async def _send_service(self, execution, upstream):
         execution.sent = True
@@ -399,7 +403,7 @@
     async def _complete(self, execution, answer, reserved_tokens):
         run = execution.run
         if execution.partition is None:
-            run.finish(answer.status, answer.body)
+            run.finish(answer.status, answer.body, answer.last_chunks)
             return
         used = reserved_tokens
         if isinstance(answer.parsed, dict):
@@ -416,7 +420,7 @@
         )
         await self._commit_answer(execution, record)
         self._yard.programs.apply(execution.partition, record)
-        run.finish(answer.status, answer.body)
+        run.finish(answer.status, answer.body, answer.last_chunks)
 
     def _keep_request(self, execution):
         if execution.route.kind == "model":
@@ -451,11 +455,16 @@
 
 @dataclass(frozen=True)
 class _Answer:
-    """An upstream's whole answer."""
+    """An upstream's whole answer.
+
+    `last_chunks` tell a streaming caller that the answer is complete, so they
+    wait until it is journalled.
+    """
 
     status: int
     body: str
     parsed: object
+    last_chunks: tuple = ()
 
 
 def _ensure_json(text):
--- a/sapphireyard/peers.py
+++ b/sapphireyard/peers.py
@@ -22,6 +22,9 @@
 PROTOCOL = 1
 OLDEST_PROTOCOL = 1
 CONNECT_SECONDS = 1.0
+PING_SECONDS = 1.0
+SILENCE_SECONDS = 3.0
+IDLE_SECONDS = 30.0
 
 
 @dataclass(frozen=True)
@@ -41,11 +44,27 @@
     ----------
     yard : Yard
         The process this belongs to.
+    ping_seconds : float, optional
+        Seconds between probes of a connection.
+    silence_seconds : float, optional
+        Seconds without a byte after which a connection counts as dead.
+    idle_seconds : float, optional
+        Seconds without a request after which a connection is closed.
     """
 
-    def __init__(self, yard):
+    def __init__(
+        self,
+        yard,
+        *,
+        ping_seconds=PING_SECONDS,
+        silence_seconds=SILENCE_SECONDS,
+        idle_seconds=IDLE_SECONDS,
+    ):
         super().__init__()
         self._yard = yard
+        self.ping_seconds = ping_seconds
+        self.silence_seconds = silence_seconds
+        self.idle_seconds = idle_seconds
         self._handlers = {}
         self._stream_handlers = {}
         self._hello_callbacks = []
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,142 @@
+"""Tests of requests between hosts over real sockets."""
+
+import asyncio
+import contextlib
+import unittest
+from types import SimpleNamespace
+
+from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.generated_messages import (
+    AnswerChunk,
+    Done,
+    Hello,
+    InspectProgram,
+    LinkProgram,
+    ProgramView,
+)
+from sapphireyard.peers import Peers
+
+WAIT_SECONDS = 10.0
+
+
+def build_peers(host, **options):
+    settings = SimpleNamespace(peer_address="127.0.0.1:0")
+    yard = SimpleNamespace(
+        host=host, incarnation=1, settings=settings, configuration=None, ownership=None
+    )
+    return Peers(yard, **options)
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.a = build_peers("a")
+        self.b = build_peers("b")
+        for peers in (self.a, self.b):
+            await peers.listen()
+        self.a.static_addresses["b"] = self.b.address
+        self.cancelled = asyncio.Event()
+        self.produced = 0
+        self.b.register(InspectProgram, self.view)
+        self.b.register_stream(LinkProgram, self.count)
+
+    async def asyncTearDown(self):
+        await self.a.on_stop()
+        await self.b.on_stop()
+
+    async def view(self, message, context):
+        if message.program == "refused":
+            raise CallError("overloaded", "later", retry_after=2.5)
+        if message.program == "broken":
+            raise ValueError("fault")
+        if message.program == "slow":
+            await asyncio.sleep(0.05)
+        return ProgramView(body=f"{context.host}:{message.program}")
+
+    async def count(self, message, context):
+        try:
+            while True:
+                self.produced += 1
+                yield AnswerChunk(data=str(self.produced))
+        finally:
+            self.cancelled.set()
+
+    async def ask(self, program, **options):
+        query = InspectProgram("c", program)
+        return await self.a.ask("b", query, **{"timeout": WAIT_SECONDS, **options})
+
+    async def test_crossed_answers_reach_their_requests(self):
+        answers = await asyncio.gather(*map(self.ask, ["slow", "x", "y"]))
+        self.assertEqual([answer.body for answer in answers], ["a:slow", "a:x", "a:y"])
+
+    async def test_errors_travel(self):
+        cases = [
+            ("refused", "overloaded", "no", 2.5),
+            ("broken", "internal_error", "unknown", None),
+        ]
+        for program, code, executed, retry_after in cases:
+            with self.subTest(program):
+                with self.assertRaises(CallError) as caught:
+                    await self.ask(program)
+                error = caught.exception
+                self.assertEqual(error.code, code)
+                self.assertEqual(error.executed, executed)
+                self.assertEqual(error.retry_after, retry_after)
+
+    async def test_unread_stream_stops_at_its_window_and_is_cancelled(self):
+        stream = self.a.stream("b", LinkProgram("p", "r"), timeout=WAIT_SECONDS)
+        async with contextlib.aclosing(stream) as answers:
+            first = await anext(answers)
+            await self.ask("x")
+            await self.ask("y")
+            self.assertEqual(first.data, "1")
+            self.assertLess(self.produced, 100)
+        await asyncio.wait_for(self.cancelled.wait(), WAIT_SECONDS)
+
+    async def test_unreachable_host_was_not_sent_to(self):
+        self.a.static_addresses["c"] = "127.0.0.1:1"
+        with self.assertRaises(PeerUnavailable) as caught:
+            await self.a.ask("c", Done(), timeout=WAIT_SECONDS)
+        self.assertFalse(caught.exception.sent)
+
+    async def test_lost_connection_may_have_been_sent(self):
+        stream = self.a.stream("b", LinkProgram("p", "r"), timeout=WAIT_SECONDS)
+        async with contextlib.aclosing(stream) as answers:
+            await anext(answers)
+            await self.b.on_stop()
+            with self.assertRaises(PeerUnavailable) as caught:
+                async for _ in answers:
+                    pass
+        self.assertTrue(caught.exception.sent)
+
+    async def test_wrong_host_is_not_asked(self):
+        self.a.static_addresses["d"] = self.b.address
+        with self.assertRaises(PeerUnavailable) as caught:
+            await self.a.ask("d", Done(), timeout=WAIT_SECONDS)
+        self.assertFalse(caught.exception.sent)
+
+
+class SilentPeerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_silent_connection_is_given_up(self):
+        """The other end greets and then says nothing more."""
+        ends = {}
+
+        async def greet_and_freeze(reader, writer):
+            ends["writer"] = writer
+            writer.write(await reader.read(65536))
+            await reader.read()
+
+        server = await asyncio.start_server(greet_and_freeze, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        peers = build_peers("a", ping_seconds=0.02, silence_seconds=0.1)
+        peers.static_addresses["b"] = f"127.0.0.1:{port}"
+        greeting = Hello(host="b", incarnation=1, protocol=1, oldest_protocol=1)
+        peers.describe = lambda: greeting
+        try:
+            with self.assertRaises(PeerUnavailable) as caught:
+                await peers.ask("b", Done(), timeout=WAIT_SECONDS)
+            self.assertTrue(caught.exception.sent)
+            self.assertIn("ended", str(caught.exception))
+        finally:
+            await peers.on_stop()
+            ends["writer"].close()
+            server.close()
