End idle and endless programs

Cause: programs loop without end, and callers go away. A heap holds one entry a program; a periodic scan of all programs was ruled out, its cost grows with their number. Tests: tests.test_lifetimes, 5 passed.

--- /dev/null
+++ b/sapphireyard/lifetimes.py
@@ -0,0 +1,140 @@
+"""Ends programs that are idle or too old, and forgets those that ended.
+
+A program that loops without end is stopped by its budget or by its customer's
+limit on total time; one whose caller went away, by the limit on idle time.
+"""
+
+import heapq
+import itertools
+import logging
+
+import mode
+
+from sapphireyard.exceptions import YardError
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.5
+IDLE_SECONDS = 3600.0
+TOTAL_SECONDS = 86400.0
+REASON_IDLE = "idle too long"
+REASON_TOTAL = "reached its longest life"
+RETRY_SECONDS = 5.0
+
+
+class Lifetimes:
+    """Decides when a program's time is up.
+
+    Each program stands in a heap under a time at which it has to be looked
+    at again; nothing scans all programs.
+
+    Parameters
+    ----------
+    find_limits : callable
+        Returns idle and total seconds for a customer's name.
+    """
+
+    def __init__(self, find_limits):
+        self._find_limits = find_limits
+        self._heap = []
+        self._ties = itertools.count()
+        self._watched = set()
+
+    def __len__(self):
+        return len(self._heap)
+
+    def watch(self, partition, program, now):
+        """Begin to watch a program, at wall-clock `now`."""
+        program.touched_at = max(program.touched_at, now)
+        if (partition, program.key) in self._watched:
+            return
+        self._watched.add((partition, program.key))
+        self._push(partition, program)
+
+    def check(self, programs, now):
+        """Return the triples (partition, program, reason) that are due.
+
+        An empty reason means: ended long ago, forget it. Programs of
+        partitions that moved away drop out.
+        """
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            _, _, partition, key = heapq.heappop(self._heap)
+            self._watched.discard((partition, key))
+            program = programs.get(partition, key)
+            if program is None:
+                continue
+            if self._find_due(program) > now:
+                self._watched.add((partition, key))
+                self._push(partition, program)
+                continue
+            due.append((partition, program, self._explain(program, now)))
+        return due
+
+    def _push(self, partition, program):
+        entry = (self._find_due(program), next(self._ties), partition, program.key)
+        heapq.heappush(self._heap, entry)
+
+    def _limits(self, program):
+        return self._find_limits(program.key.split("/", 1)[0])
+
+    def _find_due(self, program):
+        idle, total = self._limits(program)
+        oldest = program.opened_at + total
+        if program.ended or program.link:
+            return program.touched_at + idle
+        if program.running is not None:
+            return oldest
+        return min(program.touched_at + idle, oldest)
+
+    def _explain(self, program, now):
+        if program.ended or program.link:
+            return ""
+        _, total = self._limits(program)
+        return REASON_TOTAL if now >= program.opened_at + total else REASON_IDLE
+
+
+class LifetimeService(mode.Service):
+    """Carries out what `Lifetimes` decides.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self.lifetimes = Lifetimes(self._find_limits)
+        yard.programs.on_change(self._watch)
+
+    def _watch(self, partition, program):
+        self.lifetimes.watch(partition, program, self._yard.clock.wall())
+
+    def _find_limits(self, name):
+        configuration = self._yard.configuration.current
+        customer = configuration.customers.get(name) if configuration else None
+        if customer is None:
+            return IDLE_SECONDS, TOTAL_SECONDS
+        return customer.idle_seconds, customer.total_seconds
+
+    @mode.Service.task
+    async def _check(self):
+        while not self.should_stop:
+            await self.sleep(TICK_SECONDS)
+            now = self._yard.clock.wall()
+            for due in self.lifetimes.check(self._yard.programs, now):
+                await self._settle(*due)
+
+    async def _settle(self, partition, program, reason):
+        if not reason:
+            self._yard.programs.forget(partition, program.key)
+            return
+        logger.info("program ended", extra={"program": program.key, "reason": reason})
+        try:
+            self._yard.ownership.check_owned(partition)
+            await self._yard.dispatcher.end(partition, program, reason)
+        except YardError as error:
+            logger.warning("program %s not ended: %s", program.key, error.code)
+        self._watch(partition, program)
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs.py
@@ -63,6 +63,7 @@
         self.link = False
         self.tail_uncertain = False
         self.running = None
+        self.touched_at = 0.0
         self.opening = None
         self.upstreams = set()
         self.turn = asyncio.Condition()
@@ -107,6 +108,7 @@
         self._partitions = defaultdict(dict)
         self._held = set()
         self._changed = asyncio.Condition()
+        self._callbacks = []
 
     def __len__(self):
         return sum(map(len, self._partitions.values()))
@@ -128,7 +130,24 @@
 
     def apply(self, partition, record):
         """Fold one record into the state of its program."""
-        self._fold(record, self._partitions[partition])
+        programs = self._partitions[partition]
+        self._fold(record, programs)
+        program = programs.get(record.program)
+        if program is None:
+            return
+        for callback in self._callbacks:
+            callback(partition, program)
+
+    def on_change(self, callback):
+        """Call ``callback(partition, program)`` after each record."""
+        self._callbacks.append(callback)
+
+    def forget(self, partition, key):
+        """Drop a program that ended long ago."""
+        programs = self._partitions.get(partition, {})
+        program = programs.get(key)
+        assert program is None or program.ended or program.link, f"{key} lives"
+        programs.pop(key, None)
 
     @singledispatchmethod
     def _fold(self, record, programs):
