--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -65,6 +65,16 @@
     code = "store_unavailable"
 
 
+class CommitInDoubt(StoreUnavailable):
+    """A commit failed for want of the store, but may yet become durable.
+
+    The caller takes the records back with a later record, for example
+    `CallAbandoned` after `CallReserved`.
+    """
+
+    code = "commit_in_doubt"
+
+
 class StoreGone(StoreError):
     """The watch position is no longer kept; list again."""
 
@@ -77,6 +87,12 @@
     code = "journal_sealed"
 
 
+class RecordError(YardError):
+    """A journal segment or a record in it cannot be read."""
+
+    code = "record_invalid"
+
+
 class PeerError(YardError):
     """Base of the errors between the system's own processes."""
 
@@ -155,6 +171,7 @@
     "history_unavailable": 503,
     "store_unavailable": 503,
     "draining": 503,
+    "owner_changed": 503,
     "configuration_stale": 503,
     "deadline_exceeded": 504,
 }
--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -138,6 +138,25 @@
     Name of the record's class.
     """
     fields: dict[str, Any]
+    epoch: int = 0
+    """
+    Version of the assignment that made the writer owner of the partition.
+    """
+
+
+@dataclass
+class RecordPart:
+    """
+    A piece of a record that does not fit into one segment. Its pieces follow one another in the journal; it counts once the last is there.
+    """
+
+    token: str
+    """
+    Unique to the record.
+    """
+    index: int
+    count: int
+    data: bytes
 
 
 @dataclass
--- /dev/null
+++ b/sapphireyard/journal.py
@@ -0,0 +1,338 @@
+"""Group commit of records into the journal of a host.
+
+`JournalWriter` decides; `JournalService` talks to the store and to peers.
+"""
+
+import asyncio
+import secrets
+from typing import NamedTuple
+
+from mode import Service
+
+from sapphireyard.exceptions import (
+    JournalSealed,
+    RecordError,
+    StoreConflict,
+    StoreUnavailable,
+)
+from sapphireyard.journal_writer import Commit, JournalWriter
+from sapphireyard.records import pack_record, split_record, unpack_segment
+from sapphireyard.tails import TailSender
+
+ANSWER_SECONDS = 0.5
+"""Time without an answer after which the store counts as out."""
+
+ATTEMPT_SECONDS = 5.0
+"""Time after which an attempt to store is given up and repeated."""
+
+RETRY_SECONDS = 0.25
+"""Wait after a failed attempt to store."""
+
+READ_AHEAD = 16
+"""Segments of a range read at a time."""
+
+TOKEN_BYTES = 8
+"""Random bytes of a token."""
+
+
+class CommitPosition(NamedTuple):
+    """Where the records of a commit stand: segments `first` to `number`."""
+
+    host: str
+    incarnation: int
+    first: int
+    number: int
+
+
+class JournalRange(NamedTuple):
+    """Segments `first` to `last`, both included, of one journal.
+
+    Parameters
+    ----------
+    epoch : int
+        Records of a partition count only when they carry this epoch; 0 for
+        all.
+    uncertain : bool
+        Tails of the journal may have been lost when it was sealed.
+    """
+
+    host: str
+    incarnation: int
+    first: int
+    last: int
+    epoch: int = 0
+    uncertain: bool = False
+
+
+def name_segment(host, incarnation, number):
+    """Return the name of a segment's object."""
+    return f"journal/{host}/{incarnation}/{number:010d}"
+
+
+class JournalService(Service):
+    """The journal of this host's incarnation.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives store, clock, settings, incarnation and peers.
+    answer_seconds : float, optional
+        Time without an answer after which the store counts as out.
+    retry_seconds : float, optional
+        Wait after a failed attempt.
+    """
+
+    def __init__(
+        self, yard, *, answer_seconds=ANSWER_SECONDS, retry_seconds=RETRY_SECONDS
+    ):
+        super().__init__()
+        self.yard = yard
+        self._answer_seconds = answer_seconds
+        self._retry_seconds = retry_seconds
+        self._writer = None
+        self._tails = TailSender(yard)
+        self._wake = asyncio.Event()
+        self._flush = asyncio.Event()
+
+    @property
+    def sealed(self):
+        """bool: Whether nothing can be committed until the next `open`."""
+        return self._writer is None or self._writer.sealed
+
+    @property
+    def store_out(self):
+        """bool: Whether the store does not answer the journal."""
+        return self._writer is not None and self._writer.out
+
+    @property
+    def next_number(self):
+        """int: Number of the segment in which the next records can stand."""
+        return self._writer.next_number if self._writer is not None else 1
+
+    async def on_start(self):
+        """Open the journal if the incarnation is known already."""
+        if self.yard.incarnation:
+            self.open(self.yard.incarnation)
+
+    async def on_stop(self):
+        """Fail the commits that wait."""
+        self.seal()
+
+    def open(self, incarnation):
+        """Begin the journal of a new incarnation, whose number was never used."""
+        self.seal()
+        self._writer = JournalWriter(
+            self.yard.host,
+            incarnation,
+            interval_seconds=self.yard.settings.commit_interval_seconds,
+        )
+        self._tails = TailSender(self.yard)
+        self._wake.set()
+        self._flush.set()
+
+    async def commit(self, records, *, partition, needs_store=False):
+        """Make records durable; return their `CommitPosition`.
+
+        Records of one commit stand together, and commits stand in the order
+        of the calls. When the caller is cancelled the records may become
+        durable all the same.
+
+        Parameters
+        ----------
+        records : sequence
+            Instances of the classes of `generated_records`.
+        partition : int
+            Partition of their program, owned by this host.
+        needs_store : bool, optional
+            Whether the store must have them; otherwise tails in the memory of
+            two peers do while the store is out.
+
+        Raises
+        ------
+        JournalSealed
+            This incarnation owns nothing more. The records may be durable.
+        CommitInDoubt
+            The store is out; the records may become durable later. Take them
+            back with another record.
+        StoreUnavailable
+            The store is out; the records will never become durable.
+        CallError
+            This host does not own the partition.
+        """
+        if self.sealed:
+            raise JournalSealed(f"journal of {self.yard.host}")
+        commit = Commit(
+            self._pack(records, partition),
+            needs_store=needs_store,
+            waiter=asyncio.get_running_loop().create_future(),
+        )
+        self._writer.add(commit)
+        self._wake.set()
+        return await commit.waiter
+
+    def _pack(self, records, partition):
+        epoch = 0
+        if self.yard.ownership is not None:
+            epoch = self.yard.ownership.check_owned(partition)
+        packed = []
+        for record in records:
+            packed += split_record(
+                pack_record(record, partition=partition, epoch=epoch),
+                partition=partition,
+                epoch=epoch,
+                token=secrets.token_hex(TOKEN_BYTES),
+            )
+        return packed
+
+    def seal(self):
+        """Commit nothing more until the next `open`."""
+        if self._writer is None:
+            return
+        error = JournalSealed(f"journal {self.yard.host}/{self._writer.incarnation}")
+        for commit in self._writer.seal():
+            self._fail(commit, error)
+        self._wake.set()
+        self._flush.set()
+
+    @Service.task
+    async def _stage_segments(self):
+        while not self.should_stop:
+            await self._stage_next()
+
+    async def _stage_next(self):
+        writer = self._writer
+        if writer is None:
+            await self._wait_wake(None)
+            return
+        now = self.yard.clock.monotonic()
+        if writer.stage(now, token=secrets.token_hex(TOKEN_BYTES)) is not None:
+            self._flush.set()
+        if writer.behind and not writer.sealed:
+            await self._replicate(writer)
+        delay = writer.delay(self.yard.clock.monotonic())
+        if delay is None and writer.behind and not self._tails.whole:
+            delay = self._retry_seconds
+        await self._wait_wake(delay)
+
+    async def _wait_wake(self, delay):
+        if delay == 0.0:
+            return
+        try:
+            await asyncio.wait_for(self._wake.wait(), delay)
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _replicate(self, writer):
+        tails = self._tails
+        number = await tails.send(writer.staged, incarnation=writer.incarnation)
+        for commit in writer.peers_hold(number):
+            self._succeed(commit, writer)
+
+    @Service.task
+    async def _flush_segments(self):
+        while not self.should_stop:
+            writer = self._writer
+            if writer is None or writer.head is None:
+                await self._flush.wait()
+                self._flush.clear()
+                continue
+            await self._flush_head(writer)
+
+    async def _flush_head(self, writer):
+        segment = writer.head
+        name = name_segment(self.yard.host, writer.incarnation, segment.number)
+        try:
+            await self._store_bounded(name, segment.value, writer)
+        except (StoreUnavailable, TimeoutError):
+            self._note_outage(writer)
+            await self.sleep(self._retry_seconds)
+            return
+        except JournalSealed:
+            self.log.warning("%s: the journal is sealed", name)
+            self._seal_writer(writer)
+            return
+        if writer.sealed:
+            return
+        for commit in writer.store_succeeded(segment.number):
+            self._succeed(commit, writer)
+        self._wake.set()
+        if writer.head is None:
+            self._tails.release(segment.number, incarnation=writer.incarnation)
+
+    def _seal_writer(self, writer):
+        if writer is not self._writer:
+            return
+        self.seal()
+        if self.yard.ownership is not None:
+            self.yard.ownership.note_sealed()
+
+    async def _store_bounded(self, name, value, writer):
+        attempt = asyncio.ensure_future(self._store(name, value))
+        try:
+            await asyncio.wait({attempt}, timeout=self._answer_seconds)
+            if not attempt.done():
+                self._note_outage(writer)
+            await asyncio.wait_for(attempt, ATTEMPT_SECONDS)
+        finally:
+            attempt.cancel()
+
+    async def _store(self, name, value):
+        """Store a segment, or find that an earlier attempt did.
+
+        Raises
+        ------
+        JournalSealed
+            Another segment has its name.
+        StoreUnavailable
+            No answer; the attempt is to be repeated.
+        """
+        try:
+            await self.yard.store.create(name, value)
+            return
+        except (StoreConflict, StoreUnavailable):
+            stored = await self.yard.store.get(name)
+        if stored is None:
+            raise StoreUnavailable(f"{name} was not stored")
+        if stored.value != value:
+            raise JournalSealed(name)
+
+    def _note_outage(self, writer):
+        for commit, error in writer.store_failed():
+            self._fail(commit, error)
+        self._wake.set()
+
+    def _succeed(self, commit, writer):
+        if commit.waiter.done():
+            return
+        position = CommitPosition(
+            self.yard.host, writer.incarnation, commit.first, commit.number
+        )
+        commit.waiter.set_result(position)
+
+    @staticmethod
+    def _fail(commit, error):
+        if not commit.waiter.done():
+            commit.waiter.set_exception(error)
+
+
+async def read_range(store, journal_range):
+    """Yield the segments of a range in order.
+
+    Raises
+    ------
+    RecordError
+        A segment is missing or damaged.
+    StoreUnavailable
+        The store did not answer.
+    """
+    numbers = range(journal_range.first, journal_range.last + 1)
+    for start in range(0, len(numbers), READ_AHEAD):
+        names = [
+            name_segment(journal_range.host, journal_range.incarnation, number)
+            for number in numbers[start : start + READ_AHEAD]
+        ]
+        for name, stored in zip(names, await asyncio.gather(*map(store.get, names))):
+            if stored is None:
+                raise RecordError(f"{name} is missing")
+            yield unpack_segment(stored.value)
--- /dev/null
+++ b/sapphireyard/records.py
@@ -0,0 +1,234 @@
+"""Codec of journal records and segments.
+
+A segment is a zstd-compressed msgpack map of the fields of `Segment`. Records
+are encoded one by one when they are committed, so that a segment is put
+together without encoding them again. Fields at their default are left out;
+unknown fields are ignored, so that hosts of two releases read each other.
+"""
+
+import dataclasses
+from functools import cache
+from typing import NamedTuple
+
+import msgpack
+import zstandard
+from pydantic import TypeAdapter, ValidationError
+
+from sapphireyard import generated_records
+from sapphireyard.exceptions import RecordError
+from sapphireyard.generated_records import EncodedRecord, RecordPart
+
+COMPRESSION_LEVEL = 3
+"""Level of zstd."""
+
+SEGMENT_BYTES = 900_000
+"""Largest sum of the encoded records of a segment in bytes."""
+
+PART_BYTES = 400_000
+"""Largest piece in bytes of a record that is split."""
+
+SEGMENT_RAW_BYTES = 16_000_000
+"""Largest segment in bytes that is decompressed."""
+
+RECORD_KINDS = frozenset(
+    {
+        "ProgramOpened",
+        "ProgramLinked",
+        "CallReserved",
+        "CallCompleted",
+        "CallAbandoned",
+        "ProgramEnded",
+        "ProgramSnapshot",
+        "RecordPart",
+    }
+)
+"""Names of the classes that may stand in a journal."""
+
+
+class PlacedRecord(NamedTuple):
+    """A decoded record with its place.
+
+    Parameters
+    ----------
+    number : int
+        Number of the segment that completed the record.
+    partition : int
+        Partition of the program.
+    epoch : int
+        Version of the assignment under which it was written.
+    record : object
+        Instance of a class of `sapphireyard.generated_records`.
+    """
+
+    number: int
+    partition: int
+    epoch: int
+    record: object
+
+
+def pack_record(record, *, partition, epoch=0):
+    """Return the msgpack form of a record, an `EncodedRecord`.
+
+    Raises
+    ------
+    RecordError
+        The class of `record` is none of `RECORD_KINDS`.
+    """
+    kind = type(record).__name__
+    if kind not in RECORD_KINDS:
+        raise RecordError(f"{kind} is no class of records")
+    encoded = EncodedRecord(partition, kind, _strip_defaults(record), epoch)
+    return msgpack.packb(_strip_defaults(encoded))
+
+
+def split_record(packed, *, partition, epoch=0, token):
+    """Return the packed record as one or more packed records that fit a segment.
+
+    Parameters
+    ----------
+    packed : bytes
+        Result of `pack_record`.
+    token : str
+        Unique to the record; joins its pieces.
+    """
+    if len(packed) <= PART_BYTES:
+        return [packed]
+    starts = range(0, len(packed), PART_BYTES)
+    return [
+        pack_record(
+            RecordPart(token, index, len(starts), packed[start : start + PART_BYTES]),
+            partition=partition,
+            epoch=epoch,
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+def pack_segment(*, host, incarnation, number, token, records, seal=""):
+    """Return the stored form of a segment.
+
+    Parameters
+    ----------
+    records : sequence of bytes
+        Packed records, in order.
+    """
+    packer = msgpack.Packer(autoreset=False)
+    fields = {
+        "host": host,
+        "incarnation": incarnation,
+        "number": number,
+        "token": token,
+        "seal": seal,
+    }
+    packer.pack_map_header(len(fields) + 1)
+    for name, value in fields.items():
+        packer.pack(name)
+        packer.pack(value)
+    packer.pack("records")
+    packer.pack_array_header(len(records))
+    raw = packer.bytes() + b"".join(records)
+    return zstandard.compress(raw, COMPRESSION_LEVEL)
+
+
+def unpack_segment(value):
+    """Return the `Segment` of a stored value.
+
+    Raises
+    ------
+    RecordError
+        The value is damaged or no segment.
+    """
+    try:
+        raw = zstandard.ZstdDecompressor().decompress(
+            value, max_output_size=SEGMENT_RAW_BYTES
+        )
+        return _find_adapter("Segment").validate_python(msgpack.unpackb(raw))
+    except (zstandard.ZstdError, ValueError, msgpack.UnpackException) as error:
+        raise RecordError(f"not a segment: {error}") from error
+
+
+def decode_record(encoded):
+    """Return the record of an `EncodedRecord`.
+
+    Raises
+    ------
+    RecordError
+        The kind is unknown or a field is missing or of a wrong type. A record
+        is never left out silently.
+    """
+    if encoded.kind not in RECORD_KINDS:
+        raise RecordError(f"unknown kind {encoded.kind}")
+    try:
+        return _find_adapter(encoded.kind).validate_python(encoded.fields)
+    except ValidationError as error:
+        raise RecordError(f"{encoded.kind}: {error}") from error
+
+
+class RecordAssembler:
+    """Decodes segments in their order and joins the pieces of split records."""
+
+    def __init__(self):
+        self._pieces = {}
+
+    def feed(self, segment, *, partitions=None):
+        """Return the `PlacedRecord` list that `segment` completes.
+
+        Parameters
+        ----------
+        segment : Segment
+            Next segment of the journal.
+        partitions : container of int, optional
+            Partitions wanted; all when absent.
+        """
+        placed = []
+        for encoded in segment.records:
+            if partitions is not None and encoded.partition not in partitions:
+                continue
+            if encoded.kind == RecordPart.__name__:
+                encoded = self._join(decode_record(encoded))
+            if encoded is None:
+                continue
+            record = decode_record(encoded)
+            placed.append(
+                PlacedRecord(segment.number, encoded.partition, encoded.epoch, record)
+            )
+        return placed
+
+    def _join(self, part):
+        if part.index > 0 and part.token not in self._pieces:
+            return None  # began before the first segment fed
+        pieces = self._pieces.setdefault(part.token, [])
+        if part.index != len(pieces):
+            raise RecordError(f"piece {part.index} of record {part.token} is astray")
+        pieces.append(part.data)
+        if len(pieces) < part.count:
+            return None
+        packed = b"".join(self._pieces.pop(part.token))
+        return _find_adapter("EncodedRecord").validate_python(msgpack.unpackb(packed))
+
+
+def _strip_defaults(instance):
+    """Return the fields of a dataclass as a dict without those at default."""
+    fields = {}
+    for field in dataclasses.fields(instance):
+        value = getattr(instance, field.name)
+        if field.default is not dataclasses.MISSING and value == field.default:
+            continue
+        if isinstance(value, list):
+            value = [_strip_item(item) for item in value]
+        fields[field.name] = value
+    return fields
+
+
+def _strip_item(item):
+    if dataclasses.is_dataclass(item):
+        return _strip_defaults(item)
+    return item
+
+
+@cache
+def _find_adapter(kind):
+    return TypeAdapter(getattr(generated_records, kind))
+
+
+assert all(hasattr(generated_records, kind) for kind in RECORD_KINDS)
