--- /dev/null
+++ b/sapphireyard/assignment_store.py
@@ -0,0 +1,109 @@
+"""Reads and changes the assignment in the store."""
+
+import asyncio
+
+from sapphireyard.assignment import (
+    ASSIGNMENT_NAME,
+    check_assignment,
+    check_change,
+)
+from sapphireyard.assignment_codec import decode_assignment, encode_assignment
+from sapphireyard.exceptions import RecordError, StoreConflict, StoreUnavailable
+
+RETRY_SECONDS = 0.2
+"""Wait before an attempt is repeated whose answer was lost."""
+
+
+class AssignmentStore:
+    """The one assignment object, changed only by conditional writes.
+
+    Parameters
+    ----------
+    store : Store
+        The object store.
+    retry_seconds : float, optional
+        Wait before a repeat.
+    """
+
+    def __init__(self, store, *, retry_seconds=RETRY_SECONDS):
+        self._store = store
+        self._retry_seconds = retry_seconds
+
+    async def read(self):
+        """Return the `Assignment` in the store, or None.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer.
+        """
+        stored = await self._store.get(ASSIGNMENT_NAME)
+        if stored is None:
+            return None
+        assignment = decode_assignment(stored.value)
+        if assignment.version != stored.version:
+            raise RecordError("the assignment does not carry its object's version")
+        return assignment
+
+    async def change(self, plan):
+        """Change the assignment; return the one in force.
+
+        Parameters
+        ----------
+        plan : callable
+            Takes the `Assignment` in the store (or None) and returns the one
+            to write, or None when nothing is to be changed. It must find out
+            by itself that its change is already in force, since it is called
+            again after a conflict.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer before anything was written. Once a write
+            was tried this method goes on until its outcome is known.
+        """
+        old = await self.read()
+        while True:
+            new = plan(old)
+            if new is None:
+                return old
+            if await self.write(old, new):
+                return new
+            old = await self._read_surely()
+
+    async def write(self, old, new):
+        """Write `new` in place of `old`; return whether it is in force.
+
+        False means that another change came first, or that more changes
+        followed and the outcome is to be read from the assignment.
+        """
+        check_assignment(new)
+        if old is not None:
+            check_change(old, new)
+        value = encode_assignment(new)
+        while True:
+            try:
+                await self._write_once(value, new.version)
+                return True
+            except StoreConflict:
+                pass
+            except StoreUnavailable:
+                await asyncio.sleep(self._retry_seconds)
+            current = await self._read_surely()
+            if current is not None and encode_assignment(current) == value:
+                return True
+            if (current.version if current is not None else 0) >= new.version:
+                return False
+
+    async def _write_once(self, value, version):
+        if version == 1:
+            await self._store.create(ASSIGNMENT_NAME, value)
+            return
+        await self._store.update(ASSIGNMENT_NAME, value, expected_version=version - 1)
+
+    async def _read_surely(self):
+        while True:
+            try:
+                return await self.read()
+            except StoreUnavailable:
+                await asyncio.sleep(self._retry_seconds)
--- a/sapphireyard/generated_replication.py
+++ b/sapphireyard/generated_replication.py
@@ -117,6 +117,10 @@
 @dataclass
 class OfferAnswer:
     accepted: bool
+    incarnation: int = 0
+    """
+    Incarnation of the answering host.
+    """
     journal_next: int = 1
     """
     Next number of the answering host's journal.
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -109,6 +109,11 @@
         """int: Number of the segment in which the next records can stand."""
         return self._writer.next_number if self._writer is not None else 1
 
+    @property
+    def stored_number(self):
+        """int: Number up to which all segments are known to be stored."""
+        return self._writer.stored_number if self._writer is not None else 0
+
     async def on_start(self):
         """Open the journal if the incarnation is known already."""
         if self.yard.incarnation:
@@ -130,7 +135,21 @@
         self._wake.set()
         self._flush.set()
 
-    async def commit(self, records, *, partition, needs_store=False):
+    async def barrier(self):
+        """Wait until all commits begun before are durable and known to be so.
+
+        Raises
+        ------
+        JournalSealed
+            This incarnation owns nothing more.
+        """
+        if self.sealed:
+            raise JournalSealed(f"journal of {self.yard.host}")
+        if self._writer.idle:
+            return
+        await self._enqueue([], needs_store=False)
+
+    async def commit(self, records, *, partition, needs_store=False, epoch=None):
         """Make records durable; return their `CommitPosition`.
 
         Records of one commit stand together, and commits stand in the order
@@ -146,6 +165,8 @@
         needs_store : bool, optional
             Whether the store must have them; otherwise tails in the memory of
             two peers do while the store is out.
+        epoch : int, optional
+            Epoch of a partition that is being handed over.
 
         Raises
         ------
@@ -161,19 +182,8 @@
         """
         if self.sealed:
             raise JournalSealed(f"journal of {self.yard.host}")
-        commit = Commit(
-            self._pack(records, partition),
-            needs_store=needs_store,
-            waiter=asyncio.get_running_loop().create_future(),
-        )
-        self._writer.add(commit)
-        self._wake.set()
-        return await commit.waiter
-
-    def _pack(self, records, partition):
-        epoch = 0
-        if self.yard.ownership is not None:
-            epoch = self.yard.ownership.check_owned(partition)
+        if epoch is None:
+            epoch = self._find_epoch(partition)
         packed = []
         for record in records:
             packed += split_record(
@@ -182,7 +192,18 @@
                 epoch=epoch,
                 token=secrets.token_hex(TOKEN_BYTES),
             )
-        return packed
+        return await self._enqueue(packed, needs_store=needs_store)
+
+    def _find_epoch(self, partition):
+        if self.yard.ownership is None:
+            return 0
+        return self.yard.ownership.check_owned(partition)
+
+    async def _enqueue(self, packed, *, needs_store):
+        waiter = asyncio.get_running_loop().create_future()
+        self._writer.add(Commit(packed, needs_store=needs_store, waiter=waiter))
+        self._wake.set()
+        return await waiter
 
     def seal(self):
         """Commit nothing more until the next `open`."""
--- a/sapphireyard/journal_writer.py
+++ b/sapphireyard/journal_writer.py
@@ -87,6 +87,11 @@
         """bool: Whether the store is known not to answer."""
         return self._out
 
+    @property
+    def idle(self):
+        """bool: Whether no commit waits."""
+        return not self._queue and not self._staged
+
     @property
     def behind(self):
         """bool: Whether segments pile up and peers should hold them."""
@@ -97,6 +102,11 @@
         """int: Number of the segment that the next records can stand in."""
         return self._next_number
 
+    @property
+    def stored_number(self):
+        """int: Number up to which all segments are known to be stored."""
+        return self._next_number - len(self._staged) - 1
+
     @property
     def head(self):
         """StagedSegment or None: The segment to store next."""
@@ -211,6 +221,7 @@
         lost = [commit for segment in self._staged for commit in segment.commits]
         lost += self._queue
         self._queue.clear()
+        self._next_number -= len(self._staged)
         self._staged.clear()
         return lost
 
--- /dev/null
+++ b/sapphireyard/membership.py
@@ -0,0 +1,181 @@
+"""Keeps this host's member object alive and watches those of others."""
+
+import asyncio
+
+from mode import Service
+
+from sapphireyard.exceptions import StoreConflict, StoreUnavailable
+from sapphireyard.failure_detector import SILENCE_SECONDS, FailureDetector
+from sapphireyard.generated_replication import Heartbeat
+from sapphireyard.members import MemberObjects, MemberRecord
+
+BEAT_SECONDS = 0.5
+"""Time between two heartbeats to a watcher."""
+
+LOOK_SECONDS = 0.5
+"""Time between two checks whether a member object is to be read."""
+
+
+class MembershipService(Service):
+    """This host as a member, and its observations of the others.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives store, settings, clock, peers and ownership.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self.yard = yard
+        self.detector = FailureDetector(
+            yard.host,
+            renewal_seconds=yard.settings.renewal_seconds,
+            expiry_seconds=yard.settings.expiry_seconds,
+        )
+        self._members = MemberObjects(yard.store)
+        self._member = None
+        self._renewed_at = float("-inf")
+        self._attempted_at = float("-inf")
+        self._store_out = False
+        self._peer_store_at = float("-inf")
+
+    @property
+    def store_out(self):
+        """bool: Whether the last renewal had no answer."""
+        return self._store_out
+
+    def valid(self, now):
+        """Return whether no other host can have sealed this one by `now`.
+
+        True for the expiry after the start of the last renewal that
+        succeeded; and while neither this host nor one that it hears gets
+        answers from the store, since nobody can seal without it.
+        """
+        expiry = self.yard.settings.expiry_seconds
+        if now - self._renewed_at < expiry:
+            return True
+        if not self._store_out or now - self._attempted_at > expiry:
+            return False
+        return now - self._peer_store_at > SILENCE_SECONDS
+
+    async def begin(self):
+        """Take the next incarnation; return it.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer.
+        """
+        started = self.yard.clock.monotonic()
+        self._member = await self._members.take_incarnation(self.yard.host)
+        self._renewed_at = self._attempted_at = started
+        self._store_out = False
+        return self._member.record.incarnation
+
+    async def renew(self):
+        """Renew the member object; tell the ownership when it is not ours."""
+        if self._member is None:
+            return
+        member = self._member
+        started = self.yard.clock.monotonic()
+        record = MemberRecord(
+            self.yard.host,
+            member.record.incarnation,
+            stored_number=self.yard.journal.stored_number,
+        )
+        try:
+            async with asyncio.timeout(self.yard.settings.renewal_seconds):
+                renewed = await self._members.write(record, member.version)
+        except (StoreUnavailable, TimeoutError):
+            self._store_out = True
+            self._attempted_at = self.yard.clock.monotonic()
+            return
+        except StoreConflict:
+            await self._resolve_conflict(member)
+            return
+        if self._member is not member:
+            return
+        self._member = renewed
+        self._renewed_at = self._attempted_at = started
+        self._store_out = False
+
+    async def _resolve_conflict(self, member):
+        """Find out whether an earlier renewal without answer made the change."""
+        try:
+            current = await self._members.read(self.yard.host)
+        except StoreUnavailable:
+            return
+        if self._member is not member:
+            return
+        same = current.record.incarnation == member.record.incarnation
+        if same and not current.record.sealed_by:
+            self._member = current
+            return
+        self._member = None
+        self.yard.ownership.note_sealed()
+
+    async def look(self):
+        """Read the member objects that are due; return those that expired.
+
+        Returns
+        -------
+        list of (host, incarnation, version)
+        """
+        now = self.yard.clock.monotonic()
+        hosts = self.detector.hosts_to_look_at(now)
+        found = await asyncio.gather(*map(self._read_member, hosts))
+        for host, member in zip(hosts, found):
+            if member is None:
+                self.detector.observe_failed(host)
+            else:
+                self.detector.observe(host, member.version, now)
+        return self.detector.expired(self.yard.clock.monotonic())
+
+    async def _read_member(self, host):
+        try:
+            async with asyncio.timeout(self.yard.settings.renewal_seconds):
+                return await self._members.read(host)
+        except (StoreUnavailable, TimeoutError):
+            return None
+
+    def beat(self, extra=()):
+        """Send a heartbeat to the watchers of this host and to `extra` hosts."""
+        if self.yard.peers is None:
+            return
+        message = Heartbeat(
+            self.yard.host,
+            self.yard.incarnation,
+            assignment=self.yard.ownership.version,
+            store_out=self._store_out,
+        )
+        receivers = self.detector.receivers(self.yard.clock.monotonic())
+        for host in dict.fromkeys([*receivers, *extra]):
+            self.yard.peers.tell(host, message)
+
+    def hear(self, heartbeat):
+        """Note a heartbeat of another host."""
+        now = self.yard.clock.monotonic()
+        self.detector.hear(heartbeat.host, heartbeat.incarnation, now)
+        if not heartbeat.store_out:
+            self._peer_store_at = now
+
+    @Service.task
+    async def _renew_steadily(self):
+        while not self.should_stop:
+            await self.sleep(self.yard.settings.renewal_seconds)
+            await self.renew()
+
+    @Service.task
+    async def _beat_steadily(self):
+        while not self.should_stop:
+            self.beat()
+            await self.sleep(BEAT_SECONDS)
+
+    @Service.task
+    async def _look_steadily(self):
+        while not self.should_stop:
+            await self.sleep(LOOK_SECONDS)
+            expired = await self.look()
+            if expired:
+                await self.yard.ownership.take_over(expired)
--- /dev/null
+++ b/sapphireyard/ownership.py
@@ -0,0 +1,474 @@
+"""This host's part in the assignment: joining, serving, recovering, leaving."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, replace
+
+from mode import Service
+
+from sapphireyard._hashing import hash_text
+from sapphireyard.assignment import (
+    LEAVING,
+    Member,
+    create_assignment,
+    plan_join,
+    plan_leave,
+    rank_holders,
+)
+from sapphireyard.assignment_codec import decode_assignment
+from sapphireyard.assignment_store import AssignmentStore
+from sapphireyard.exceptions import (
+    CallError,
+    JournalSealed,
+    NotOwner,
+    PeerError,
+    RecordError,
+    StoreConflict,
+    StoreUnavailable,
+)
+from sapphireyard.generated_replication import FetchAssignment
+from sapphireyard.membership import MembershipService
+from sapphireyard.moves import QUIESCE_SECONDS, PartitionMover
+from sapphireyard.ownership_handlers import OwnershipHandlers
+from sapphireyard.recovery import Recovery
+from sapphireyard.tails import TailHolder
+
+RETRY_SECONDS = 0.5
+"""Wait before a step that failed is tried again."""
+
+FETCH_SECONDS = 2.0
+"""Time for a peer to give its assignment."""
+
+POLL_FACTOR = 5
+"""Expiries between two reads of the assignment from the store."""
+
+GOSSIP_HOSTS = 2
+"""Hosts besides the watchers that hear at once of a new assignment."""
+
+
+@dataclass(frozen=True)
+class Location:
+    """Where a program is served.
+
+    Parameters
+    ----------
+    ready : bool
+        For this host: whether the partition is recovered and this host is
+        still its owner for certain. True for other hosts.
+    """
+
+    partition: int
+    host: str
+    caller_address: str
+    peer_address: str
+    is_self: bool
+    ready: bool
+
+
+class OwnershipService(Service):
+    """Owners of partitions and this host's part in them.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives store, settings, clock, journal, programs and peers.
+
+    Attributes
+    ----------
+    assignment : Assignment or None
+        The newest assignment known.
+    assignments : AssignmentStore
+        The assignment in the store.
+    handlers : OwnershipHandlers
+        Answers to other hosts.
+    membership : MembershipService
+        This host's member object and its view of the others.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self.yard = yard
+        self.assignment = None
+        self.membership = MembershipService(yard)
+        self._holder = TailHolder()
+        self._recovery = Recovery(yard, self._holder)
+        self.assignments = AssignmentStore(yard.store)
+        self._mover = PartitionMover(yard, self.assignments)
+        self._ready = {}
+        self._leaving = False
+        self._sealed = asyncio.Event()
+        self._news = asyncio.Event()
+        self._fetching = False
+        self._joined = 0
+        self.handlers = OwnershipHandlers(yard, self, self._holder)
+
+    @property
+    def version(self):
+        """int: Version of the assignment known; 0 for none."""
+        return self.assignment.version if self.assignment is not None else 0
+
+    @property
+    def owned(self):
+        """list of int: Partitions owned by this incarnation."""
+        if self.assignment is None:
+            return []
+        return self.assignment.owned_by(self.yard.host, self.yard.incarnation)
+
+    def valid(self, now):
+        """Return whether this host can be sure at `now` to own what it owns."""
+        return not self.yard.journal.sealed and self.membership.valid(now)
+
+    def is_ready(self, partition):
+        """Return whether a partition is owned here and recovered."""
+        entry = self.assignment.entries[partition]
+        return self._is_own(entry) and self._ready.get(partition) == entry.epoch
+
+    def may_move(self):
+        """Return whether this host may give and take partitions now."""
+        if self.assignment is None or self.membership.store_out:
+            return False
+        return not self.yard.journal.store_out and self._is_valid_now()
+
+    def locate(self, root_key):
+        """Return the `Location` of a program's root, ``customer/id``.
+
+        Raises
+        ------
+        CallError
+            No assignment is known yet.
+        """
+        self._check_known()
+        partition = self.assignment.partition_of(root_key)
+        entry = self.assignment.entries[partition]
+        member = self.assignment.members[entry.host]
+        own = self._is_own(entry)
+        return Location(
+            partition=partition,
+            host=member.host,
+            caller_address=member.caller_address,
+            peer_address=member.peer_address,
+            is_self=own,
+            ready=not own or (self.is_ready(partition) and self._is_valid_now()),
+        )
+
+    def successors(self, root_key):
+        """Return the members to ask for a program: its owner, then successors."""
+        self._check_known()
+        owner = self.assignment.owner_of(root_key)
+        return [owner, *self.assignment.successors(root_key)]
+
+    def rank_tail_holders(self):
+        """Return the hosts that may hold this host's journal tail, best first."""
+        if self.assignment is None or self.yard.host not in self.assignment.members:
+            return []
+        return rank_holders(self.assignment, self.yard.host)
+
+    def check_owned(self, partition):
+        """Return the epoch of a partition that this host owns.
+
+        Raises
+        ------
+        JournalSealed
+            This incarnation owns nothing more.
+        NotOwner
+            Another host owns the partition, or soon will.
+        """
+        if self.yard.journal.sealed:
+            raise JournalSealed(f"journal of {self.yard.host}")
+        self._check_known()
+        entry = self.assignment.entries[partition]
+        if not self._is_own(entry) or partition in self._mover.moving:
+            raise NotOwner(entry.host)
+        return entry.epoch
+
+    async def wait_ready(self, partition, timeout):
+        """Wait until a partition owned here may be served.
+
+        Raises
+        ------
+        NotOwner
+            Another host owns the partition.
+        CallError
+            It is not recovered after `timeout` seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                while not (self.is_ready(partition) and self._is_valid_now()):
+                    self.check_owned(partition)
+                    await self._wait_news(self.yard.settings.renewal_seconds)
+        except TimeoutError as error:
+            raise CallError(
+                "history_unavailable",
+                "the program is being recovered",
+                retry_after=RETRY_SECONDS,
+            ) from error
+
+    def keep_ready(self, partition, assignment):
+        """Note that this host replaced the sources of its own partition."""
+        entry = assignment.entries[partition]
+        if self._is_own(entry) and partition in self._ready:
+            self._ready[partition] = entry.epoch
+
+    def note_sealed(self):
+        """Own nothing more until this host has joined again."""
+        self.yard.journal.seal()
+        self._sealed.set()
+        self._notify()
+
+    def adopt(self, assignment):
+        """Take a newer assignment into use; drop what is owned no longer."""
+        if assignment is None or assignment.version <= self.version:
+            return
+        self.assignment = assignment
+        self._check_member()
+        for partition in list(self._ready):
+            if not self.is_ready(partition):
+                del self._ready[partition]
+                self.yard.programs.drop(partition)
+        members = assignment.members.values()
+        self._holder.keep_only({(m.host, m.incarnation) for m in members})
+        self.membership.detector.update_members(
+            {m.host: m.incarnation for m in members}, self.yard.clock.monotonic()
+        )
+        self._notify()
+        self.membership.beat(self._choose_gossip())
+
+    def hear_version(self, host, version):
+        """Note that a host knows a version of the assignment; fetch a newer one."""
+        if version > self.version and not self._fetching:
+            self._fetching = True
+            self.add_future(self.fetch(host))
+
+    async def fetch(self, host):
+        """Adopt the assignment that a peer knows."""
+        try:
+            answer = await self.yard.peers.ask(
+                host, FetchAssignment(), timeout=FETCH_SECONDS
+            )
+            if answer.version > self.version:
+                self.adopt(decode_assignment(answer.value))
+        except (PeerError, CallError, RecordError) as error:
+            self.log.info("assignment of %s not fetched: %s", host, error)
+        finally:
+            self._fetching = False
+
+    async def join(self):
+        """Become a member under the next incarnation.
+
+        The partitions of an earlier incarnation of this host that nobody took
+        over stay with it; the first host ever owns all partitions.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer; call again.
+        """
+        self._sealed.clear()
+        self.yard.journal.seal()
+        for partition in list(self._ready):
+            del self._ready[partition]
+            self.yard.programs.drop(partition)
+        self.yard.incarnation = await self.membership.begin()
+        self.yard.journal.open(self.yard.incarnation)
+        assignment = await self._enter(self._describe())
+        self._joined = self.yard.incarnation
+        self.adopt(assignment)
+        self._check_member()
+
+    def _check_member(self):
+        if self._joined != self.yard.incarnation:
+            return
+        if not self.assignment.has_member(self.yard.host, self.yard.incarnation):
+            self.note_sealed()
+
+    async def _enter(self, me):
+        while True:
+            assignment = await self.assignments.read()
+            known = assignment.members.get(me.host) if assignment is not None else None
+            if known is not None and known.incarnation < me.incarnation:
+                await self._recovery.take_over(me.host, known.incarnation, heir=me)
+            assignment = await self.assignments.change(
+                lambda current: self._plan_entry(current, me)
+            )
+            if assignment.has_member(me.host, me.incarnation):
+                return assignment
+
+    def _plan_entry(self, assignment, me):
+        if assignment is None:
+            return create_assignment(me, partitions=self.yard.settings.partitions)
+        if me.host in assignment.members:
+            return None
+        return plan_join(assignment, me)
+
+    async def take_over(self, expired):
+        """Take over from hosts that expired, given as by `MembershipService.look`."""
+        for host, incarnation, version in expired:
+            if not self._is_valid_now():
+                return
+            if not self.assignment.has_member(host, incarnation):
+                continue
+            self.log.warning("host %s/%s expired", host, incarnation)
+            try:
+                self.adopt(
+                    await self._recovery.take_over(host, incarnation, version=version)
+                )
+            except (StoreConflict, StoreUnavailable) as error:
+                self.log.info("no takeover of %s: %s", host, error)
+
+    async def recover(self):
+        """Fold the partitions that are owned but not ready."""
+        assignment = self.assignment
+        partitions = [p for p in self.owned if not self.is_ready(p)]
+        if not partitions or self.yard.journal.sealed:
+            return
+        recovery = self._recovery.fold(assignment, partitions)
+        async with contextlib.aclosing(recovery) as finished:
+            async for partition in finished:
+                entry = assignment.entries[partition]
+                if self.assignment.entries[partition] != entry:
+                    self.yard.programs.drop(partition)
+                    continue
+                self._ready[partition] = entry.epoch
+                self._notify()
+
+    async def balance(self):
+        """Make the next planned moves, or compact sources when there are none."""
+        if not self.may_move():
+            return 0
+        return await self._mover.balance() or await self._mover.compact()
+
+    async def leave(self, *, timeout):
+        """Hand all partitions over and cease to be a member.
+
+        Returns
+        -------
+        bool
+            False when partitions are left, for want of other hosts or time.
+        """
+        self._leaving = True
+        deadline = self.yard.clock.monotonic() + timeout
+        patience = QUIESCE_SECONDS
+        while not await self._try_leave(patience):
+            left = deadline - self.yard.clock.monotonic()
+            if left <= 0 or self.yard.journal.sealed or not self.assignment.active:
+                return False
+            patience = min(2 * patience, left)
+            await self._wait_news(min(RETRY_SECONDS, left))
+        return True
+
+    async def _try_leave(self, patience):
+        try:
+            self.adopt(await self.assignments.change(self._plan_leaving))
+            while self.owned:
+                if not await self._mover.balance(
+                    limit=len(self.owned), quiesce_seconds=patience
+                ):
+                    return False
+            self.adopt(await self.assignments.change(self._plan_removal))
+        except (StoreUnavailable, JournalSealed) as error:
+            self.log.info("not left yet: %s", error)
+            return False
+        return not self.assignment.has_member(self.yard.host, self.yard.incarnation)
+
+    def _plan_leaving(self, assignment):
+        member = assignment.members.get(self.yard.host)
+        if member is None or member.incarnation != self.yard.incarnation:
+            return None
+        if member.state == LEAVING:
+            return None
+        return plan_join(assignment, replace(member, state=LEAVING))
+
+    def _plan_removal(self, assignment):
+        if not assignment.has_member(self.yard.host, self.yard.incarnation):
+            return None
+        if assignment.loads[self.yard.host]:
+            return None
+        return plan_leave(assignment, self.yard.host)
+
+    async def on_start(self):
+        """Register the handlers of messages and join."""
+        self.handlers.register()
+        await self._join_surely()
+        await self.add_runtime_dependency(self.membership)
+
+    async def _join_surely(self):
+        while not self.should_stop:
+            try:
+                await self.join()
+                return
+            except (StoreUnavailable, StoreConflict) as error:
+                self.log.warning("not joined yet: %s", error)
+                await self.sleep(RETRY_SECONDS)
+
+    @Service.task
+    async def _recover_steadily(self):
+        while not self.should_stop:
+            try:
+                await self.recover()
+            except (StoreUnavailable, RecordError, JournalSealed, CallError) as error:
+                self.log.warning("recovery is tried again: %s", error)
+                await self.sleep(RETRY_SECONDS)
+                continue
+            if all(map(self.is_ready, self.owned)) or self.yard.journal.sealed:
+                await self._wait_news(None)
+
+    @Service.task
+    async def _balance_steadily(self):
+        while not self.should_stop:
+            moved = 0 if self._leaving else await self.balance()
+            if not moved:
+                await self.sleep(self.yard.settings.renewal_seconds)
+
+    @Service.task
+    async def _poll_steadily(self):
+        while not self.should_stop:
+            await self.sleep(POLL_FACTOR * self.yard.settings.expiry_seconds)
+            with contextlib.suppress(StoreUnavailable):
+                self.adopt(await self.assignments.read())
+
+    @Service.task
+    async def _join_again(self):
+        while not self.should_stop:
+            await self._sealed.wait()
+            if self._leaving:
+                return
+            self.log.warning("sealed as %s; joining again", self.yard.incarnation)
+            await self._join_surely()
+
+    def _check_known(self):
+        if self.assignment is None:
+            raise CallError("draining", "the host has not joined yet", retry_after=1)
+
+    def _is_own(self, entry):
+        own = (self.yard.host, self.yard.incarnation)
+        return (entry.host, entry.incarnation) == own
+
+    def _is_valid_now(self):
+        return self.valid(self.yard.clock.monotonic())
+
+    def _describe(self):
+        settings = self.yard.settings
+        peers, gateway = self.yard.peers, self.yard.gateway
+        return Member(
+            host=self.yard.host,
+            incarnation=self.yard.incarnation,
+            peer_address=getattr(peers, "address", settings.peer_address),
+            caller_address=getattr(gateway, "address", settings.caller_address),
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+        )
+
+    def _choose_gossip(self):
+        """Return a few hosts that differ by host and version."""
+        hosts = [host for host in self.assignment.members if host != self.yard.host]
+        seed = f"{self.yard.host}/{self.version}/"
+        hosts.sort(key=lambda host: hash_text(seed + host))
+        return hosts[:GOSSIP_HOSTS]
+
+    def _notify(self):
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    async def _wait_news(self, seconds):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._news.wait(), seconds)
--- /dev/null
+++ b/sapphireyard/ownership_handlers.py
@@ -0,0 +1,102 @@
+"""Answers other hosts' messages on ownership and journal tails."""
+
+from sapphireyard import generated_replication
+from sapphireyard.assignment import quota_of
+from sapphireyard.assignment_codec import encode_assignment
+from sapphireyard.generated_messages import Done
+from sapphireyard.generated_replication import (
+    AssignmentCopy,
+    CollectTails,
+    FetchAssignment,
+    Heartbeat,
+    OfferAnswer,
+    OfferPartitions,
+    TailFlushed,
+    TailHeld,
+    Tails,
+    TailSegment,
+)
+
+
+class OwnershipHandlers:
+    """Handlers of messages for an `OwnershipService`.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives peers and the journal.
+    ownership : OwnershipService
+        Whom they are for.
+    holder : TailHolder
+        The tails of other hosts held here.
+    """
+
+    def __init__(self, yard, ownership, holder):
+        self.yard = yard
+        self._ownership = ownership
+        self._holder = holder
+        self._encoded = (0, b"")
+
+    @property
+    def held_bytes(self):
+        """int: Bytes of other hosts' tails held here."""
+        return self._holder.held_bytes
+
+    def register(self):
+        """Register the handlers with `Yard.peers`, if there are any peers."""
+        peers = self.yard.peers
+        if peers is None:
+            return
+        peers.codec.register_module(generated_replication)
+        peers.on_hello(
+            lambda host, hello: self._ownership.hear_version(host, hello.assignment)
+        )
+        peers.register(Heartbeat, self._receive_heartbeat)
+        peers.register(FetchAssignment, self._serve_assignment)
+        peers.register(OfferPartitions, self._consider_offer)
+        peers.register(TailSegment, self._hold_tail)
+        peers.register(TailFlushed, self._release_tail)
+        peers.register(CollectTails, self._give_tails)
+
+    async def _receive_heartbeat(self, message, context):
+        self._ownership.membership.hear(message)
+        self._ownership.hear_version(message.host, message.assignment)
+        return Done()
+
+    async def _serve_assignment(self, message, context):
+        if self._ownership.assignment is None:
+            return AssignmentCopy(0, b"")
+        if self._encoded[0] != self._ownership.version:
+            self._encoded = (
+                self._ownership.version,
+                encode_assignment(self._ownership.assignment),
+            )
+        return AssignmentCopy(*self._encoded)
+
+    async def _consider_offer(self, message, context):
+        accepted = False
+        if self._ownership.may_move():
+            load = len(self._ownership.owned) + len(message.partitions)
+            accepted = load <= quota_of(self._ownership.assignment, self.yard.host)
+        return OfferAnswer(
+            accepted, self.yard.incarnation, self.yard.journal.next_number
+        )
+
+    async def _hold_tail(self, message, context):
+        known = self._ownership.assignment is not None
+        if not known or not self._ownership.assignment.has_member(
+            message.host, message.incarnation
+        ):
+            return TailHeld(False, "not a member")
+        reason = self._holder.hold(message)
+        return TailHeld(not reason, reason)
+
+    async def _release_tail(self, message, context):
+        self._holder.release(message.host, message.incarnation, message.number)
+        return Done()
+
+    async def _give_tails(self, message, context):
+        segments, more = self._holder.collect(
+            message.host, message.incarnation, after=message.after
+        )
+        return Tails(segments, more)
--- /dev/null
+++ b/sapphireyard/recovery.py
@@ -0,0 +1,298 @@
+"""Seals the journals of dead hosts, takes their partitions over and folds them.
+
+Each step can fail or be done twice, by one host or by several: a seal is a
+segment made once, the assignment changes once, and reading changes nothing.
+"""
+
+import asyncio
+import secrets
+from collections import defaultdict
+from dataclasses import dataclass
+
+from sapphireyard.assignment import plan_takeover
+from sapphireyard.assignment_store import AssignmentStore
+from sapphireyard.exceptions import CallError, PeerError, StoreConflict
+from sapphireyard.generated_replication import CollectTails
+from sapphireyard.journal import JournalRange, name_segment, read_range
+from sapphireyard.members import MemberObjects
+from sapphireyard.records import RecordAssembler, pack_segment, unpack_segment
+
+COLLECT_SECONDS = 3.0
+"""Time for a peer to give the tails it holds."""
+
+TOKEN_BYTES = 8
+"""Random bytes of a token."""
+
+
+@dataclass
+class CollectedTails:
+    """What members gave when asked for the tails of one journal."""
+
+    segments: dict
+    asked: set
+    unreachable: set
+
+    def beyond(self, last):
+        """Return whether a tail is longer than the sealed journal."""
+        return any(number > last for number in self.segments)
+
+
+async def seal_journal(store, host, incarnation, *, sealer, start=1, tails=None):
+    """Seal a journal; return the number of its last segment.
+
+    Parameters
+    ----------
+    start : int, optional
+        All segments before this number are known to be stored.
+    tails : dict, optional
+        Bytes of segments by number that peers hold; they are stored first.
+
+    Raises
+    ------
+    StoreUnavailable
+        The store did not answer; call again.
+    """
+    number = await _find_end(store, host, incarnation, start)
+    while True:
+        name = name_segment(host, incarnation, number)
+        stored = await store.get(name)
+        if stored is not None:
+            if unpack_segment(stored.value).seal:
+                return number - 1
+            number += 1
+            continue
+        value = (tails or {}).get(number)
+        if value is None:
+            value = _pack_seal(host, incarnation, number, sealer)
+        try:
+            await store.create(name, value)
+        except StoreConflict:
+            continue
+
+
+async def _find_end(store, host, incarnation, start):
+    """Return a number up to which a journal is stored, at least `start`.
+
+    A journal has no holes, so a bisection finds its end in few reads.
+    """
+
+    async def exists(number):
+        return await store.get(name_segment(host, incarnation, number)) is not None
+
+    if not await exists(start):
+        return start
+    low, step = start, 1
+    while await exists(low + step):
+        low, step = low + step, step * 2
+    high = low + step
+    while high - low > 1:
+        middle = (low + high) // 2
+        if await exists(middle):
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+class Recovery:
+    """Takes over from other hosts.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives store, peers and programs.
+    holder : TailHolder
+        The tails held by this host.
+    """
+
+    def __init__(self, yard, holder):
+        self.yard = yard
+        self._holder = holder
+        self._assignments = AssignmentStore(yard.store)
+        self._members = MemberObjects(yard.store)
+
+    async def take_over(self, host, incarnation, *, version=None, heir=None):
+        """Seal a dead member and give its partitions to others.
+
+        Parameters
+        ----------
+        version : int, optional
+            Version of its member object when it expired; when the object was
+            changed since, nothing is done.
+        heir : Member, optional
+            The next incarnation of the same host, which is this one.
+
+        Returns
+        -------
+        Assignment
+            The assignment in force.
+
+        Raises
+        ------
+        StoreConflict
+            The member lives, or another host is at it.
+        StoreUnavailable
+            The store did not answer; any host may try again.
+        """
+        member = await self._members.read(host)
+        if version is not None:
+            if member.version != version:
+                raise StoreConflict(f"member {host} was renewed")
+            if member.version:
+                await self._members.mark_sealed(member, self.yard.host)
+        start = 1
+        if member.record.incarnation == incarnation:
+            start = member.record.stored_number + 1
+        tails = CollectedTails({}, set(), set())
+        while True:
+            old = await self._assignments.read()
+            if old is None or not old.has_member(host, incarnation):
+                return old
+            await self._collect_tails(old, host, incarnation, tails)
+            last = await seal_journal(
+                self.yard.store,
+                host,
+                incarnation,
+                sealer=self.yard.host,
+                start=start,
+                tails=tails.segments,
+            )
+            new = await self._plan(
+                old,
+                host,
+                last=last,
+                heir=heir,
+                uncertain=bool(tails.unreachable) or tails.beyond(last),
+            )
+            if await self._assignments.write(old, new):
+                return new
+
+    async def fold(self, assignment, partitions):
+        """Yield partitions once their programs are at their state.
+
+        What earlier owners left open is settled, and the records of that are
+        committed, before a partition is yielded. Partitions that were not
+        yielded when an error came can be folded again.
+
+        Parameters
+        ----------
+        partitions : sequence of int
+            Partitions owned by this host since `assignment`.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer.
+        RecordError
+            A source is missing or damaged.
+        JournalSealed
+            This host owns nothing more.
+        """
+        records = {}
+        for journal, wanted in _group_sources(assignment, partitions).items():
+            records[journal] = await self._read_journal(journal, wanted)
+        for partition in partitions:
+            entry = assignment.entries[partition]
+            self.yard.programs.drop(partition)
+            for source in entry.sources:
+                placed = records[source.host, source.incarnation].get(partition, ())
+                for record in select_records(source, placed):
+                    self.yard.programs.apply(partition, record)
+            await self._settle(partition, entry)
+            yield partition
+
+    async def _settle(self, partition, entry):
+        settled = self.yard.programs.finish_recovery(
+            partition, tail_uncertain=any(source.uncertain for source in entry.sources)
+        )
+        if settled:
+            await self.yard.journal.commit(settled, partition=partition)
+
+    async def _read_journal(self, journal, ranges):
+        """Return `PlacedRecord` lists by partition from the ranges wanted."""
+        wanted = {partition for partition, _ in ranges}
+        first = min(source.first for _, source in ranges)
+        last = max(source.last for _, source in ranges)
+        assembler, placed = RecordAssembler(), defaultdict(list)
+        span = JournalRange(*journal, first, last)
+        async for segment in read_range(self.yard.store, span):
+            for record in assembler.feed(segment, partitions=wanted):
+                placed[record.partition].append(record)
+        return placed
+
+    async def _collect_tails(self, assignment, host, incarnation, tails):
+        """Ask the members that were not asked yet."""
+        members = {m.host: m.incarnation for m in assignment.members.values()}
+        members.pop(host, None)
+        fresh = set(members.items()) - tails.asked
+        answers = await asyncio.gather(
+            *(self._ask_tails(name, host, incarnation) for name, _ in fresh)
+        )
+        for member, answer in zip(fresh, answers):
+            tails.asked.add(member)
+            if answer is None:
+                tails.unreachable.add(member)
+                continue
+            for segment in answer:
+                tails.segments.setdefault(segment.number, segment.value)
+
+    async def _ask_tails(self, member, host, incarnation):
+        """Return the segments that a member holds, or None."""
+        segments, more = [], True
+        while more:
+            after = segments[-1].number if segments else 0
+            if member == self.yard.host:
+                found, more = self._holder.collect(host, incarnation, after=after)
+            else:
+                message = CollectTails(host, incarnation, after)
+                try:
+                    answer = await self.yard.peers.ask(
+                        member, message, timeout=COLLECT_SECONDS
+                    )
+                except (PeerError, CallError):
+                    return None
+                found, more = answer.segments, answer.more
+            segments += found
+        return segments
+
+    async def _plan(self, old, host, **options):
+        """Return the takeover, with the least next numbers of the takers."""
+        draft = plan_takeover(old, host, **options)
+        takers = {draft.entries[partition].host for partition in old.owned_by(host)}
+        takers = [draft.members[taker] for taker in takers if taker != host]
+        found = await asyncio.gather(*(self._members.read(t.host) for t in takers))
+        journal_next = {
+            taker.host: stored.record.stored_number + 1
+            for taker, stored in zip(takers, found)
+            if stored.record.incarnation == taker.incarnation
+        }
+        return plan_takeover(old, host, journal_next=journal_next, **options)
+
+
+def select_records(source, placed):
+    """Yield the records of one partition that belong to a source."""
+    for item in placed:
+        if not source.first <= item.number <= source.last:
+            continue
+        if source.epoch in (0, item.epoch):
+            yield item.record
+
+
+def _group_sources(assignment, partitions):
+    """Return lists of (partition, range) by journal (host, incarnation)."""
+    sources = defaultdict(list)
+    for partition in partitions:
+        for source in assignment.entries[partition].sources:
+            sources[source.host, source.incarnation].append((partition, source))
+    return sources
+
+
+def _pack_seal(host, incarnation, number, sealer):
+    return pack_segment(
+        host=host,
+        incarnation=incarnation,
+        number=number,
+        token=secrets.token_hex(TOKEN_BYTES),
+        records=[],
+        seal=sealer,
+    )
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,203 @@
+"""Several hosts in one process, over one store in memory, for tests."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from sapphireyard.clocks import Clock
+from sapphireyard.exceptions import PeerUnavailable
+from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_settings import EntrySettings
+from sapphireyard.journal import JournalService
+from sapphireyard.ownership import OwnershipService
+from sapphireyard.ownership_handlers import OwnershipHandlers
+from sapphireyard.peers import PeerContext
+from sapphireyard.programs import Programs
+from sapphireyard.yard import Yard
+
+PARTITIONS = 8
+ANSWER_SECONDS = 0.05
+RETRY_SECONDS = 0.005
+
+
+class VirtualClock(Clock):
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+    def wall(self):
+        return self.now
+
+
+class Network:
+    """Connects the `FakePeers` of a fleet; `cut` hosts hear and say nothing."""
+
+    def __init__(self):
+        self.peers = {}
+        self.cut = set()
+
+    def find(self, sender, receiver):
+        """Return the receiver's peers if both ends are reachable."""
+        if {sender, receiver} & self.cut or receiver not in self.peers:
+            raise PeerUnavailable(f"{receiver} cannot be reached", sent=False)
+        return self.peers[receiver]
+
+
+class FakePeers:
+    """The interface of `Peers` without sockets."""
+
+    def __init__(self, yard, network):
+        self.yard = yard
+        self.network = network
+        self.codec = MessageCodec()
+        self.handlers = {}
+        self.address = f"{yard.host}:1"
+
+    def register(self, message_class, handler):
+        self.handlers[message_class] = handler
+
+    def on_hello(self, callback):
+        pass
+
+    async def ask(self, host, message, *, timeout):
+        receiver = self.network.find(self.yard.host, host)
+        context = PeerContext(self.yard.host, self.yard.incarnation)
+        message = self.codec.load(*self.codec.dump(message))
+        return await receiver.handlers[type(message)](message, context)
+
+    def tell(self, host, message):
+        asyncio.ensure_future(self._tell(host, message))
+
+    async def _tell(self, host, message):
+        try:
+            await self.ask(host, message, timeout=1)
+        except PeerUnavailable:
+            return
+
+
+class Fleet:
+    """Hosts a, b, c ... whose services are stepped by the test.
+
+    Parameters
+    ----------
+    store : Store
+        Shared by all hosts, unless `add` is given another.
+    """
+
+    handlers_class = OwnershipHandlers
+    journal_class = JournalService
+    ownership_class = OwnershipService
+
+    def __init__(self, store):
+        self.store = store
+        self.network = Network()
+        self.yards = {}
+        self.gone = []
+
+    async def add(self, host, *, store=None, domain=None):
+        """Start a host, or a new process of it, and let it join."""
+        yard = await self.begin(host, store=store, domain=domain)
+        await yard.ownership.join()
+        await yard.ownership.recover()
+        return yard
+
+    async def begin(self, host, *, store=None, domain=None):
+        """Start a host that has not joined."""
+        settings = EntrySettings(
+            host=host,
+            failure_domain=domain or f"domain-{host}",
+            caller_address="127.0.0.1:1",
+            peer_address="127.0.0.1:1",
+            store="http://127.0.0.1:1",
+            commit_interval_seconds=0,
+            partitions=PARTITIONS,
+        )
+        yard = Yard(settings, store or self.store, clock=VirtualClock())
+        yard.programs = Programs()
+        yard.peers = FakePeers(yard, self.network)
+        yard.journal = self.journal_class(
+            yard, answer_seconds=ANSWER_SECONDS, retry_seconds=RETRY_SECONDS
+        )
+        yard.ownership = self.ownership_class(yard)
+        yard.ownership.handlers.register()
+        await yard.journal.start()
+        if host in self.yards:
+            self.gone.append(self.yards[host])
+        self.yards[host] = yard
+        self.network.peers[host] = yard.peers
+        self.network.cut.discard(host)
+        return yard
+
+    async def kill(self, host):
+        """End a host's process without any goodbye."""
+        yard = self.yards.pop(host)
+        del self.network.peers[host]
+        await yard.journal.stop()
+        return yard
+
+    def pause(self, host):
+        """Cut a host off; its journal goes on when something is committed."""
+        self.network.cut.add(host)
+        return self.yards[host]
+
+    async def spread(self):
+        """Let every host know the newest assignment and recover."""
+        for yard in list(self.yards.values()):
+            if yard.host not in self.network.cut:
+                await self._refresh(yard)
+
+    async def _refresh(self, yard):
+        yard.ownership.adopt(await yard.ownership.assignments.read())
+        await yard.ownership.recover()
+
+    async def settle(self):
+        """Balance until no host moves anything."""
+        await self.spread()
+        while sum([await y.ownership.balance() for y in self.yards.values()]):
+            await self.spread()
+
+    async def expire(self, host, *, by):
+        """Let a host see that another was not renewed, and take over from it."""
+        observer = self.yards[by]
+        detector = observer.ownership.membership.detector
+        for _ in range(3):
+            await observer.ownership.membership.renew()
+            expired = await observer.ownership.membership.look()
+            observer.clock.now += observer.settings.expiry_seconds * 0.6
+        expired = [item for item in expired if item[0] == host]
+        assert detector is not None
+        await observer.ownership.membership.renew()
+        await observer.ownership.take_over(expired)
+        return expired
+
+    def owners(self, partition):
+        """Return the hosts that would commit for a partition now."""
+        owners = []
+        for yard in [*self.yards.values(), *self.gone]:
+            if yard.journal.sealed or yard.ownership.assignment is None:
+                continue
+            entry = yard.ownership.assignment.entries[partition]
+            if (entry.host, entry.incarnation) == (yard.host, yard.incarnation):
+                owners.append(yard)
+        return owners
+
+    async def stop(self):
+        """End all journals."""
+        for yard in [*self.yards.values(), *self.gone]:
+            await yard.journal.stop()
+
+
+@asynccontextmanager
+async def run_fleet(store, hosts="", *, fleet_class=Fleet):
+    """Run a fleet with balanced hosts for the length of a block."""
+    fleet = fleet_class(store)
+    try:
+        for host in hosts:
+            await fleet.add(host)
+            await fleet.settle()
+        yield fleet
+    finally:
+        await fleet.stop()
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,261 @@
+"""Tests of joining, moving, sealing, recovering and leaving."""
+
+import asyncio
+import unittest
+
+from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
+from sapphireyard.generated_records import CallReserved, ProgramOpened
+from sapphireyard.generated_replication import CollectTails
+from standins.memory import DROP, LOSE, MemoryStore
+from tests.fleet import PARTITIONS, run_fleet
+
+
+async def open_program(yard, key):
+    """Commit and apply the opening of a program; return its partition."""
+    partition = yard.ownership.locate(key).partition
+    record = ProgramOpened(key, key, 1.0)
+    await yard.journal.commit([record], partition=partition)
+    yard.programs.apply(partition, record)
+    return partition
+
+
+async def open_programs(fleet, count=12):
+    """Open programs on their owners; return their keys."""
+    keys = [f"customer/{number}" for number in range(count)]
+    for key in keys:
+        host = next(iter(fleet.yards.values())).ownership.locate(key).host
+        await open_program(fleet.yards[host], key)
+    return keys
+
+
+class OwnershipTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+
+    def check_served(self, fleet, keys):
+        """Check that each program is known to the one owner of its partition."""
+        for key in keys:
+            partition = next(iter(fleet.yards.values())).ownership.locate(key).partition
+            owners = fleet.owners(partition)
+            self.assertEqual(len(owners), 1, [yard.host for yard in owners])
+            self.assertTrue(owners[0].ownership.is_ready(partition))
+            self.assertIsNotNone(owners[0].programs.get(partition, key))
+
+    async def test_first_host_owns_all(self):
+        async with run_fleet(self.store, "a") as fleet:
+            location = fleet.yards["a"].ownership.locate("customer/1")
+            self.assertTrue(location.is_self and location.ready)
+            self.assertEqual(len(fleet.yards["a"].ownership.owned), PARTITIONS)
+
+    async def test_moves_keep_programs(self):
+        async with run_fleet(self.store, "a") as fleet:
+            keys = await open_programs(fleet)
+            for host in "bcd":
+                await fleet.add(host)
+                await fleet.settle()
+            loads = fleet.yards["a"].ownership.assignment.loads
+            self.assertEqual(set(loads.values()), {PARTITIONS // 4})
+            self.check_served(fleet, keys)
+
+    async def test_takeover_keeps_programs(self):
+        async with run_fleet(self.store, "abcd") as fleet:
+            keys = await open_programs(fleet)
+            for dead, by in (("b", "a"), ("a", "c")):
+                await fleet.kill(dead)
+                await fleet.expire(dead, by=by)
+                await fleet.spread()
+                self.check_served(fleet, keys)
+
+    async def test_paused_host_commits_nothing_after_takeover(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            paused = fleet.pause("b")
+            partition = paused.ownership.owned[0]
+            await fleet.expire("b", by="a")
+            await fleet.spread()
+            with self.assertRaises(JournalSealed):
+                await paused.journal.commit(
+                    [ProgramOpened("c/x", "c/x", 1.0)], partition=partition
+                )
+            self.assertEqual(len(fleet.owners(partition)), 1)
+
+    async def test_renewed_host_is_not_sealed(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            expired = [("b", 1, (await self.store.get("members/b")).version)]
+            await fleet.yards["b"].ownership.membership.renew()
+            await fleet.yards["a"].ownership.take_over(expired)
+            self.assertIn("b", fleet.yards["a"].ownership.assignment.members)
+
+    async def test_store_outage_expires_nobody(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            membership = fleet.yards["a"].ownership.membership
+            await membership.look()
+            with self.store.outage():
+                for _ in range(5):
+                    fleet.yards["a"].clock.now += 10
+                    await membership.renew()
+                    self.assertEqual(await membership.look(), [])
+                    self.assertTrue(membership.valid(fleet.yards["a"].clock.now))
+            self.assertEqual(await membership.look(), [])
+
+    async def test_stalled_host_is_not_valid_until_renewed(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            yard = fleet.yards["a"]
+            yard.clock.now += 60
+            self.assertFalse(yard.ownership.valid(yard.clock.now))
+            with self.assertRaises(CallError):
+                await yard.ownership.wait_ready(yard.ownership.owned[0], 0.01)
+            await yard.ownership.membership.renew()
+            self.assertTrue(yard.ownership.valid(yard.clock.now))
+
+    async def test_host_sealed_while_it_lives_joins_again(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            keys = await open_programs(fleet)
+            fleet.pause("b")
+            await fleet.expire("b", by="a")
+            fleet.network.cut.clear()
+            await fleet.yards["b"].ownership.membership.renew()
+            self.assertTrue(fleet.yards["b"].journal.sealed)
+            await fleet.yards["b"].ownership.join()
+            self.assertEqual(fleet.yards["b"].incarnation, 2)
+            await fleet.settle()
+            self.check_served(fleet, keys)
+
+    async def test_restart_keeps_partitions(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            keys = await open_programs(fleet)
+            before = set(fleet.yards["b"].ownership.owned)
+            await fleet.kill("b")
+            await fleet.add("b")
+            self.assertEqual(set(fleet.yards["b"].ownership.owned), before)
+            await fleet.spread()
+            self.check_served(fleet, keys)
+
+    async def test_restart_of_the_whole_fleet(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            keys = await open_programs(fleet)
+            for host in "abc":
+                await fleet.kill(host)
+            await fleet.add("d")
+            for dead in "abc":
+                await fleet.expire(dead, by="d")
+            await fleet.spread()
+            self.check_served(fleet, keys)
+
+    async def test_leaving_hands_all_over(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            keys = await open_programs(fleet)
+            leaving = asyncio.ensure_future(
+                fleet.yards["a"].ownership.leave(timeout=60)
+            )
+            while not leaving.done():
+                await fleet.spread()
+                await asyncio.sleep(0)
+            self.assertTrue(await leaving)
+            await fleet.kill("a")
+            await fleet.spread()
+            self.check_served(fleet, keys)
+
+    async def test_last_host_cannot_leave(self):
+        async with run_fleet(self.store, "a") as fleet:
+            self.assertFalse(await fleet.yards["a"].ownership.leave(timeout=60))
+            keys = await open_programs(fleet)
+            await fleet.kill("a")
+            await fleet.add("a")
+            self.check_served(fleet, keys)
+
+    async def test_lost_answers_at_each_step_of_a_move(self):
+        for kind in (LOSE, DROP):
+            for operation in ("update", "create"):
+                with self.subTest(kind=kind, operation=operation):
+                    store = MemoryStore()
+                    async with run_fleet(store, "ab") as fleet:
+                        keys = await open_programs(fleet)
+                        await fleet.add("c")
+                        fault = store.add_fault(kind, operation=operation)
+                        await fleet.settle()
+                        self.check_served(fleet, keys)
+                        self.assertEqual(fault.struck, 1)
+
+    async def test_dangling_calls_are_settled_once(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            key = "customer/1"
+            yard = fleet.yards[fleet.yards["a"].ownership.locate(key).host]
+            partition = await open_program(yard, key)
+            record = CallReserved(key, 1, "d", "r", False, 10)
+            await yard.journal.commit([record], partition=partition, needs_store=True)
+            for _ in range(2):
+                dead = fleet.owners(partition)[0].host
+                await fleet.kill(dead)
+                await fleet.expire(dead, by=next(iter(fleet.yards)))
+                await fleet.spread()
+                program = fleet.owners(partition)[0].programs.get(partition, key)
+                self.assertEqual(program.unknown_sequences(), [1])
+                self.assertEqual(program.spent_tokens, 10)
+
+    async def test_not_owner(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            partition = fleet.yards["b"].ownership.owned[0]
+            with self.assertRaises(NotOwner):
+                fleet.yards["a"].ownership.check_owned(partition)
+
+
+class TailTest(unittest.IsolatedAsyncioTestCase):
+    """The store is out; peers hold the tails."""
+
+    def setUp(self):
+        self.store = MemoryStore()
+
+    async def commit_in_outage(self, fleet):
+        key = "customer/1"
+        yard = fleet.yards[fleet.yards["a"].ownership.locate(key).host]
+        with self.store.outage():
+            return yard, await open_program(yard, key), key
+
+    async def test_acknowledged_commit_survives_its_host(self):
+        async with run_fleet(self.store, "abcd") as fleet:
+            yard, partition, key = await self.commit_in_outage(fleet)
+            await yard.journal.stop()
+            await fleet.kill(yard.host)
+            await fleet.expire(yard.host, by=next(iter(fleet.yards)))
+            await fleet.spread()
+            owner = fleet.owners(partition)[0]
+            self.assertIsNotNone(owner.programs.get(partition, key))
+            self.assertFalse(owner.programs.get(partition, key).tail_uncertain)
+
+    async def test_unreachable_holder_makes_the_tail_uncertain(self):
+        async with run_fleet(self.store, "abcd") as fleet:
+            yard, partition, key = await self.commit_in_outage(fleet)
+            await yard.journal.stop()
+            await fleet.kill(yard.host)
+            observer, other = list(fleet.yards)[:2]
+            fleet.pause(other)
+            await fleet.expire(yard.host, by=observer)
+            entry = fleet.yards[observer].ownership.assignment.entries[partition]
+            self.assertTrue(entry.sources[-1].uncertain)
+
+    async def test_fenced_holders_accept_no_more(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            yard = fleet.yards["a"]
+            for other in "bc":
+                answer = await yard.peers.ask(other, CollectTails("a", 1), timeout=1)
+                self.assertEqual(answer.segments, [])
+            with self.store.outage():
+                commit = asyncio.ensure_future(
+                    yard.journal.commit(
+                        [ProgramOpened("c/x", "c/x", 1.0)],
+                        partition=yard.ownership.owned[0],
+                    )
+                )
+                while not yard.journal.store_out:
+                    await asyncio.sleep(0)
+                await asyncio.wait([commit], timeout=0.05)
+                self.assertFalse(commit.done())
+            await commit
+
+    async def test_flushed_tails_are_dropped(self):
+        async with run_fleet(self.store, "abc") as fleet:
+            yard, _, _ = await self.commit_in_outage(fleet)
+            await yard.journal.barrier()
+            holders = [y.ownership.handlers for y in fleet.yards.values()]
+            while any(holder.held_bytes for holder in holders):
+                await asyncio.sleep(0)
