Test takeovers at each step of the holder, with broken variants

Broken variants (no seal, conflict taken for success, renumbered repeat, no epochs, tails not collected, holders not fenced) each fail the same check.

--- a/sapphireyard/ownership.py
+++ b/sapphireyard/ownership.py
@@ -72,6 +72,8 @@
     ----------
     yard : Yard
         Gives store, settings, clock, journal, programs and peers.
+    retry_seconds : float, optional
+        Wait before a step that failed is tried again.
 
     Attributes
     ----------
@@ -81,18 +83,21 @@
         The assignment in the store.
     handlers : OwnershipHandlers
         Answers to other hosts.
+    recovery : Recovery
+        Takes over from other hosts.
     membership : MembershipService
         This host's member object and its view of the others.
     """
 
-    def __init__(self, yard):
+    def __init__(self, yard, *, retry_seconds=RETRY_SECONDS):
         super().__init__()
         self.yard = yard
+        self._retry_seconds = retry_seconds
         self.assignment = None
         self.membership = MembershipService(yard)
         self._holder = TailHolder()
-        self._recovery = Recovery(yard, self._holder)
-        self.assignments = AssignmentStore(yard.store)
+        self.assignments = AssignmentStore(yard.store, retry_seconds=retry_seconds)
+        self.recovery = Recovery(yard, self._holder, self.assignments)
         self._mover = PartitionMover(yard, self.assignments)
         self._ready = {}
         self._leaving = False
@@ -200,7 +205,7 @@
             raise CallError(
                 "history_unavailable",
                 "the program is being recovered",
-                retry_after=RETRY_SECONDS,
+                retry_after=self._retry_seconds,
             ) from error
 
     def keep_ready(self, partition, assignment):
@@ -286,7 +291,7 @@
             assignment = await self.assignments.read()
             known = assignment.members.get(me.host) if assignment is not None else None
             if known is not None and known.incarnation < me.incarnation:
-                await self._recovery.take_over(me.host, known.incarnation, heir=me)
+                await self.recovery.take_over(me.host, known.incarnation, heir=me)
             assignment = await self.assignments.change(
                 lambda current: self._plan_entry(current, me)
             )
@@ -310,7 +315,7 @@
             self.log.warning("host %s/%s expired", host, incarnation)
             try:
                 self.adopt(
-                    await self._recovery.take_over(host, incarnation, version=version)
+                    await self.recovery.take_over(host, incarnation, version=version)
                 )
             except (StoreConflict, StoreUnavailable) as error:
                 self.log.info("no takeover of %s: %s", host, error)
@@ -321,7 +326,7 @@
         partitions = [p for p in self.owned if not self.is_ready(p)]
         if not partitions or self.yard.journal.sealed:
             return
-        recovery = self._recovery.fold(assignment, partitions)
+        recovery = self.recovery.fold(assignment, partitions)
         async with contextlib.aclosing(recovery) as finished:
             async for partition in finished:
                 entry = assignment.entries[partition]
@@ -353,7 +358,7 @@
             if left <= 0 or self.yard.journal.sealed or not self.assignment.active:
                 return False
             patience = min(2 * patience, left)
-            await self._wait_news(min(RETRY_SECONDS, left))
+            await self._wait_news(min(self._retry_seconds, left))
         return True
 
     async def _try_leave(self, patience):
@@ -398,7 +403,7 @@
                 return
             except (StoreUnavailable, StoreConflict) as error:
                 self.log.warning("not joined yet: %s", error)
-                await self.sleep(RETRY_SECONDS)
+                await self.sleep(self._retry_seconds)
 
     @Service.task
     async def _recover_steadily(self):
@@ -407,7 +412,7 @@
                 await self.recover()
             except (StoreUnavailable, RecordError, JournalSealed, CallError) as error:
                 self.log.warning("recovery is tried again: %s", error)
-                await self.sleep(RETRY_SECONDS)
+                await self.sleep(self._retry_seconds)
                 continue
             if all(map(self.is_ready, self.owned)) or self.yard.journal.sealed:
                 await self._wait_news(None)
--- a/sapphireyard/recovery.py
+++ b/sapphireyard/recovery.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 
 from sapphireyard.assignment import plan_takeover
-from sapphireyard.assignment_store import AssignmentStore
 from sapphireyard.exceptions import CallError, PeerError, StoreConflict
 from sapphireyard.generated_replication import CollectTails
 from sapphireyard.journal import JournalRange, name_segment, read_range
@@ -103,12 +102,14 @@
         Gives store, peers and programs.
     holder : TailHolder
         The tails held by this host.
+    assignments : AssignmentStore
+        The assignment in the store.
     """
 
-    def __init__(self, yard, holder):
+    def __init__(self, yard, holder, assignments):
         self.yard = yard
         self._holder = holder
-        self._assignments = AssignmentStore(yard.store)
+        self._assignments = assignments
         self._members = MemberObjects(yard.store)
 
     async def take_over(self, host, incarnation, *, version=None, heir=None):
@@ -149,14 +150,7 @@
             if old is None or not old.has_member(host, incarnation):
                 return old
             await self._collect_tails(old, host, incarnation, tails)
-            last = await seal_journal(
-                self.yard.store,
-                host,
-                incarnation,
-                sealer=self.yard.host,
-                start=start,
-                tails=tails.segments,
-            )
+            last = await self._seal(host, incarnation, start, tails.segments)
             new = await self._plan(
                 old,
                 host,
@@ -201,6 +195,16 @@
             await self._settle(partition, entry)
             yield partition
 
+    async def _seal(self, host, incarnation, start, tails):
+        return await seal_journal(
+            self.yard.store,
+            host,
+            incarnation,
+            sealer=self.yard.host,
+            start=start,
+            tails=tails,
+        )
+
     async def _settle(self, partition, entry):
         settled = self.yard.programs.finish_recovery(
             partition, tail_uncertain=any(source.uncertain for source in entry.sources)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -69,9 +69,24 @@
         self.count -= 1 if self.count > 0 else 0
 
 
+class _Content:
+    """The objects and changes that the views of a store share."""
+
+    def __init__(self):
+        self.objects = {}
+        self.changes = deque(maxlen=KEPT_CHANGES)
+        self.revision = 0
+        self.changed = asyncio.Condition()
+
+
 class MemoryStore(Store):
     """A `Store` in memory with faults; several hosts may share one.
 
+    Parameters
+    ----------
+    shared : MemoryStore, optional
+        Store whose objects this one shows too, with faults of its own.
+
     Attributes
     ----------
     out : bool
@@ -84,11 +99,8 @@
         Calls by operation, those that failed included.
     """
 
-    def __init__(self):
-        self._objects = {}
-        self._changes = deque(maxlen=KEPT_CHANGES)
-        self._revision = 0
-        self._changed = asyncio.Condition()
+    def __init__(self, *, shared=None):
+        self._content = _Content() if shared is None else shared._content
         self.out = False
         self.delay_seconds = 0.0
         self.faults = []
@@ -97,7 +109,7 @@
     @property
     def revision(self):
         """int: Number of changes made so far."""
-        return self._revision
+        return self._content.revision
 
     def add_fault(self, kind, **options):
         """Add a `Fault` and return it."""
@@ -115,11 +127,11 @@
             self.out = False
 
     async def get(self, name):
-        return await self._run("get", name, lambda: self._objects.get(name))
+        return await self._run("get", name, lambda: self._content.objects.get(name))
 
     async def create(self, name, value):
         def effect():
-            if name in self._objects:
+            if name in self._content.objects:
                 raise StoreConflict(f"{name} exists")
             return self._put(name, value, 1)
 
@@ -135,7 +147,7 @@
     async def delete(self, name, *, expected_version):
         def effect():
             self._check_version(name, expected_version)
-            del self._objects[name]
+            del self._content.objects[name]
             self._note_change(name, 0)
 
         return await self._run("delete", name, effect)
@@ -144,38 +156,40 @@
         def effect():
             names = sorted(
                 name
-                for name in self._objects
+                for name in self._content.objects
                 if name.startswith(prefix) and name > after
             )
-            return [(name, self._objects[name].version) for name in names[:limit]]
+            return [
+                (name, self._content.objects[name].version) for name in names[:limit]
+            ]
 
         return await self._run("list", prefix, effect)
 
     async def watch(self, prefix, *, after_revision, timeout_seconds):
         await self._run("watch", prefix, lambda: None)
         if after_revision is None:
-            return WatchResult((), self._revision)
+            return WatchResult((), self._content.revision)
         try:
             async with asyncio.timeout(timeout_seconds):
                 return await self._wait_changes(prefix, after_revision)
         except TimeoutError:
-            return WatchResult((), max(after_revision, self._revision))
+            return WatchResult((), max(after_revision, self._content.revision))
 
     async def _wait_changes(self, prefix, after_revision):
-        async with self._changed:
+        async with self._content.changed:
             while True:
                 changes = self._find_changes(prefix, after_revision)
                 if changes:
                     return WatchResult(changes, changes[-1].revision)
-                await self._changed.wait()
+                await self._content.changed.wait()
 
     def _find_changes(self, prefix, after_revision):
-        oldest = self._revision - len(self._changes)
-        if after_revision < oldest or after_revision > self._revision:
+        oldest = self._content.revision - len(self._content.changes)
+        if after_revision < oldest or after_revision > self._content.revision:
             raise StoreGone(f"revision {after_revision} is no longer kept")
         return tuple(
             change
-            for change in self._changes
+            for change in self._content.changes
             if change.revision > after_revision and change.name.startswith(prefix)
         )
 
@@ -202,11 +216,11 @@
         return result
 
     async def _announce(self):
-        async with self._changed:
-            self._changed.notify_all()
+        async with self._content.changed:
+            self._content.changed.notify_all()
 
     def _check_version(self, name, expected_version):
-        stored = self._objects.get(name)
+        stored = self._content.objects.get(name)
         version = stored.version if stored is not None else 0
         if stored is None or version != expected_version:
             raise StoreConflict(f"{name} has version {version}")
@@ -214,10 +228,12 @@
     def _put(self, name, value, version):
         if len(value) > VALUE_BYTES:
             raise ValueError(f"{name}: {len(value)} bytes exceed {VALUE_BYTES}")
-        self._objects[name] = StoredObject(name, bytes(value), version)
+        self._content.objects[name] = StoredObject(name, bytes(value), version)
         self._note_change(name, version)
         return version
 
     def _note_change(self, name, version):
-        self._revision += 1
-        self._changes.append(ObjectChange(name, version, self._revision))
+        self._content.revision += 1
+        self._content.changes.append(
+            ObjectChange(name, version, self._content.revision)
+        )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,20 +1,27 @@
 """Several hosts in one process, over one store in memory, for tests."""
 
 import asyncio
+import json
+import logging
+from collections import defaultdict
 from contextlib import asynccontextmanager
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import PeerUnavailable
 from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_records import ProgramSnapshot
 from sapphireyard.generated_settings import EntrySettings
 from sapphireyard.journal import JournalService
 from sapphireyard.ownership import OwnershipService
-from sapphireyard.ownership_handlers import OwnershipHandlers
 from sapphireyard.peers import PeerContext
 from sapphireyard.programs import Programs
 from sapphireyard.yard import Yard
 
 PARTITIONS = 8
+
+CASE_SECONDS = 20
+"""Time after which a test that waits for ever fails."""
+
 ANSWER_SECONDS = 0.05
 RETRY_SECONDS = 0.005
 
@@ -78,6 +85,38 @@
             return
 
 
+class RecordedPrograms:
+    """Programs whose state is the list of numbers recorded in each partition."""
+
+    def __init__(self):
+        self.numbers = defaultdict(list)
+
+    def apply(self, partition, record):
+        if isinstance(record, ProgramSnapshot):
+            self.numbers[partition] = json.loads(record.ended)
+            return
+        self.numbers[partition].append(int(record.reason))
+
+    def snapshot(self, partition):
+        if not self.numbers[partition]:
+            return []
+        return [
+            ProgramSnapshot("p", "p", 0.0, ended=json.dumps(self.numbers[partition]))
+        ]
+
+    def drop(self, partition):
+        self.numbers.pop(partition, None)
+
+    async def quiesce(self, partition):
+        pass
+
+    async def resume(self, partition):
+        pass
+
+    def finish_recovery(self, partition, *, tail_uncertain=False):
+        return []
+
+
 class Fleet:
     """Hosts a, b, c ... whose services are stepped by the test.
 
@@ -87,7 +126,7 @@
         Shared by all hosts, unless `add` is given another.
     """
 
-    handlers_class = OwnershipHandlers
+    programs_class = Programs
     journal_class = JournalService
     ownership_class = OwnershipService
 
@@ -116,12 +155,12 @@
             partitions=PARTITIONS,
         )
         yard = Yard(settings, store or self.store, clock=VirtualClock())
-        yard.programs = Programs()
+        yard.programs = self.programs_class()
         yard.peers = FakePeers(yard, self.network)
         yard.journal = self.journal_class(
             yard, answer_seconds=ANSWER_SECONDS, retry_seconds=RETRY_SECONDS
         )
-        yard.ownership = self.ownership_class(yard)
+        yard.ownership = self.ownership_class(yard, retry_seconds=RETRY_SECONDS)
         yard.ownership.handlers.register()
         await yard.journal.start()
         if host in self.yards:
@@ -162,13 +201,11 @@
     async def expire(self, host, *, by):
         """Let a host see that another was not renewed, and take over from it."""
         observer = self.yards[by]
-        detector = observer.ownership.membership.detector
         for _ in range(3):
             await observer.ownership.membership.renew()
             expired = await observer.ownership.membership.look()
             observer.clock.now += observer.settings.expiry_seconds * 0.6
         expired = [item for item in expired if item[0] == host]
-        assert detector is not None
         await observer.ownership.membership.renew()
         await observer.ownership.take_over(expired)
         return expired
@@ -194,10 +231,13 @@
 async def run_fleet(store, hosts="", *, fleet_class=Fleet):
     """Run a fleet with balanced hosts for the length of a block."""
     fleet = fleet_class(store)
+    logging.disable(logging.WARNING)
     try:
-        for host in hosts:
-            await fleet.add(host)
-            await fleet.settle()
-        yield fleet
+        async with asyncio.timeout(CASE_SECONDS):
+            for host in hosts:
+                await fleet.add(host)
+                await fleet.settle()
+            yield fleet
     finally:
+        logging.disable(logging.NOTSET)
         await fleet.stop()
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,333 @@
+"""Takeovers while the holder is paused at any step, and their broken variants.
+
+Every record carries a number that grows with each commit begun. Whatever
+happens, the state folded by the owner must hold numbers in growing order, each
+at most once, and all that were acknowledged.
+"""
+
+import asyncio
+import itertools
+import unittest
+
+from sapphireyard import recovery
+from sapphireyard.exceptions import StoreConflict, StoreUnavailable, YardError
+from sapphireyard.generated_records import ProgramEnded
+from sapphireyard.generated_replication import OfferAnswer
+from sapphireyard.journal import JournalService, name_segment
+from sapphireyard.ownership import OwnershipService
+from sapphireyard.recovery import Recovery
+from sapphireyard.tails import TailHolder
+from standins.memory import HOLD_AFTER, HOLD_BEFORE, LOSE, MemoryStore
+from tests.fleet import Fleet, RecordedPrograms, run_fleet
+
+STEPS = 3
+"""Journal calls of the holder before the one at which it is paused."""
+
+
+class RecordedFleet(Fleet):
+    """A fleet with `RecordedPrograms` that remembers what was acknowledged."""
+
+    programs_class = RecordedPrograms
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.counter = itertools.count(1)
+        self.acknowledged = {}
+
+    async def commit(self, yard, partition, **options):
+        """Commit the next number; return whether it was acknowledged."""
+        number = next(self.counter)
+        record = ProgramEnded("p", str(number))
+        try:
+            await yard.journal.commit([record], partition=partition, **options)
+        except YardError:
+            return False
+        yard.programs.apply(partition, record)
+        self.acknowledged.setdefault(partition, []).append(number)
+        return True
+
+    def check(self):
+        """Assert that the one owner of each partition folded what it must."""
+        for partition, acknowledged in self.acknowledged.items():
+            owners = self.owners(partition)
+            assert len(owners) == 1, f"{len(owners)} owners of {partition}"
+            numbers = owners[0].programs.numbers[partition]
+            assert numbers == sorted(set(numbers)), f"out of order: {numbers}"
+            lost = set(acknowledged) - set(numbers)
+            assert not lost, f"lost {lost} of {numbers}"
+
+
+class UnsealedRecovery(Recovery):
+    """Takes over without sealing the journal."""
+
+    async def _seal(self, host, incarnation, start, tails):
+        end = await recovery._find_end(self.yard.store, host, incarnation, start)
+        if await self.yard.store.get(name_segment(host, incarnation, end)) is None:
+            return end - 1
+        return end
+
+
+class TaillessRecovery(Recovery):
+    """Takes over without asking for the tails in peers' memory."""
+
+    async def _collect_tails(self, assignment, host, incarnation, tails):
+        return
+
+
+class UnfilteredOwnership(OwnershipService):
+    """Gives all records the same epoch, whatever term they were written in."""
+
+    def check_owned(self, partition):
+        super().check_owned(partition)
+        return 0
+
+
+class OptimisticJournal(JournalService):
+    """Takes a conflict for a lost answer of its own."""
+
+    async def _store(self, name, value):
+        try:
+            await self.yard.store.create(name, value)
+        except (StoreConflict, StoreUnavailable):
+            return
+
+
+class RenumberingJournal(JournalService):
+    """Writes again under the next number when an answer is lost."""
+
+    async def _store(self, name, value):
+        try:
+            await self.yard.store.create(name, value)
+        except StoreUnavailable:
+            self._writer.head.number += 1
+            self._writer._next_number += 1
+            raise
+
+
+class UnfencedHolder(TailHolder):
+    """Goes on accepting tails of a journal that is being sealed."""
+
+    def collect(self, host, incarnation, *, after=0):
+        answer = super().collect(host, incarnation, after=after)
+        self._fenced.clear()
+        return answer
+
+    def keep_only(self, journals):
+        pass
+
+
+def make_broken(*, journal=None, ownership=None, recovery_class=None, holder=None):
+    """Return a fleet class with one mechanism replaced."""
+
+    class BrokenOwnership(ownership or OwnershipService):
+        def __init__(self, yard, **options):
+            super().__init__(yard, **options)
+            if holder is not None:
+                self._holder.__class__ = holder
+            if recovery_class is not None:
+                self.recovery = recovery_class(yard, self._holder, self.assignments)
+
+    class BrokenFleet(RecordedFleet):
+        journal_class = journal or JournalService
+        ownership_class = BrokenOwnership
+
+    return BrokenFleet
+
+
+async def race_takeover(fleet, victim, observers):
+    """Let several hosts take over from one at once, with lost answers."""
+    fleet.store.add_fault(LOSE, operation="update")
+    fleet.store.add_fault(LOSE, operation="create", prefix="journal/")
+    incarnation = victim.incarnation
+    results = await asyncio.gather(
+        *(
+            fleet.yards[name].ownership.recovery.take_over(victim.host, incarnation)
+            for name in observers
+        ),
+        return_exceptions=True,
+    )
+    for name in observers:
+        await finish_takeover(fleet, victim, name)
+    return results
+
+
+async def finish_takeover(fleet, victim, observer):
+    """Repeat a takeover until it is done."""
+    for _ in range(5):
+        try:
+            await fleet.yards[observer].ownership.recovery.take_over(
+                victim.host, victim.incarnation
+            )
+            return
+        except StoreUnavailable:
+            continue
+
+
+async def pause_holder(fleet, *, step, kind):
+    """Pause the holder at one of its store calls, take over, and let it go on."""
+    holder = fleet.yards["b"]
+    partition = holder.ownership.owned[0]
+    await fleet.commit(holder, partition)
+    holder.store = MemoryStore(shared=fleet.store)
+    held = holder.store.add_fault(kind, prefix="journal/b/")
+    holder.store.faults.insert(0, SkipFault(held, step))
+    commits = [asyncio.ensure_future(fleet.commit(holder, partition)) for _ in range(3)]
+    await asyncio.wait(commits, timeout=0.02)
+    fleet.network.cut.add("b")
+    await race_takeover(fleet, holder, "ac")
+    await fleet.spread()
+    owner = next(yard for yard in fleet.owners(partition) if yard is not holder)
+    assert await fleet.commit(owner, partition)
+    held.gate.set()
+    held.count = 0
+    await asyncio.gather(*commits)
+    await fleet.commit(holder, partition)
+    assert await fleet.commit(owner, partition)
+    await fold_again(fleet, owner)
+    fleet.check()
+
+
+class SkipFault:
+    """Lets the first calls that match a fault pass."""
+
+    def __init__(self, fault, calls):
+        self._fault = fault
+        self._calls = calls
+        self.kind = ""
+
+    def matches(self, operation, name):
+        return self._calls > 0 and self._fault.matches(operation, name)
+
+    def strike(self):
+        self._calls -= 1
+
+
+async def fold_again(fleet, owner):
+    """Let another host take over, so that the owner's journal is folded."""
+    other = next(name for name in fleet.yards if name not in ("b", owner.host))
+    await fleet.kill(owner.host)
+    await fleet.yards[other].ownership.recovery.take_over(owner.host, owner.incarnation)
+    await fleet.spread()
+
+
+class PausedHolderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_pause_at_each_step(self):
+        for kind in (HOLD_BEFORE, HOLD_AFTER):
+            for step in range(STEPS):
+                with self.subTest(kind=kind, step=step):
+                    await self.run_case(RecordedFleet, step, kind)
+
+    async def run_case(self, fleet_class, step, kind):
+        async with run_fleet(MemoryStore(), "abcd", fleet_class=fleet_class) as fleet:
+            await pause_holder(fleet, step=step, kind=kind)
+
+    BROKEN = {
+        "unsealed": make_broken(recovery_class=UnsealedRecovery),
+        "optimistic": make_broken(journal=OptimisticJournal),
+    }
+
+    async def test_broken_variants_fail(self):
+        for name, fleet_class in self.BROKEN.items():
+            with self.subTest(name):
+                with self.assertRaises(AssertionError):
+                    for kind in (HOLD_BEFORE, HOLD_AFTER):
+                        for step in range(STEPS):
+                            await self.run_case(fleet_class, step, kind)
+
+
+class ReturningPartitionTest(unittest.IsolatedAsyncioTestCase):
+    """A partition leaves its owner, comes back and is taken over."""
+
+    async def run_case(self, fleet_class):
+        async with run_fleet(MemoryStore(), "abc", fleet_class=fleet_class) as fleet:
+            first, second = fleet.yards["a"], fleet.yards["b"]
+            partition = first.ownership.owned[0]
+            for source, target in ((first, second), (second, first)):
+                assert await fleet.commit(source, partition)
+                await self.move(fleet, partition, source, target)
+            assert await fleet.commit(first, partition)
+            await fold_again(fleet, first)
+            fleet.check()
+
+    async def move(self, fleet, partition, source, target):
+        source.ownership._mover._offer = accept_offer(target)
+        moved = await source.ownership._mover.move(
+            [partition], target.host, quiesce_seconds=1
+        )
+        assert moved == 1
+        await fleet.spread()
+
+    async def test_sound(self):
+        await self.run_case(RecordedFleet)
+
+    async def test_broken_variant_fails(self):
+        with self.assertRaises(AssertionError):
+            await self.run_case(make_broken(ownership=UnfilteredOwnership))
+
+
+def accept_offer(target):
+    """Return an `_offer` that accepts more than the target's quota.
+
+    It leaves the least next number at 1, so that only epochs tell terms apart.
+    """
+
+    async def offer(partitions, name):
+        return OfferAnswer(True, target.incarnation, 1)
+
+    return offer
+
+
+class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers to journal writes are lost after the effect."""
+
+    async def run_case(self, fleet_class):
+        async with run_fleet(MemoryStore(), "abc", fleet_class=fleet_class) as fleet:
+            holder = fleet.yards["b"]
+            partition = holder.ownership.owned[0]
+            for _ in range(3):
+                fleet.store.add_fault(LOSE, operation="create", prefix="journal/b")
+                assert await fleet.commit(holder, partition)
+            await fleet.kill("b")
+            await finish_takeover(fleet, holder, "a")
+            await fleet.spread()
+            fleet.check()
+
+    async def test_sound(self):
+        await self.run_case(RecordedFleet)
+
+    async def test_broken_variant_fails(self):
+        with self.assertRaises(AssertionError):
+            await self.run_case(make_broken(journal=RenumberingJournal))
+
+
+class CutOffHolderTest(unittest.IsolatedAsyncioTestCase):
+    """The holder alone is cut off from the store, and is taken over."""
+
+    async def run_case(self, fleet_class):
+        async with run_fleet(MemoryStore(), "abcd", fleet_class=fleet_class) as fleet:
+            holder = fleet.yards["b"]
+            partition = holder.ownership.owned[0]
+            holder.store = MemoryStore(shared=fleet.store)
+            holder.store.out = True
+            assert await fleet.commit(holder, partition)
+            await finish_takeover(fleet, holder, "c")
+            holder.clock.now += 1
+            late = asyncio.ensure_future(fleet.commit(holder, partition))
+            await asyncio.wait([late], timeout=0.1)
+            holder.store.out = False
+            await late
+            await fleet.spread()
+            fleet.check()
+
+    async def test_sound(self):
+        await self.run_case(RecordedFleet)
+
+    BROKEN = {
+        "tailless": make_broken(recovery_class=TaillessRecovery),
+        "unfenced": make_broken(holder=UnfencedHolder),
+    }
+
+    async def test_broken_variants_fail(self):
+        for name, fleet_class in self.BROKEN.items():
+            with self.subTest(name), self.assertRaises(AssertionError):
+                await self.run_case(fleet_class)
