--- /dev/null
+++ b/sapphireyard/entry.py
@@ -0,0 +1,149 @@
+"""The binary of an entry host: serves callers and owns programs."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import mode
+
+from sapphireyard._options import load_settings
+from sapphireyard.administration import add_routes
+from sapphireyard.configuration import ConfigurationService
+from sapphireyard.dispatcher import Dispatcher
+from sapphireyard.gateway import Gateway
+from sapphireyard.generated_settings import EntrySettings
+from sapphireyard.journal import JournalService
+from sapphireyard.lifetimes import LifetimeService
+from sapphireyard.logs import configure_logging
+from sapphireyard.objects import ObjectStore
+from sapphireyard.outliers import OutlierDetector
+from sapphireyard.ownership import OwnershipService
+from sapphireyard.peers import Peers
+from sapphireyard.programs import Programs
+from sapphireyard.quarantine import QuarantineService
+from sapphireyard.retries import RetryBudget
+from sapphireyard.shares import LimitService
+from sapphireyard.slots import SlotService
+from sapphireyard.upstreams import Upstreams
+from sapphireyard.yard import Yard
+
+logger = logging.getLogger(__name__)
+
+PROGRAM = "sapphireyard-entry"
+DRAIN_CHECK_SECONDS = 0.1
+
+
+class EntryService(mode.Service):
+    """An entry host from its start to its planned stop.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process, with all services set; see `build_yard`.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self.stop_asked = asyncio.Event()
+
+    async def on_start(self):
+        yard = self._yard
+        await yard.peers.listen()
+        await yard.gateway.listen()
+        for service in (
+            yard.peers,
+            yard.configuration,
+            yard.journal,
+            yard.ownership,
+            yard.upstreams,
+            yard.limits,
+            yard.slots,
+            yard.quarantine,
+            yard.dispatcher,
+            yard.lifetimes,
+            yard.gateway,
+        ):
+            await self.add_runtime_dependency(service)
+        yard.configuration.on_change(self._end_withdrawn)
+
+    def _end_withdrawn(self, *_):
+        is_withdrawn = self._yard.configuration.is_withdrawn
+        self._yard.gateway.end_requests_of_keys(is_withdrawn)
+        self._yard.dispatcher.end_runs_of_keys(is_withdrawn)
+
+    async def drain(self):
+        """Stop as planned: hand over, forward, finish what runs."""
+        yard = self._yard
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        deadline = started + yard.settings.stop_seconds
+        yard.gateway.draining = True
+        left = await yard.ownership.leave(timeout=yard.settings.stop_seconds)
+        logger.info("partitions handed over" if left else "partitions are left")
+        forward_until = started + yard.settings.address_ttl_seconds
+        while loop.time() < deadline:
+            busy = yard.gateway.open_requests or yard.dispatcher.running_calls
+            if not busy and (loop.time() >= forward_until or not self._has_others()):
+                return
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        logger.warning("%s requests are cut off", yard.gateway.open_requests)
+
+    def _has_others(self):
+        members = self._yard.ownership.assignment.members
+        return any(host != self._yard.host for host in members)
+
+
+def build_yard(settings):
+    """Return a `Yard` with all services of an entry host."""
+    yard = Yard(settings, ObjectStore(settings.store))
+    yard.programs = Programs()
+    yard.peers = Peers(yard)
+    yard.configuration = ConfigurationService(yard)
+    yard.journal = JournalService(yard)
+    yard.ownership = OwnershipService(yard)
+    yard.upstreams = Upstreams(yard)
+    yard.limits = LimitService(yard)
+    yard.slots = SlotService(yard)
+    yard.quarantine = QuarantineService(yard)
+    yard.retries = RetryBudget()
+    yard.outliers = OutlierDetector()
+    yard.lifetimes = LifetimeService(yard)
+    yard.dispatcher = Dispatcher(yard)
+    yard.gateway = Gateway(yard, add_routes=[add_routes])
+    return yard
+
+
+async def run(settings):
+    """Run an entry host until it is asked to stop; return the exit status."""
+    yard = build_yard(settings)
+    service = EntryService(yard)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, service.stop_asked.set)
+    await service.start()
+    print(f"listening on {yard.gateway.address}", flush=True)
+    crashed = asyncio.ensure_future(service.wait_until_stopped())
+    asked = asyncio.ensure_future(service.stop_asked.wait())
+    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
+    if asked.done():
+        await service.drain()
+    status = 1 if service.crash_reason else 0
+    await service.stop()
+    await yard.store.close()
+    return status
+
+
+def main():
+    """Run the binary."""
+    settings = load_settings(
+        EntrySettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
+    )
+    configure_logging(settings, host=settings.host)
+    sys.exit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
