Add the decisions of the fleet-wide rate

Cause: a customer's rate and burst count across all hosts, also when messages are lost and homes die.

Change: RateHome (home side, Bucket), ShareHolder (holder side), HomeHistory (rendezvous choice and since when). A token is available or outstanding until settled or its lease ends; refill leaves room for what is outstanding; a lease counts from when the ask was sent; a home grants only while confirmed, and a new one waits two confirmations and a lease.

Ruled out: waiting one confirmation and a lease only. A home that is replaced and then restored without noticing could then grant beside the replacement.

--- /dev/null
+++ b/sapphireyard/buckets.py
@@ -0,0 +1,278 @@
+"""The token bucket of one customer, kept by the customer's home.
+
+Tokens are *available* at the home or *outstanding* at a holder. Their sum
+never exceeds the burst and grows by the rate at most, so the whole fleet uses
+at most ``burst + rate * w`` tokens in any window of w seconds.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from sapphireyard.generated_limits import TokenGrant
+
+ROUNDING = 1e-6
+"""Tokens by which sums of floats may be off."""
+QUEUE_ENTRY_SECONDS = 1.0
+"""Time after which a holder that asks no more counts as not waiting."""
+HOLDER_SECONDS = 5.0
+"""Time after which a silent holder's last ask is forgotten."""
+LEAST_RETRY_SECONDS = 0.01
+
+
+@dataclass(frozen=True)
+class Rule:
+    """The limit of one customer: requests per second and burst in requests."""
+
+    rate: float
+    burst: float
+
+
+@dataclass
+class _Grant:
+    """Tokens given to a holder and not settled yet."""
+
+    tokens: int
+    used: int
+    expires_at: float
+
+
+@dataclass
+class _Holder:
+    """What the home remembers of one holder."""
+
+    incarnation: int
+    seen_at: float = 0.0
+    last_grant: TokenGrant = field(default_factory=lambda: TokenGrant(number=0))
+
+
+@dataclass
+class _Demand:
+    """Tokens for which callers wait at one holder, in order of the last grant."""
+
+    tokens: int
+    asked_at: float
+
+
+class Bucket:
+    """The tokens of one customer.
+
+    Parameters
+    ----------
+    rule : Rule
+        Rate and burst.
+    lease : float
+        Seconds for which a grant may be used.
+    opens_at : float
+        Time from which tokens accrue and may be granted; monotonic seconds.
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(self, rule, *, lease, opens_at, now):
+        self._rule = rule
+        self._lease = lease
+        self._opens_at = opens_at
+        self._available = 0.0
+        self._refilled_at = opens_at
+        self._grants = {}
+        self._outstanding = 0
+        self._holders = {}
+        self._queue = {}
+        self._used_at = now
+        self._refill(now)
+
+    @property
+    def rule(self):
+        """Rule: The limit in force here."""
+        return self._rule
+
+    @property
+    def available(self):
+        """float: Tokens that may be granted, as of the last event."""
+        return self._available
+
+    @property
+    def outstanding(self):
+        """float: Tokens granted and not settled, as of the last event."""
+        return self._outstanding
+
+    def is_open(self, now):
+        """Return whether tokens may be granted."""
+        return now >= self._opens_at
+
+    def is_idle(self, now, *, idle_seconds):
+        """Return whether the bucket is full and nobody has asked for a while."""
+        if self._grants or now - self._used_at < idle_seconds:
+            return False
+        self._advance(now)
+        return self._available >= self._rule.burst - ROUNDING
+
+    def adopt(self, available, outstanding, *, expires_after, now):
+        """Go on from the bucket that an earlier home handed over."""
+        assert not self.is_open(now), "an open bucket adopts nothing"
+        self._opens_at = now
+        self._refilled_at = now
+        self._available = min(available, max(0.0, self._rule.burst - outstanding))
+        if outstanding > 0:
+            self._add_grant(("", 0, 0), outstanding, now + expires_after)
+
+    def hand_over(self, now):
+        """Return available and outstanding tokens and the last lease's seconds."""
+        self._advance(now)
+        ends = [grant.expires_at - now for grant in self._grants.values()]
+        return self._available, self.outstanding, max(ends, default=0.0)
+
+    def change_rule(self, rule, now):
+        """Put another rate and burst in force from now on."""
+        if rule == self._rule:
+            return
+        self._advance(now)
+        self._rule = rule
+        room = max(0.0, rule.burst - self.outstanding)
+        self._available = min(self._available, room)
+
+    def ask(self, host, incarnation, message, now):
+        """Settle grants of a holder and grant tokens; return a `TokenGrant`."""
+        self._used_at = now
+        self._advance(now)
+        self._settle(host, incarnation, message.settlements)
+        holder = self._holders.pop(host, None)
+        if holder is None or incarnation > holder.incarnation:
+            holder = _Holder(incarnation)
+        self._holders[host] = holder
+        if incarnation < holder.incarnation:
+            return TokenGrant(number=message.number)
+        if message.number <= holder.last_grant.number:
+            return self._repeat(holder, message.number)
+        holder.seen_at = now
+        holder.last_grant = self._grant(host, incarnation, message, now)
+        self._check()
+        return holder.last_grant
+
+    @staticmethod
+    def _repeat(holder, number):
+        if number == holder.last_grant.number:
+            return holder.last_grant
+        return TokenGrant(number=number)
+
+    def _grant(self, host, incarnation, message, now):
+        if not self.is_open(now):
+            return TokenGrant(message.number, opens_after=self._opens_at - now)
+        self._forget_silent(now)
+        ahead = self._count_ahead(host, now)
+        tokens = self._count_grantable(message, ahead)
+        if tokens:
+            self._available -= tokens
+            key = host, incarnation, message.number
+            self._add_grant(key, tokens, now + self._lease)
+        self._enqueue(host, message.wanted, tokens, now)
+        return self._answer(host, message, tokens, ahead, now)
+
+    def _count_grantable(self, message, ahead):
+        free = math.floor(self._available + ROUNDING)
+        needed = min(message.wanted, max(0, free - ahead))
+        if needed < message.wanted:
+            return needed
+        surplus = max(0, free - needed - ahead) // 2
+        return needed + min(message.spare, surplus)
+
+    def _answer(self, host, message, tokens, ahead, now):
+        others = [d for name, d in self._queue.items() if name != host]
+        missing = message.wanted - tokens
+        retry_after = 0.0
+        if missing > 0:
+            short = ahead + 1 - self._available
+            retry_after = max(LEAST_RETRY_SECONDS, short / self._rule.rate)
+        return TokenGrant(
+            message.number,
+            tokens=tokens,
+            lease=self._lease,
+            retry_after=retry_after,
+            available=max(0.0, self._available - ahead),
+            queued=sum(demand.tokens for demand in others),
+            queues=len(others),
+        )
+
+    def _enqueue(self, host, wanted, tokens, now):
+        demand = self._queue.get(host)
+        missing = wanted - tokens
+        if missing <= 0:
+            self._queue.pop(host, None)
+            return
+        if tokens or demand is None:
+            self._queue.pop(host, None)
+            self._queue[host] = _Demand(missing, now)
+            return
+        demand.tokens = missing
+        demand.asked_at = now
+
+    def _count_ahead(self, host, now):
+        """Return the tokens kept for holders that have waited longer."""
+        for name in [n for n, d in self._queue.items() if self._has_left(d, now)]:
+            del self._queue[name]
+        portion = max(1, int(self._rule.burst / (2 * len(self._queue) + 2)))
+        ahead = 0
+        for name, demand in self._queue.items():
+            if name == host:
+                break
+            ahead += min(demand.tokens, portion)
+        return ahead
+
+    @staticmethod
+    def _has_left(demand, now):
+        return now - demand.asked_at > QUEUE_ENTRY_SECONDS
+
+    def _settle(self, host, incarnation, settlements):
+        for settlement in settlements:
+            key = host, incarnation, settlement.number
+            grant = self._grants.get(key)
+            if grant is None:
+                continue
+            newly_used = min(settlement.used, grant.tokens) - grant.used
+            if newly_used > 0:
+                grant.used += newly_used
+                self._outstanding -= newly_used
+            if settlement.closed:
+                self._available += grant.tokens - grant.used
+            if settlement.closed or grant.used == grant.tokens:
+                self._drop_grant(key)
+        room = max(0.0, self._rule.burst - self.outstanding)
+        self._available = min(self._available, room)
+
+    def _add_grant(self, key, tokens, expires_at):
+        self._grants[key] = _Grant(tokens, 0, expires_at)
+        self._outstanding += tokens
+
+    def _drop_grant(self, key):
+        grant = self._grants.pop(key)
+        self._outstanding -= grant.tokens - grant.used
+
+    def _advance(self, now):
+        """Refill up to `now`, counting leases that ended as used."""
+        while self._grants:
+            key, grant = next(iter(self._grants.items()))
+            if grant.expires_at > now:
+                break
+            self._refill(grant.expires_at)
+            self._drop_grant(key)
+        self._refill(now)
+
+    def _refill(self, now):
+        if now <= self._refilled_at:
+            return
+        room = self._rule.burst - self.outstanding
+        gained = self._available + self._rule.rate * (now - self._refilled_at)
+        self._available = max(min(self._available, room), min(gained, room), 0.0)
+        self._refilled_at = now
+
+    def _forget_silent(self, now):
+        while self._holders:
+            name, holder = next(iter(self._holders.items()))
+            if now - holder.seen_at <= HOLDER_SECONDS:
+                return
+            del self._holders[name]
+
+    def _check(self):
+        total = self._available + self.outstanding
+        limit = max(self._rule.burst, self.outstanding)
+        assert total <= limit + ROUNDING, "available and outstanding exceed the burst"
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,542 @@
+"""Tests of the fleet-wide rate against an exact count of every window."""
+
+import heapq
+import itertools
+import random
+import unittest
+from unittest import mock
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from sapphireyard._shares import HeldGrant, Share
+from sapphireyard.buckets import Bucket, Rule
+from sapphireyard.generated_limits import (
+    BucketState,
+    GrantSettlement,
+    TokenAsk,
+    TokenGrant,
+)
+from sapphireyard.holders import ShareHolder
+from sapphireyard.homes import HomeHistory, choose_home, score_host
+from sapphireyard.limits import RateHome
+
+LEASE = 1.0
+CONFIRMATION = 0.6
+CUSTOMER = "acme"
+HOSTS = ("a", "b", "c")
+EXACT = {"derandomize": True, "deadline": None, "database": None}
+
+
+def find_excess(uses, rules):
+    """Return the first window that used more than burst + rate * w, or None.
+
+    The naive model: every pair of uses bounds a window, and the larger of the
+    rules that were in force at any time counts.
+    """
+    rate = max(rule.rate for rule in rules)
+    burst = max(rule.burst for rule in rules)
+    for first, began_at in enumerate(uses):
+        for last in range(first, len(uses)):
+            allowed = burst + rate * (uses[last] - began_at)
+            if last - first + 1 > allowed + 1e-6:
+                return began_at, uses[last], last - first + 1
+    return None
+
+
+class Fleet:
+    """Hosts, a truth that names the homes' hosts, and a bad network.
+
+    Each host sees the truth with a delay, at most `CONFIRMATION` old while it
+    is confirmed. Messages are lost, doubled, delayed and reordered.
+    """
+
+    def __init__(self, seed, rule, *, loss=0.1, delay=0.02):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.rules = [rule]
+        self.truth = set(HOSTS)
+        self.loss = loss
+        self.delays = (0.001, 0.01, delay)
+        self.copies = 1
+        self.uses = []
+        self.events = []
+        self.order = itertools.count()
+        self.paused_until = dict.fromkeys(HOSTS, 0.0)
+        self.cut_until = dict.fromkeys(HOSTS, 0.0)
+        self.incarnations = dict.fromkeys(HOSTS, 1)
+        self.homes = {}
+        self.histories = {}
+        self.holders = {}
+        for host in HOSTS:
+            self.start(host)
+            self.at(self.now, self.confirm, host, 1)
+            self.at(self.now, self.tick, host, 1)
+
+    def start(self, host):
+        self.histories[host] = HomeHistory(host)
+        self.homes[host] = RateHome(
+            self.histories[host], lease=LEASE, confirmation=CONFIRMATION
+        )
+        self.holders[host] = ShareHolder()
+
+    def at(self, when, action, *arguments):
+        heapq.heappush(self.events, (when, next(self.order), action, arguments))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            when, _, action, arguments = heapq.heappop(self.events)
+            self.now = max(self.now, when)
+            action(*arguments)
+        self.now = end
+
+    def host_runs(self, host, action, *arguments):
+        """Return whether a host runs; else put the action off."""
+        if self.now >= self.paused_until[host]:
+            return True
+        self.at(self.paused_until[host], action, *arguments)
+        return False
+
+    def confirm(self, host, incarnation):
+        if self.incarnations[host] != incarnation:
+            return
+        if not self.host_runs(host, self.confirm, host, incarnation):
+            return
+        self.at(self.now + 0.2, self.confirm, host, incarnation)
+        if self.now >= self.cut_until[host]:
+            read = self.now, frozenset(self.truth), incarnation
+            delay = self.random.uniform(0, 0.1)
+            self.at(self.now + delay, self.confirmed, host, *read)
+
+    def confirmed(self, host, sent_at, hosts, incarnation):
+        if self.incarnations[host] != incarnation:
+            return
+        if not self.host_runs(host, self.confirmed, host, sent_at, hosts, incarnation):
+            return
+        self.homes[host].change_hosts(hosts, self.now)
+        if host in hosts and self.now < sent_at + CONFIRMATION:
+            self.homes[host].confirm(sent_at + CONFIRMATION, self.now)
+
+    def tick(self, host, incarnation):
+        if self.incarnations[host] != incarnation:
+            return
+        if not self.host_runs(host, self.tick, host, incarnation):
+            return
+        self.at(self.now + 0.02, self.tick, host, incarnation)
+        for ask in self.holders[host].poll(lambda _: self.rules[-1], self.now):
+            home = self.histories[host].home(CUSTOMER)
+            self.at(self.now + 0.8, self.time_out, host, incarnation, ask.number)
+            self.carry(self.deliver, home, host, incarnation, ask)
+        self.homes[host].forget_idle(self.now)
+        self.count()
+
+    def carry(self, action, *arguments):
+        for _ in range(self.copies + (self.random.random() < self.loss)):
+            if self.random.random() >= self.loss:
+                delay = self.random.choice(self.delays)
+                self.at(self.now + delay, action, *arguments)
+
+    def deliver(self, home, host, incarnation, ask):
+        if home is None or not self.host_runs(
+            home, self.deliver, home, host, incarnation, ask
+        ):
+            return
+        rule = self.rules[-1]
+        grant = self.homes[home].ask(host, incarnation, ask, rule, self.now)
+        self.carry(self.answer, host, incarnation, grant)
+
+    def answer(self, host, incarnation, grant):
+        if not self.host_runs(host, self.answer, host, incarnation, grant):
+            return
+        if self.incarnations[host] == incarnation:
+            rule = self.rules[-1]
+            self.holders[host].answer(CUSTOMER, grant, rule, self.now)
+            self.count()
+
+    def time_out(self, host, incarnation, number):
+        if self.incarnations[host] == incarnation:
+            self.holders[host].fail(CUSTOMER, number, self.now)
+
+    def count(self):
+        for holder in self.holders.values():
+            settled = holder.take_settled()
+            self.uses += [self.now for waiter in settled if waiter.admitted]
+
+    def call(self, host, calls, deadline=2.0):
+        for _ in range(calls):
+            if self.now < self.paused_until[host]:
+                return
+            waiter = self.holders[host].acquire(
+                CUSTOMER, self.rules[-1], self.now, deadline=self.now + deadline
+            )
+            if waiter.admitted:
+                self.uses.append(self.now)
+
+    def burst(self, calls):
+        for host in HOSTS:
+            self.call(host, calls)
+        self.run(0.1)
+
+    def flood(self, ticks):
+        for _ in range(ticks):
+            for host in HOSTS:
+                self.call(host, 1)
+            self.run(0.02)
+
+    def pause(self, host, seconds):
+        self.paused_until[host] = self.now + seconds
+
+    def cut(self, host, seconds):
+        self.cut_until[host] = self.now + seconds
+
+    def leave(self, host):
+        if len(self.truth) > 1:
+            self.truth.discard(host)
+
+    def join(self, host):
+        self.truth.add(host)
+
+    def rule(self, rate, burst):
+        self.rules.append(Rule(rate, burst))
+
+    def slow(self, delay):
+        self.delays = (delay or 0.001,)
+
+    def double(self):
+        self.copies = 2
+
+    def hand_over(self, host):
+        """Let a new home adopt the bucket of an earlier one."""
+        previous = self.histories[host].previous_home(CUSTOMER)
+        if previous is None or not self.homes[host].needs_adoption(CUSTOMER, self.now):
+            return
+        if self.now < max(self.paused_until[host], self.paused_until[previous]):
+            return
+        rule = self.rules[-1]
+        state = self.homes[previous].hand_over(CUSTOMER, rule, self.now)
+        self.homes[host].adopt(CUSTOMER, state, self.now)
+
+    def restart(self, host):
+        self.incarnations[host] += 1
+        self.start(host)
+        self.at(self.now, self.confirm, host, self.incarnations[host])
+        self.at(self.now, self.tick, host, self.incarnations[host])
+
+
+def drive(fleet, steps):
+    """Carry out steps on a fleet whose first home has opened."""
+    rule = fleet.rules[0]
+    fleet.run(2 * CONFIRMATION + LEASE + 1.0 + rule.burst / rule.rate)
+    for name, *arguments in steps:
+        getattr(fleet, name)(*arguments)
+    fleet.run(2.0)
+    return find_excess(fleet.uses, fleet.rules)
+
+
+def _lease_from_receipt(share, grant, now):
+    if grant.tokens:
+        ends = now + grant.lease
+        share.grants[grant.number] = HeldGrant(grant.tokens, 0, ends, ends)
+
+
+def _refill_after_expiry(bucket, now):
+    for key, grant in list(bucket._grants.items()):
+        if grant.expires_at <= now:
+            bucket._drop_grant(key)
+    bucket._refill(now)
+
+
+def _settle_without_closing(bucket, host, incarnation, settlements):
+    for settlement in settlements:
+        grant = bucket._grants.get((host, incarnation, settlement.number))
+        if grant and settlement.closed:
+            bucket._available += grant.tokens - settlement.used
+            bucket._outstanding -= grant.tokens - settlement.used
+
+
+def _fill_at_change(bucket, rule, now):
+    if rule != bucket._rule:
+        bucket._rule = rule
+        bucket._available = rule.burst
+
+
+def _always_confirmed(home, now):
+    return home._confirmed_until is not None
+
+
+def _take_any_answer(holder, customer, grant, rule, now):
+    share = holder._shares.setdefault(customer, Share(sent_at=now))
+    share.asking = grant.number
+    TAKE_ANSWER(holder, customer, grant, rule, now)
+
+
+def _hand_over_copy(home, customer, rule, now):
+    bucket = home._find_bucket(customer, rule, now)
+    if bucket is None or not bucket.is_open(now):
+        return BucketState()
+    return BucketState(True, *bucket.hand_over(now))
+
+
+def _open_at_once(home, customer, rule, now):
+    opens_at = home._history.since(customer)
+    return Bucket(rule, lease=LEASE, opens_at=opens_at, now=now)
+
+
+TAKE_ANSWER = ShareHolder.answer
+FIRST, SECOND, THIRD = sorted(
+    HOSTS, key=lambda host: score_host(CUSTOMER, host), reverse=True
+)
+"""Hosts by their rank as home of the customer."""
+UNUSED_GRANT = [("slow", 0.05), ("call", SECOND, 10, 0.04), ("run", 0.15), ("slow", 0)]
+"""A grant that reaches its holder when no caller waits any more."""
+USURP = [("cut", FIRST, 0.5), ("leave", FIRST), ("run", 0.35)]
+"""A home that does not know yet that it has been replaced."""
+MECHANISMS = [
+    (
+        "the lease is counted from when the ask was sent",
+        mock.patch.object(ShareHolder, "_add_grant", staticmethod(_lease_from_receipt)),
+        Rule(40, 10),
+        [("slow", 0.35), ("call", SECOND, 10, 0.02), ("run", 0.9), ("slow", 0)]
+        + [("run", 0.7), ("burst", 10)],
+    ),
+    (
+        "refill leaves room for outstanding tokens",
+        mock.patch.object(Bucket, "outstanding", 0),
+        Rule(40, 10),
+        UNUSED_GRANT + [("run", 0.25), ("burst", 10)],
+    ),
+    (
+        "nothing is refilled for the time before a lease ends",
+        mock.patch.object(Bucket, "_advance", _refill_after_expiry),
+        Rule(5, 10),
+        UNUSED_GRANT
+        + [("run", 0.3), ("call", SECOND, 10), ("restart", SECOND)]
+        + [("run", 0.65), ("burst", 10)],
+    ),
+    (
+        "a grant is settled once",
+        mock.patch.object(Bucket, "_settle", _settle_without_closing),
+        Rule(5, 10),
+        UNUSED_GRANT + [("run", 4.0), ("burst", 10)],
+    ),
+    (
+        "a change of the rule adds no tokens",
+        mock.patch.object(Bucket, "change_rule", _fill_at_change),
+        Rule(5, 10),
+        [("burst", 10), ("run", 0.4), ("rule", 4, 10), ("burst", 10)],
+    ),
+    (
+        "a doubled answer is taken once",
+        mock.patch.object(ShareHolder, "answer", _take_any_answer),
+        Rule(5, 10),
+        [("double",), ("burst", 10), ("burst", 10)],
+    ),
+    (
+        "a new home waits for the old one",
+        mock.patch.object(RateHome, "_create_bucket", _open_at_once),
+        Rule(40, 10),
+        USURP + [("burst", 10)],
+    ),
+    (
+        "a home that is not confirmed grants nothing",
+        mock.patch.object(RateHome, "is_confirmed", _always_confirmed),
+        Rule(40, 10),
+        [("cut", FIRST, 4.0), ("leave", FIRST), ("run", 2.9), ("burst", 10)],
+    ),
+    (
+        "a home notices that it was replaced for a while",
+        mock.patch.object(RateHome, "_restart", lambda home, now: None),
+        Rule(40, 10),
+        [("cut", FIRST, 2.9), ("leave", FIRST), ("run", 2.9), ("cut", SECOND, 0.5)]
+        + [("cut", THIRD, 0.5), ("join", FIRST), ("run", 0.35), ("burst", 10)],
+    ),
+    (
+        "a bucket that was handed over is given up",
+        mock.patch.object(RateHome, "hand_over", _hand_over_copy),
+        Rule(10, 10),
+        [("burst", 1)]
+        + USURP
+        + [("call", SECOND, 1), ("run", 0.05), ("hand_over", SECOND), ("burst", 10)],
+    ),
+]
+"""Mechanism, a variant without it, the rule, and steps that tell them apart."""
+
+
+class WindowTest(unittest.TestCase):
+    def test_each_mechanism_is_needed(self):
+        for name, variant, limit, steps in MECHANISMS:
+            with self.subTest(mechanism=name):
+                fleet = Fleet(0, limit, loss=0)
+                self.assertIsNone(drive(fleet, steps))
+                self.assertGreater(len(fleet.uses), 0)
+                with variant, mock.patch.object(Bucket, "_check", lambda bucket: None):
+                    self.assertIsNotNone(drive(Fleet(0, limit, loss=0), steps))
+
+    def test_calm_fleet_uses_the_whole_rate(self):
+        for rate, burst in ((20, 10), (50, 5), (3, 30)):
+            with self.subTest(rate=rate, burst=burst):
+                fleet = Fleet(1, Rule(rate, burst), loss=0, delay=0.01)
+                fleet.run(2 * CONFIRMATION + LEASE + burst / rate + 0.5)
+                fleet.flood(400)
+                self.assertGreater(len(fleet.uses), 0.95 * (burst + 8 * rate))
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Any order of calls, faults, moves of the home and changes of the rule."""
+
+    @initialize(seed=st.integers(0, 9999))
+    def start(self, seed):
+        self.fleet = Fleet(seed, Rule(40, 10), delay=0.4)
+        self.fleet.run(2 * CONFIRMATION + LEASE + 1.0)
+
+    @rule(calls=st.integers(1, 12))
+    def burst(self, calls):
+        self.fleet.burst(calls)
+
+    @rule(ticks=st.integers(5, 40))
+    def flood(self, ticks):
+        self.fleet.flood(ticks)
+
+    @rule(host=st.sampled_from(HOSTS), calls=st.integers(1, 8))
+    def call(self, host, calls):
+        self.fleet.call(host, calls, 0.1)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.3]))
+    def run(self, seconds):
+        self.fleet.run(seconds)
+
+    @rule(
+        fault=st.sampled_from(["pause", "cut"]),
+        host=st.sampled_from(HOSTS),
+        seconds=st.floats(0.1, 3.0),
+    )
+    def disturb(self, fault, host, seconds):
+        getattr(self.fleet, fault)(host, seconds)
+
+    @rule(
+        event=st.sampled_from(["leave", "join", "hand_over", "restart"]),
+        host=st.sampled_from(HOSTS),
+    )
+    def move(self, event, host):
+        getattr(self.fleet, event)(host)
+
+    @rule(rate=st.sampled_from([4, 40]), burst=st.sampled_from([3, 10]))
+    def change_rule(self, rate, burst):
+        self.fleet.rule(rate, burst)
+
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            self.fleet.run(2.0)
+            assert find_excess(self.fleet.uses, self.fleet.rules) is None
+
+
+FleetMachine.TestCase.settings = settings(
+    max_examples=120,
+    stateful_step_count=30,
+    suppress_health_check=[HealthCheck.too_slow],
+    **EXACT,
+)
+FleetTest = FleetMachine.TestCase
+
+
+class BucketTest(unittest.TestCase):
+    RULE = Rule(10, 5)
+
+    def make(self):
+        return Bucket(self.RULE, lease=LEASE, opens_at=0.0, now=10.0)
+
+    def test_answers_by_number(self):
+        cases = [
+            ("a repeat gets the same answer", [1, 1], [5, 5]),
+            ("an overtaken ask gets nothing", [2, 1], [5, 0]),
+            ("a later ask finds the bucket empty", [1, 2], [5, 0]),
+        ]
+        for name, numbers, expected in cases:
+            with self.subTest(name):
+                bucket = self.make()
+                grants = [
+                    bucket.ask("a", 1, TokenAsk("c", number, wanted=5), 10.0).tokens
+                    for number in numbers
+                ]
+                self.assertEqual(grants, expected)
+                self.assertEqual(bucket.outstanding, 5)
+
+    def test_returned_tokens_are_granted_again(self):
+        bucket = self.make()
+        bucket.ask("a", 1, TokenAsk("c", 1, wanted=5), 10.0)
+        back = [GrantSettlement(1, used=2, closed=True)]
+        bucket.ask("a", 1, TokenAsk("c", 2, settlements=back), 10.0)
+        grant = bucket.ask("b", 1, TokenAsk("c", 1, wanted=5), 10.0)
+        self.assertEqual(grant.tokens, 3)
+
+    def test_keeps_tokens_for_the_holder_that_waits_longer(self):
+        bucket = self.make()
+        bucket.ask("a", 1, TokenAsk("c", 1, wanted=5), 10.0)
+        self.assertEqual(bucket.ask("b", 1, TokenAsk("c", 1, wanted=1), 10.0).tokens, 0)
+        used = [GrantSettlement(1, used=5, closed=True)]
+        late = TokenAsk("c", 2, wanted=1, settlements=used)
+        self.assertEqual(bucket.ask("a", 1, late, 10.0).tokens, 0)
+        self.assertEqual(bucket.ask("a", 1, TokenAsk("c", 3, wanted=1), 10.1).tokens, 0)
+        self.assertEqual(bucket.ask("b", 1, TokenAsk("c", 2, wanted=1), 10.1).tokens, 1)
+
+
+class HolderTest(unittest.TestCase):
+    RULE = Rule(10, 5)
+
+    def test_admits_in_order(self):
+        holder = ShareHolder()
+        waiters = [holder.acquire("c", self.RULE, 0.0, deadline=3.0) for _ in range(3)]
+        (ask,) = holder.poll(lambda _: self.RULE, 0.0)
+        self.assertEqual(ask.wanted, 3)
+        grant = TokenGrant(ask.number, tokens=2, lease=LEASE, retry_after=0.1)
+        holder.answer("c", grant, self.RULE, 0.01)
+        self.assertEqual(holder.take_settled(), waiters[:2])
+        self.assertFalse(waiters[2].settled)
+
+    def test_refuses_at_once_what_cannot_be_served_in_time(self):
+        cases = [(0.15, 3.0, True), (0.35, 3.0, False), (0.35, 0.2, True)]
+        for seconds, longest_queue, refused in cases:
+            with self.subTest(deadline=seconds, longest_queue=longest_queue):
+                holder = ShareHolder(longest_queue=longest_queue)
+                holder.acquire("c", self.RULE, 0.0, deadline=9.0)
+                (ask,) = holder.poll(lambda _: self.RULE, 0.0)
+                grant = TokenGrant(ask.number, retry_after=0.1, queued=1, queues=1)
+                holder.answer("c", grant, self.RULE, 0.0)
+                waiter = holder.acquire("c", self.RULE, 0.0, deadline=seconds)
+                self.assertEqual(waiter.retry_after is not None, refused)
+                if refused:
+                    self.assertAlmostEqual(waiter.retry_after, 0.3)
+
+    def test_refunded_token_serves_the_next_call(self):
+        holder = ShareHolder()
+        holder.acquire("c", self.RULE, 0.0, deadline=9.0)
+        (ask,) = holder.poll(lambda _: self.RULE, 0.0)
+        holder.answer("c", TokenGrant(ask.number, 1, LEASE), self.RULE, 0.0)
+        holder.refund("c", 0.0)
+        self.assertTrue(holder.acquire("c", self.RULE, 0.0, deadline=1.0).admitted)
+        self.assertFalse(holder.acquire("c", self.RULE, 0.0, deadline=1.0).admitted)
+
+    def test_idle_state_is_dropped(self):
+        fleet = Fleet(3, Rule(40, 10), loss=0)
+        drive(fleet, [("burst", 5), ("run", 30.0)])
+        for host in HOSTS:
+            self.assertEqual(fleet.holders[host].customers, [])
+            self.assertEqual(fleet.homes[host].customers, [])
+
+
+class HomeTest(unittest.TestCase):
+    def test_a_leaving_host_moves_only_its_own_keys(self):
+        keys = [f"customer-{number}" for number in range(200)]
+        hosts = [f"host-{number}" for number in range(8)]
+        for leaving in hosts:
+            with self.subTest(leaving=leaving):
+                rest = [host for host in hosts if host != leaving]
+                moved = [k for k in keys if choose_home(k, hosts) == leaving]
+                for key in set(keys) - set(moved):
+                    self.assertEqual(choose_home(key, hosts), choose_home(key, rest))
+                self.assertLess(len(moved), 60)
+
+
+if __name__ == "__main__":
+    unittest.main()
