Add the scheduler: fair shares, order, slots and placement

Engines know no priorities and admit what comes, so the queue has to stand before them. One Scheduler decides for a group of at most 16 upstreams: start time fair queueing among customers in tokens of service, least attained service per root program on quantised levels within a customer, aging by arrival, and the upstream that holds the prefix unless its queue costs more than the prefill saved.

Each affinity (an upstream, or any) has its own index by customer tag, so a decision looks at one head per affinity and never scans programs or customers.

Tried and dropped: forgetting the tag of an idle customer at its last grant. The differential test against the naive scheduler found that a later refund then starts from the virtual time rather than from the tag, which changes the order. Tags are now dropped only when a customer is removed.

--- /dev/null
+++ b/sapphireyard/capacity.py
@@ -0,0 +1,152 @@
+"""Admission slots of one upstream: how many requests and tokens it can take."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+SMOOTHING = 0.1
+"""Weight of the newest duration in the mean."""
+
+
+class UpstreamState(Enum):
+    """Whether an upstream may get requests."""
+
+    UP = "up"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+@dataclass(frozen=True)
+class UpstreamLimits:
+    """What an upstream can carry.
+
+    Parameters
+    ----------
+    name : str
+        Name of the upstream.
+    batch_size : int
+        Requests that may run at once.
+    kv_tokens : int, optional
+        Tokens of KV memory; 0 for plain services.
+    prefill_rate : float, optional
+        Prompt tokens prefilled per second.
+    decode_seconds : float, optional
+        Duration of one decode step.
+    transfer_rate : float, optional
+        Tokens of KV imported per second; 0 when it cannot import.
+    """
+
+    name: str
+    batch_size: int
+    kv_tokens: int = 0
+    prefill_rate: float = 8_000.0
+    decode_seconds: float = 0.02
+    transfer_rate: float = 0.0
+
+    @property
+    def output_cost(self):
+        """float: Prefilled tokens that cost as much as one generated token."""
+        if not self.kv_tokens:
+            return 1.0
+        return max(1.0, self.prefill_rate * self.decode_seconds / self.batch_size)
+
+
+@dataclass
+class UpstreamSlots:
+    """The slots of one upstream, by batch size and KV memory.
+
+    The own count is exact for what this scheduler granted. A load report
+    tells what others sent; it lags, so only what it shows above the own count
+    of the time when it was taken is added.
+    """
+
+    limits: UpstreamLimits
+    state: UpstreamState = UpstreamState.UP
+    running: dict = field(default_factory=dict)
+    reserved: int = 0
+    foreign_running: int = 0
+    foreign_reserved: int = 0
+    bound: int | None = None
+
+    @property
+    def is_up(self):
+        """bool: Whether it may get requests."""
+        return self.state is UpstreamState.UP
+
+    @property
+    def batch_limit(self):
+        """int: Requests that may run at once under the bound in force."""
+        if self.bound is None:
+            return self.limits.batch_size
+        return min(self.bound, self.limits.batch_size)
+
+    @property
+    def fill(self):
+        """float: Share of the slots or memory in use, whichever is greater."""
+        batch = (len(self.running) + self.foreign_running) / self.limits.batch_size
+        if not self.limits.kv_tokens:
+            return batch
+        used = self.reserved + self.foreign_reserved
+        return max(batch, used / self.limits.kv_tokens)
+
+    def has_slot(self):
+        """Return whether one more request may run at all."""
+        if not self.is_up:
+            return False
+        return len(self.running) + self.foreign_running < self.batch_limit
+
+    def fits(self, tokens):
+        """Return whether a request of `tokens` may start now.
+
+        A request larger than the memory may start alone, so that it is
+        answered by the upstream rather than kept for ever.
+        """
+        if not self.has_slot():
+            return False
+        if not self.limits.kv_tokens or not self.running:
+            return True
+        used = self.reserved + self.foreign_reserved
+        return used + tokens <= self.limits.kv_tokens
+
+    def take(self, request_id, tokens):
+        """Take a slot; idempotent by request id."""
+        if request_id in self.running:
+            return
+        self.running[request_id] = tokens
+        self.reserved += tokens
+
+    def give_back(self, request_id):
+        """Give a slot back; False when it was not taken."""
+        tokens = self.running.pop(request_id, None)
+        if tokens is None:
+            return False
+        self.reserved -= tokens
+        return True
+
+    def report(self, running, reserved_tokens, own_running, own_reserved):
+        """Take in a load report.
+
+        Parameters
+        ----------
+        running, reserved_tokens : int
+            Requests and tokens that the upstream reported.
+        own_running, own_reserved : int
+            Own counts when the report was taken.
+        """
+        self.foreign_running = max(0, running - own_running)
+        self.foreign_reserved = max(0, reserved_tokens - own_reserved)
+
+
+class MeanDuration:
+    """Smoothed mean of how long a slot is held, in seconds."""
+
+    def __init__(self, *, seconds=1.0):
+        self._seconds = seconds
+
+    @property
+    def seconds(self):
+        """float: The mean."""
+        return self._seconds
+
+    def add(self, seconds):
+        """Take in one more duration."""
+        self._seconds += SMOOTHING * (seconds - self._seconds)
--- /dev/null
+++ b/sapphireyard/queues.py
@@ -0,0 +1,180 @@
+"""Waiting requests by the upstream they want and by customer."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from sortedcontainers import SortedList
+
+from sapphireyard.order import OrderKey
+from sapphireyard.scheduling import SlotRequest
+
+ANY = ""
+"""Affinity of a request that wants no upstream more than another."""
+
+
+@dataclass
+class WaitingRequest:
+    """A request in the queue.
+
+    Parameters
+    ----------
+    request : SlotRequest
+        What was submitted.
+    customer : str
+        Whose share it draws on.
+    affinity : str
+        Upstream that holds the program's prefix, or `ANY`.
+    key : OrderKey
+        Place among the customer's requests.
+    submitted : float
+        Time of arrival.
+    """
+
+    request: SlotRequest
+    customer: str
+    affinity: str
+    key: OrderKey
+    submitted: float
+
+
+class _CustomerQueue:
+    """The requests of one customer with one affinity."""
+
+    def __init__(self):
+        self._by_key = SortedList()
+        self._by_arrival = OrderedDict()
+
+    def __len__(self):
+        return len(self._by_arrival)
+
+    def add(self, waiting):
+        self._by_key.add((waiting.key, waiting.request.request_id))
+        self._by_arrival[waiting.request.request_id] = waiting
+
+    def remove(self, waiting):
+        self._by_key.remove((waiting.key, waiting.request.request_id))
+        del self._by_arrival[waiting.request.request_id]
+
+    def head(self, aged_before):
+        oldest = next(iter(self._by_arrival.values()))
+        if oldest.submitted <= aged_before:
+            return oldest
+        return self._by_arrival[self._by_key[0][1]]
+
+    def items(self):
+        return list(self._by_arrival.values())
+
+
+class RequestQueues:
+    """All waiting requests of a group of upstreams.
+
+    Finding the next request for an upstream looks at one head for each
+    affinity: the first request of the customer with the least tag.
+    """
+
+    def __init__(self):
+        self._queues = {}
+        self._tags = {}
+        self._by_tag = SortedList()
+        self._index = {}
+        self._affinities = {}
+        self._lengths = {}
+
+    @property
+    def least_tag(self):
+        """float: Least tag of a customer with a request here."""
+        return self._by_tag[0][0]
+
+    def length(self, affinity):
+        """Return how many requests have this affinity."""
+        return self._lengths.get(affinity, 0)
+
+    def affinities(self):
+        """Return the affinities that have requests."""
+        return self._index.keys()
+
+    def has_customer(self, customer):
+        """Return whether a customer has a request here."""
+        return customer in self._affinities
+
+    def add(self, waiting, tag):
+        """Add a request of a customer whose tag is `tag`."""
+        if waiting.customer not in self._tags:
+            self._tags[waiting.customer] = tag
+            self._by_tag.add((tag, waiting.customer))
+        name = (waiting.affinity, waiting.customer)
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = self._queues[name] = _CustomerQueue()
+            index = self._index.setdefault(waiting.affinity, SortedList())
+            index.add((tag, waiting.customer))
+            self._affinities.setdefault(waiting.customer, set()).add(waiting.affinity)
+        queue.add(waiting)
+        self._lengths[waiting.affinity] = self.length(waiting.affinity) + 1
+
+    def remove(self, waiting):
+        """Remove a request that is here."""
+        name = (waiting.affinity, waiting.customer)
+        queue = self._queues[name]
+        queue.remove(waiting)
+        self._lengths[waiting.affinity] -= 1
+        if queue:
+            return
+        del self._queues[name]
+        self._drop_from_index(waiting.affinity, waiting.customer)
+
+    def retag(self, customer, tag):
+        """Set the tag of a customer."""
+        old = self._tags.get(customer)
+        if old is None or old == tag:
+            return
+        self._tags[customer] = tag
+        self._by_tag.remove((old, customer))
+        self._by_tag.add((tag, customer))
+        for affinity in self._affinities[customer]:
+            self._index[affinity].remove((old, customer))
+            self._index[affinity].add((tag, customer))
+
+    def tag(self, customer):
+        """Return the tag of a customer with a request here."""
+        return self._tags[customer]
+
+    def head(self, affinity, aged_before):
+        """Return the next request with this affinity, or None.
+
+        Parameters
+        ----------
+        affinity : str
+            Upstream or `ANY`.
+        aged_before : float
+            Requests submitted up to this time go before all others of their
+            customer, in the order of their arrival.
+        """
+        index = self._index.get(affinity)
+        if not index:
+            return None
+        return self._queues[(affinity, index[0][1])].head(aged_before)
+
+    def rebind(self, waiting, affinity):
+        """Change the affinity of a request that is here."""
+        tag = self._tags[waiting.customer]
+        self.remove(waiting)
+        waiting.affinity = affinity
+        self.add(waiting, tag)
+
+    def with_affinity(self, affinity):
+        """Return all requests with this affinity."""
+        customers = [customer for _, customer in self._index.get(affinity, ())]
+        queues = [self._queues[(affinity, customer)] for customer in customers]
+        return [waiting for queue in queues for waiting in queue.items()]
+
+    def _drop_from_index(self, affinity, customer):
+        index = self._index[affinity]
+        index.remove((self._tags[customer], customer))
+        if not index:
+            del self._index[affinity]
+        affinities = self._affinities[customer]
+        affinities.discard(affinity)
+        if not affinities:
+            del self._affinities[customer]
+            self._by_tag.remove((self._tags.pop(customer), customer))
--- /dev/null
+++ b/sapphireyard/scheduler.py
@@ -0,0 +1,360 @@
+"""Decides which waiting request gets the next slot of which upstream."""
+
+import heapq
+
+from sapphireyard.capacity import MeanDuration, UpstreamSlots, UpstreamState
+from sapphireyard.fairness import FairShares
+from sapphireyard.order import ProgramOrder
+from sapphireyard.placement import Placement
+from sapphireyard.queues import ANY, RequestQueues, WaitingRequest
+from sapphireyard.scheduling import (
+    REASON_MOVED,
+    Grant,
+    Refuse,
+    Release,
+    SchedulerOptions,
+)
+from sapphireyard.selection import Selection
+
+ALL_CUSTOMERS = "*"
+"""Stands for every customer when shares are not fair."""
+
+MAX_GROUP = 16
+"""Most upstreams that one scheduler serves."""
+
+
+class _Running:
+    """A request that holds a slot."""
+
+    __slots__ = ("request", "upstream", "cost", "started")
+
+    def __init__(self, request, upstream, cost, started):
+        self.request = request
+        self.upstream = upstream
+        self.cost = cost
+        self.started = started
+
+
+class Scheduler:
+    """Slots, order and placement for one group of upstreams.
+
+    Every method takes `now` in seconds and returns a list of actions. Each
+    submitted request ends in exactly one of `Grant`, `Refuse` or a cancel.
+
+    Parameters
+    ----------
+    upstreams : sequence of UpstreamLimits
+        The group, at most `MAX_GROUP`.
+    options : SchedulerOptions, optional
+        Switches and weights.
+    """
+
+    def __init__(self, upstreams, *, options=None):
+        self._options = options or SchedulerOptions()
+        self._shares = FairShares()
+        self._order = ProgramOrder(first_level=self._options.first_level)
+        self._placement = Placement()
+        self._queues = RequestQueues()
+        self._slots = {}
+        self._waiting = {}
+        self._running = {}
+        self._held = {}
+        self._deadlines = []
+        self._backlog = {}
+        self._backlog_weight = 0.0
+        self._output_cost = 1.0
+        self._duration = MeanDuration()
+        self._selection = Selection(
+            self._slots, self._queues, self._placement, self._duration, self._options
+        )
+        for limits in upstreams:
+            self.add_upstream(limits)
+
+    @property
+    def waiting(self):
+        """int: Requests in the queue."""
+        return len(self._waiting)
+
+    @property
+    def running(self):
+        """int: Requests that hold a slot."""
+        return len(self._running)
+
+    def running_on(self, name):
+        """Return how many requests hold a slot of an upstream."""
+        return len(self._slots[name].running)
+
+    def held_by(self, holder):
+        """Return the ids of the requests that hold a slot for a host."""
+        return frozenset(self._held.get(holder, ()))
+
+    def set_weight(self, customer, weight):
+        """Set the weight of a customer."""
+        if customer in self._backlog:
+            self._backlog_weight += weight - self._shares.weight(customer)
+        self._shares.set_weight(customer, weight)
+
+    def add_upstream(self, limits):
+        """Take an upstream into the group, or change its limits."""
+        if limits.name in self._slots:
+            self._slots[limits.name].limits = limits
+            return
+        if len(self._slots) >= MAX_GROUP:
+            raise ValueError(f"a group has at most {MAX_GROUP} upstreams")
+        self._slots[limits.name] = UpstreamSlots(limits)
+        self._placement.add(limits)
+        self._output_cost = limits.output_cost
+
+    def submit(self, request, now):
+        """Queue a request.
+
+        Raises
+        ------
+        ValueError
+            If the request id is waiting or running already.
+        """
+        if request.request_id in self._waiting or request.request_id in self._running:
+            raise ValueError(f"request {request.request_id} is here already")
+        wait = self.expected_wait(request.customer)
+        if self._options.refuse and 0 < request.deadline < wait:
+            return [Refuse(request, wait - request.deadline)]
+        self._enqueue(request, now)
+        return self._decide(now)
+
+    def cancel(self, request_id, now):
+        """Withdraw a request that waits, or give its slot back."""
+        waiting = self._waiting.get(request_id)
+        if waiting is None:
+            return self.finish(request_id, 0, None, now)
+        self._dequeue(waiting)
+        return self._decide(now)
+
+    def finish(self, request_id, output_tokens, cached_tokens, now):
+        """Give back the slot of a request that ended.
+
+        Parameters
+        ----------
+        request_id : str
+            A request with a grant; others are ignored.
+        output_tokens : int
+            Tokens generated; 0 when the request failed.
+        cached_tokens : int or None
+            Prefix tokens that the upstream found, if it told.
+        now : float
+            Seconds.
+        """
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return self._decide(now)
+        request = running.request
+        self._forget_holder(request)
+        slots = self._slots.get(running.upstream)
+        if slots:
+            slots.give_back(request_id)
+        self._settle(running, output_tokens, cached_tokens, now)
+        if slots and output_tokens and slots.limits.kv_tokens:
+            tokens = request.prefix_tokens + request.new_tokens + output_tokens
+            record = self._placement.record(running.upstream)
+            record.keep(request.program, tokens, now, reserved=slots.reserved)
+        return self._decide(now)
+
+    def adopt(self, request, upstream, now):
+        """Count a slot that another scheduler granted earlier."""
+        if request.request_id in self._running or upstream not in self._slots:
+            return
+        waiting = self._waiting.get(request.request_id)
+        if waiting:
+            self._dequeue(waiting)
+        self._start(request, upstream, self._cost(request, 0), now)
+
+    def release_holder(self, holder, now):
+        """Drop the requests of a host that died and give back its slots."""
+        waiting = [w for w in self._waiting.values() if w.request.holder == holder]
+        for entry in waiting:
+            self._dequeue(entry)
+        actions = []
+        for request_id in sorted(self._held.get(holder, ())):
+            actions += self.finish(request_id, 0, None, now)
+        return actions
+
+    def end_program(self, program, now):
+        """Forget a program; its memory is to be released."""
+        self._order.end(program)
+        names = self._placement.end(program)
+        return [Release(name, program) for name in names] + self._decide(now)
+
+    def set_state(self, name, state, now):
+        """Mark an upstream up, leaving or down."""
+        slots = self._slots[name]
+        slots.state = state
+        if state is UpstreamState.DOWN:
+            self._placement.record(name).clear()
+        if state is not UpstreamState.UP:
+            self._unbind(name)
+        return self._decide(now)
+
+    def set_bound(self, bound, now):
+        """Bound the slots of each upstream below its batch; None lifts it."""
+        for slots in self._slots.values():
+            slots.bound = bound
+        return self._decide(now)
+
+    def report_load(self, name, running, reserved, own_running, own_reserved, now):
+        """Take in a load report; the own counts are those of its time."""
+        self._slots[name].report(running, reserved, own_running, own_reserved)
+        return self._decide(now)
+
+    def cache_event(self, name, program, tokens, observed_at):
+        """Take in a cache event: `name` holds `tokens` of a program."""
+        self._placement.record(name).correct(program, tokens, observed_at)
+
+    def tick(self, now):
+        """Refuse requests whose deadline passed."""
+        actions = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, request_id = heapq.heappop(self._deadlines)
+            waiting = self._waiting.get(request_id)
+            if waiting is None:
+                continue
+            if waiting.submitted + waiting.request.deadline > deadline:
+                continue
+            self._dequeue(waiting)
+            wait = self.expected_wait(waiting.customer)
+            actions.append(Refuse(waiting.request, max(wait, self._duration.seconds)))
+        return actions + self._decide(now)
+
+    def next_tick(self):
+        """Return when `tick` has something to do, or None."""
+        while self._deadlines and self._deadlines[0][1] not in self._waiting:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def expected_wait(self, customer):
+        """Return the seconds that a new request of a customer will wait."""
+        name = self._share_name(customer)
+        ahead = self._backlog.get(name, 0)
+        if not ahead:
+            return 0.0
+        slots = [s for s in self._slots.values() if s.state is UpstreamState.UP]
+        room = sum(s.batch_limit for s in slots)
+        if not room:
+            return float("inf")
+        share = self._shares.weight(name) / self._backlog_weight
+        return ahead * self._duration.seconds / room / share
+
+    def _share_name(self, customer):
+        return customer if self._options.fair else ALL_CUSTOMERS
+
+    def _cost(self, request, cached):
+        prompt = request.prefix_tokens + request.new_tokens - cached
+        return prompt + request.output_tokens * self._output_cost
+
+    def _enqueue(self, request, now):
+        customer = self._share_name(request.customer)
+        if not self._queues.has_customer(customer):
+            self._shares.activate(customer)
+            self._backlog_weight += self._shares.weight(customer)
+        waiting = WaitingRequest(
+            request=request,
+            customer=customer,
+            affinity=self._selection.affinity(request),
+            key=self._order.key(request.root, now),
+            submitted=now,
+        )
+        self._waiting[request.request_id] = waiting
+        self._backlog[customer] = self._backlog.get(customer, 0) + 1
+        self._queues.add(waiting, self._shares.tag(customer))
+        if request.deadline > 0:
+            deadline = now + request.deadline
+            heapq.heappush(self._deadlines, (deadline, request.request_id))
+
+    def _dequeue(self, waiting):
+        del self._waiting[waiting.request.request_id]
+        self._queues.remove(waiting)
+        self._backlog[waiting.customer] -= 1
+        if self._queues.has_customer(waiting.customer):
+            return
+        del self._backlog[waiting.customer]
+        self._backlog_weight -= self._shares.weight(waiting.customer)
+
+    def _decide(self, now):
+        actions = []
+        while self._waiting:
+            choice = self._selection.next(now)
+            if choice is None:
+                break
+            actions += self._grant(choice, now)
+        return actions
+
+    def _grant(self, choice, now):
+        request = choice.waiting.request
+        tag = self._queues.least_tag
+        self._shares.advance(tag)
+        self._dequeue(choice.waiting)
+        cached = self._placement.cached(choice.upstream, request)
+        held = cached + choice.move.import_tokens
+        self._start(request, choice.upstream, self._cost(request, held), now)
+        actions = [
+            Grant(
+                request=request,
+                upstream=choice.upstream,
+                reason=choice.reason,
+                among=tuple(n for n, s in self._slots.items() if s.is_up),
+                cached_tokens=cached,
+                import_from=(
+                    choice.waiting.affinity if choice.move.import_tokens else ""
+                ),
+                import_tokens=choice.move.import_tokens,
+                waited=now - choice.waiting.submitted,
+            )
+        ]
+        if choice.reason == REASON_MOVED:
+            actions += self._leave(choice.waiting)
+        return actions
+
+    def _leave(self, waiting):
+        """Free the prefix that a moved program leaves behind."""
+        program = waiting.request.program
+        if waiting.affinity not in self._slots:
+            return []
+        if not self._placement.record(waiting.affinity).drop(program):
+            return []
+        return [Release(waiting.affinity, program)]
+
+    def _start(self, request, upstream, cost, now):
+        slots = self._slots[upstream]
+        slots.take(request.request_id, request.total_tokens)
+        record = self._placement.record(upstream)
+        record.drop(request.program)
+        record.trim(slots.reserved)
+        self._running[request.request_id] = _Running(request, upstream, cost, now)
+        self._held.setdefault(request.holder, set()).add(request.request_id)
+        self._account(request, cost, now)
+
+    def _account(self, request, cost, now):
+        """Add service, or take it back, in the shares and the order."""
+        customer = self._share_name(request.customer)
+        tag = self._shares.charge(customer, cost)
+        self._queues.retag(customer, tag)
+        self._order.serve(request.root, cost, now)
+
+    def _settle(self, running, output_tokens, cached_tokens, now):
+        """Replace the expected cost of an ended request by the true one."""
+        request = running.request
+        self._duration.add(now - running.started)
+        prompt = running.cost - request.output_tokens * self._output_cost
+        if cached_tokens is not None:
+            prompt = request.prefix_tokens + request.new_tokens - cached_tokens
+        cost = prompt + output_tokens * self._output_cost
+        self._account(request, cost - running.cost, now)
+
+    def _forget_holder(self, request):
+        held = self._held[request.holder]
+        held.discard(request.request_id)
+        if not held:
+            del self._held[request.holder]
+
+    def _unbind(self, name):
+        """Let requests that wanted an upstream go to any."""
+        for waiting in self._queues.with_affinity(name):
+            self._queues.rebind(waiting, ANY)
--- /dev/null
+++ b/sapphireyard/scheduling.py
@@ -0,0 +1,138 @@
+"""Requests for slots, the actions of a scheduler, and its options."""
+
+from dataclasses import dataclass
+
+REASON_CACHED = "cached"
+REASON_LEAST_LOADED = "least_loaded"
+REASON_MOVED = "moved"
+REASON_IMPORTED = "imported"
+
+
+@dataclass(frozen=True)
+class SlotRequest:
+    """A wish to send one request to some upstream of a pool.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique in the fleet.
+    program, root : str
+        Program and the root that it is a sub-agent of; the same for a root.
+    customer, pool : str
+        Whose request it is, and for which pool.
+    prefix_tokens : int, optional
+        History of the program, which an upstream may hold already.
+    new_tokens : int, optional
+        Prompt tokens that are new.
+    output_tokens : int, optional
+        Tokens expected to be generated.
+    deadline : float, optional
+        Seconds within which the slot is useful; 0 for no bound.
+    holder : str, optional
+        Host that asks.
+    excluded : tuple of str, optional
+        Upstreams that must not be chosen.
+    """
+
+    request_id: str
+    program: str
+    root: str
+    customer: str
+    pool: str
+    prefix_tokens: int = 0
+    new_tokens: int = 0
+    output_tokens: int = 1
+    deadline: float = 0.0
+    holder: str = ""
+    excluded: tuple[str, ...] = ()
+
+    @property
+    def total_tokens(self):
+        """int: KV memory that the request needs in the end."""
+        return self.prefix_tokens + self.new_tokens + self.output_tokens
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A request may be sent to `upstream`.
+
+    Parameters
+    ----------
+    request : SlotRequest
+        The request.
+    upstream : str
+        Chosen upstream.
+    reason : str
+        Why: one of the ``REASON_`` constants.
+    among : tuple of str
+        Upstreams that were up.
+    cached_tokens : int
+        Prefix expected to be there.
+    import_from : str
+        Upstream to import the prefix from; empty for none.
+    import_tokens : int
+        Tokens to import.
+    waited : float
+        Seconds in the queue.
+    """
+
+    request: SlotRequest
+    upstream: str
+    reason: str
+    among: tuple[str, ...]
+    cached_tokens: int = 0
+    import_from: str = ""
+    import_tokens: int = 0
+    waited: float = 0.0
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """A request is refused, and was not run; a repeat may do later."""
+
+    request: SlotRequest
+    retry_after: float
+
+
+@dataclass(frozen=True)
+class Release:
+    """`upstream` may free the memory of an ended program."""
+
+    upstream: str
+    program: str
+
+
+@dataclass(frozen=True)
+class SchedulerOptions:
+    """Switches and weights of a scheduler.
+
+    Parameters
+    ----------
+    fair : bool, optional
+        Whether customers get fair shares; else all count as one.
+    first_level : float, optional
+        Bound of the first level of least attained service, in tokens; 0 to
+        go by the start of the program alone.
+    cache_affinity : bool, optional
+        Whether requests prefer the upstream that holds their prefix.
+    resident_levels : int, optional
+        Levels by which a request whose prefix is held goes before others.
+    aging_seconds : float, optional
+        Wait after which requests of a customer go by arrival.
+    share_quantum : float, optional
+        Tokens of service within which customers count as equally served.
+    hold_fill : float, optional
+        Share of the batch in use above which new programs wait rather than
+        push out prefixes; above 1 they never wait for that.
+    refuse : bool, optional
+        Whether requests that cannot make their deadline are refused at once.
+    """
+
+    fair: bool = True
+    first_level: float = 4_000.0
+    cache_affinity: bool = True
+    resident_levels: int = 1
+    aging_seconds: float = 30.0
+    share_quantum: float = 0.0
+    hold_fill: float = 2.0
+    refuse: bool = True
--- /dev/null
+++ b/sapphireyard/selection.py
@@ -0,0 +1,157 @@
+"""Chooses the next request and its upstream among the heads of the queues."""
+
+from dataclasses import dataclass
+from math import floor
+
+from sapphireyard.placement import Move
+from sapphireyard.queues import ANY, WaitingRequest
+from sapphireyard.scheduling import (
+    REASON_CACHED,
+    REASON_IMPORTED,
+    REASON_LEAST_LOADED,
+    REASON_MOVED,
+)
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The next request, the upstream for it and what moving it there costs."""
+
+    waiting: WaitingRequest
+    upstream: str
+    reason: str
+    move: Move
+
+
+class Selection:
+    """The rule by which a free slot finds its request.
+
+    For each upstream with a free slot, the least loaded first, these heads
+    are candidates: of the requests whose prefix is there, of those without a
+    prefix, and of those whose holder is full and for which a move pays. The
+    one whose customer has had the least service goes first, then aged ones,
+    then by the order of programs.
+
+    Parameters
+    ----------
+    slots : dict of str to UpstreamSlots
+        The group.
+    queues : RequestQueues
+        Waiting requests.
+    placement : Placement
+        What the upstreams hold.
+    duration : MeanDuration
+        How long a slot is held.
+    options : SchedulerOptions
+        Switches and weights.
+    """
+
+    def __init__(self, slots, queues, placement, duration, options):
+        self._slots = slots
+        self._queues = queues
+        self._placement = placement
+        self._duration = duration
+        self._options = options
+
+    def affinity(self, request):
+        """Return the upstream that should serve a request, or `ANY`."""
+        if not self._options.cache_affinity:
+            return ANY
+        names = [
+            name
+            for name, slots in self._slots.items()
+            if slots.is_up and slots.limits.kv_tokens and name not in request.excluded
+        ]
+        return self._placement.holder(request.program, names) or ANY
+
+    def next(self, now):
+        """Return the next `Choice`, or None when nothing can start."""
+        free = [slots for slots in self._slots.values() if slots.has_slot()]
+        for slots in sorted(free, key=lambda s: (s.fill, s.limits.name)):
+            choice = self._best(slots, now)
+            if choice:
+                return choice
+        return None
+
+    def _best(self, slots, now):
+        aged_before = now - self._options.aging_seconds
+        best = None
+        for affinity in self._sources(slots.limits.name):
+            waiting = self._queues.head(affinity, aged_before)
+            if waiting is None or not self._may_use(waiting, slots):
+                continue
+            aged = waiting.submitted <= aged_before
+            move = self._price(waiting, slots)
+            if move is None or not self._may_start(waiting, slots, aged):
+                continue
+            rank = self._rank(waiting, aged, move)
+            if best is None or rank < best[0]:
+                best = (rank, waiting, move)
+        if best is None:
+            return None
+        _, waiting, move = best
+        if not slots.fits(waiting.request.total_tokens):
+            self._queues.rebind(waiting, slots.limits.name)
+            return None
+        reason = self._reason(waiting, slots, move)
+        return Choice(waiting, slots.limits.name, reason, move)
+
+    def _sources(self, name):
+        return [name, ANY] + [a for a in self._queues.affinities() if a and a != name]
+
+    def _may_use(self, waiting, slots):
+        excluded = waiting.request.excluded
+        if slots.limits.name not in excluded:
+            return True
+        up = (s.limits.name for s in self._slots.values() if s.is_up)
+        return all(name in excluded for name in up)
+
+    def _may_start(self, waiting, slots, aged):
+        if aged and waiting.affinity in (slots.limits.name, ANY):
+            return True
+        if not slots.fits(waiting.request.total_tokens):
+            return False
+        return waiting.affinity != ANY or not self._is_pressed(waiting, slots)
+
+    def _is_pressed(self, waiting, slots):
+        """Return whether a new program would push out prefixes of others."""
+        kv_tokens = slots.limits.kv_tokens
+        if not kv_tokens:
+            return False
+        if slots.fill < self._options.hold_fill:
+            return False
+        held = self._placement.record(slots.limits.name).total
+        return held + slots.reserved + waiting.request.total_tokens > kv_tokens
+
+    def _price(self, waiting, slots):
+        """Return the `Move` of a request to an upstream; None if it must wait."""
+        if waiting.affinity in (slots.limits.name, ANY):
+            return Move(0.0)
+        holder = self._slots.get(waiting.affinity)
+        if holder is None:
+            return Move(0.0)
+        if holder.fits(waiting.request.total_tokens):
+            return None
+        move = self._placement.move(waiting.request, slots.limits, holder.limits.name)
+        queued = self._queues.length(waiting.affinity)
+        saved = queued * self._duration.seconds / holder.limits.batch_size
+        spent = move.seconds * (1 + len(slots.running))
+        return move if saved > spent else None
+
+    def _rank(self, waiting, aged, move):
+        quantum = self._options.share_quantum
+        tag = self._queues.tag(waiting.customer)
+        share = floor(tag / quantum) if quantum else tag
+        if aged:
+            return (share, 0, waiting.submitted, 0.0, waiting.key.number)
+        level = waiting.key.level
+        if waiting.affinity != ANY and not move.seconds:
+            level -= self._options.resident_levels
+        return (share, 1, level, waiting.key.root_start, waiting.key.number)
+
+    def _reason(self, waiting, slots, move):
+        if waiting.affinity == slots.limits.name:
+            return REASON_CACHED
+        if waiting.affinity == ANY:
+            return REASON_LEAST_LOADED
+        return REASON_IMPORTED if move.import_tokens else REASON_MOVED
--- /dev/null
+++ b/tests/naive_scheduler.py
@@ -0,0 +1,176 @@
+"""A slow scheduler that states the rule plainly: scan all, take the least."""
+
+from math import floor
+
+from sapphireyard.placement import Placement
+
+
+class NaiveScheduler:
+    """Same rule as `Scheduler` for requests without deadlines, by scanning."""
+
+    def __init__(self, upstreams, options):
+        self.limits = {limits.name: limits for limits in upstreams}
+        self.options = options
+        self.placement = Placement()
+        for limits in upstreams:
+            self.placement.add(limits)
+        self.state = dict.fromkeys(self.limits, "up")
+        self.waiting = []
+        self.running = {}
+        self.tags = {}
+        self.virtual = 0.0
+        self.roots = {}
+        self.number = 0
+        self.mean = 1.0
+        self.output_cost = upstreams[-1].output_cost
+
+    def submit(self, request, now):
+        customer = request.customer
+        if not any(w["customer"] == customer for w in self.waiting):
+            self.tags[customer] = max(self.tags.get(customer, 0.0), self.virtual)
+        self.number += 1
+        root = self.roots.setdefault(request.root, [now, 0.0])
+        names = [n for n in self.limits if self.state[n] == "up"]
+        holder = ""
+        if self.options.cache_affinity:
+            holder = self.placement.holder(request.program, names) or ""
+        level, bound = 0, self.options.first_level
+        while 0 < bound <= root[1]:
+            level, bound = level + 1, bound * 4
+        key = (level, root[0], self.number)
+        self.waiting.append(
+            dict(request=request, customer=customer, at=holder, key=key, submitted=now)
+        )
+        return self.decide(now)
+
+    def cancel(self, request_id, now):
+        for waiting in self.waiting:
+            if waiting["request"].request_id == request_id:
+                self.waiting.remove(waiting)
+                return self.decide(now)
+        return self.finish(request_id, 0, now)
+
+    def finish(self, request_id, output, now):
+        if request_id in self.running:
+            request, name, cost, started = self.running.pop(request_id)
+            self.mean += 0.1 * (now - started - self.mean)
+            true = cost + (output - request.output_tokens) * self.output_cost
+            self.account(request, true - cost, now)
+            if output:
+                tokens = request.prefix_tokens + request.new_tokens + output
+                record = self.placement.record(name)
+                record.keep(request.program, tokens, now, reserved=self.reserved(name))
+        return self.decide(now)
+
+    def set_state(self, name, state, now):
+        self.state[name] = state
+        if state == "down":
+            self.placement.record(name).clear()
+        if state != "up":
+            for waiting in self.waiting:
+                if waiting["at"] == name:
+                    waiting["at"] = ""
+        return self.decide(now)
+
+    def account(self, request, cost, now):
+        self.tags[request.customer] += cost
+        root = self.roots.setdefault(request.root, [now, 0.0])
+        root[1] = max(0.0, root[1] + cost)
+
+    def on(self, name):
+        return [r for r, at, _, _ in self.running.values() if at == name]
+
+    def reserved(self, name):
+        return sum(r.total_tokens for r in self.on(name))
+
+    def has_slot(self, name):
+        room = len(self.on(name)) < self.limits[name].batch_size
+        return room and self.state[name] == "up"
+
+    def fits(self, name, request):
+        if not self.has_slot(name) or not self.on(name):
+            return self.has_slot(name)
+        total = self.reserved(name) + request.total_tokens
+        return total <= self.limits[name].kv_tokens
+
+    def fill(self, name):
+        limits = self.limits[name]
+        batch = len(self.on(name)) / limits.batch_size
+        return max(batch, self.reserved(name) / limits.kv_tokens)
+
+    def decide(self, now):
+        grants = []
+        while self.waiting:
+            names = [n for n in self.limits if self.has_slot(n)]
+            for name in sorted(names, key=lambda n: (self.fill(n), n)):
+                choice = self.best(name, now)
+                if choice:
+                    grants.append(self.grant(name, *choice, now))
+                    break
+            else:
+                return grants
+        return grants
+
+    def head(self, at, now):
+        mine = [w for w in self.waiting if w["at"] == at]
+        if not mine:
+            return None, False
+        customer = min((self.tags[w["customer"]], w["customer"]) for w in mine)[1]
+        mine = [w for w in mine if w["customer"] == customer]
+        oldest = min(mine, key=lambda w: (w["submitted"], w["key"][2]))
+        if oldest["submitted"] <= now - self.options.aging_seconds:
+            return oldest, True
+        return min(mine, key=lambda w: w["key"]), False
+
+    def best(self, name, now):
+        ranked = []
+        for at in {name, ""} | {w["at"] for w in self.waiting}:
+            waiting, aged = self.head(at, now)
+            if waiting is None:
+                continue
+            request, seconds = waiting["request"], 0.0
+            if at not in (name, ""):
+                if self.fits(at, request):
+                    continue
+                seconds = self.placement.move(request, self.limits[name], at).seconds
+                queued = sum(w["at"] == at for w in self.waiting)
+                saved = queued * self.mean / self.limits[at].batch_size
+                if saved <= seconds * (1 + len(self.on(name))):
+                    continue
+            if not (aged and at in (name, "")) and not self.fits(name, request):
+                continue
+            share = self.tags[waiting["customer"]]
+            if self.options.share_quantum:
+                share = floor(share / self.options.share_quantum)
+            level, start, number = waiting["key"]
+            if at and not seconds:
+                level -= self.options.resident_levels
+            rank = (share, 1, level, start, number)
+            if aged:
+                rank = (share, 0, waiting["submitted"], 0.0, number)
+            ranked.append((rank, waiting, seconds))
+        if not ranked:
+            return None
+        _, waiting, seconds = min(ranked, key=lambda entry: entry[0])
+        if not self.fits(name, waiting["request"]):
+            waiting["at"] = name
+            return None
+        return waiting, seconds
+
+    def grant(self, name, waiting, seconds, now):
+        self.virtual = max(
+            self.virtual, min(self.tags[w["customer"]] for w in self.waiting)
+        )
+        request = waiting["request"]
+        self.waiting.remove(waiting)
+        cached = self.placement.cached(name, request)
+        cost = request.prefix_tokens + request.new_tokens - cached
+        cost += request.output_tokens * self.output_cost
+        self.running[request.request_id] = (request, name, cost, now)
+        record = self.placement.record(name)
+        record.drop(request.program)
+        record.trim(self.reserved(name))
+        self.account(request, cost, now)
+        if waiting["at"] not in (name, ""):
+            self.placement.record(waiting["at"]).drop(request.program)
+        return request.request_id, name
