--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -65,6 +65,16 @@
     code = "store_unavailable"
 
 
+class CommitInDoubt(StoreUnavailable):
+    """A commit failed for want of the store, but may yet become durable.
+
+    The caller takes the records back with a later record, for example
+    `CallAbandoned` after `CallReserved`.
+    """
+
+    code = "commit_in_doubt"
+
+
 class StoreGone(StoreError):
     """The watch position is no longer kept; list again."""
 
@@ -77,6 +87,12 @@
     code = "journal_sealed"
 
 
+class RecordError(YardError):
+    """A journal segment or a record in it cannot be read."""
+
+    code = "record_invalid"
+
+
 class PeerError(YardError):
     """Base of the errors between the system's own processes."""
 
@@ -134,6 +150,20 @@
         return STATUSES[self.code]
 
 
+class NotOwner(CallError):
+    """The host that was asked does not own the program; ask its owner.
+
+    Parameters
+    ----------
+    owner : str
+        Name of the owner as far as known.
+    """
+
+    def __init__(self, owner):
+        super().__init__("not_owner", f"the owner is {owner}", retry_after=0.0)
+        self.owner = owner
+
+
 STATUSES = {
     "invalid_request": 400,
     "key_unknown": 401,
@@ -155,6 +185,7 @@
     "history_unavailable": 503,
     "store_unavailable": 503,
     "draining": 503,
+    "not_owner": 503,
     "configuration_stale": 503,
     "deadline_exceeded": 504,
 }
