--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -69,10 +69,9 @@
             await self.add_runtime_dependency(service)
         yard.configuration.on_change(self._end_withdrawn)
 
-    def _end_withdrawn(self, *_):
-        is_withdrawn = self._yard.configuration.is_withdrawn
-        self._yard.gateway.end_requests_of_keys(is_withdrawn)
-        self._yard.dispatcher.end_runs_of_keys(is_withdrawn)
+    def _end_withdrawn(self, configuration):
+        self._yard.gateway.end_requests_of_keys(configuration.is_withdrawn)
+        self._yard.dispatcher.end_runs_of_keys(configuration.is_withdrawn)
 
     async def drain(self):
         """Stop as planned: hand over, forward, finish what runs."""
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -53,6 +53,9 @@
 """Most times a call follows a moved program without a pause."""
 
 SHUTDOWN_SECONDS = 1.0
+CLIENT_CLOSED_STATUS = 499
+"""Status of an answer that nobody is there to read."""
+
 PUBLIC_CUSTOMER = "public"
 """Customer of requests without a key on routes open to all."""
 
@@ -162,6 +165,9 @@
                 "key_withdrawn", "the key was withdrawn", executed=EXECUTED_UNKNOWN
             )
             return build_problem_response(withdrawn)
+        except ConnectionError:
+            logger.info("the caller went away: %s %s", request.method, request.path)
+            return web.Response(status=CLIENT_CLOSED_STATUS)
         except YardError as error:
             logger.warning("request failed: %s", error)
             return build_problem_response(
@@ -247,6 +253,8 @@
         if scheme.lower() != "bearer" or not key.strip():
             raise CallError("key_unknown", "a bearer key is needed")
         principal = self._yard.configuration.authenticate(key.strip())
+        if principal.operator:
+            raise CallError("not_allowed", "an operator's key serves no calls")
         self._requests[asyncio.current_task()] = principal.key_digest
         return principal
 
