Add slot leases between holders and the home of a group

One home host per group of at most 16 upstreams gives out its slots, so order and shares are decided in one place. A holder renews all its slots of a group with one heartbeat a second that lists their ids only; the home asks for the details of those it has not heard of, which is how a new home rebuilds its counts. For its first 2.5 s it grants a quarter of each batch. A slot left out of two heartbeats, or of a holder silent for 5 s, is taken back. With no home for 2 s a host guesses within batch / hosts per upstream.

Found by the tests and mended: a holder that had waited in the queue for longer than the lease had sent no heartbeat, and lost its slot at the next look; a grant now counts as a sign of life. Requests of a dead holder were dropped without an end; they are refused now.

--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -164,6 +164,22 @@
         self.owner = owner
 
 
+class NotHome(CallError):
+    """The host that was asked is not the home of the group of upstreams.
+
+    Parameters
+    ----------
+    home : str or None
+        Name of the home as far as known.
+    """
+
+    CODE = "not_home"
+
+    def __init__(self, home):
+        super().__init__(self.CODE, f"the home is {home}", retry_after=0.0)
+        self.home = home
+
+
 STATUSES = {
     "invalid_request": 400,
     "key_unknown": 401,
@@ -186,6 +202,7 @@
     "store_unavailable": 503,
     "draining": 503,
     "not_owner": 503,
+    "not_home": 503,
     "configuration_stale": 503,
     "deadline_exceeded": 504,
 }
--- /dev/null
+++ b/sapphireyard/home_registry.py
@@ -0,0 +1,186 @@
+"""The groups of upstreams whose home is this host, and their handlers."""
+
+import logging
+
+from sapphireyard.completions import digest_program
+from sapphireyard.exceptions import NotHome
+from sapphireyard.generated_messages import Done
+from sapphireyard.generated_slots import (
+    HeartbeatAnswer,
+    ProgramGone,
+    SlotAsk,
+    SlotGranted,
+    SlotHeartbeat,
+    SlotReturn,
+)
+from sapphireyard.groups import find_home, split_groups
+from sapphireyard.scheduling import SlotRequest
+from sapphireyard.slot_homes import GroupHome
+
+logger = logging.getLogger(__name__)
+
+
+class HomeRegistry:
+    """Opens, configures and gives up the homes of groups on this host.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        self._yard = yard
+        self._homes = {}
+        self._states = {}
+        self._groups = {}
+        self._configured = None
+
+    @property
+    def homes(self):
+        """dict of str to GroupHome: The groups whose home is here."""
+        return self._homes
+
+    def register(self):
+        """Serve the messages of holders."""
+        peers = self._yard.peers
+        peers.register(SlotAsk, self.serve_ask)
+        peers.register(SlotReturn, self.serve_return)
+        peers.register(SlotHeartbeat, self.serve_heartbeat)
+        peers.register(ProgramGone, self.serve_program_gone)
+
+    def split(self, pool):
+        """Return the groups of a pool."""
+        found = self._groups.get(pool.name)
+        if found is None or found[0] is not pool:
+            found = self._groups[pool.name] = (pool, split_groups(pool))
+        return found[1]
+
+    def set_state(self, pool, upstream, state):
+        """Mark an upstream up, leaving or down for the groups homed here."""
+        self._states[(pool, upstream)] = state
+        for home in self._homes.values():
+            if home.group.pool == pool and upstream in home.scheduler.upstreams:
+                home.set_state(upstream, state)
+
+    async def serve_ask(self, message, context):
+        """Serve a `SlotAsk`."""
+        home = self._open(message.pool, message.group)
+        now = self._yard.clock.monotonic()
+        request = SlotRequest(
+            request_id=message.request_id,
+            program=message.program,
+            root=message.root,
+            customer=message.customer,
+            pool=message.pool,
+            prefix_tokens=message.prefix_tokens,
+            new_tokens=message.new_tokens,
+            output_tokens=message.output_tokens,
+            deadline=now + message.seconds_left if message.seconds_left else 0.0,
+            excluded=tuple(message.excluded),
+            holder=context.host,
+        )
+        grant = await home.ask(request)
+        addresses = {each.name: each.address for each in home.group.upstreams}
+        return SlotGranted(
+            upstream=grant.upstream,
+            address=addresses[grant.upstream],
+            cached_tokens=grant.cached_tokens,
+            import_from=addresses.get(grant.import_from, ""),
+            import_tokens=grant.import_tokens,
+        )
+
+    async def serve_return(self, message, context):
+        """Serve a `SlotReturn`."""
+        home = self._homes.get(f"{message.pool}/{message.group}")
+        if home:
+            home.give_back(message)
+        return Done()
+
+    async def serve_heartbeat(self, message, context):
+        """Serve a `SlotHeartbeat`."""
+        home = self._open(message.pool, message.group)
+        return HeartbeatAnswer(unknown=home.renew(context.host, message))
+
+    async def serve_program_gone(self, message, context):
+        """Serve a `ProgramGone`."""
+        home = self._homes.get(f"{message.pool}/{message.group}")
+        if home:
+            home.end_program(message.program)
+        return Done()
+
+    def tick(self):
+        """Do what is due at the homes; give up those that moved away."""
+        self._configure()
+        members = self._members
+        for key, home in list(self._homes.items()):
+            owner = find_home(key, members)
+            if owner == self._yard.host:
+                home.tick(members)
+                continue
+            del self._homes[key]
+            home.close(NotHome(owner))
+
+    @property
+    def _members(self):
+        assignment = self._yard.ownership.assignment
+        return assignment.members if assignment else {}
+
+    def _open(self, pool_name, number):
+        """Return the `GroupHome` of a group that this host is the home of.
+
+        Raises
+        ------
+        NotHome
+            Another host is.
+        """
+        self._configure()
+        key = f"{pool_name}/{number}"
+        owner = find_home(key, self._members)
+        pool = self._yard.configuration.current.pools.get(pool_name)
+        groups = self.split(pool) if pool else ()
+        if owner != self._yard.host or number >= len(groups):
+            raise NotHome(owner)
+        if key not in self._homes:
+            self._homes[key] = GroupHome(
+                pool, groups[number], self._yard.clock, on_release=self._release
+            )
+            self._set_up(self._homes[key], pool, groups[number])
+        return self._homes[key]
+
+    def _configure(self):
+        """Give the newest configuration to the homes, if it changed."""
+        current = self._yard.configuration.current
+        if current is self._configured or current is None:
+            return
+        self._configured = current
+        for key, home in list(self._homes.items()):
+            pool = current.pools.get(home.group.pool)
+            groups = self.split(pool) if pool else ()
+            if home.group.number >= len(groups):
+                del self._homes[key]
+                home.close(NotHome(None))
+                continue
+            self._set_up(home, pool, groups[home.group.number])
+
+    def _set_up(self, home, pool, group):
+        home.configure(pool, group, self._yard.configuration.current.customers)
+        for (pool_name, upstream), state in self._states.items():
+            if pool_name == pool.name and upstream in home.scheduler.upstreams:
+                home.set_state(upstream, state)
+
+    def _release(self, address, program):
+        """Free memory that a moved program left on an upstream."""
+        if address and self._yard.slots is not None:
+            self._yard.slots.add_future(self._send_release(address, program))
+
+    async def _send_release(self, address, program):
+        name = digest_program(program)
+        try:
+            await self._yard.upstreams.release_program(address, name)
+        except Exception as error:
+            logger.warning(
+                "release of a moved prefix failed: %s",
+                error,
+                extra={"program": program},
+            )
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -88,6 +88,11 @@
         """Return the ids of the requests that hold a slot for a host."""
         return frozenset(self._held.get(holder, ()))
 
+    def set_options(self, options):
+        """Change the switches and weights; waiting requests keep their keys."""
+        self._options = options
+        self._selection.options = options
+
     def set_weight(self, customer, weight):
         """Set the weight of a customer."""
         if customer in self._backlog:
@@ -105,6 +110,23 @@
         self._placement.add(limits)
         self._output_cost = limits.output_cost
 
+    @property
+    def upstreams(self):
+        """dict of str to UpstreamLimits: The group."""
+        return {name: slots.limits for name, slots in self._slots.items()}
+
+    def remove_upstream(self, name, now):
+        """Drop an upstream from the group; its requests end when they end."""
+        actions = self.set_state(name, UpstreamState.DOWN, now)
+        self._placement.remove(name)
+        del self._slots[name]
+        return actions
+
+    def upstream_of(self, request_id):
+        """Return the upstream whose slot a request holds, or None."""
+        running = self._running.get(request_id)
+        return running.upstream if running else None
+
     def submit(self, request, now):
         """Queue a request.
 
@@ -116,8 +138,9 @@
         if request.request_id in self._waiting or request.request_id in self._running:
             raise ValueError(f"request {request.request_id} is here already")
         wait = self.expected_wait(request.customer)
-        if self._options.refuse and 0 < request.deadline < wait:
-            return [Refuse(request, wait - request.deadline)]
+        late = now + wait - request.deadline
+        if self._options.refuse and request.deadline and late > 0:
+            return [Refuse(request, late)]
         self._enqueue(request, now)
         return self._decide(now)
 
@@ -168,11 +191,11 @@
         self._start(request, upstream, self._cost(request, 0), now)
 
     def release_holder(self, holder, now):
-        """Drop the requests of a host that died and give back its slots."""
+        """Refuse the requests of a host that died and give back its slots."""
         waiting = [w for w in self._waiting.values() if w.request.holder == holder]
         for entry in waiting:
             self._dequeue(entry)
-        actions = []
+        actions = [Refuse(entry.request, 0.0) for entry in waiting]
         for request_id in sorted(self._held.get(holder, ())):
             actions += self.finish(request_id, 0, None, now)
         return actions
@@ -212,12 +235,10 @@
         """Refuse requests whose deadline passed."""
         actions = []
         while self._deadlines and self._deadlines[0][0] <= now:
-            deadline, request_id = heapq.heappop(self._deadlines)
+            _, request_id = heapq.heappop(self._deadlines)
             waiting = self._waiting.get(request_id)
             if waiting is None:
                 continue
-            if waiting.submitted + waiting.request.deadline > deadline:
-                continue
             self._dequeue(waiting)
             wait = self.expected_wait(waiting.customer)
             actions.append(Refuse(waiting.request, max(wait, self._duration.seconds)))
@@ -264,9 +285,8 @@
         self._waiting[request.request_id] = waiting
         self._backlog[customer] = self._backlog.get(customer, 0) + 1
         self._queues.add(waiting, self._shares.tag(customer))
-        if request.deadline > 0:
-            deadline = now + request.deadline
-            heapq.heappush(self._deadlines, (deadline, request.request_id))
+        if request.deadline:
+            heapq.heappush(self._deadlines, (request.deadline, request.request_id))
 
     def _dequeue(self, waiting):
         del self._waiting[waiting.request.request_id]
--- a/sapphireyard/scheduling.py
+++ b/sapphireyard/scheduling.py
@@ -14,8 +14,6 @@
 
     Parameters
     ----------
-    request_id : str
-        Unique in the fleet.
     program, root : str
         Program and the root that it is a sub-agent of; the same for a root.
     customer, pool : str
@@ -27,14 +25,16 @@
     output_tokens : int, optional
         Tokens expected to be generated.
     deadline : float, optional
-        Seconds within which the slot is useful; 0 for no bound.
+        Monotonic seconds of the host that has the request, until which a
+        slot is useful; 0 for no bound.
+    excluded : tuple of str, optional
+        Upstreams to avoid while there are others.
+    request_id : str, optional
+        Unique in the fleet; the holder sets it.
     holder : str, optional
         Host that asks.
-    excluded : tuple of str, optional
-        Upstreams that must not be chosen.
     """
 
-    request_id: str
     program: str
     root: str
     customer: str
@@ -43,8 +43,9 @@
     new_tokens: int = 0
     output_tokens: int = 1
     deadline: float = 0.0
-    holder: str = ""
     excluded: tuple[str, ...] = ()
+    request_id: str = ""
+    holder: str = ""
 
     @property
     def total_tokens(self):
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -51,11 +51,11 @@
         self._queues = queues
         self._placement = placement
         self._duration = duration
-        self._options = options
+        self.options = options
 
     def affinity(self, request):
         """Return the upstream that should serve a request, or `ANY`."""
-        if not self._options.cache_affinity:
+        if not self.options.cache_affinity:
             return ANY
         names = [
             name
@@ -74,7 +74,7 @@
         return None
 
     def _best(self, slots, now):
-        aged_before = now - self._options.aging_seconds
+        aged_before = now - self.options.aging_seconds
         best = None
         for affinity in self._sources(slots.limits.name):
             waiting = self._queues.head(affinity, aged_before)
@@ -118,7 +118,7 @@
         kv_tokens = slots.limits.kv_tokens
         if not kv_tokens:
             return False
-        if slots.fill < self._options.hold_fill:
+        if slots.fill < self.options.hold_fill:
             return False
         held = self._placement.record(slots.limits.name).total
         return held + slots.reserved + waiting.request.total_tokens > kv_tokens
@@ -139,14 +139,14 @@
         return move if saved > spent else None
 
     def _rank(self, waiting, aged, move):
-        quantum = self._options.share_quantum
+        quantum = self.options.share_quantum
         tag = self._queues.tag(waiting.customer)
         share = floor(tag / quantum) if quantum else tag
         if aged:
             return (share, 0, waiting.submitted, 0.0, waiting.key.number)
         level = waiting.key.level
         if waiting.affinity != ANY and not move.seconds:
-            level -= self._options.resident_levels
+            level -= self.options.resident_levels
         return (share, 1, level, waiting.key.root_start, waiting.key.number)
 
     def _reason(self, waiting, slots, move):
--- /dev/null
+++ b/sapphireyard/slot_holder.py
@@ -0,0 +1,116 @@
+"""The slots that this host holds, and the local guess when no home answers."""
+
+from dataclasses import dataclass, field
+
+from sapphireyard.exceptions import CallError
+from sapphireyard.generated_slots import HeldSlot, SlotHeartbeat
+
+LOCAL_RETRY_SECONDS = 1.0
+"""When to come back after the local bound was reached."""
+
+
+class HeldSlots:
+    """Slots that this host holds, by group."""
+
+    def __init__(self):
+        self._groups = {}
+        self._unknown = {}
+
+    @property
+    def groups(self):
+        """list of Group: Groups of which slots are held."""
+        return [group for group, _ in self._groups.values()]
+
+    def count_on(self, group, upstream):
+        """Return how many slots of an upstream are held."""
+        _, slots = self._groups.get(group.key, (group, {}))
+        return sum(slot.upstream == upstream for slot in slots.values())
+
+    def add(self, group, request, upstream):
+        """Note that a request holds a slot of an upstream."""
+        _, slots = self._groups.setdefault(group.key, (group, {}))
+        slots[request.request_id] = HeldSlot(
+            request_id=request.request_id,
+            upstream=upstream,
+            program=request.program,
+            root=request.root,
+            customer=request.customer,
+            prefix_tokens=request.prefix_tokens,
+            new_tokens=request.new_tokens,
+            output_tokens=request.output_tokens,
+        )
+
+    def remove(self, group, request_id):
+        """Forget a slot that was given back."""
+        _, slots = self._groups.get(group.key, (group, {}))
+        slots.pop(request_id, None)
+        if not slots:
+            self._groups.pop(group.key, None)
+            self._unknown.pop(group.key, None)
+
+    def build_heartbeat(self, group):
+        """Return the heartbeat for the home of a group."""
+        _, slots = self._groups.get(group.key, (group, {}))
+        unknown = self._unknown.pop(group.key, ())
+        return SlotHeartbeat(
+            pool=group.pool,
+            group=group.number,
+            held=sorted(slots),
+            details=[slots[name] for name in unknown if name in slots],
+        )
+
+    def take_answer(self, group, answer):
+        """Note which slots the home wants to hear more of; return whether any."""
+        if answer.unknown:
+            self._unknown[group.key] = tuple(answer.unknown)
+        return bool(answer.unknown)
+
+
+@dataclass
+class LocalGuess:
+    """Bounded choice of an upstream while no home can be reached.
+
+    Each host takes at most its part of every upstream's batch, so that all
+    hosts together stay within it.
+
+    Parameters
+    ----------
+    held : HeldSlots
+        Slots of this host.
+    """
+
+    held: HeldSlots = field(default_factory=HeldSlots)
+
+    def choose(self, group, pool, request, hosts):
+        """Return the name of the least loaded upstream.
+
+        Parameters
+        ----------
+        group : Group
+            Upstreams to choose from.
+        pool : object
+            Gives the batch size.
+        request : SlotRequest
+            Its excluded upstreams are avoided.
+        hosts : int
+            Hosts that may guess at the same time.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: the part of this host is in use.
+        """
+        bound = max(1, pool.batch_size // max(1, hosts))
+        loads = {
+            upstream.name: self.held.count_on(group, upstream.name)
+            for upstream in group.upstreams
+            if upstream.name not in request.excluded
+        }
+        name = min(loads, key=lambda name: (loads[name], name), default=None)
+        if name is None or loads[name] >= bound:
+            raise CallError(
+                "overloaded",
+                "the scheduler of the pool cannot be reached",
+                retry_after=LOCAL_RETRY_SECONDS,
+            )
+        return name
--- /dev/null
+++ b/sapphireyard/slot_homes.py
@@ -0,0 +1,269 @@
+"""The home of a group of upstreams: answers holders from its scheduler."""
+
+import asyncio
+import logging
+
+from sapphireyard.capacity import UpstreamLimits
+from sapphireyard.exceptions import CallError
+from sapphireyard.scheduler import Scheduler
+from sapphireyard.scheduling import Grant, Refuse, Release, SlotRequest
+from sapphireyard.weighting import choose_options
+
+logger = logging.getLogger(__name__)
+
+LEASE_SECONDS = 5.0
+"""Silence of a holder after which its slots are taken back."""
+
+LEARNING_SECONDS = 2.5
+"""Time for which a new home waits for heartbeats before it trusts its counts."""
+
+LEARNING_SHARE = 4
+"""While learning, one slot in so many is granted."""
+
+MISSED_HEARTBEATS = 2
+"""Heartbeats that leave out a slot before it is taken back."""
+
+
+def make_limits(pool, upstream):
+    """Return the `UpstreamLimits` of one upstream of a pool."""
+    return UpstreamLimits(
+        name=upstream.name,
+        batch_size=pool.batch_size,
+        kv_tokens=pool.kv_tokens,
+        prefill_rate=pool.prefill_rate,
+        decode_seconds=pool.decode_seconds,
+        transfer_rate=getattr(pool, "transfer_rate", 0.0),
+    )
+
+
+class _Holder:
+    """What a home knows of one holder."""
+
+    def __init__(self, now):
+        self.heard_at = now
+        self.missed = {}
+
+
+class GroupHome:
+    """Grants the slots of one group to the hosts that ask.
+
+    Parameters
+    ----------
+    pool : object
+        The pool as configured.
+    group : Group
+        Its upstreams.
+    clock : Clock
+        Source of time.
+    on_release : callable, optional
+        Called with the address of an upstream and the program whose memory
+        it may free.
+    """
+
+    def __init__(self, pool, group, clock, *, on_release=None):
+        self.group = group
+        self._pool = pool
+        self._clock = clock
+        self._on_release = on_release or (lambda address, program: None)
+        self._addresses = {}
+        self._waiters = {}
+        self._holders = {}
+        self._options = choose_options(pool.latency_weight)
+        self._scheduler = Scheduler((), options=self._options)
+        self._learning_until = clock.monotonic() + LEARNING_SECONDS
+        self.configure(pool, group, {})
+        bound = max(1, pool.batch_size // LEARNING_SHARE)
+        self._apply(self._scheduler.set_bound(bound, self._now))
+
+    @property
+    def scheduler(self):
+        """Scheduler: The decisions of this home."""
+        return self._scheduler
+
+    @property
+    def is_idle(self):
+        """bool: Whether nothing waits or runs."""
+        return not self._scheduler.waiting and not self._scheduler.running
+
+    @property
+    def _now(self):
+        return self._clock.monotonic()
+
+    def configure(self, pool, group, customers):
+        """Take in the pool's newest configuration and the customers' weights."""
+        self._pool, self.group = pool, group
+        self._addresses = {each.name: each.address for each in group.upstreams}
+        self._scheduler.set_options(choose_options(pool.latency_weight))
+        for name in set(self._scheduler.upstreams) - set(self._addresses):
+            self._apply(self._scheduler.remove_upstream(name, self._now))
+        for upstream in group.upstreams:
+            self._scheduler.add_upstream(make_limits(pool, upstream))
+        for name, customer in customers.items():
+            self._scheduler.set_weight(name, customer.weight)
+        self._apply(self._scheduler.tick(self._now))
+
+    def set_state(self, name, state):
+        """Mark an upstream of the group up, leaving or down."""
+        self._apply(self._scheduler.set_state(name, state, self._now))
+
+    async def ask(self, request):
+        """Return the `Grant` for a request once it has a slot.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: it would not get one before its deadline.
+        """
+        self._find_holder(request.holder).heard_at = self._now
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[request.request_id] = waiter
+        try:
+            self._apply(self._scheduler.submit(request, self._now))
+            return await waiter
+        except asyncio.CancelledError:
+            self._waiters.pop(request.request_id, None)
+            self._apply(self._scheduler.cancel(request.request_id, self._now))
+            raise
+        finally:
+            self._waiters.pop(request.request_id, None)
+
+    def give_back(self, message):
+        """Take back a slot (`SlotReturn`), or drop the wish for one."""
+        waiter = self._waiters.get(message.request_id)
+        if waiter is not None:
+            waiter.cancel()
+            return
+        cached = None if message.cached_tokens < 0 else message.cached_tokens
+        actions = self._scheduler.finish(
+            message.request_id, message.output_tokens, cached, self._now
+        )
+        self._apply(actions)
+
+    def renew(self, holder, message):
+        """Take in a `SlotHeartbeat`; return the ids that are not known."""
+        known = self._find_holder(holder)
+        known.heard_at = self._now
+        for slot in message.details:
+            self._adopt(holder, slot)
+        held = set(message.held)
+        mine = self._scheduler.held_by(holder)
+        for request_id in sorted(mine - held):
+            self._miss(known, request_id)
+        known.missed = {name: n for name, n in known.missed.items() if name not in held}
+        return sorted(held - mine)
+
+    def end_program(self, program):
+        """Forget an ended program."""
+        self._apply(self._scheduler.end_program(program, self._now))
+
+    def tick(self, hosts):
+        """Refuse late requests, and take back the slots of dead holders.
+
+        Parameters
+        ----------
+        hosts : collection of str
+            Hosts that are members.
+        """
+        now = self._now
+        if self._learning_until and now >= self._learning_until:
+            self._learning_until = 0.0
+            self._apply(self._scheduler.set_bound(None, now))
+        for name, holder in list(self._holders.items()):
+            if name in hosts and now - holder.heard_at < LEASE_SECONDS:
+                continue
+            if not self._scheduler.held_by(name):
+                del self._holders[name]
+                continue
+            logger.warning("slots of silent holder taken back", extra={"holder": name})
+            del self._holders[name]
+            self._apply(self._scheduler.release_holder(name, now))
+        due = self._scheduler.next_tick()
+        if due is not None and due <= now:
+            self._apply(self._scheduler.tick(now))
+
+    def close(self, error):
+        """Fail all that waits: this host is not the home any more."""
+        for waiter in list(self._waiters.values()):
+            if not waiter.done():
+                waiter.set_exception(error)
+
+    def _find_holder(self, name):
+        return self._holders.setdefault(name, _Holder(self._now))
+
+    def _miss(self, holder, request_id):
+        count = holder.missed.get(request_id, 0) + 1
+        holder.missed[request_id] = count
+        if count < MISSED_HEARTBEATS or request_id in self._waiters:
+            return
+        del holder.missed[request_id]
+        self._apply(self._scheduler.cancel(request_id, self._now))
+
+    def _adopt(self, holder, slot):
+        request = SlotRequest(
+            request_id=slot.request_id,
+            program=slot.program,
+            root=slot.root,
+            customer=slot.customer,
+            pool=self.group.pool,
+            prefix_tokens=slot.prefix_tokens,
+            new_tokens=slot.new_tokens,
+            output_tokens=slot.output_tokens,
+            holder=holder,
+        )
+        self._scheduler.adopt(request, slot.upstream, self._now)
+
+    def _apply(self, actions):
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, Grant):
+                pending += self._hand_out(action)
+            elif isinstance(action, Refuse):
+                self._refuse(action)
+            elif isinstance(action, Release):
+                self._on_release(self._addresses.get(action.upstream), action.program)
+
+    def _hand_out(self, grant):
+        request = grant.request
+        waiter = self._waiters.get(request.request_id)
+        if waiter is None or waiter.done():
+            return self._scheduler.cancel(request.request_id, self._now)
+        self._find_holder(request.holder).heard_at = self._now
+        waiter.set_result(grant)
+        log_placement(grant)
+        return []
+
+    def _refuse(self, refuse):
+        waiter = self._waiters.get(refuse.request.request_id)
+        if waiter is None or waiter.done():
+            return
+        waiter.set_exception(
+            CallError(
+                "overloaded",
+                "no upstream will be free before the deadline",
+                retry_after=refuse.retry_after,
+            )
+        )
+
+
+def log_placement(grant):
+    """Log one placement decision."""
+    request = grant.request
+    logger.info(
+        "slot granted",
+        extra={
+            "decision": "placement",
+            "request_id": request.request_id,
+            "program": request.program,
+            "root": request.root,
+            "customer": request.customer,
+            "pool": request.pool,
+            "upstream": grant.upstream,
+            "among": list(grant.among),
+            "reason": grant.reason,
+            "cached_tokens": grant.cached_tokens,
+            "import_from": grant.import_from,
+            "waited_seconds": round(grant.waited, 4),
+            "holder": request.holder,
+        },
+    )
--- /dev/null
+++ b/sapphireyard/slots.py
@@ -0,0 +1,311 @@
+"""Admission slots of upstreams, leased from the home of their group."""
+
+import asyncio
+import itertools
+import logging
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+
+import mode
+
+from sapphireyard import generated_slots
+from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.generated_slots import ProgramGone, SlotAsk, SlotReturn
+from sapphireyard.groups import find_home, pick_group
+from sapphireyard.home_registry import HomeRegistry
+from sapphireyard.scheduling import SlotRequest
+from sapphireyard.slot_holder import HeldSlots, LocalGuess
+
+__all__ = ["Lease", "SlotRequest", "SlotService", "Upstream"]
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_SECONDS = 1.0
+"""Seconds between two heartbeats of a holder to a home."""
+
+TICK_SECONDS = 0.1
+"""Seconds between two looks at deadlines and silent holders."""
+
+UNREACHABLE_SECONDS = 2.0
+"""Time without a home after which this host guesses by itself."""
+
+OVERLOADED = "overloaded"
+RETRY_SECONDS = 0.1
+ASK_SECONDS = 120.0
+"""Longest wait for a slot of a request without a deadline."""
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """A chosen upstream."""
+
+    name: str
+    address: str
+
+
+@dataclass
+class Lease:
+    """A slot in use.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        Where to send the request.
+    cached_tokens : int, optional
+        Prefix expected there.
+    import_from : str, optional
+        Address of an upstream from which to import the prefix first.
+    import_tokens : int, optional
+        Tokens to import.
+    """
+
+    upstream: Upstream
+    cached_tokens: int = 0
+    import_from: str = ""
+    import_tokens: int = 0
+    reported_output: int = 0
+    reported_cached: int = -1
+
+    def report(self, *, output_tokens=0, cached_tokens=-1):
+        """Tell what the request took; sent when the slot is given back.
+
+        Parameters
+        ----------
+        output_tokens : int, optional
+            Tokens generated.
+        cached_tokens : int, optional
+            Prefix tokens that the upstream found; -1 if it did not tell.
+        """
+        self.reported_output = output_tokens
+        self.reported_cached = cached_tokens
+
+
+class SlotService(mode.Service):
+    """Leases slots of upstreams, as holder and as home.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._numbers = itertools.count(1)
+        self._held = HeldSlots()
+        self._guess = LocalGuess(self._held)
+        self._registry = HomeRegistry(yard)
+        self._outages = {}
+        yard.peers.codec.register_module(generated_slots)
+        self._registry.register()
+
+    @property
+    def homes(self):
+        """dict of str to GroupHome: The groups whose home is here."""
+        return self._registry.homes
+
+    @asynccontextmanager
+    async def lease(self, request):
+        """Hold a slot for a request while the context lasts.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            What is to be sent.
+
+        Yields
+        ------
+        Lease
+            The upstream to use.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: no slot before the deadline. Nothing was sent.
+        """
+        if not request.program:
+            name = f"{self._yard.host}:{next(self._numbers)}"
+            request = replace(request, program=name, root=name)
+        group = self._find_group(request)
+        request, lease = await self._acquire(group, request)
+        self._held.add(group, request, lease.upstream.name)
+        try:
+            yield lease
+        finally:
+            self._held.remove(group, request.request_id)
+            self._give_back(group, request, lease)
+
+    def end_program(self, program, root, pool):
+        """Tell the home of a program's group that the program ended."""
+        found = self._configuration.pools.get(pool)
+        if found is None or not found.upstreams:
+            return
+        group = pick_group(self._registry.split(found), root)
+        home = self._find_home(group)
+        if home:
+            self._yard.peers.tell(home, ProgramGone(program, root, pool, group.number))
+
+    def set_state(self, pool, upstream, state):
+        """Mark an upstream up, leaving or down for the groups homed here."""
+        self._registry.set_state(pool, upstream, state)
+
+    @mode.Service.task
+    async def _watch(self):
+        while not self.should_stop:
+            self.tick()
+            await self.sleep(TICK_SECONDS)
+
+    @mode.Service.task
+    async def _renew(self):
+        while not self.should_stop:
+            await self.send_heartbeats()
+            await self.sleep(HEARTBEAT_SECONDS)
+
+    def tick(self):
+        """Do what is due at the homes."""
+        self._registry.tick()
+
+    async def send_heartbeats(self):
+        """Renew all held slots, one message for each group."""
+        await asyncio.gather(*map(self._send_heartbeat, self._held.groups))
+
+    async def _send_heartbeat(self, group):
+        home = self._find_home(group)
+        if home is None:
+            return
+        try:
+            while True:
+                heartbeat = self._held.build_heartbeat(group)
+                answer = await self._yard.peers.ask(
+                    home, heartbeat, timeout=HEARTBEAT_SECONDS
+                )
+                if not self._held.take_answer(group, answer) or heartbeat.details:
+                    return
+        except (PeerUnavailable, CallError) as error:
+            logger.debug("heartbeat to %s failed: %s", home, error)
+
+    @property
+    def _configuration(self):
+        return self._yard.configuration.current
+
+    @property
+    def _members(self):
+        assignment = self._yard.ownership.assignment
+        return assignment.members if assignment else {}
+
+    def _find_home(self, group):
+        return find_home(group.key, self._members)
+
+    def _find_group(self, request):
+        pool = self._configuration.pools.get(request.pool)
+        if pool is None or not pool.upstreams:
+            raise CallError(OVERLOADED, f"pool {request.pool!r} has no upstreams")
+        return pick_group(self._registry.split(pool), request.root)
+
+    async def _acquire(self, group, request):
+        """Return the request under its final id, and its lease."""
+        while True:
+            number = next(self._numbers)
+            host = f"{self._yard.host}:{self._yard.incarnation}"
+            request = replace(
+                request, request_id=f"{host}:{number}", holder=self._yard.host
+            )
+            lease = await self._try_acquire(group, request)
+            if lease is not None:
+                return request, lease
+            self._check_deadline(request)
+            await asyncio.sleep(RETRY_SECONDS)
+            group = self._find_group(request)
+
+    async def _try_acquire(self, group, request):
+        home = self._find_home(group)
+        if home is not None:
+            try:
+                answer = await self._ask(home, group, request)
+            except (PeerUnavailable, CallError) as error:
+                if error.code == OVERLOADED:
+                    raise
+                logger.warning(
+                    "home of a group gave no slot: %s",
+                    error,
+                    extra={"group": group.key, "home": home},
+                )
+            else:
+                self._outages.pop(group.key, None)
+                return answer
+        return self._guess_locally(group, request)
+
+    async def _ask(self, home, group, request):
+        left = ASK_SECONDS
+        if request.deadline:
+            left = max(RETRY_SECONDS, request.deadline - self._yard.clock.monotonic())
+        ask = SlotAsk(
+            request_id=request.request_id,
+            program=request.program,
+            root=request.root,
+            customer=request.customer,
+            pool=request.pool,
+            group=group.number,
+            prefix_tokens=request.prefix_tokens,
+            new_tokens=request.new_tokens,
+            output_tokens=request.output_tokens,
+            seconds_left=left if request.deadline else 0.0,
+            excluded=list(request.excluded),
+        )
+        try:
+            answer = await self._yard.peers.ask(home, ask, timeout=left + RETRY_SECONDS)
+        except (PeerUnavailable, asyncio.CancelledError):
+            self._tell_return(home, group, request)
+            raise
+        return Lease(
+            Upstream(answer.upstream, answer.address),
+            cached_tokens=answer.cached_tokens,
+            import_from=answer.import_from,
+            import_tokens=answer.import_tokens,
+        )
+
+    def _guess_locally(self, group, request):
+        """Return a lease by the local guess once the outage is long enough."""
+        now = self._yard.clock.monotonic()
+        since = self._outages.setdefault(group.key, now)
+        if now - since < UNREACHABLE_SECONDS:
+            return None
+        pool = self._configuration.pools[group.pool]
+        name = self._guess.choose(group, pool, request, len(self._members))
+        addresses = {each.name: each.address for each in group.upstreams}
+        logger.info(
+            "slot guessed",
+            extra={
+                "decision": "placement",
+                "request_id": request.request_id,
+                "program": request.program,
+                "customer": request.customer,
+                "pool": request.pool,
+                "upstream": name,
+                "among": sorted(addresses),
+                "reason": "home_unreachable",
+                "holder": request.holder,
+            },
+        )
+        return Lease(Upstream(name, addresses[name]))
+
+    def _check_deadline(self, request):
+        if request.deadline and self._yard.clock.monotonic() >= request.deadline:
+            raise CallError(
+                OVERLOADED, "no slot before the deadline", retry_after=RETRY_SECONDS
+            )
+
+    def _give_back(self, group, request, lease):
+        home = self._find_home(group)
+        if home is not None:
+            self._tell_return(home, group, request, lease)
+
+    def _tell_return(self, home, group, request, lease=None):
+        message = SlotReturn(
+            request_id=request.request_id, pool=group.pool, group=group.number
+        )
+        if lease is not None:
+            message.output_tokens = lease.reported_output
+            message.cached_tokens = lease.reported_cached
+        self._yard.peers.tell(home, message)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -219,7 +219,8 @@
     """Return a request of its own program."""
     fields = {"new_tokens": 100, "output_tokens": 10, **fields}
     program = fields.pop("program", f"{customer}{number}")
-    return SlotRequest(f"{customer}{number}", program, program, customer, "p", **fields)
+    fields["request_id"] = f"{customer}{number}"
+    return SlotRequest(program, program, customer, "p", **fields)
 
 
 class ShareTest(unittest.TestCase):
@@ -373,7 +374,8 @@
         scheduler.submit(make_request(0, holder="h1"), 0.0)
         scheduler.submit(make_request(1, holder="h1"), 0.0)
         scheduler.submit(make_request(2, holder="h2"), 0.0)
-        (grant,) = scheduler.release_holder("h1", 1.0)
+        refuse, grant = scheduler.release_holder("h1", 1.0)
+        self.assertEqual(refuse.request.request_id, "a1")
         self.assertEqual(grant.request.request_id, "a2")
 
     def test_load_of_others_takes_slots(self):
