--- a/sapphireyard/journal_writer.py
+++ b/sapphireyard/journal_writer.py
@@ -9,6 +9,9 @@
 OUTAGE_INTERVAL_SECONDS = 0.2
 """Least seconds between two segments while they pile up."""
 
+BURST_SEGMENTS = 20
+"""Segments that may follow each other without a wait after a quiet time."""
+
 UNFLUSHED_BYTES = 32_000_000
 """Most bytes of segments that wait for the store."""
 
@@ -57,13 +60,24 @@
     host, incarnation
         The journal written.
     interval_seconds : float
-        Least time between two segments.
+        Least mean time between two segments.
+    burst_segments : int, optional
+        Segments that may follow each other at once after a quiet time.
     """
 
-    def __init__(self, host, incarnation, *, interval_seconds):
+    def __init__(
+        self,
+        host,
+        incarnation,
+        *,
+        interval_seconds,
+        burst_segments=BURST_SEGMENTS,
+    ):
         self._host = host
         self._incarnation = incarnation
         self._interval = interval_seconds
+        self._burst_seconds = (burst_segments - 1) * interval_seconds
+        self._paid_until = float("-inf")
         self._queue = deque()
         self._staged = deque()
         self._staged_at = None
@@ -142,10 +156,10 @@
             return None
         if self._staged and not self.behind:
             return None
-        if self._staged_at is None:
-            return 0.0
-        interval = OUTAGE_INTERVAL_SECONDS if self.behind else self._interval
-        return max(0.0, self._staged_at + max(interval, self._interval) - now)
+        if self.behind and self._staged_at is not None:
+            interval = max(OUTAGE_INTERVAL_SECONDS, self._interval)
+            return max(0.0, self._staged_at + interval - now)
+        return max(0.0, self._paid_until - self._burst_seconds - now)
 
     def stage(self, now, *, token):
         """Close the next segment; return it, or None when it is not yet time.
@@ -169,6 +183,7 @@
         self._staged.append(segment)
         self._staged_bytes += len(value)
         self._staged_at = now
+        self._paid_until = max(self._paid_until, now) + self._interval
         self._next_number += 1
         return segment
 
