Add the limit service

Change: LimitService carries the rate decisions over the peers: asks homes, serves asks, hands buckets over, tells members of views that must be known. acquire() waits in line or raises rate_exceeded with the time computed from the rate and the queue; a cancelled call gives its place or token back.

--- a/sapphireyard/generated_limits.py
+++ b/sapphireyard/generated_limits.py
@@ -95,6 +95,10 @@
     """
 
     customer: str
+    version: int
+    """
+    Version of the assignment that the asker acts by.
+    """
 
 
 @dataclass
@@ -119,12 +123,21 @@
 
 
 @dataclass
-class AssignmentRequest:
+class ViewAnnouncement:
+    """
+    A host that may become a home asks another for the version of the assignment that it acts by.
+    """
+
+    version: int
     """
-    Asks for the newest version of the assignment that a peer knows.
+    Version that the asker needs the other to know.
     """
 
 
 @dataclass
-class AssignmentKnown:
+class ViewKnown:
+    """
+    Answer to a ViewAnnouncement.
+    """
+
     version: int
--- /dev/null
+++ b/sapphireyard/shares.py
@@ -0,0 +1,296 @@
+"""The service that keeps customers' rates across the fleet."""
+
+import asyncio
+
+from mode import Service
+from opentelemetry import metrics
+
+from sapphireyard import generated_limits
+from sapphireyard.buckets import Rule
+from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.generated_limits import (
+    BucketRequest,
+    BucketState,
+    TokenAsk,
+    TokenGrant,
+    ViewAnnouncement,
+    ViewKnown,
+)
+from sapphireyard.holders import ShareHolder
+from sapphireyard.homes import HomeTracker, View
+from sapphireyard.limits import LEASE_SECONDS, RateHome
+
+ASK_TIMEOUT_SECONDS = 0.5
+HAND_OVER_TIMEOUT_SECONDS = 0.2
+VIEW_SECONDS = 0.1
+"""Time between two looks at the assignment."""
+TIDY_SECONDS = 1.0
+"""Time between two searches for idle state."""
+ACTIVE = "active"
+
+
+class LimitService(Service):
+    """Admits calls within their customers' rate and burst across all hosts.
+
+    Every host is a holder, which admits its calls with granted tokens, and the
+    home of some customers, which grants them.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives peers, ownership, configuration and clock.
+    lease : float, optional
+        Seconds for which a grant may be used; the same on all hosts.
+    """
+
+    def __init__(self, yard, *, lease=LEASE_SECONDS):
+        super().__init__()
+        self.yard = yard
+        self._tracker = HomeTracker(yard.host)
+        self._home = RateHome(self._tracker, lease=lease)
+        self._holder = ShareHolder()
+        self._waiting = {}
+        self._adoptions = {}
+        self._timer = None
+        self._timer_at = float("inf")
+        self._define_metrics()
+        yard.peers.codec.register_module(generated_limits)
+        yard.peers.register(TokenAsk, self._serve_ask)
+        yard.peers.register(BucketRequest, self._serve_bucket)
+        yard.peers.register(ViewAnnouncement, self._serve_announcement)
+
+    @property
+    def homes(self):
+        """HomeTracker: The homes of customers in the newest view."""
+        return self._tracker
+
+    async def acquire(self, customer, *, deadline, tokens=1):
+        """Take tokens for a call, waiting in line while its deadline allows.
+
+        Parameters
+        ----------
+        customer : str
+            Who calls.
+        deadline : float
+            Monotonic seconds.
+        tokens : int, optional
+            Tokens to take.
+
+        Raises
+        ------
+        CallError
+            ``rate_exceeded``, with the time after which a repeat may succeed,
+            or ``not_allowed`` when there is no such customer.
+        """
+        rule = self._rule(customer)
+        if rule is None:
+            raise CallError("not_allowed", f"no customer {customer!r}")
+        now = self._now()
+        waiter = self._holder.acquire(
+            customer, rule, now, deadline=deadline, tokens=tokens
+        )
+        if not waiter.settled:
+            await self._wait(waiter)
+        self._arm()
+        if not waiter.admitted:
+            self._refused.add(1, {"customer": customer})
+            raise CallError(
+                "rate_exceeded",
+                f"customer {customer!r} is above its rate",
+                retry_after=waiter.retry_after,
+            )
+        self._admitted.add(1, {"customer": customer})
+
+    def refund(self, customer):
+        """Give back the token of a call that was not run."""
+        self._holder.refund(customer, self._now())
+        self._finish()
+        self._arm()
+
+    async def on_start(self):
+        self._take_view()
+
+    async def on_stop(self):
+        if self._timer is not None:
+            self._timer.cancel()
+
+    @Service.timer(VIEW_SECONDS)
+    async def _follow_view(self):
+        self._take_view()
+        for host, version in self._tracker.pending.items():
+            self.add_future(self._announce(host, version))
+
+    @Service.timer(TIDY_SECONDS)
+    async def _tidy(self):
+        self._home.forget_idle(self._now())
+
+    async def _wait(self, waiter):
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[waiter] = future
+        self._run_due()
+        try:
+            await future
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            self._waiting.pop(waiter, None)
+
+    def _abandon(self, waiter):
+        """Give back what a call holds whose caller has gone."""
+        if waiter.admitted:
+            self._holder.refund(waiter.customer, self._now(), tokens=waiter.tokens)
+        else:
+            self._holder.cancel(waiter)
+        self._arm()
+
+    def _run_due(self):
+        """Do what is due at the holder and set the timer for the next time."""
+        for ask in self._holder.poll(self._rule, self._now()):
+            self.add_future(self._send(ask))
+        self._finish()
+        self._arm()
+
+    def _finish(self):
+        for waiter in self._holder.take_settled():
+            future = self._waiting.get(waiter)
+            if future is not None and not future.done():
+                future.set_result(None)
+
+    def _arm(self):
+        at = self._holder.next_due
+        if at == self._timer_at and self._timer is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer, self._timer_at = None, at
+        if at != float("inf") and not self.should_stop:
+            wait = max(0.0, at - self._now())
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(wait, self._on_timer)
+
+    def _on_timer(self):
+        self._timer = None
+        self._run_due()
+
+    async def _send(self, ask):
+        """Ask the home and take its answer."""
+        home = self._tracker.home(ask.customer)
+        try:
+            if home is None:
+                raise PeerError("no assignment is known")
+            grant = await self.yard.peers.ask(home, ask, timeout=ASK_TIMEOUT_SECONDS)
+        except (PeerError, CallError) as error:
+            self.log.debug("home %s of %s: %s", home, ask.customer, error)
+            self._holder.fail(ask.customer, ask.number, self._now())
+        else:
+            rule = self._rule(ask.customer) or Rule(1.0, 0.0)
+            self._holder.answer(ask.customer, grant, rule, self._now())
+        self._finish()
+        self._arm()
+
+    async def _serve_ask(self, message, context):
+        rule = self._rule(message.customer)
+        if rule is None:
+            return TokenGrant(message.number)
+        self._take_view()
+        if self._home.needs_adoption(message.customer, rule, self._now()):
+            await self._adopt(message.customer, rule)
+        now = self._now()
+        return self._home.ask(
+            context.host,
+            context.incarnation,
+            message,
+            rule,
+            now,
+            valid=self._is_valid(now),
+        )
+
+    async def _adopt(self, customer, rule):
+        """Fetch the bucket of an earlier home, once for all who wait for it."""
+        earlier = self._tracker.earlier_home(customer)
+        if earlier is None:
+            return
+        task = self._adoptions.get(customer)
+        if task is None:
+            task = asyncio.ensure_future(self._fetch_bucket(earlier, customer, rule))
+            self._adoptions[customer] = task
+            task.add_done_callback(lambda _: self._adoptions.pop(customer, None))
+        await asyncio.shield(task)
+
+    async def _fetch_bucket(self, earlier, customer, rule):
+        request = BucketRequest(customer, self._tracker.view.version)
+        try:
+            state = await self.yard.peers.ask(
+                earlier, request, timeout=HAND_OVER_TIMEOUT_SECONDS
+            )
+        except (PeerError, CallError) as error:
+            self.log.info("no bucket of %s from %s: %s", customer, earlier, error)
+            return
+        self._home.adopt(customer, state, rule, self._now())
+        self.log.info(
+            "bucket of %s taken over from %s: known=%s available=%.1f",
+            customer,
+            earlier,
+            state.known,
+            state.available,
+        )
+
+    async def _serve_bucket(self, message, context):
+        self._take_view()
+        if self._tracker.view.version < message.version:
+            self.yard.ownership.hear_version(context.host, message.version)
+            return BucketState()
+        now = self._now()
+        return self._home.hand_over(message.customer, now, valid=self._is_valid(now))
+
+    async def _announce(self, host, version):
+        try:
+            answer = await self.yard.peers.ask(
+                host, ViewAnnouncement(version), timeout=ASK_TIMEOUT_SECONDS
+            )
+        except (PeerError, CallError) as error:
+            self.log.debug("%s has not acknowledged %d: %s", host, version, error)
+            return
+        self._tracker.acknowledge(host, answer.version, self._now())
+
+    async def _serve_announcement(self, message, context):
+        self._take_view()
+        if self._tracker.view.version < message.version:
+            self.yard.ownership.hear_version(context.host, message.version)
+        return ViewKnown(self._tracker.view.version)
+
+    def _take_view(self):
+        assignment = self.yard.ownership.assignment
+        if assignment is None or assignment.version == self._tracker.view.version:
+            return
+        members = assignment.members.values()
+        view = View(
+            assignment.version,
+            {member.host: member.incarnation for member in members},
+            frozenset(m.host for m in members if m.state == ACTIVE),
+        )
+        self._home.change_view(view, self._now())
+
+    def _is_valid(self, now):
+        incarnation = self._tracker.view.members.get(self.yard.host)
+        if incarnation != self.yard.incarnation:
+            return False
+        return self.yard.ownership.valid(now)
+
+    def _rule(self, customer):
+        configuration = self.yard.configuration.current
+        row = configuration.customers.get(customer) if configuration else None
+        return Rule(row.rate, row.burst) if row else None
+
+    def _now(self):
+        return self.yard.clock.monotonic()
+
+    def _define_metrics(self):
+        meter = metrics.get_meter("sapphireyard.limits")
+        self._admitted = meter.create_counter(
+            "sapphireyard.limits.admitted", description="Calls within their rate."
+        )
+        self._refused = meter.create_counter(
+            "sapphireyard.limits.refused", description="Calls above their rate."
+        )
