Share the store's writes among the hosts of the fleet

Cause: each host kept 50 ms between segments however few hosts there were. The mean interval is now 5 ms times the number of hosts, 200 writes a second for the fleet at any size.

--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -37,6 +37,7 @@
 from sapphireyard.programs import Program
 from sapphireyard.runs import Run
 from sapphireyard.slots import SlotRequest
+from sapphireyard.tables import PUBLIC_CUSTOMER
 from sapphireyard.upstreams import UpstreamError, UpstreamRefusal, parse_chunk
 
 logger = logging.getLogger(__name__)
@@ -81,6 +82,7 @@
     body: dict
     deadline: float
     route: object = None
+    rated: bool = False
     reserved: bool = False
     journalled: bool = False
     sent: bool = False
@@ -155,15 +157,21 @@
         self._plan_seconds(execution)
         record = self._reserve(execution, route, tokens)
         try:
-            await self._yard.limits.acquire(
-                execution.call.customer, deadline=execution.deadline
-            )
+            await self._acquire_rate(execution)
             answer = await self._attempt(execution, pool, record, answer_tokens)
         except BaseException as error:
             await self._abandon(execution, error)
             raise
         await self._complete(execution, answer, tokens)
 
+    async def _acquire_rate(self, execution):
+        if execution.call.customer == PUBLIC_CUSTOMER:
+            return
+        await self._yard.limits.acquire(
+            execution.call.customer, deadline=execution.deadline
+        )
+        execution.rated = True
+
     def _find_route(self, name):
         route = self._yard.configuration.current.routes.get(name)
         if route is None:
@@ -441,6 +449,8 @@
 
     async def _abandon(self, execution, error):
         """Undo the reservation of a call that has no answer."""
+        if execution.rated and execution.executed == EXECUTED_NO:
+            self._yard.limits.refund(execution.call.customer)
         if not execution.reserved or isinstance(error, JournalSealed):
             return
         record = CallAbandoned(
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -36,6 +36,7 @@
     InspectProgram,
     ProgramElsewhere,
 )
+from sapphireyard.tables import PUBLIC_CUSTOMER
 
 logger = logging.getLogger(__name__)
 
@@ -56,9 +57,6 @@
 CLIENT_CLOSED_STATUS = 499
 """Status of an answer that nobody is there to read."""
 
-PUBLIC_CUSTOMER = "public"
-"""Customer of requests without a key on routes open to all."""
-
 
 class Gateway(mode.Service):
     """Serves callers over HTTP.
--- a/sapphireyard/generated_settings.py
+++ b/sapphireyard/generated_settings.py
@@ -68,9 +68,9 @@
     """
     Seconds without news of the configuration after which callers are refused.
     """
-    commit_interval_seconds: float = Field(0.05, ge=0.0)
+    commit_interval_seconds: float = Field(0.005, ge=0.0)
     """
-    Least seconds between two journal segments.
+    Least mean seconds between two journal segments of the whole fleet; bounds the writes to the store.
     """
     partitions: int = Field(256, ge=1, le=16384)
     """
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -129,12 +129,23 @@
         self._writer = JournalWriter(
             self.yard.host,
             incarnation,
-            interval_seconds=self.yard.settings.commit_interval_seconds,
+            interval_seconds=self._find_interval(),
         )
         self._tails = TailSender(self.yard)
         self._wake.set()
         self._flush.set()
 
+    def _find_interval(self):
+        """Return this host's least mean time between segments.
+
+        The store's writes are shared by all hosts, so the more there are, the
+        more records wait for one segment.
+        """
+        ownership = self.yard.ownership
+        assignment = ownership.assignment if ownership is not None else None
+        hosts = len(assignment.members) if assignment is not None else 1
+        return self.yard.settings.commit_interval_seconds * hosts
+
     async def barrier(self):
         """Wait until all commits begun before are durable and known to be so.
 
@@ -225,6 +236,7 @@
         if writer is None:
             await self._wait_wake(None)
             return
+        writer.interval_seconds = self._find_interval()
         now = self.yard.clock.monotonic()
         if writer.stage(now, token=secrets.token_hex(TOKEN_BYTES)) is not None:
             self._flush.set()
--- a/sapphireyard/journal_writer.py
+++ b/sapphireyard/journal_writer.py
@@ -63,6 +63,11 @@
         Least mean time between two segments.
     burst_segments : int, optional
         Segments that may follow each other at once after a quiet time.
+
+    Attributes
+    ----------
+    interval_seconds : float
+        May be changed at any time.
     """
 
     def __init__(
@@ -75,8 +80,8 @@
     ):
         self._host = host
         self._incarnation = incarnation
-        self._interval = interval_seconds
-        self._burst_seconds = (burst_segments - 1) * interval_seconds
+        self.interval_seconds = interval_seconds
+        self._burst_segments = burst_segments
         self._paid_until = float("-inf")
         self._queue = deque()
         self._staged = deque()
@@ -157,9 +162,10 @@
         if self._staged and not self.behind:
             return None
         if self.behind and self._staged_at is not None:
-            interval = max(OUTAGE_INTERVAL_SECONDS, self._interval)
+            interval = max(OUTAGE_INTERVAL_SECONDS, self.interval_seconds)
             return max(0.0, self._staged_at + interval - now)
-        return max(0.0, self._paid_until - self._burst_seconds - now)
+        credit = (self._burst_segments - 1) * self.interval_seconds
+        return max(0.0, self._paid_until - credit - now)
 
     def stage(self, now, *, token):
         """Close the next segment; return it, or None when it is not yet time.
@@ -183,7 +189,7 @@
         self._staged.append(segment)
         self._staged_bytes += len(value)
         self._staged_at = now
-        self._paid_until = max(self._paid_until, now) + self._interval
+        self._paid_until = max(self._paid_until, now) + self.interval_seconds
         self._next_number += 1
         return segment
 
