Split the executor and stop parsing the history for each turn

Reservations and senders are modules now; a turn's text is made once. Running calls that may not be repeated go on when their key is withdrawn or their program ended, so that their outcome is known.

--- a/sapphireyard/calls.py
+++ b/sapphireyard/calls.py
@@ -5,13 +5,14 @@
 """
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError
 
 CALL_RESERVED = "reserved"
 CALL_COMPLETED = "completed"
 CALL_UNKNOWN = "unknown"
+HTTP_OK = 200
 
 GAP_RETRY_SECONDS = 1.0
 TAIL_RETRY_SECONDS = 5.0
@@ -41,6 +42,10 @@
         JSON texts, empty while there is no answer.
     idempotency_key : str
         The caller's key, may be empty.
+    is_model : bool
+        Whether a model engine serves the route.
+    turn_text : str
+        The turn's messages as sent to engines; made when first needed.
     """
 
     sequence: int
@@ -53,11 +58,13 @@
     request: str = ""
     answer: str = ""
     idempotency_key: str = ""
+    is_model: bool = False
+    turn_text: str = field(default="", compare=False, repr=False)
 
     @property
     def is_model_turn(self):
         """bool: Whether the call is a turn of the conversation."""
-        return self.status == 200 and '"choices"' in self.answer
+        return self.is_model and self.status == HTTP_OK
 
 
 class Admission(enum.Enum):
--- a/sapphireyard/completions.py
+++ b/sapphireyard/completions.py
@@ -39,36 +39,39 @@
     return digest_text(key)
 
 
-def collect_messages(program):
-    """Return the messages of a program's conversation so far."""
-    messages = []
-    for call in program.calls.values():
-        if not call.is_model_turn:
-            continue
-        messages.extend(json.loads(call.request)["messages"])
-        messages.append(json.loads(call.answer)["choices"][0]["message"])
-    return messages
+def read_turn(call):
+    """Return the JSON text of a turn's messages, with commas, no brackets.
+
+    The text is made once and kept with the call, so that a long history is
+    not parsed again for each new turn.
+    """
+    if not call.turn_text:
+        message = json.loads(call.answer)["choices"][0]["message"]
+        messages = [*json.loads(call.request)["messages"], message]
+        call.turn_text = dump_json(messages)[1:-1]
+    return call.turn_text
 
 
-def build_prompt(history, body, answer_tokens):
-    """Return the request body for a model engine.
+def build_prompt(program, body, answer_tokens):
+    """Return the text of the request body for a model engine.
 
     Parameters
     ----------
-    history : list of dict
-        Messages of the earlier turns.
+    program : Program
+        Its completed turns go before the new messages.
     body : dict
         The caller's body, whose messages are new.
     answer_tokens : int
         Longest answer in tokens.
     """
-    return {
-        **body,
-        "messages": history + body["messages"],
+    turns = [read_turn(call) for call in program.calls.values() if call.is_model_turn]
+    turns.append(dump_json(body["messages"])[1:-1])
+    rest = {key: body[key] for key in body if key != "messages"} | {
         "max_tokens": answer_tokens,
         "stream": True,
         "stream_options": {"include_usage": True},
     }
+    return f'{{"messages":[{",".join(turns)}],{dump_json(rest)[1:]}'
 
 
 @dataclass
--- a/sapphireyard/dispatcher.py
+++ b/sapphireyard/dispatcher.py
@@ -7,13 +7,21 @@
 import asyncio
 import json
 import logging
+from dataclasses import dataclass
 
 import mode
 
 from sapphireyard.calls import CALL_COMPLETED, Admission, admit, explain_gap
 from sapphireyard.completions import digest_content, dump_json, restream
-from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
-from sapphireyard.executor import Execution, Executor
+from sapphireyard.exceptions import (
+    EXECUTED_UNKNOWN,
+    CallError,
+    JournalSealed,
+    NotOwner,
+    StoreUnavailable,
+)
+from sapphireyard.executions import Execution
+from sapphireyard.executor import Executor
 from sapphireyard.generated_messages import (
     AnswerChunk,
     AnswerEnd,
@@ -31,10 +39,13 @@
     ProgramOpened,
 )
 from sapphireyard.programs import Program
+from sapphireyard.reservations import STORE_RETRY_SECONDS
 from sapphireyard.runs import Run
+from sapphireyard.tables import Route
 
 logger = logging.getLogger(__name__)
 
+FIRST_SEQUENCE = 1
 GAP_SECONDS = 2.0
 """Seconds for which a call waits for the ones before it to arrive."""
 
@@ -79,31 +90,36 @@
         CallError
             The call was refused or failed.
         """
-        deadline = self._yard.clock.monotonic() + call.deadline_seconds
         body = json.loads(call.body)
-        digest = digest_content(call.route, body)
+        request = _Request(
+            call=call,
+            body=body,
+            digest=digest_content(call.route, body),
+            route=self._find_route(call.route),
+            deadline=self._yard.clock.monotonic() + call.deadline_seconds,
+        )
         if not call.program:
-            program, partition = Program("", "", self._yard.clock.wall()), None
-            run = self._begin(program, partition, call, body, 1, digest, deadline)
+            program = Program("", "", self._yard.clock.wall())
+            run = self._begin(request, program, None, FIRST_SEQUENCE)
             async for message in run.follow(stream=call.stream):
                 yield message
             return
-        partition = await self._enter(call.root, deadline)
+        partition = await self._enter(call.root, request.deadline)
         elsewhere = self._find_elsewhere(partition, call.root)
         if elsewhere:
             yield ProgramElsewhere(root=elsewhere)
             return
-        program = await self._open(partition, call, deadline)
-        decision = await self._admit(program, partition, call, digest, deadline)
+        program = await self._open(partition, call, request.deadline)
+        decision = await self._admit(request, program, partition)
         if decision.admission is Admission.REPLAY:
             for message in self._replay(program, decision.sequence, call):
                 yield message
             return
-        run = program.running
         if decision.admission is Admission.RUN:
-            run = self._begin(
-                program, partition, call, body, decision.sequence, digest, deadline
-            )
+            self._begin(request, program, partition, decision.sequence)
+        run = program.running
+        if run is None:
+            raise NotOwner("unknown: this host lost the program")
         async for message in run.follow(stream=call.stream):
             yield message
 
@@ -130,8 +146,7 @@
         partition = await self._enter(request.program, deadline)
         if self._yard.programs.get(partition, request.program) is None:
             record = ProgramLinked(request.program, request.root)
-            await self._yard.journal.commit([record], partition=partition)
-            self._yard.programs.apply(partition, record)
+            await self._record([record], partition)
         return Done()
 
     async def end(self, partition, program, reason):
@@ -144,24 +159,33 @@
         records = [ProgramEnded(each.key, reason) for each in family if not each.ended]
         if not records:
             return
-        await self._yard.journal.commit(records, partition=partition)
-        for record in records:
-            self._yard.programs.apply(partition, record)
+        await self._record(records, partition)
         for each in family:
             if each.running is not None:
-                self._executor.cancel(each.running)
+                self._stop(each.running, CallError("program_ended", reason))
             await self._executor.release(each)
 
+    async def _record(self, records, partition):
+        """Make records durable, then apply them."""
+        try:
+            await self._yard.journal.commit(records, partition=partition)
+        except JournalSealed as error:
+            raise NotOwner("unknown: this host lost the program") from error
+        except StoreUnavailable as error:
+            raise CallError(
+                "store_unavailable",
+                "the change cannot be recorded now",
+                executed=EXECUTED_UNKNOWN,
+                retry_after=STORE_RETRY_SECONDS,
+            ) from error
+        for record in records:
+            self._yard.programs.apply(partition, record)
+
     def end_runs_of_keys(self, is_withdrawn):
         """Stop running calls whose key was withdrawn."""
         for run in list(self._runs):
             if run.key_digest and is_withdrawn(run.key_digest):
-                self._executor.cancel(
-                    run,
-                    CallError(
-                        "key_withdrawn", "the key was withdrawn", executed="unknown"
-                    ),
-                )
+                self._stop(run, _explain_withdrawal(run))
 
     async def _enter(self, root, deadline):
         """Return the partition of `root` once this host may serve it."""
@@ -230,31 +254,36 @@
             location.host, LinkProgram(key, root), timeout=LINK_SECONDS
         )
 
-    async def _admit(self, program, partition, call, digest, deadline):
+    async def _admit(self, request, program, partition):
+        """Return the decision on a call, waiting for those before it."""
+        call = request.call
         clock = self._yard.clock
-        gap_deadline = min(deadline, clock.monotonic() + GAP_SECONDS)
+        gap_deadline = min(request.deadline, clock.monotonic() + GAP_SECONDS)
         while True:
             if self._yard.programs.is_held(partition):
-                await self._enter(program.root, deadline)
-                program = self._yard.programs.get(partition, program.key) or program
+                await self._enter(program.root, request.deadline)
+            self._check_current(program, partition)
             decision = admit(
                 program,
                 sequence=call.sequence,
-                digest=digest,
+                digest=request.digest,
                 idempotency_key=call.idempotency_key,
             )
             if decision.admission is not Admission.WAIT:
                 return decision
             if program.running is not None:
-                gap_deadline = min(deadline, clock.monotonic() + GAP_SECONDS)
-                limit = deadline
-            else:
-                limit = gap_deadline
+                gap_deadline = min(request.deadline, clock.monotonic() + GAP_SECONDS)
+            limit = gap_deadline if program.running is None else request.deadline
             left = limit - clock.monotonic()
             if left <= 0:
                 raise self._explain_wait(program, call)
             await self._wait_turn(program, left)
 
+    def _check_current(self, program, partition):
+        """Refuse to go on with a program that moved away while a call waited."""
+        if self._yard.programs.get(partition, program.key) is not program:
+            raise NotOwner(self._yard.ownership.locate(program.root).host)
+
     def _explain_wait(self, program, call):
         if program.running is None:
             return explain_gap(program, call.sequence)
@@ -271,11 +300,12 @@
         except TimeoutError:
             return
 
-    def _begin(self, program, partition, call, body, sequence, digest, deadline):
+    def _begin(self, request, program, partition, sequence):
+        call = request.call
         run = Run(
             program=call.program,
             sequence=sequence,
-            digest=digest,
+            digest=request.digest,
             key_digest=call.key_digest,
         )
         execution = Execution(
@@ -283,14 +313,34 @@
             program=program,
             partition=partition,
             call=call,
-            body=body,
-            deadline=deadline,
+            body=request.body,
+            route=request.route,
+            deadline=request.deadline,
         )
+        assert program.running is None, f"{program.key} runs a call already"
         program.running = run
+        run.execution = execution
         run.task = asyncio.ensure_future(self._run(execution))
         self._runs.add(run)
         return run
 
+    def _stop(self, run, error):
+        """Stop a run, whose callers get `error`.
+
+        A call that may not be repeated goes on, so that its outcome is known.
+        """
+        if not run.execution.route.repeatable:
+            return
+        run.execution.cancel_error = error
+        run.task.cancel()
+
+    def _find_route(self, name):
+        self._yard.configuration.check_fresh()
+        route = self._yard.configuration.current.routes.get(name)
+        if route is None:
+            raise CallError("route_unknown", f"no route {name!r}")
+        return route
+
     async def _run(self, execution):
         run = execution.run
         try:
@@ -328,6 +378,23 @@
         ]
 
 
+@dataclass
+class _Request:
+    """A call as it arrived, with its parsed body."""
+
+    call: ForwardCall
+    body: dict
+    digest: str
+    route: Route
+    deadline: float
+
+
+def _explain_withdrawal(run):
+    return CallError(
+        "key_withdrawn", "the key was withdrawn", executed=run.execution.executed
+    )
+
+
 def describe(program):
     """Return what a caller may know of a program, as a JSON object."""
     return {
--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -64,6 +64,10 @@
     repeatable: bool
     tokens: int
     upstream: str = ''
+    is_model: bool = False
+    """
+    Whether a model engine serves the route.
+    """
     idempotency_key: str = ''
 
 
@@ -127,6 +131,7 @@
     status: int = 0
     request: str = ''
     answer: str = ''
+    is_model: bool = False
     idempotency_key: str = ''
 
 
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections import defaultdict
 from functools import singledispatchmethod
 
@@ -184,6 +185,7 @@
             repeatable=record.repeatable,
             tokens=record.tokens,
             idempotency_key=record.idempotency_key,
+            is_model=record.is_model,
         )
         _index_key(program, record)
         _spend(programs, program, tokens=record.tokens, calls=1)
@@ -312,6 +314,11 @@
         assert payer.spent_tokens >= 0, f"{key} spent {payer.spent_tokens} tokens"
 
 
+def _take_call(call):
+    names = (field.name for field in dataclasses.fields(SnapshotCall))
+    return SnapshotCall(**{name: getattr(call, name) for name in names})
+
+
 def _take_snapshot(program):
     return ProgramSnapshot(
         program=program.key,
@@ -324,5 +331,5 @@
         spent_calls=program.spent_calls,
         ended=program.ended,
         link=program.link,
-        calls=[SnapshotCall(**vars(call)) for call in program.calls.values()],
+        calls=[_take_call(call) for call in program.calls.values()],
     )
--- /dev/null
+++ b/sapphireyard/reservations.py
@@ -0,0 +1,142 @@
+"""The durable side of a call: reserved before it is sent, settled afterwards."""
+
+import contextlib
+
+from sapphireyard.completions import dump_json
+from sapphireyard.exceptions import (
+    EXECUTED_NO,
+    EXECUTED_YES,
+    CallError,
+    JournalSealed,
+    StoreUnavailable,
+)
+from sapphireyard.generated_records import (
+    CallAbandoned,
+    CallCompleted,
+    CallReserved,
+)
+
+STORE_RETRY_SECONDS = 2.0
+
+
+class Reservations:
+    """Reserves calls in their programs and settles them.
+
+    A call leaves the host only after `commit`; its answer reaches the caller
+    only after `complete`.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        self._yard = yard
+
+    def reserve(self, execution, tokens):
+        """Take the worst case of a call from its budget; return the record."""
+        if not execution.is_kept:
+            return None
+        route = execution.route
+        record = CallReserved(
+            program=execution.program.key,
+            sequence=execution.run.sequence,
+            digest=execution.run.digest,
+            route=route.name,
+            repeatable=route.repeatable,
+            tokens=tokens,
+            is_model=route.kind == "model",
+            idempotency_key=execution.call.idempotency_key,
+        )
+        self._yard.programs.apply(execution.partition, record)
+        execution.reserved = True
+        return record
+
+    async def commit(self, execution, record):
+        """Make a reservation durable.
+
+        Raises
+        ------
+        CallError
+            ``store_unavailable``: the call must not be sent.
+        JournalSealed
+            This host no longer owns the program.
+        """
+        if record is None:
+            return
+        program = execution.program
+        records = [program.opening, record] if program.opening else [record]
+        execution.journalled = True
+        try:
+            await self._yard.journal.commit(
+                records,
+                partition=execution.partition,
+                needs_store=not record.repeatable,
+            )
+        except StoreUnavailable as error:
+            raise CallError(
+                "store_unavailable",
+                "the call cannot be recorded now",
+                retry_after=STORE_RETRY_SECONDS,
+            ) from error
+        program.opening = None
+
+    async def complete(self, execution, answer, reserved_tokens):
+        """Make an answer durable and end the run with it.
+
+        Raises
+        ------
+        CallError
+            ``store_unavailable``: the answer could not be recorded.
+        JournalSealed
+            This host no longer owns the program.
+        """
+        run = execution.run
+        if execution.is_kept:
+            record = self._build_completion(execution, answer, reserved_tokens)
+            await self._commit_answer(execution, record)
+            self._yard.programs.apply(execution.partition, record)
+        run.finish(answer.status, answer.body, answer.last_chunks)
+
+    async def abandon(self, execution, error):
+        """Undo the reservation of a call that has no answer."""
+        if execution.rated and execution.executed == EXECUTED_NO:
+            self._yard.limits.refund(execution.call.customer)
+        if not execution.reserved or isinstance(error, JournalSealed):
+            return
+        record = CallAbandoned(
+            execution.program.key, execution.run.sequence, execution.executed
+        )
+        self._yard.programs.apply(execution.partition, record)
+        if not execution.journalled:
+            return
+        with contextlib.suppress(StoreUnavailable, JournalSealed, CallError):
+            await self._yard.journal.commit([record], partition=execution.partition)
+
+    def _build_completion(self, execution, answer, reserved_tokens):
+        is_model = execution.route.kind == "model"
+        body = execution.body
+        request = {"messages": body["messages"]} if is_model else body
+        return CallCompleted(
+            program=execution.program.key,
+            sequence=execution.run.sequence,
+            digest=execution.run.digest,
+            status=answer.status,
+            request=dump_json(request),
+            answer=answer.body,
+            tokens=reserved_tokens if answer.tokens < 0 else answer.tokens,
+            idempotency_key=execution.call.idempotency_key,
+        )
+
+    async def _commit_answer(self, execution, record):
+        try:
+            await self._yard.journal.commit([record], partition=execution.partition)
+        except StoreUnavailable as error:
+            await self.abandon(execution, error)
+            raise CallError(
+                "store_unavailable",
+                "the answer could not be recorded",
+                executed=EXECUTED_YES,
+                retry_after=STORE_RETRY_SECONDS,
+            ) from error
--- a/sapphireyard/runs.py
+++ b/sapphireyard/runs.py
@@ -29,6 +29,7 @@
         self.digest = digest
         self.key_digest = key_digest
         self.task = None
+        self.execution = None
         self._chunks = []
         self._status = 0
         self._body = ""
--- /dev/null
+++ b/sapphireyard/senders.py
@@ -0,0 +1,135 @@
+"""Sends a call to an upstream and reads its whole answer."""
+
+import contextlib
+import json
+
+from sapphireyard.completions import (
+    CompletionAssembler,
+    build_prompt,
+    count_tokens,
+    digest_program,
+    dump_json,
+)
+from sapphireyard.executions import UpstreamAnswer
+from sapphireyard.upstreams import UpstreamError, UpstreamRefusal, parse_chunk
+
+FIRST_RETRIED_STATUS = 500
+"""From this HTTP status on, an answer is a failure of the upstream."""
+
+
+class Sender:
+    """Sends calls; a subclass for each kind of upstream.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        self._yard = yard
+
+    async def send(self, execution, grant, answer_tokens):
+        """Return the `UpstreamAnswer` of a call.
+
+        Parameters
+        ----------
+        execution : Execution
+            The call; marked as sent from here on.
+        grant : Lease
+            The slot, which names the upstream.
+        answer_tokens : int
+            Longest answer of a model in tokens.
+
+        Raises
+        ------
+        UpstreamError
+            No whole answer came.
+        """
+        raise NotImplementedError
+
+
+class ModelSender(Sender):
+    """Streams a turn from a model engine."""
+
+    async def send(self, execution, grant, answer_tokens):
+        """Return the answer; pass its chunks on as they come."""
+        program = execution.program
+        program.upstreams.add(grant.upstream.address)
+        assembler = CompletionAssembler()
+        try:
+            last_chunks = await self._stream(execution, grant, answer_tokens, assembler)
+        except UpstreamRefusal as refusal:
+            _check_status(refusal.status)
+            return UpstreamAnswer(refusal.status, _ensure_json(refusal.text), tokens=0)
+        if not assembler.finished:
+            raise UpstreamError("the answer is not complete", sent=True)
+        answer = assembler.build()
+        self._report(grant, answer["usage"] or {})
+        return UpstreamAnswer(
+            200,
+            dump_json(answer),
+            tokens=count_tokens(answer, otherwise=-1),
+            last_chunks=tuple(last_chunks),
+        )
+
+    async def _stream(self, execution, grant, answer_tokens, assembler):
+        program = execution.program
+        prompt = build_prompt(program, execution.body, answer_tokens)
+        events = self._yard.upstreams.stream_completion(
+            grant.upstream.address,
+            prompt,
+            program=digest_program(program.key) if program.key else "",
+        )
+        last_chunks = []
+        execution.sent = True
+        async with contextlib.aclosing(events):
+            async for data in events:
+                assembler.add(parse_chunk(data))
+                if assembler.finished:
+                    last_chunks.append(data)
+                    continue
+                execution.run.add_chunk(data)
+        return last_chunks
+
+    def _report(self, grant, usage):
+        details = usage.get("prompt_tokens_details") or {}
+        grant.report(
+            output_tokens=usage.get("completion_tokens", 0),
+            cached_tokens=details.get("cached_tokens", -1),
+        )
+
+
+class ServiceSender(Sender):
+    """Calls a plain service."""
+
+    async def send(self, execution, grant, answer_tokens):
+        """Return the service's answer."""
+        route = execution.route
+        execution.sent = True
+        status, text = await self._yard.upstreams.call_service(
+            grant.upstream.address,
+            route.path or route.name,
+            dump_json(execution.body),
+            idempotency_key=execution.call.idempotency_key,
+            repeatable=route.repeatable,
+        )
+        _check_status(status)
+        return UpstreamAnswer(status, _ensure_json(text), tokens=0)
+
+
+SENDERS = {"model": ModelSender, "service": ServiceSender}
+"""The `Sender` of each kind of route."""
+
+
+def _check_status(status):
+    if status >= FIRST_RETRIED_STATUS:
+        raise UpstreamError(f"status {status}", sent=True)
+
+
+def _ensure_json(text):
+    try:
+        json.loads(text)
+    except ValueError:
+        return dump_json({"text": text})
+    return text
--- a/sapphireyard/upstreams.py
+++ b/sapphireyard/upstreams.py
@@ -89,8 +89,8 @@
         ----------
         address : str
             IP:PORT of the engine.
-        body : dict
-            Request body.
+        body : str
+            JSON text of the request.
         program : str
             Opaque digest of the program.
 
@@ -130,12 +130,13 @@
     async def release_program(self, address, program):
         """Ask an engine to drop what it holds of a program."""
         url = f"http://{address}/cache/release"
-        async with self._post(self._pooled, url, {"program": program}, {}) as response:
+        body = dump_json({"program": program})
+        async with self._post(self._pooled, url, body, {}) as response:
             await response.read()
 
     @contextlib.asynccontextmanager
     async def _post(self, session, url, body, headers):
-        data = dump_json(body).encode()
+        data = body.encode()
         headers = {"Content-Type": "application/json", **headers}
         try:
             async with session.post(url, data=data, headers=headers) as response:
