Keep serving through an outage of the store that meets everybody

Cause: by age alone every host failed closed 8 s into an outage, though during it nobody can change the tables and repeatable calls are to go on. Ruled out: a majority of hosts, which at 410 daemons means 26 questions a second each; one host of each failure domain is enough. Two domains that keep each other fresh (broken variant, caught), and going on after news of a newer version (broken variant, caught). Change: Freshness goes on while more than half of the failure domains, at least three, answer within the bound and none names a newer version. A host cut from the others still fails closed. Left open by it: if most domains are cut from the store and an operator is not, a withdrawn key works there until the cut ends.

--- a/sapphireyard/configuration.py
+++ b/sapphireyard/configuration.py
@@ -10,9 +10,9 @@
 import logging
 
 import mode
-import xxhash
 
 from sapphireyard import generated_configuration
+from sapphireyard._hashing import hash_text
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
@@ -127,9 +127,12 @@
         ------
         CallError
             ``configuration_stale``: neither the store nor a peer confirmed it
-            within the withdrawal bound.
+            within the withdrawal bound, and too few failure domains answer to
+            tell an outage of the store from a cut of this host.
         """
-        if self._freshness.is_fresh(self._now()):
+        now = self._now()
+        self._freshness.hear_domain(self._yard.settings.failure_domain, now)
+        if self._freshness.is_fresh(now, self._domains()):
             return
         raise CallError(
             "configuration_stale",
@@ -229,6 +232,9 @@
                 host, ConfigurationQuery(version=self.version), timeout=ASK_SECONDS
             )
             self._freshness.hear(answer.version)
+            member = self._members().get(host)
+            if member is not None:
+                self._freshness.hear_domain(member.failure_domain, asked_at)
             if answer.manifest:
                 manifest = decode_manifest(answer.manifest)
                 await self._install(manifest, source=host)
@@ -329,13 +335,15 @@
         assignment = ownership.assignment if ownership is not None else None
         return assignment.members if assignment is not None else {}
 
+    def _domains(self):
+        """Return the hosts of each failure domain."""
+        domains = {}
+        for host, member in self._members().items():
+            domains.setdefault(member.failure_domain, []).append(host)
+        return domains
+
     def _domain_hosts(self):
-        domain = self._yard.settings.failure_domain
-        return [
-            host
-            for host, member in self._members().items()
-            if member.failure_domain == domain
-        ]
+        return self._domains().get(self._yard.settings.failure_domain, [])
 
     def _domain_watchers(self):
         hosts = sorted(self._domain_hosts(), key=_rank_host)
@@ -354,11 +362,19 @@
             start = self._turn % max(1, len(others))
             return (others[start:] + others[:start])[:FIRST_PEERS]
         watchers = [host for host in self._domain_watchers() if host != own]
-        if not self._needs_news() or not others:
+        if not self._needs_news():
             return watchers[:1]
         self._turn += 1
-        return [*watchers, others[self._turn % len(others)]]
+        return sorted({*watchers, *self._choose_far_peers()})
+
+    def _choose_far_peers(self):
+        """Return one host of each other failure domain, in turn."""
+        return [
+            hosts[self._turn % len(hosts)]
+            for domain, hosts in self._domains().items()
+            if domain != self._yard.settings.failure_domain
+        ]
 
 
 def _rank_host(host):
-    return xxhash.xxh3_64_intdigest(host.encode()), host
+    return hash_text(host), host
--- a/sapphireyard/freshness.py
+++ b/sapphireyard/freshness.py
@@ -1,5 +1,8 @@
 """Whether a host may still trust the configuration that it has."""
 
+QUORUM_DOMAINS = 3
+"""Least failure domains, one's own included, that can attest an outage."""
+
 
 class Freshness:
     """Tracks when the version at hand was last known to be the newest.
@@ -8,6 +11,11 @@
     of the store's answer behind it, so that hosts which are cut from the
     store cannot keep each other fresh.
 
+    While the store is out for the whole fleet nobody can change the
+    configuration. A host that keeps hearing from more than half of all failure
+    domains, and of no newer version, goes on with the one it has: a version
+    that has reached more than half of the domains cannot be missed so.
+
     Parameters
     ----------
     bound_seconds : float
@@ -19,6 +27,7 @@
         self._version = 0
         self._newest_heard = 0
         self._confirmed_at = None
+        self._heard_at = {}
 
     @property
     def version(self):
@@ -57,6 +66,18 @@
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
 
+    def hear_domain(self, domain, asked_at):
+        """Note that a host of a failure domain answered a question.
+
+        Parameters
+        ----------
+        domain : str
+            Its failure domain.
+        asked_at : float
+            When it was asked, by this host's clock in seconds.
+        """
+        self._heard_at[domain] = max(asked_at, self._heard_at.get(domain, asked_at))
+
     def install(self, version):
         """Put a newer version in force; it is confirmed separately."""
         assert version > self._version, f"{version} would revert {self._version}"
@@ -69,8 +90,26 @@
             return -1.0
         return max(0.0, now - self._confirmed_at)
 
-    def is_fresh(self, now):
-        """Return whether the version may be used at `now` (seconds)."""
+    def is_fresh(self, now, domains=()):
+        """Return whether the version may be used.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        domains : collection of str, optional
+            All failure domains of the fleet; none rules an outage out.
+        """
         if not self._version or self._confirmed_at is None:
             return False
-        return now - self._confirmed_at <= self._bound
+        if now - self._confirmed_at <= self._bound:
+            return True
+        return self._newest_heard == self._version and self._has_quorum(now, domains)
+
+    def _has_quorum(self, now, domains):
+        heard = sum(
+            1
+            for domain in domains
+            if now - self._heard_at.get(domain, float("-inf")) <= self._bound
+        )
+        return heard >= QUORUM_DOMAINS and 2 * heard > len(domains)
--- a/sapphireyard/manifests.py
+++ b/sapphireyard/manifests.py
@@ -11,8 +11,7 @@
 import json
 from dataclasses import asdict
 
-import xxhash
-
+from sapphireyard._hashing import hash_text
 from sapphireyard.exceptions import StoreConflict, StoreError, StoreUnavailable
 from sapphireyard.generated_configuration import Manifest
 from sapphireyard.keys import create_salt
@@ -69,7 +68,7 @@
     field = NAME_FIELDS.get(table, "name")
     parts = [[] for _ in range(count)]
     for row in sorted(rows, key=lambda row: row[field]):
-        parts[xxhash.xxh3_64_intdigest(row[field].encode()) % count].append(row)
+        parts[hash_text(row[field]) % count].append(row)
     return [_dump(part) for part in parts if part]
 
 
