--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -36,6 +36,7 @@
     InspectProgram,
     ProgramElsewhere,
 )
+from sapphireyard.tables import PUBLIC_CUSTOMER
 
 logger = logging.getLogger(__name__)
 
@@ -53,8 +54,8 @@
 """Most times a call follows a moved program without a pause."""
 
 SHUTDOWN_SECONDS = 1.0
-PUBLIC_CUSTOMER = "public"
-"""Customer of requests without a key on routes open to all."""
+CLIENT_CLOSED_STATUS = 499
+"""Status of an answer that nobody is there to read."""
 
 
 class Gateway(mode.Service):
@@ -162,6 +163,9 @@
                 "key_withdrawn", "the key was withdrawn", executed=EXECUTED_UNKNOWN
             )
             return build_problem_response(withdrawn)
+        except ConnectionError:
+            logger.info("the caller went away: %s %s", request.method, request.path)
+            return web.Response(status=CLIENT_CLOSED_STATUS)
         except YardError as error:
             logger.warning("request failed: %s", error)
             return build_problem_response(
@@ -247,6 +251,8 @@
         if scheme.lower() != "bearer" or not key.strip():
             raise CallError("key_unknown", "a bearer key is needed")
         principal = self._yard.configuration.authenticate(key.strip())
+        if principal.operator:
+            raise CallError("not_allowed", "an operator's key serves no calls")
         self._requests[asyncio.current_task()] = principal.key_digest
         return principal
 
