Take slots of plain services and leaving upstreams from the tables

A pool that routes of kind service name has service_concurrency slots per upstream and no KV; rows with state leaving get nothing new.

python -m unittest tests.test_slots: 14 tests pass.

--- a/sapphireyard/home_registry.py
+++ b/sapphireyard/home_registry.py
@@ -17,6 +17,9 @@
 from sapphireyard.scheduling import SlotRequest
 from sapphireyard.slot_homes import GroupHome
 
+SERVICE = "service"
+"""Kind of the routes to plain services."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -35,12 +38,20 @@
         self._states = {}
         self._groups = {}
         self._configured = None
+        self._service_pools = frozenset()
 
     @property
     def homes(self):
         """dict of str to GroupHome: The groups whose home is here."""
         return self._homes
 
+    def batch_size(self, pool):
+        """Return how many requests an upstream of a pool takes at once."""
+        self._configure()
+        if pool.name in self._service_pools:
+            return pool.service_concurrency
+        return pool.batch_size
+
     def register(self):
         """Serve the messages of holders."""
         peers = self._yard.peers
@@ -143,7 +154,11 @@
             raise NotHome(owner)
         if key not in self._homes:
             self._homes[key] = GroupHome(
-                pool, groups[number], self._yard.clock, on_release=self._release
+                pool,
+                groups[number],
+                self._yard.clock,
+                service=pool_name in self._service_pools,
+                on_release=self._release,
             )
             self._set_up(self._homes[key], pool, groups[number])
         return self._homes[key]
@@ -154,6 +169,10 @@
         if current is self._configured or current is None:
             return
         self._configured = current
+        routes = current.routes.values()
+        self._service_pools = frozenset(
+            route.pool for route in routes if route.kind == SERVICE
+        )
         for key, home in list(self._homes.items()):
             pool = current.pools.get(home.group.pool)
             groups = self.split(pool) if pool else ()
--- a/sapphireyard/slot_holder.py
+++ b/sapphireyard/slot_holder.py
@@ -81,26 +81,23 @@
 
     held: HeldSlots = field(default_factory=HeldSlots)
 
-    def choose(self, group, pool, request, hosts):
+    def choose(self, group, request, bound):
         """Return the name of the least loaded upstream.
 
         Parameters
         ----------
         group : Group
             Upstreams to choose from.
-        pool : object
-            Gives the batch size.
         request : SlotRequest
             Its excluded upstreams are avoided.
-        hosts : int
-            Hosts that may guess at the same time.
+        bound : int
+            Slots of each upstream that this host may take.
 
         Raises
         ------
         CallError
             ``overloaded``: the part of this host is in use.
         """
-        bound = max(1, pool.batch_size // max(1, hosts))
         loads = {
             upstream.name: self.held.count_on(group, upstream.name)
             for upstream in group.upstreams
--- a/sapphireyard/slot_homes.py
+++ b/sapphireyard/slot_homes.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from sapphireyard.capacity import UpstreamLimits
+from sapphireyard.capacity import UpstreamLimits, UpstreamState
 from sapphireyard.exceptions import CallError
 from sapphireyard.scheduler import Scheduler
 from sapphireyard.scheduling import Grant, Refuse, Release, SlotRequest
@@ -20,19 +20,33 @@
 LEARNING_SHARE = 4
 """While learning, one slot in so many is granted."""
 
+LEAVING = "leaving"
+"""Configured state of an upstream that takes no new work."""
+
 MISSED_HEARTBEATS = 2
 """Heartbeats that leave out a slot before it is taken back."""
 
 
-def make_limits(pool, upstream):
-    """Return the `UpstreamLimits` of one upstream of a pool."""
+def make_limits(pool, upstream, *, service=False):
+    """Return the `UpstreamLimits` of one upstream of a pool.
+
+    Parameters
+    ----------
+    pool : PoolRow
+        The pool as configured.
+    upstream : UpstreamRow
+        One of its upstreams.
+    service : bool, optional
+        Whether the pool serves plain services, which hold no KV.
+    """
+    if service:
+        return UpstreamLimits(upstream.name, pool.service_concurrency)
     return UpstreamLimits(
         name=upstream.name,
         batch_size=pool.batch_size,
         kv_tokens=pool.kv_tokens,
         prefill_rate=pool.prefill_rate,
         decode_seconds=pool.decode_seconds,
-        transfer_rate=getattr(pool, "transfer_rate", 0.0),
     )
 
 
@@ -49,30 +63,34 @@
 
     Parameters
     ----------
-    pool : object
+    pool : PoolRow
         The pool as configured.
     group : Group
         Its upstreams.
     clock : Clock
         Source of time.
+    service : bool, optional
+        Whether the pool serves plain services.
     on_release : callable, optional
         Called with the address of an upstream and the program whose memory
         it may free.
     """
 
-    def __init__(self, pool, group, clock, *, on_release=None):
+    def __init__(self, pool, group, clock, *, service=False, on_release=None):
         self.group = group
-        self._pool = pool
         self._clock = clock
+        self._service = service
         self._on_release = on_release or (lambda address, program: None)
         self._addresses = {}
         self._waiters = {}
         self._holders = {}
-        self._options = choose_options(pool.latency_weight)
-        self._scheduler = Scheduler((), options=self._options)
+        self._leaving = set()
+        self._scheduler = Scheduler(())
         self._learning_until = clock.monotonic() + LEARNING_SECONDS
         self.configure(pool, group, {})
-        bound = max(1, pool.batch_size // LEARNING_SHARE)
+        limits = self._scheduler.upstreams.values()
+        batch_size = max((each.batch_size for each in limits), default=1)
+        bound = max(1, batch_size // LEARNING_SHARE)
         self._apply(self._scheduler.set_bound(bound, self._now))
 
     @property
@@ -91,17 +109,28 @@
 
     def configure(self, pool, group, customers):
         """Take in the pool's newest configuration and the customers' weights."""
-        self._pool, self.group = pool, group
+        self.group = group
         self._addresses = {each.name: each.address for each in group.upstreams}
         self._scheduler.set_options(choose_options(pool.latency_weight))
         for name in set(self._scheduler.upstreams) - set(self._addresses):
+            self._leaving.discard(name)
             self._apply(self._scheduler.remove_upstream(name, self._now))
         for upstream in group.upstreams:
-            self._scheduler.add_upstream(make_limits(pool, upstream))
+            limits = make_limits(pool, upstream, service=self._service)
+            self._scheduler.add_upstream(limits)
+            self._set_configured_state(upstream)
         for name, customer in customers.items():
             self._scheduler.set_weight(name, customer.weight)
         self._apply(self._scheduler.tick(self._now))
 
+    def _set_configured_state(self, upstream):
+        leaving = upstream.state == LEAVING
+        if leaving == (upstream.name in self._leaving):
+            return
+        self._leaving ^= {upstream.name}
+        state = UpstreamState.LEAVING if leaving else UpstreamState.UP
+        self.set_state(upstream.name, state)
+
     def set_state(self, name, state):
         """Mark an upstream of the group up, leaving or down."""
         self._apply(self._scheduler.set_state(name, state, self._now))
--- a/sapphireyard/slots.py
+++ b/sapphireyard/slots.py
@@ -272,7 +272,8 @@
         if now - since < UNREACHABLE_SECONDS:
             return None
         pool = self._configuration.pools[group.pool]
-        name = self._guess.choose(group, pool, request, len(self._members))
+        bound = self._registry.batch_size(pool) // max(1, len(self._members))
+        name = self._guess.choose(group, request, max(1, bound))
         addresses = {each.name: each.address for each in group.upstreams}
         logger.info(
             "slot guessed",
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from types import SimpleNamespace
 
 from sapphireyard.assignment import Member
 from sapphireyard.capacity import UpstreamState
 from sapphireyard.exceptions import CallError
 from sapphireyard.generated_slots import SlotHeartbeat
+from sapphireyard.generated_tables import PoolRow
 from sapphireyard.groups import find_home, pick_group, split_groups
 from sapphireyard.slot_homes import LEARNING_SECONDS, LEASE_SECONDS
 from sapphireyard.slots import UNREACHABLE_SECONDS, SlotRequest, SlotService
@@ -16,17 +18,28 @@
 HOSTS = ("a", "b", "c")
 
 
-def make_pool(*, batch_size=4, upstreams=1, kv_tokens=10_000):
+def make_pool(*, batch_size=4, upstreams=1, leaving=()):
     """Return a pool as the configuration gives it."""
     names = [f"engine-{number}" for number in range(upstreams)]
+    rows = [
+        {
+            "name": name,
+            "address": f"127.0.0.1:{number + 1}",
+            "state": "leaving" if name in leaving else "active",
+        }
+        for number, name in enumerate(names)
+    ]
+    return PoolRow(
+        name="models", upstreams=rows, batch_size=batch_size, kv_tokens=10_000
+    )
+
+
+def make_configuration(pool, *, kind="model"):
+    """Return a configuration with one pool and one route."""
     return SimpleNamespace(
-        name="models",
-        upstreams=[SimpleNamespace(name=n, address=f"{n}:1") for n in names],
-        batch_size=batch_size,
-        kv_tokens=kv_tokens,
-        prefill_rate=8_000.0,
-        decode_seconds=0.02,
-        latency_weight=0.5,
+        pools={pool.name: pool},
+        routes={"chat": SimpleNamespace(pool=pool.name, kind=kind)},
+        customers={"big": SimpleNamespace(weight=2.0)},
     )
 
 
@@ -38,27 +51,23 @@
 class Hosts:
     """Some hosts with slot services and one clock, without sockets."""
 
-    def __init__(self, pool):
+    def __init__(self, pool, **options):
+        self.configuration = make_configuration(pool, **options)
         self.network = Network()
         self.clock = VirtualClock()
         self.members = {host: make_member(host) for host in HOSTS}
-        self.yards = {host: self.start(host, pool) for host in HOSTS}
+        self.yards = {host: self.start(host) for host in HOSTS}
         self.clock.now += LEARNING_SECONDS
         self.home = find_home("models/0", self.members)
         self.others = [host for host in HOSTS if host != self.home]
 
-    def start(self, host, pool):
+    def start(self, host):
         """Start a host, or a new process of it."""
-        current = SimpleNamespace(
-            version=1,
-            pools={pool.name: pool},
-            customers={"big": SimpleNamespace(weight=2.0)},
-        )
         yard = SimpleNamespace(
             host=host,
             incarnation=1,
             clock=self.clock,
-            configuration=SimpleNamespace(current=current),
+            configuration=SimpleNamespace(current=self.configuration),
             ownership=SimpleNamespace(assignment=SimpleNamespace(members=self.members)),
             upstreams=None,
         )
@@ -121,8 +130,8 @@
 
 
 class SlotServiceTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, **options):
-        hosts = Hosts(make_pool(**options))
+    async def start(self, *, kind="model", **options):
+        hosts = Hosts(make_pool(**options), kind=kind)
         await hosts.learn()
         return hosts
 
@@ -141,7 +150,7 @@
         self.assertEqual(record.decision, "placement")
         self.assertEqual((record.upstream, record.among), ("engine-0", ["engine-0"]))
         await held[0].end()
-        self.assertEqual(held[2].lease.upstream.address, "engine-0:1")
+        self.assertEqual(held[2].lease.upstream.address, "127.0.0.1:1")
 
     async def test_reports_tell_where_the_prefix_is(self):
         hosts = await self.start(upstreams=3)
@@ -246,24 +255,24 @@
             hosts.slots(hosts.home).set_state("models", name, UpstreamState.UP)
 
     async def test_plain_services_are_bounded_and_spread(self):
-        hosts = await self.start(upstreams=3, batch_size=2, kv_tokens=0)
-        held = [await self.hold(hosts, hosts.others[0], n) for n in range(7)]
-        names = [h.lease.upstream.name for h in held if h.lease]
-        self.assertEqual(
-            sorted(names), sorted(["engine-0", "engine-1", "engine-2"] * 2)
-        )
+        hosts = await self.start(kind="service", upstreams=3)
+        held = [await self.hold(hosts, hosts.others[0], n) for n in range(25)]
+        names = Counter(h.lease.upstream.name for h in held if h.lease)
+        self.assertEqual(sorted(names.values()), [8, 8, 8])
 
     async def test_a_changed_pool_is_followed(self):
         hosts = await self.start(batch_size=1)
         await self.hold(hosts, hosts.others[0], 1)
         waiting = await self.hold(hosts, hosts.others[0], 2)
-        pool = make_pool(batch_size=1, upstreams=2)
-        for yard in hosts.yards.values():
-            yard.configuration.current = SimpleNamespace(
-                version=2, pools={"models": pool}, customers={}
-            )
-        await hosts.pass_time(0.1)
+        third = await self.hold(hosts, hosts.others[0], 3)
+        for leaving in (("engine-1",), ()):
+            self.assertIsNone(waiting.lease)
+            pool = make_pool(batch_size=1, upstreams=2, leaving=leaving)
+            for yard in hosts.yards.values():
+                yard.configuration.current = make_configuration(pool)
+            await hosts.pass_time(0.1)
         self.assertEqual(waiting.lease.upstream.name, "engine-1")
+        self.assertIsNone(third.lease)
 
 
 class GroupsTest(unittest.TestCase):
