Add the quarantine of requests that crash upstreams

Cause: a single request may crash each upstream that runs it, and is sent again.

Change: Quarantine (suspects, verdicts) and QuarantineService (spread by peers, store objects quarantine/DIGEST, lone runs by a stream to the home of suspects). Only a run that began when its request was a suspect convicts; only a whole answer clears. The digest leaves the customer out.

Ruled out: counting any two crashes. An innocent request that many send is in flight on two crashed upstreams soon. Also ruled out: convicting a run that was given up shortly before the crash; the state machine found an innocent one convicted by the next run on that upstream. It is suspected only.

Checked: tests.test_quarantine, 13 tests; three broken variants are found by the same state machine.

--- /dev/null
+++ b/sapphireyard/quarantine.py
@@ -0,0 +1,327 @@
+"""The service that keeps requests which crash upstreams from running again."""
+
+import asyncio
+import contextlib
+import json
+from dataclasses import asdict
+
+from mode import Service
+from opentelemetry import metrics
+
+from sapphireyard import generated_quarantine
+from sapphireyard.exceptions import (
+    CallError,
+    PeerError,
+    StoreConflict,
+    StoreUnavailable,
+)
+from sapphireyard.generated_messages import Done
+from sapphireyard.generated_quarantine import (
+    LoneRunGrant,
+    LoneRunRequest,
+    QuarantineEntries,
+    QuarantineNotice,
+    QuarantineObject,
+    QuarantineRequest,
+    SuspectNotice,
+)
+from sapphireyard.homes import choose_home
+from sapphireyard.suspicion import Quarantine
+
+QUARANTINE_PREFIX = "quarantine/"
+REFRESH_SECONDS = 10.0
+"""Time between two looks at the list in the store."""
+LIST_LIMIT = 1000
+PEER_SECONDS = 1.0
+LONE_RUN_SECONDS = 120.0
+"""Longest time for which one suspect keeps others from running."""
+SUSPECTS_KEY = "suspects"
+
+
+class QuarantineService(Service):
+    """Suspects and quarantined requests of the whole fleet.
+
+    The list of quarantined requests lies in the store, one object for each;
+    an operator releases a request by deleting its object. Suspects are told
+    from peer to peer and run one at a time.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives peers, store, ownership and clock.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self.yard = yard
+        self._quarantine = Quarantine()
+        self._unsaved = {}
+        self._saved = set()
+        self._lone_run = asyncio.Lock()
+        self._counter = metrics.get_meter("sapphireyard.quarantine").create_counter(
+            "sapphireyard.quarantine.verdicts",
+            description="Requests suspected, cleared and quarantined.",
+        )
+        yard.peers.codec.register_module(generated_quarantine)
+        yard.peers.register(SuspectNotice, self._hear_suspect)
+        yard.peers.register(QuarantineNotice, self._hear_quarantine)
+        yard.peers.register(QuarantineRequest, self._serve_entries)
+        yard.peers.register_stream(LoneRunRequest, self._serve_lone_run)
+
+    def check(self, digest):
+        """Raise `CallError` ``quarantined`` for a request that must not run."""
+        if self._quarantine.is_quarantined(digest, self._now()):
+            raise CallError(
+                "quarantined",
+                f"upstreams crashed while they ran this request ({digest})",
+            )
+
+    def is_suspect(self, digest):
+        """Return whether a request has to run inside `alone`."""
+        return self._quarantine.is_suspect(digest, self._now())
+
+    def entries(self):
+        """Return the seconds left for each quarantined digest."""
+        return self._quarantine.quarantined(self._now())
+
+    def suspects(self):
+        """Return the digests of the suspects."""
+        return self._quarantine.suspects(self._now())
+
+    def began(self, digest, upstream):
+        """Note that a request is about to be sent to an upstream."""
+        self._quarantine.began(digest, upstream, self._now())
+
+    def ended(self, digest, upstream, *, crashed, completed=False):
+        """Note the end of a run.
+
+        Parameters
+        ----------
+        digest, upstream : str
+            What ran where.
+        crashed : bool
+            The upstream crashed while the request was in flight.
+        completed : bool, optional
+            The whole answer came; only this clears a suspect.
+        """
+        verdicts = self._quarantine.ended(
+            digest, upstream, self._now(), crashed=crashed, completed=completed
+        )
+        for verdict in verdicts:
+            self._spread(verdict)
+
+    @contextlib.asynccontextmanager
+    async def alone(self, digest):
+        """Hold the right to run a suspect; only one runs at a time.
+
+        The run is to have an upstream for itself. The body is checked again
+        before it starts, since the suspect may be quarantined by then.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            await self._enter_line(stack, digest)
+            self.check(digest)
+            yield
+
+    async def release(self, digest):
+        """Let a quarantined request run again, on all hosts.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer; the request may still be quarantined.
+        """
+        self._unsaved.pop(digest, None)
+        stored = await self.yard.store.get(QUARANTINE_PREFIX + digest)
+        if stored is not None:
+            with contextlib.suppress(StoreConflict):
+                await self.yard.store.delete(
+                    stored.name, expected_version=stored.version
+                )
+        self._saved.discard(digest)
+        self._quarantine.release(digest)
+        self._tell_all(QuarantineNotice(digest))
+
+    async def refresh(self):
+        """Save entries not saved yet and take over the list in the store."""
+        now = self._now()
+        self._quarantine.forget_old(now)
+        await self._save()
+        saved = set(self._saved)
+        listed = await self._list()
+        for digest in saved - listed:
+            self.log.info("%s is released", digest)
+            self._quarantine.release(digest)
+        for digest in sorted(listed - set(self.entries())):
+            await self._load(digest)
+        self._saved = (self._saved - saved) | listed
+
+    async def on_start(self):
+        for host in self._others():
+            if await self._copy_entries(host):
+                return
+
+    @Service.timer(REFRESH_SECONDS)
+    async def _refresh_steadily(self):
+        try:
+            await self.refresh()
+        except StoreUnavailable as error:
+            self.log.info("quarantine list not read: %s", error)
+
+    def _spread(self, verdict):
+        outcome = self._describe(verdict)
+        self._counter.add(1, {"outcome": outcome})
+        self.log.warning(
+            "request %s on upstream %s: %s", verdict.digest, verdict.upstream, outcome
+        )
+        if verdict.suspected:
+            self._tell_all(SuspectNotice(verdict.digest))
+        if verdict.cleared:
+            self._tell_all(SuspectNotice(verdict.digest, cleared=True))
+        if verdict.quarantined:
+            self._keep(verdict)
+
+    @staticmethod
+    def _describe(verdict):
+        if verdict.quarantined:
+            return "quarantined"
+        if verdict.cleared:
+            return "cleared"
+        return "suspected" if verdict.suspected else "crashed again"
+
+    def _keep(self, verdict):
+        seconds = self.entries()[verdict.digest]
+        wall = self.yard.clock.wall()
+        self._unsaved[verdict.digest] = QuarantineObject(
+            verdict.digest, verdict.upstream, self.yard.host, wall, wall + seconds
+        )
+        self._tell_all(QuarantineNotice(verdict.digest, seconds))
+        self.add_future(self._save_soon())
+
+    async def _save_soon(self):
+        try:
+            await self._save()
+        except StoreUnavailable as error:
+            self.log.warning("quarantine entry not saved yet: %s", error)
+
+    async def _save(self):
+        for digest, entry in list(self._unsaved.items()):
+            await self._save_entry(QUARANTINE_PREFIX + digest, entry)
+            if self._unsaved.pop(digest, None) is not None:
+                self._saved.add(digest)
+
+    async def _save_entry(self, name, entry):
+        """Create an entry's object, or replace one that has ended."""
+        value = json.dumps(asdict(entry)).encode()
+        try:
+            await self.yard.store.create(name, value)
+            return
+        except StoreConflict:
+            stored = await self.yard.store.get(name)
+        if stored is None or _parse(stored).until > self.yard.clock.wall():
+            return
+        with contextlib.suppress(StoreConflict):
+            await self.yard.store.update(name, value, expected_version=stored.version)
+
+    async def _list(self):
+        digests = set()
+        after = ""
+        while True:
+            page = await self.yard.store.list(
+                QUARANTINE_PREFIX, after=after, limit=LIST_LIMIT
+            )
+            digests.update(name[len(QUARANTINE_PREFIX) :] for name, _ in page)
+            if len(page) < LIST_LIMIT:
+                return digests
+            after = page[-1][0]
+
+    async def _load(self, digest):
+        """Take an entry of the store over, or delete it once it has ended."""
+        stored = await self.yard.store.get(QUARANTINE_PREFIX + digest)
+        if stored is None:
+            return
+        seconds = _parse(stored).until - self.yard.clock.wall()
+        if seconds > 0:
+            self._quarantine.quarantine(digest, self._now(), seconds=seconds)
+            return
+        with contextlib.suppress(StoreConflict):
+            await self.yard.store.delete(stored.name, expected_version=stored.version)
+
+    async def _copy_entries(self, host):
+        try:
+            known = await self.yard.peers.ask(
+                host, QuarantineRequest(), timeout=PEER_SECONDS
+            )
+        except (PeerError, CallError):
+            return False
+        for digest in known.suspects:
+            self._quarantine.suspect(digest, self._now())
+        for entry in known.quarantined:
+            self._quarantine.quarantine(
+                entry.digest, self._now(), seconds=entry.seconds
+            )
+        return True
+
+    async def _enter_line(self, stack, digest):
+        """Wait at the home of suspects; if it is away, at this host only."""
+        home = choose_home(SUSPECTS_KEY, self._active())
+        try:
+            grants = self.yard.peers.stream(
+                home or self.yard.host,
+                LoneRunRequest(digest),
+                timeout=LONE_RUN_SECONDS,
+            )
+            grants = await stack.enter_async_context(contextlib.aclosing(grants))
+            await anext(grants)
+        except (PeerError, CallError, StopAsyncIteration) as error:
+            self.log.warning("suspect %s runs without a grant: %s", digest, error)
+            await stack.enter_async_context(self._lone_run)
+
+    async def _serve_lone_run(self, message, context):
+        """Let one suspect run until its host ends the stream."""
+        async with self._lone_run:
+            yield LoneRunGrant()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LONE_RUN_SECONDS):
+                    await asyncio.Event().wait()
+
+    async def _hear_suspect(self, message, context):
+        if message.cleared:
+            self._quarantine.clear(message.digest)
+        else:
+            self._quarantine.suspect(message.digest, self._now())
+        return Done()
+
+    async def _hear_quarantine(self, message, context):
+        if message.seconds > 0:
+            self._quarantine.quarantine(
+                message.digest, self._now(), seconds=message.seconds
+            )
+        else:
+            self._quarantine.release(message.digest)
+        return Done()
+
+    async def _serve_entries(self, message, context):
+        entries = [QuarantineNotice(d, left) for d, left in self.entries().items()]
+        return QuarantineEntries(self.suspects(), entries)
+
+    def _tell_all(self, message):
+        for host in self._others():
+            self.yard.peers.tell(host, message)
+
+    def _others(self):
+        return [host for host in self._members() if host != self.yard.host]
+
+    def _members(self):
+        assignment = self.yard.ownership.assignment
+        return list(assignment.members) if assignment else []
+
+    def _active(self):
+        assignment = self.yard.ownership.assignment
+        return [member.host for member in assignment.active] if assignment else []
+
+    def _now(self):
+        return self.yard.clock.monotonic()
+
+
+def _parse(stored):
+    return QuarantineObject(**json.loads(stored.value))
--- /dev/null
+++ b/sapphireyard/suspicion.py
@@ -0,0 +1,227 @@
+"""Which requests crash upstreams: suspects, and those in quarantine.
+
+Every request in flight on an upstream that crashes becomes a suspect, and
+suspects run alone. A suspect that completes is cleared. One that is in flight
+on an upstream that crashes again is quarantined.
+"""
+
+import json
+from collections import OrderedDict
+from dataclasses import dataclass
+from hashlib import blake2b
+
+SUSPECT_SECONDS = 600.0
+"""Time without a crash after which a suspect is forgotten."""
+QUARANTINE_SECONDS = 24 * 3600.0
+LINGER_SECONDS = 2.0
+"""Time for which a request that was given up counts as in flight."""
+ENTRY_LIMIT = 10_000
+"""Most suspects, and most quarantined requests, that are remembered."""
+DIGEST_BYTES = 16
+
+
+def digest_request(route, body):
+    """Return the digest of a request's content, as hexadecimal text.
+
+    The customer is left out: a content that crashes upstreams does so whoever
+    sends it, and each customer that repeats it would crash two more. Nobody
+    can quarantine another's request except by sending what crashes upstreams.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    body : dict
+        What the upstream is sent, with the history of the program.
+    """
+    text = json.dumps([route, body], sort_keys=True, separators=(",", ":"))
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+@dataclass
+class _Flight:
+    """One digest on one upstream: its runs under way, and when they ended."""
+
+    running: int = 0
+    as_suspect: bool = False
+    given_up_at: float = float("-inf")
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What an event made of one request.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request.
+    upstream : str
+        Where it ran.
+    suspected, cleared, quarantined : bool
+        The request became a suspect, is one no longer, or is quarantined.
+    """
+
+    digest: str
+    upstream: str
+    suspected: bool = False
+    cleared: bool = False
+    quarantined: bool = False
+
+
+class Quarantine:
+    """Decides which requests are suspects and which are quarantined.
+
+    Parameters
+    ----------
+    suspect_seconds, quarantine_seconds : float, optional
+        How long an entry is kept.
+    entry_limit : int, optional
+        Most entries of each kind; the oldest go first.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspect_seconds=SUSPECT_SECONDS,
+        quarantine_seconds=QUARANTINE_SECONDS,
+        entry_limit=ENTRY_LIMIT,
+    ):
+        self._suspect_seconds = suspect_seconds
+        self._quarantine_seconds = quarantine_seconds
+        self._entry_limit = entry_limit
+        self._suspects = OrderedDict()
+        self._quarantined = OrderedDict()
+        self._flights = {}
+
+    def is_quarantined(self, digest, now):
+        """Return whether a request must not run."""
+        return now < self._quarantined.get(digest, float("-inf"))
+
+    def is_suspect(self, digest, now):
+        """Return whether a request must run alone."""
+        return now < self._suspects.get(digest, float("-inf"))
+
+    def suspects(self, now):
+        """Return the digests of the suspects."""
+        return [digest for digest, until in self._suspects.items() if now < until]
+
+    def quarantined(self, now):
+        """Return the seconds left for each quarantined digest."""
+        return {
+            digest: until - now
+            for digest, until in self._quarantined.items()
+            if now < until
+        }
+
+    def began(self, digest, upstream, now):
+        """Note that a request is about to be sent to an upstream."""
+        flights = self._flights.setdefault(upstream, {})
+        flight = flights.setdefault(digest, _Flight())
+        flight.running += 1
+        flight.as_suspect = self.is_suspect(digest, now)
+
+    def ended(self, digest, upstream, now, *, crashed, completed=False):
+        """Note the end of a run; return the `Verdict` objects that follow.
+
+        Parameters
+        ----------
+        digest, upstream : str
+            What ran where.
+        now : float
+            Monotonic seconds.
+        crashed : bool
+            The upstream crashed while the request was in flight.
+        completed : bool, optional
+            The whole answer came. A run that was given up is neither.
+        """
+        flight = self._flights.get(upstream, {}).get(digest)
+        if flight is None:
+            return []
+        flight.running -= 1
+        if crashed:
+            return self._blame(upstream, digest, now)
+        if completed:
+            self._land(upstream, digest)
+            return self._clear(digest, upstream)
+        flight.given_up_at = now
+        return []
+
+    def suspect(self, digest, now):
+        """Take a request as a suspect."""
+        self._put(self._suspects, digest, now + self._suspect_seconds)
+
+    def clear(self, digest):
+        """Take a request as a suspect no longer."""
+        self._suspects.pop(digest, None)
+
+    def quarantine(self, digest, now, *, seconds=None):
+        """Put a request in quarantine."""
+        seconds = self._quarantine_seconds if seconds is None else seconds
+        self._put(self._quarantined, digest, now + seconds)
+        self.clear(digest)
+
+    def release(self, digest):
+        """Let a request run again."""
+        self._quarantined.pop(digest, None)
+        self.clear(digest)
+
+    def forget_old(self, now):
+        """Drop entries that have ended."""
+        for entries in (self._suspects, self._quarantined):
+            for digest in [d for d, until in entries.items() if until <= now]:
+                del entries[digest]
+        for upstream in list(self._flights):
+            self._forget_given_up(upstream, now)
+
+    def _blame(self, upstream, digest, now):
+        """Judge a request whose upstream crashed, and those lately given up.
+
+        What was given up may have run on, so it is suspected; but it may have
+        ended too, so it is not quarantined.
+        """
+        verdicts = [self._judge(upstream, digest, now)]
+        for other, flight in self._flights.get(upstream, {}).items():
+            recent = now - flight.given_up_at <= LINGER_SECONDS
+            if other != digest and not flight.running and recent:
+                self.suspect(other, now)
+                verdicts.append(Verdict(other, upstream, suspected=True))
+        return verdicts
+
+    def _judge(self, upstream, digest, now):
+        flight = self._flights[upstream][digest]
+        if flight.running <= 0:
+            self._land(upstream, digest)
+        if self.is_quarantined(digest, now):
+            return Verdict(digest, upstream)
+        if flight.as_suspect and self.is_suspect(digest, now):
+            self.quarantine(digest, now)
+            return Verdict(digest, upstream, quarantined=True)
+        self.suspect(digest, now)
+        return Verdict(digest, upstream, suspected=True)
+
+    def _clear(self, digest, upstream):
+        if digest not in self._suspects:
+            return []
+        self.clear(digest)
+        return [Verdict(digest, upstream, cleared=True)]
+
+    def _land(self, upstream, digest):
+        flights = self._flights[upstream]
+        if flights[digest].running <= 0:
+            del flights[digest]
+        if not flights:
+            del self._flights[upstream]
+
+    def _forget_given_up(self, upstream, now):
+        flights = self._flights[upstream]
+        for digest, flight in list(flights.items()):
+            if not flight.running and now - flight.given_up_at > LINGER_SECONDS:
+                del flights[digest]
+        if not flights:
+            del self._flights[upstream]
+
+    def _put(self, entries, digest, until):
+        entries.pop(digest, None)
+        entries[digest] = until
+        while len(entries) > self._entry_limit:
+            entries.popitem(last=False)
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,353 @@
+"""Tests of suspects and quarantine."""
+
+import asyncio
+import types
+import unittest
+from unittest import mock
+
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from sapphireyard.assignment import Assignment, Member
+from sapphireyard.exceptions import CallError
+from sapphireyard.generated_settings import EntrySettings
+from sapphireyard.peers import Peers
+from sapphireyard.quarantine import QuarantineService
+from sapphireyard.suspicion import Quarantine, digest_request
+from sapphireyard.yard import Yard
+from standins.memory import MemoryStore
+
+HOSTS = ("a", "b")
+UPSTREAMS = ("u1", "u2")
+CRASHERS = ("bad-1", "bad-2")
+INNOCENTS = ("good-1", "good-2")
+
+
+class CrashMachine(RuleBasedStateMachine):
+    """Two hosts send requests to upstreams, and some requests crash them.
+
+    Suspects have their upstream to themselves. What one host finds out, the
+    other hears some steps later.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.hosts = {host: Quarantine() for host in HOSTS}
+        self.notices = []
+        self.flights = []
+        self.lone = {}
+        self.crashes = dict.fromkeys(CRASHERS + INNOCENTS, 0)
+        self.informed_crashes = dict.fromkeys(CRASHERS, 0)
+
+    def is_free(self, upstream):
+        return upstream not in self.lone
+
+    def is_coming(self, host, request):
+        """Return whether a host has yet to hear of something about a request."""
+        return any(h == host and v.digest == request for h, v in self.notices)
+
+    @rule(
+        host=st.sampled_from(HOSTS),
+        request=st.sampled_from(CRASHERS + INNOCENTS),
+        upstream=st.sampled_from(UPSTREAMS),
+    )
+    def send(self, host, request, upstream):
+        decision = self.hosts[host]
+        if not self.is_free(upstream) or decision.is_quarantined(request, self.now):
+            return
+        if decision.is_suspect(request, self.now):
+            if any(flight[2] == upstream for flight in self.flights) or self.lone:
+                return
+            self.lone[upstream] = request
+        decision.began(request, upstream, self.now)
+        informed = self.crashes[request] > 0 and not self.is_coming(host, request)
+        self.flights.append((host, request, upstream, informed))
+
+    @precondition(lambda self: self.flights)
+    @rule(data=st.data(), completed=st.booleans())
+    def end(self, data, completed):
+        flight = data.draw(st.sampled_from(self.flights))
+        request = flight[1]
+        self.flights.remove(flight)
+        self.release(flight)
+        completed = completed and request not in CRASHERS
+        self.finish(flight, crashed=False, completed=completed)
+
+    @precondition(lambda self: any(f[1] in CRASHERS for f in self.flights))
+    @rule(data=st.data())
+    def crash(self, data):
+        culprits = [flight for flight in self.flights if flight[1] in CRASHERS]
+        _, request, upstream, informed = data.draw(st.sampled_from(culprits))
+        self.crashes[request] += 1
+        self.informed_crashes[request] += informed
+        for flight in [f for f in self.flights if f[2] == upstream]:
+            self.flights.remove(flight)
+            self.release(flight)
+            self.finish(flight, crashed=True, completed=False)
+
+    def release(self, flight):
+        if self.lone.get(flight[2]) == flight[1]:
+            del self.lone[flight[2]]
+
+    def finish(self, flight, **outcome):
+        host, request, upstream, _ = flight
+        verdicts = self.hosts[host].ended(request, upstream, self.now, **outcome)
+        other = HOSTS[1 - HOSTS.index(host)]
+        self.notices += [(other, verdict) for verdict in verdicts]
+
+    @precondition(lambda self: self.notices)
+    @rule()
+    def hear(self):
+        host, verdict = self.notices.pop(0)
+        decision = self.hosts[host]
+        if verdict.suspected:
+            decision.suspect(verdict.digest, self.now)
+        if verdict.cleared:
+            decision.clear(verdict.digest)
+        if verdict.quarantined:
+            decision.quarantine(verdict.digest, self.now)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for decision in self.hosts.values():
+            decision.forget_old(self.now)
+
+    @invariant()
+    def no_innocent_is_quarantined(self):
+        for decision in self.hosts.values():
+            assert not set(decision.quarantined(self.now)) & set(INNOCENTS)
+
+    @invariant()
+    def crashes_are_bounded(self):
+        """One crash by what was in flight or unheard of, and one more."""
+        for request, crashes in self.informed_crashes.items():
+            assert crashes <= 1, request
+
+
+CrashMachine.TestCase.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+CrashTest = CrashMachine.TestCase
+
+
+def _blame_all_runs(decision, digest, upstream, now):
+    BEGAN(decision, digest, upstream, now)
+    decision._flights[upstream][digest].as_suspect = True
+
+
+def _clear_at_any_end(decision, *arguments, crashed, completed):
+    return ENDED(decision, *arguments, crashed=crashed, completed=not crashed)
+
+
+BEGAN = Quarantine.began
+ENDED = Quarantine.ended
+VARIANTS = [
+    ("runs begun before the first crash count", "began", _blame_all_runs),
+    ("a run given up clears a suspect", "ended", _clear_at_any_end),
+    ("nothing is quarantined", "quarantine", lambda *arguments, **options: None),
+]
+
+
+class DecisionTest(unittest.TestCase):
+    def test_broken_variants_are_found(self):
+        options = settings(
+            CrashMachine.TestCase.settings,
+            max_examples=1000,
+            phases=[Phase.generate],
+        )
+        for name, method, variant in VARIANTS:
+            with self.subTest(name):
+                with mock.patch.object(Quarantine, method, variant):
+                    with self.assertRaises(AssertionError):
+                        run_state_machine_as_test(CrashMachine, settings=options)
+
+    def test_outcome_of_two_runs(self):
+        crash = {"crashed": True}
+        good = {"crashed": False, "completed": True}
+        given_up = {"crashed": False}
+        cases = [
+            ("two crashes", [crash, crash], False, True),
+            ("one crash", [crash], True, False),
+            ("a crash, then a whole answer", [crash, good], False, False),
+            ("a crash, then given up", [crash, given_up], True, False),
+        ]
+        for name, outcomes, suspect, quarantined in cases:
+            with self.subTest(name):
+                decision = Quarantine()
+                for outcome in outcomes:
+                    decision.began("d", "u", 0.0)
+                    decision.ended("d", "u", 1.0, **outcome)
+                self.assertEqual(decision.is_suspect("d", 1.0), suspect)
+                self.assertEqual(decision.is_quarantined("d", 1.0), quarantined)
+
+    def test_run_given_up_just_before_the_crash_counts(self):
+        for wait, suspect in ((0.5, True), (5.0, False)):
+            with self.subTest(wait=wait):
+                decision = Quarantine()
+                for digest in ("d", "e"):
+                    decision.began(digest, "u", 0.0)
+                decision.ended("d", "u", 1.0, crashed=False)
+                decision.ended("e", "u", 1.0 + wait, crashed=True)
+                self.assertEqual(decision.is_suspect("d", 2.0), suspect)
+
+    def test_memory_is_bounded(self):
+        decision = Quarantine(entry_limit=10, suspect_seconds=5.0)
+        for number in range(50):
+            decision.began(str(number), "u", 0.0)
+            decision.ended(str(number), "u", 0.0, crashed=True)
+            decision.quarantine(f"q{number}", 0.0, seconds=5.0)
+        self.assertEqual(len(decision.suspects(1.0)), 10)
+        self.assertEqual(len(decision.quarantined(1.0)), 10)
+        decision.forget_old(10.0)
+        self.assertEqual(decision.suspects(1.0), [])
+        self.assertEqual(decision._flights, {})
+
+    def test_digest(self):
+        body = {"a": 1, "b": [1, 2]}
+        cases = [
+            ("order of fields", "r", {"b": [1, 2], "a": 1}, True),
+            ("other route", "s", body, False),
+            ("other content", "r", {"a": 1, "b": [2, 1]}, False),
+        ]
+        for name, route, other, same in cases:
+            with self.subTest(name):
+                equal = digest_request("r", body) == digest_request(route, other)
+                self.assertEqual(equal, same)
+
+
+class ServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.yards = {}
+        for host in HOSTS:
+            await self.add(host)
+        members = {
+            host: Member(host, 1, yard.peers.address, "", "domain")
+            for host, yard in self.yards.items()
+        }
+        for yard in self.yards.values():
+            yard.ownership = types.SimpleNamespace(assignment=Assignment(1, members))
+        self.first, self.second = (yard.quarantine for yard in self.yards.values())
+
+    async def add(self, host):
+        entry = EntrySettings(
+            host=host,
+            failure_domain="domain",
+            caller_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+            store="http://127.0.0.1:1",
+        )
+        yard = Yard(entry, self.store)
+        yard.ownership = types.SimpleNamespace(assignment=None)
+        yard.peers = Peers(yard)
+        yard.quarantine = QuarantineService(yard)
+        await yard.peers.start()
+        self.addAsyncCleanup(yard.peers.stop)
+        self.addAsyncCleanup(yard.quarantine.stop)
+        self.yards[host] = yard
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(5.0):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def crash(self, service, digest="d"):
+        service.began(digest, "u")
+        service.ended(digest, "u", crashed=True)
+
+    async def test_second_crash_on_another_host_quarantines_everywhere(self):
+        self.crash(self.first)
+        await self.wait_until(lambda: self.second.is_suspect("d"))
+        self.crash(self.second)
+        await self.wait_until(lambda: "d" in self.first.entries())
+        for service in (self.first, self.second):
+            with self.assertRaises(CallError) as caught:
+                service.check("d")
+            self.assertEqual(caught.exception.code, "quarantined")
+        await self.wait_until(lambda: not self.second._unsaved)
+        self.assertIsNotNone(await self.store.get("quarantine/d"))
+
+    async def test_entry_is_kept_through_an_outage_of_the_store(self):
+        with self.store.outage():
+            self.crash(self.first)
+            self.crash(self.first)
+            await self.wait_until(lambda: "d" in self.second.entries())
+        await self.first.refresh()
+        await self.add("c")
+        started = self.yards["c"].quarantine
+        await started.refresh()
+        self.assertIn("d", started.entries())
+
+    async def test_released_entry(self):
+        for name in ("by the service", "by deleting the object"):
+            with self.subTest(name):
+                self.crash(self.first)
+                self.crash(self.first)
+                for service in (self.first, self.second):
+                    await service.refresh()
+                if name == "by the service":
+                    await self.first.release("d")
+                else:
+                    await self.store.delete("quarantine/d", expected_version=1)
+                for service in (self.first, self.second):
+                    await service.refresh()
+                    service.check("d")
+
+    async def test_ended_entry_is_deleted_and_can_come_again(self):
+        self.crash(self.first)
+        self.crash(self.first)
+        await self.first.refresh()
+        later = self.yards["b"].clock.wall() + 10 * 24 * 3600
+        with mock.patch.object(self.yards["b"].clock, "wall", return_value=later):
+            await self.second.refresh()
+        self.assertIsNone(await self.store.get("quarantine/d"))
+
+    async def test_suspects_run_one_at_a_time(self):
+        running = []
+        most = 0
+
+        async def run(service, digest):
+            nonlocal most
+            async with service.alone(digest):
+                running.append(digest)
+                most = max(most, len(running))
+                await asyncio.sleep(0)
+                running.remove(digest)
+
+        runs = [run(s, f"{n}") for n in range(5) for s in (self.first, self.second)]
+        await asyncio.gather(*runs)
+        self.assertEqual(most, 1)
+
+    async def test_suspect_quarantined_in_line_does_not_run(self):
+        self.crash(self.first)
+        await self.wait_until(lambda: self.second.is_suspect("d"))
+        async with self.first.alone("d"):
+            waiting = asyncio.ensure_future(self.second.alone("d").__aenter__())
+            self.crash(self.first)
+            await self.wait_until(lambda: "d" in self.second.entries())
+        with self.assertRaises(CallError):
+            await waiting
+
+    async def test_started_host_learns_from_a_peer(self):
+        self.crash(self.first)
+        self.crash(self.first, "e")
+        self.crash(self.first, "e")
+        await self.second.on_start()
+        self.assertTrue(self.second.is_suspect("d"))
+        self.assertIn("e", self.second.entries())
+
+
+if __name__ == "__main__":
+    unittest.main()
