--- /dev/null
+++ b/sapphireyard/outliers.py
@@ -0,0 +1,173 @@
+"""Ejection of upstreams that fail more than others."""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+CONSECUTIVE_FAILURES = 5
+WINDOW_SECONDS = 10.0
+"""Time over which the failure rate is taken."""
+LEAST_RESULTS = 10
+"""Results in the window below which the rate says nothing."""
+FAILURE_RATE = 0.5
+EJECTION_SECONDS = 5.0
+"""Length of the first ejection; each further one is twice as long."""
+LONGEST_EJECTION_SECONDS = 300.0
+RECOVERY_SECONDS = 60.0
+"""Time without failure for which the next ejection is one step shorter."""
+EJECTED_SHARE = 0.5
+"""Largest share of a pool that is ejected."""
+PROBE_SECONDS = 30.0
+"""Time after which a probe without result makes room for another."""
+RESULT_LIMIT = 200
+"""Most results remembered of one upstream."""
+
+
+@dataclass
+class _Record:
+    """The recent results of one upstream."""
+
+    results: deque = field(default_factory=lambda: deque(maxlen=RESULT_LIMIT))
+    consecutive: int = 0
+    ejections: int = 0
+    ejected_at: float | None = None
+    ejected_until: float = 0.0
+    probed_at: float = float("-inf")
+    seen_at: float = 0.0
+
+    @property
+    def ejected(self):
+        return self.ejected_at is not None
+
+
+class OutlierDetector:
+    """Keeps upstreams that fail out of use for a growing time.
+
+    An ejected upstream gets one probe when its time is over; a success brings
+    it back, a failure ejects it for longer. At most a share of a pool is
+    ejected, and one upstream is always left, because a fault that all share is
+    not cured by having fewer. Upstreams that leave get no new work at all.
+
+    Parameters
+    ----------
+    consecutive : int, optional
+        Failures in a row that eject.
+    failure_rate : float, optional
+        Share of failures in the window that ejects.
+    ejected_share : float, optional
+        Largest share of a pool that is ejected.
+    """
+
+    def __init__(
+        self,
+        *,
+        consecutive=CONSECUTIVE_FAILURES,
+        failure_rate=FAILURE_RATE,
+        ejected_share=EJECTED_SHARE,
+    ):
+        self._consecutive = consecutive
+        self._failure_rate = failure_rate
+        self._ejected_share = ejected_share
+        self._records = {}
+        self._leaving = set()
+
+    def report(self, upstream, *, ok, now):
+        """Note the result of a request or probe.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream.
+        ok : bool
+            It answered as it should.
+        now : float
+            Monotonic seconds.
+        """
+        record = self._records.setdefault(upstream, _Record())
+        record.seen_at = now
+        if ok:
+            self._note_success(record, now)
+        else:
+            self._note_failure(record, now)
+
+    def set_leaving(self, upstreams):
+        """Take the upstreams that get no new work."""
+        self._leaving = set(upstreams)
+
+    def is_ejected(self, upstream, now):
+        """Return whether an upstream is ejected and not due for a probe."""
+        record = self._records.get(upstream)
+        return record is not None and record.ejected and not self._is_due(record, now)
+
+    def usable(self, upstreams, now):
+        """Return which upstreams of a pool may get new work, in the given order.
+
+        An upstream that is due for a probe is among them until `probe` says
+        that a request has been sent to it.
+        """
+        staying = [name for name in upstreams if name not in self._leaving]
+        kept_out = self._choose_ejected(staying, now)
+        return [name for name in staying if name not in kept_out]
+
+    def probe(self, upstream, now):
+        """Note that a request goes to an upstream; it may be a probe."""
+        record = self._records.get(upstream)
+        if record is not None and record.ejected:
+            record.probed_at = now
+
+    def forget(self, now, *, seconds=2 * LONGEST_EJECTION_SECONDS):
+        """Drop what is known of upstreams without recent results."""
+        for name, record in list(self._records.items()):
+            if now - record.seen_at > seconds:
+                del self._records[name]
+
+    def _note_success(self, record, now):
+        record.consecutive = 0
+        record.results.append((now, True))
+        if record.ejected:
+            record.ejected_at = None
+            record.results.clear()
+
+    def _note_failure(self, record, now):
+        record.consecutive += 1
+        record.results.append((now, False))
+        if record.ejected:
+            if now >= record.ejected_until:
+                self._eject(record, now)
+            return
+        if self._is_outlier(record, now):
+            self._eject(record, now)
+
+    def _is_outlier(self, record, now):
+        if record.consecutive >= self._consecutive:
+            return True
+        while record.results and now - record.results[0][0] > WINDOW_SECONDS:
+            record.results.popleft()
+        if len(record.results) < LEAST_RESULTS:
+            return False
+        failures = sum(not ok for _, ok in record.results)
+        return failures >= self._failure_rate * len(record.results)
+
+    @staticmethod
+    def _eject(record, now):
+        quiet = max(0.0, now - record.ejected_until)
+        record.ejections -= min(record.ejections, int(quiet / RECOVERY_SECONDS))
+        length = EJECTION_SECONDS * 2**record.ejections
+        record.ejections = min(record.ejections + 1, 32)
+        record.ejected_at = now
+        record.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
+        record.probed_at = float("-inf")
+
+    @staticmethod
+    def _is_due(record, now):
+        if now < record.ejected_until:
+            return False
+        return now - record.probed_at > PROBE_SECONDS
+
+    def _choose_ejected(self, staying, now):
+        """Return the ejected upstreams, the longest-ejected within the share."""
+        ejected = [name for name in staying if self.is_ejected(name, now)]
+        most = math.floor(len(staying) * self._ejected_share)
+        most = min(most, len(staying) - 1)
+        ejected.sort(key=lambda name: (self._records[name].ejected_at, name))
+        return set(ejected[: max(0, most)])
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,196 @@
+"""Tests of retries, hedges, outliers and liveness."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from sapphireyard.hedging import LEAST_SAMPLES, HedgePolicy
+from sapphireyard.liveness import ProgressLimits, ProgressWatch, Step
+from sapphireyard.outliers import OutlierDetector
+from sapphireyard.retries import RetryBudget, make_retrying
+
+EXACT = {"derandomize": True, "deadline": None, "database": None}
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_repeats_are_a_share_of_requests(self):
+        cases = [(100, 0.0, 10), (0, 0.0, 1), (1000, 0.0, 100), (1, 10.0, 5)]
+        for requests, wait, least in cases:
+            with self.subTest(requests=requests, wait=wait):
+                budget = RetryBudget()
+                for number in range(requests):
+                    budget.note_request("r", 0.0)
+                granted = sum(budget.may_retry("r", wait) for _ in range(2000))
+                self.assertGreaterEqual(granted, least)
+                self.assertLessEqual(granted, 1 + 0.1 * requests + 0.5 * (wait + 10))
+
+    @settings(max_examples=100, **EXACT)
+    @given(st.lists(st.tuples(st.floats(0, 5), st.booleans()), max_size=200))
+    def test_never_exceeds_the_naive_count(self, events):
+        budget = RetryBudget()
+        now = 0.0
+        requests = granted = 0
+        for wait, is_request in events:
+            now += wait
+            if is_request:
+                budget.note_request("r", now)
+                requests += 1
+            else:
+                granted += budget.may_retry("r", now)
+            self.assertLessEqual(granted, 1 + 0.1 * requests + 0.5 * now + 1e-6)
+
+    def test_routes_do_not_share(self):
+        budget = RetryBudget()
+        self.assertTrue(budget.may_retry("a", 0.0))
+        self.assertFalse(budget.may_retry("a", 0.0))
+        self.assertTrue(budget.may_retry("b", 0.0))
+
+
+class RetryingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_repeats_while_allowed(self):
+        for allowed, attempts in ((True, 3), (False, 1)):
+            with self.subTest(allowed=allowed):
+                made = []
+                retrying = make_retrying(lambda error: allowed)
+
+                async def fail():
+                    made.append(1)
+                    raise OSError("down")
+
+                with self.assertRaises(OSError):
+                    await retrying(fail)
+                self.assertEqual(len(made), attempts)
+
+
+class HedgeTest(unittest.TestCase):
+    def test_delay_is_the_percentile_of_recent_calls(self):
+        cases = [
+            ("repeatable", True, 100, True),
+            ("not repeatable", False, 100, False),
+            ("too few calls", True, LEAST_SAMPLES - 1, False),
+        ]
+        for name, repeatable, calls, hedged in cases:
+            with self.subTest(name):
+                policy = HedgePolicy(RetryBudget())
+                for number in range(calls):
+                    policy.record("r", 0.1 if number % 10 else 1.0, 0.0)
+                delay = policy.delay("r", 0.0, repeatable=repeatable)
+                self.assertEqual(delay is not None, hedged)
+                if hedged:
+                    self.assertAlmostEqual(delay, 1.0, delta=0.02)
+
+    def test_hedges_and_retries_share_a_budget(self):
+        budget = RetryBudget()
+        policy = HedgePolicy(budget)
+        self.assertFalse(policy.may_hedge("r", 0.0, repeatable=False))
+        self.assertTrue(policy.may_hedge("r", 0.0, repeatable=True))
+        self.assertFalse(budget.may_retry("r", 0.0))
+
+    def test_old_latencies_are_dropped(self):
+        policy = HedgePolicy(RetryBudget())
+        for now, seconds in ((0.0, 5.0), (61.0, 0.1), (122.0, 0.1)):
+            for _ in range(100):
+                policy.record("r", seconds, now)
+        self.assertLess(policy.delay("r", 122.0, repeatable=True), 0.2)
+
+
+class OutlierTest(unittest.TestCase):
+    POOL = ("a", "b", "c", "d")
+
+    def fail(self, detector, upstream, times, now):
+        for _ in range(times):
+            detector.report(upstream, ok=False, now=now)
+
+    def test_ejects(self):
+        cases = [
+            ("failures in a row", "fffff", True),
+            ("too few in a row", "ffff", False),
+            ("half of many", "of" * 5, True),
+            ("a few of many", "fooo" * 5, False),
+        ]
+        for name, results, ejected in cases:
+            with self.subTest(name):
+                detector = OutlierDetector()
+                for result in results:
+                    detector.report("a", ok=result == "o", now=0.0)
+                usable = detector.usable(self.POOL, 0.1)
+                self.assertEqual("a" not in usable, ejected)
+
+    def test_ejection_grows_and_one_success_brings_back(self):
+        detector = OutlierDetector()
+        now = 0.0
+        for seconds in (5, 10, 20):
+            self.fail(detector, "a", 5, now)
+            self.assertNotIn("a", detector.usable(self.POOL, now + seconds - 0.1))
+            now += seconds
+            self.assertIn("a", detector.usable(self.POOL, now))
+            detector.probe("a", now)
+            self.assertNotIn("a", detector.usable(self.POOL, now))
+        detector.report("a", ok=True, now=now)
+        self.assertEqual(detector.usable(self.POOL, now), list(self.POOL))
+
+    def test_leaving_upstream_gets_no_work(self):
+        detector = OutlierDetector()
+        detector.set_leaving(["b"])
+        self.assertEqual(detector.usable(self.POOL, 0.0), ["a", "c", "d"])
+
+    @settings(max_examples=100, **EXACT)
+    @given(
+        st.lists(st.tuples(st.sampled_from(POOL), st.booleans(), st.floats(0, 9))),
+        st.integers(1, 4),
+    )
+    def test_enough_are_left(self, events, size):
+        detector = OutlierDetector()
+        pool = self.POOL[:size]
+        now = 0.0
+        for upstream, ok, wait in events:
+            now += wait
+            for _ in range(5):
+                detector.report(upstream, ok=ok, now=now)
+            usable = detector.usable(pool, now)
+            self.assertGreaterEqual(len(usable), max(1, size - size // 2))
+
+
+class ProgressTest(unittest.TestCase):
+    LIMITS = ProgressLimits(first_byte=10.0, next_byte=5.0, probe=2.0)
+
+    def test_steps(self):
+        cases = [
+            ("in time", [(9.0, None, Step.WAIT)]),
+            ("silent from the start", [(10.0, None, Step.PROBE)]),
+            (
+                "fresh connection answers",
+                [(10.0, None, Step.PROBE), (10.1, True, Step.REPLACE)],
+            ),
+            (
+                "fresh connection fails",
+                [(10.0, None, Step.PROBE), (10.1, False, Step.JUDGE)],
+            ),
+            (
+                "fresh connection is silent",
+                [(10.0, None, Step.PROBE), (11.0, None, Step.WAIT)]
+                + [(12.0, None, Step.JUDGE)],
+            ),
+            (
+                "silent after bytes",
+                [(3.0, "bytes", Step.WAIT), (8.0, None, Step.PROBE)],
+            ),
+            (
+                "bytes end the suspicion",
+                [(10.0, None, Step.PROBE), (10.5, "bytes", Step.WAIT)]
+                + [(12.5, None, Step.WAIT), (15.5, None, Step.PROBE)],
+            ),
+        ]
+        for name, events in cases:
+            with self.subTest(name):
+                watch = ProgressWatch(0.0, limits=self.LIMITS)
+                for now, event, expected in events:
+                    if event == "bytes":
+                        watch.note_bytes(now)
+                    elif event is not None:
+                        watch.note_probe(event)
+                    self.assertEqual(watch.step(now), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
