Add the operators' command line

Cause: tables and keys are changed while traffic runs, by operators who race. Ruled out: merging a loser's tables into the winner's; the loser gets exit status 3 and the other's change. Keys and upstream states commute, so those changes are made again on the newer version.

--- /dev/null
+++ b/sapphireyard/_output.py
@@ -0,0 +1,52 @@
+"""Prints results of the operators' commands as tables or JSON."""
+
+import json
+
+COLUMN_GAP = "  "
+TABLE = "table"
+JSON = "json"
+
+
+def print_json(value):
+    """Print plain data as indented JSON."""
+    print(json.dumps(value, indent=2, ensure_ascii=False, sort_keys=True))
+
+
+def print_rows(rows, columns, *, output):
+    """Print rows under a line of column names, or as a JSON list.
+
+    Parameters
+    ----------
+    rows : list of dict
+        Plain data.
+    columns : sequence of str
+        Fields that the table shows.
+    output : {'table', 'json'}
+        Form of the result.
+    """
+    if output == JSON:
+        print_json(rows)
+        return
+    lines = [list(columns)]
+    lines += [[_format(row.get(column)) for column in columns] for row in rows]
+    widths = [max(map(len, cells)) for cells in zip(*lines, strict=True)]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        print(COLUMN_GAP.join(cells).rstrip())
+
+
+def print_changes(changes, *, output):
+    """Print the rows that differ between two versions."""
+    if output == JSON:
+        print_json([change.to_json() for change in changes])
+        return
+    for change in changes:
+        print(change)
+
+
+def _format(value):
+    if value is None:
+        return "-"
+    if isinstance(value, (dict, list)):
+        return json.dumps(value, ensure_ascii=False)
+    return str(value)
--- a/sapphireyard/manifests.py
+++ b/sapphireyard/manifests.py
@@ -136,7 +136,11 @@
         tables = await load_tables(manifest, self.fetch)
         return manifest, object_version, tables
 
-    async def write(self, tables, *, base, object_version, author, note, now):
+    async def read_version(self, manifest):
+        """Return the rows of all tables of an older manifest."""
+        return await load_tables(manifest, self.fetch)
+
+    async def write(self, tables, *, base, object_version, author, note, now, salt=""):
         """Put new tables in force by one conditional update.
 
         Parameters
@@ -151,6 +155,8 @@
             Who made the change, and what it was.
         now : float
             Wall-clock time in seconds since the epoch.
+        salt : str, optional
+            Salt of key digests for the first version.
 
         Returns
         -------
@@ -173,7 +179,7 @@
             parts[table] = [await self._write_part(text) for text in texts]
         manifest = Manifest(
             version=base.version + 1 if base else 1,
-            salt=base.salt if base else create_salt(),
+            salt=base.salt if base else salt or create_salt(),
             parts=parts,
             previous=previous,
             author=author,
--- /dev/null
+++ b/sapphireyard/operator.py
@@ -0,0 +1,257 @@
+"""The operators' command line.
+
+Exit status: 0 done, 1 failed, 2 invalid input (every finding is printed),
+3 conflict with another change (which is shown).
+"""
+
+import asyncio
+import getpass
+import os
+import sys
+import time
+from contextlib import asynccontextmanager
+from functools import singledispatch
+
+import aiohttp
+import cappa
+
+from sapphireyard._commands import (
+    Apply,
+    Diff,
+    Drain,
+    Explain,
+    Get,
+    Give,
+    History,
+    Keys,
+    ListKeys,
+    Operator,
+    Status,
+    Withdraw,
+)
+from sapphireyard._output import JSON, TABLE, print_changes, print_json, print_rows
+from sapphireyard.clocks import Clock
+from sapphireyard.exceptions import Finding, SettingsError, StoreError, YardError
+from sapphireyard.keys import describe_key
+from sapphireyard.manifests import TABLES
+from sapphireyard.objects import ObjectStore
+from sapphireyard.site import Site, TableConflict
+from sapphireyard.tables import build_configuration
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+
+KEY_VARIABLE = "SAPPHIREYARD_KEY"
+"""Variable with the operator's key; there is no flag, which others could see."""
+
+REQUEST_SECONDS = 10.0
+
+
+@asynccontextmanager
+async def _open_site(options):
+    if not options.store:
+        raise SettingsError([Finding("--store or SAPPHIREYARD_STORE", "is needed")])
+    store = ObjectStore(options.store)
+    author = options.author or getpass.getuser()
+    try:
+        yield Site(store, clock=Clock(), author=author)
+    finally:
+        await store.close()
+
+
+async def _request(options, method, path, body=None):
+    """Return the JSON answer of an entry host to an operator's request."""
+    findings = []
+    key = os.environ.get(KEY_VARIABLE, "")
+    if not options.address:
+        findings.append(Finding("--address or SAPPHIREYARD_ADDRESS", "is needed"))
+    if not key:
+        findings.append(Finding(KEY_VARIABLE, "an operator's key is needed"))
+    if findings:
+        raise SettingsError(findings)
+    timeout = aiohttp.ClientTimeout(total=REQUEST_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with session.request(
+            method,
+            f"http://{options.address}/admin/v1/{path}",
+            json=body,
+            headers={"Authorization": f"Bearer {key}"},
+        ) as response:
+            answer = await response.json(content_type=None)
+            if response.status == 200:
+                return answer
+            raise YardError(f"{answer.get('code')}: {answer.get('detail')}")
+
+
+@singledispatch
+async def run_command(command):
+    """Carry out a command; return the exit status."""
+    raise TypeError(f"no such command: {command}")
+
+
+@run_command.register
+async def _(command: Apply):
+    async with _open_site(command) as site:
+        manifest, changes = await site.apply(
+            command.files, base_version=command.base_version
+        )
+    version = manifest.version if manifest is not None else 0
+    if command.output == JSON:
+        rows = [change.to_json() for change in changes]
+        print_json({"version": version, "changes": rows})
+        return EXIT_DONE
+    print_changes(changes, output=TABLE)
+    print(f"version {version} is in force" if changes else "nothing to change")
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Diff):
+    async with _open_site(command) as site:
+        print_changes(await site.plan(command.files), output=command.output)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Get):
+    async with _open_site(command) as site:
+        _, tables = await site.read()
+    names = [name for name in TABLES if command.table in (name, "all")]
+    if command.output == JSON:
+        shown = [name for name in names if name != "keys" or command.table == "keys"]
+        print_json({name: tables[name] for name in shown})
+        return EXIT_DONE
+    for name in names:
+        rows = tables[name]
+        print(f"{name} ({len(rows)})")
+        columns = sorted({field for row in rows for field in row} - {"name"})
+        print_rows(rows, ["name", *columns], output=TABLE)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: History):
+    async with _open_site(command) as site:
+        if command.changes:
+            changes = await site.changes_of(command.changes)
+            print_changes(changes, output=command.output)
+            return EXIT_DONE
+        manifests = await site.history(limit=command.limit)
+    rows = [
+        {
+            "version": manifest.version,
+            "written": _format_time(manifest.written_at),
+            "author": manifest.author,
+            "note": manifest.note,
+        }
+        for manifest in manifests
+    ]
+    columns = ["version", "written", "author", "note"]
+    print_rows(rows, columns, output=command.output)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Keys):
+    return await run_command(command.command)
+
+
+@run_command.register
+async def _(command: Give):
+    if bool(command.customer) == command.operator:
+        finding = Finding("customer", "name a customer or give --operator, not both")
+        raise SettingsError([finding])
+    async with _open_site(command) as site:
+        key, row = await site.give_key(command.customer, note=command.note)
+    given = {"key": key, "name": row["digest"][:12]}
+    if command.output == JSON:
+        print_json(given)
+    else:
+        print_rows([given], ["name", "key"], output=TABLE)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Withdraw):
+    async with _open_site(command) as site:
+        row = await site.withdraw_key(command.name)
+    rows = [{"key": row["digest"][:12], "state": row["state"]}]
+    print_rows(rows, ["key", "state"], output=command.output)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: ListKeys):
+    async with _open_site(command) as site:
+        _, tables = await site.read()
+    entries = build_configuration(0, "", {"keys": tables["keys"]}).keys.values()
+    columns = ["key", "role", "customer", "state", "note"]
+    print_rows(list(map(describe_key, entries)), columns, output=command.output)
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Status):
+    print_json(await _request(command, "GET", "status"))
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Explain):
+    print_json(await _request(command, "GET", f"explain/{command.program}"))
+    return EXIT_DONE
+
+
+@run_command.register
+async def _(command: Drain):
+    state = "active" if command.undo else "leaving"
+    async with _open_site(command) as site:
+        if await site.set_upstream_state(command.name, state):
+            print(f"upstream {command.name} is {state}")
+            return EXIT_DONE
+    if command.undo:
+        finding = Finding("name", f"no upstream is named {command.name!r}")
+        raise SettingsError([finding])
+    await _request(command, "POST", "drain", {"host": command.name})
+    print(f"host {command.name} is leaving")
+    return EXIT_DONE
+
+
+def _format_time(seconds):
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
+
+
+def _complain(text):
+    print(f"sapphireyard: {text}", file=sys.stderr)
+
+
+def run(argv):
+    """Run one command line; return the exit status."""
+    command = cappa.parse(Operator, argv=argv, completion=False).command
+    try:
+        return asyncio.run(run_command(command))
+    except SettingsError as error:
+        for finding in error.findings:
+            _complain(finding)
+        return EXIT_INVALID
+    except TableConflict as error:
+        _complain(f"conflict: {error}; its changes:")
+        for change in error.changes:
+            print(change, file=sys.stderr)
+        return EXIT_CONFLICT
+    except StoreError as error:
+        _complain(f"{error.code}: {error}")
+    except (YardError, aiohttp.ClientError, TimeoutError) as error:
+        _complain(f"failed: {error}")
+    return EXIT_FAILED
+
+
+def main():
+    """Entry point of the ``sapphireyard`` binary."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sapphireyard/site.py
@@ -0,0 +1,271 @@
+"""A site as operators change it: its tables, keys and upstreams in the store."""
+
+import asyncio
+
+from sapphireyard._table_files import load_files
+from sapphireyard.changes import diff_tables
+from sapphireyard.exceptions import Finding, SettingsError, StoreConflict, YardError
+from sapphireyard.keys import create_key, create_salt, digest_key
+from sapphireyard.manifests import TABLES, ManifestRepository
+from sapphireyard.tables import (
+    KEY_ACTIVE,
+    KEY_WITHDRAWN,
+    ROLE_OPERATOR,
+    ROW_MODELS,
+    TableRow,
+    check_rows,
+    normalise,
+)
+
+KEY_ATTEMPTS = 8
+"""Times a change that commutes with others is tried against conflicts."""
+
+HISTORY_DEPTH = 1000
+"""Versions looked through for one that is named."""
+
+LEAST_KEY_NAME = 6
+"""Least characters by which a key may be named."""
+
+
+class TableConflict(YardError):
+    """Another operator's change came first.
+
+    Attributes
+    ----------
+    changes : list of RowChange
+        What the other changed.
+    manifest : Manifest
+        The version that is in force.
+    """
+
+    code = "table_conflict"
+
+    def __init__(self, changes, manifest):
+        super().__init__(
+            f"version {manifest.version} by {manifest.author or 'unknown'} came first"
+        )
+        self.changes = changes
+        self.manifest = manifest
+
+
+class Site:
+    """Reads and changes the configuration in the store.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's object store.
+    clock : Clock
+        Gives the time written into versions.
+    author : str
+        Who makes the changes.
+    """
+
+    def __init__(self, store, *, clock, author):
+        self._repository = ManifestRepository(store)
+        self._clock = clock
+        self._author = author
+
+    async def read(self):
+        """Return the manifest (None before the first) and all rows."""
+        manifest, _, tables = await self._repository.read_tables()
+        return manifest, tables
+
+    async def history(self, *, limit):
+        """Return up to `limit` manifests, the newest first."""
+        return await self._repository.history(limit=limit)
+
+    async def changes_of(self, version):
+        """Return what a version changed.
+
+        Raises
+        ------
+        SettingsError
+            The version is not in the history.
+        """
+        newer = None
+        for manifest in await self.history(limit=HISTORY_DEPTH):
+            if newer is not None:
+                old = await self._repository.read_version(manifest)
+                new = await self._repository.read_version(newer)
+                return diff_tables(old, new)
+            if manifest.version == version:
+                newer = manifest
+        if newer is not None:
+            return diff_tables({}, await self._repository.read_version(newer))
+        raise SettingsError([Finding("version", f"no version {version} is kept")])
+
+    async def plan(self, paths):
+        """Return what applying some files would change.
+
+        Raises
+        ------
+        SettingsError
+            With every finding of all files and the stored tables they join.
+        """
+        _, _, old, new = await self._plan(paths)
+        return diff_tables(old, new)
+
+    async def apply(self, paths, *, base_version=0):
+        """Put the tables of some files in force.
+
+        Parameters
+        ----------
+        paths : sequence of str
+            Files; a table that one of them holds is replaced whole.
+        base_version : int, optional
+            Version that the files were made from; 0 for the one in force.
+
+        Returns
+        -------
+        manifest : Manifest
+            The version in force.
+        changes : list of RowChange
+            What changed; nothing is written when it is empty.
+
+        Raises
+        ------
+        SettingsError
+            With every finding.
+        TableConflict
+            Another change came first; nothing of this one is in force.
+        """
+        base, object_version, old, new = await self._plan(paths)
+        if base_version and base is not None and base.version != base_version:
+            raise TableConflict(await self._changes_since(base_version, old), base)
+        changes = diff_tables(old, new)
+        if not changes:
+            return base, []
+        note = f"apply {', '.join(map(str, paths))}"
+        try:
+            manifest = await self._write(new, base, object_version, note)
+        except StoreConflict:
+            winner, tables = await self.read()
+            raise TableConflict(diff_tables(old, tables), winner) from None
+        return manifest, changes
+
+    async def give_key(self, customer, *, note=""):
+        """Give a new key and return it with its `KeyEntry` row.
+
+        Parameters
+        ----------
+        customer : str
+            Whose key it is; empty for an operator's.
+        """
+        key = create_key()
+        row = {"note": note}
+        if customer:
+            row["customer"] = customer
+        else:
+            row["role"] = ROLE_OPERATOR
+
+        def change(tables, salt):
+            names = {each["name"] for each in tables["customers"]}
+            if customer and customer not in names:
+                finding = Finding("customer", f"no customer is named {customer!r}")
+                raise SettingsError([finding])
+            row["digest"] = digest_key(key, salt)
+            tables["keys"].append(row)
+
+        await self._change(change, f"give a key to {customer or 'an operator'}")
+        return key, row
+
+    async def withdraw_key(self, name):
+        """Withdraw the key whose digest starts with `name`; return its row."""
+        found = {}
+
+        def change(tables, salt):
+            rows = [row for row in tables["keys"] if row["digest"].startswith(name)]
+            if len(name) < LEAST_KEY_NAME or len(rows) != 1:
+                message = f"{name!r} names {len(rows)} keys; see keys list"
+                raise SettingsError([Finding("key", message)])
+            rows[0]["state"] = KEY_WITHDRAWN
+            found.update(rows[0])
+
+        await self._change(change, f"withdraw key {name}")
+        return found
+
+    async def set_upstream_state(self, name, state):
+        """Set the state of an upstream; return whether one has this name."""
+        found = []
+
+        def change(tables, salt):
+            found[:] = [
+                upstream
+                for pool in tables["pools"]
+                for upstream in pool["upstreams"]
+                if upstream["name"] == name
+            ]
+            for upstream in found:
+                upstream["state"] = state
+            tables["pools"] = [normalise("pools", row) for row in tables["pools"]]
+
+        _, tables = await self.read()
+        change(tables, "")
+        if not found:
+            return False
+        await self._change(change, f"upstream {name} is {state}")
+        return True
+
+    async def _plan(self, paths):
+        rows, replaced, findings = load_files(paths)
+        base, object_version, old = await self._repository.read_tables()
+        for table in ROW_MODELS:
+            if table not in replaced:
+                rows += [_place_stored(table, row) for row in old[table]]
+        findings = findings + check_rows(rows) + _check_keys(rows, old["keys"])
+        if findings:
+            raise SettingsError(findings)
+        new = {table: [] for table in TABLES}
+        new["keys"] = old["keys"]
+        for row in rows:
+            new[row.table].append(normalise(row.table, row.value))
+        return base, object_version, old, new
+
+    async def _changes_since(self, version, tables):
+        for manifest in await self.history(limit=HISTORY_DEPTH):
+            if manifest.version == version:
+                old = await self._repository.read_version(manifest)
+                return diff_tables(old, tables)
+        return []
+
+    async def _change(self, change, note):
+        """Apply a change that commutes with others, again after a conflict."""
+        for attempt in range(KEY_ATTEMPTS):
+            base, object_version, tables = await self._repository.read_tables()
+            salt = base.salt if base is not None else create_salt()
+            change(tables, salt)
+            try:
+                return await self._write(tables, base, object_version, note, salt)
+            except StoreConflict:
+                if attempt == KEY_ATTEMPTS - 1:
+                    raise TableConflict([], (await self.read())[0]) from None
+                await asyncio.sleep(0)
+
+    async def _write(self, tables, base, object_version, note, salt=""):
+        return await self._repository.write(
+            tables,
+            base=base,
+            object_version=object_version,
+            author=self._author,
+            note=note,
+            now=self._clock.wall(),
+            salt=salt,
+        )
+
+
+def _place_stored(table, row):
+    return TableRow(table, row, f"stored {table} {row['name']!r}")
+
+
+def _check_keys(rows, keys):
+    customers = {row.name for row in rows if row.table == "customers"}
+    findings = []
+    for key in keys:
+        customer = key.get("customer", "")
+        if key.get("state", KEY_ACTIVE) != KEY_ACTIVE or not customer:
+            continue
+        if customer not in customers:
+            message = f"customer {customer!r} is gone; withdraw the key first"
+            findings.append(Finding(f"stored keys {key['digest'][:12]}", message))
+    return findings
