Wire quarantine, outliers and the retry budget; reserve only what is counted

Cause: a reservation was journalled before each call, also where no budget is counted and the call may be repeated; then a lost reservation owes nothing. Also: an attempt that was not received no longer hides an earlier one that was.

--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -1,6 +1,7 @@
 """Carries out one call: limits, journal, slot, upstream, journal, answer."""
 
 import asyncio
+import contextlib
 import logging
 
 from sapphireyard.budgets import (
@@ -58,7 +59,8 @@
         record = self._reservations.reserve(execution, tokens)
         try:
             await self._acquire_rate(execution)
-            answer = await self._attempt(execution, record, answer_tokens)
+            async with self._isolate(execution):
+                answer = await self._attempt(execution, record, answer_tokens)
         except BaseException as error:
             await self._reservations.abandon(execution, error)
             raise
@@ -108,10 +110,21 @@
         await self._yard.limits.acquire(customer, deadline=execution.deadline)
         execution.rated = True
 
+    def _isolate(self, execution):
+        """Return a context in which a suspect of crashing upstreams runs alone."""
+        digest = execution.run.digest
+        if self._yard.quarantine.is_suspect(digest):
+            return self._yard.quarantine.alone(digest)
+        return contextlib.nullcontext()
+
     async def _attempt(self, execution, record, answer_tokens):
         """Send the call until an answer came; return the answer."""
-        commit = asyncio.ensure_future(self._reservations.commit(execution, record))
+        commit = asyncio.ensure_future(
+            self._reservations.commit(execution, record, self._payers(execution))
+        )
         failed = []
+        now = self._yard.clock.monotonic()
+        self._yard.retries.note_request(execution.route.name, now)
         try:
             for _ in range(ATTEMPTS):
                 request = self._build_slot_request(execution, answer_tokens, failed)
@@ -156,23 +169,28 @@
             new_tokens=len(execution.call.body) // BYTES_A_TOKEN,
             output_tokens=answer_tokens,
             deadline=execution.deadline,
-            excluded=tuple(failed),
+            excluded=self._choose_excluded(execution.route.pool, failed),
         )
 
+    def _choose_excluded(self, pool, failed):
+        """Return the upstreams that are not to get a call."""
+        upstreams = self._yard.configuration.current.pools[pool].upstreams
+        names = [upstream.name for upstream in upstreams]
+        usable = self._yard.outliers.usable(names, self._yard.clock.monotonic())
+        return tuple(name for name in names if name in failed or name not in usable)
+
     async def _send(self, execution, grant, answer_tokens):
         upstream = grant.upstream
-        digest = execution.run.digest
         self._log_route(execution, upstream)
-        self._yard.quarantine.began(digest, upstream.name)
-        crashed = False
+        self._yard.outliers.probe(upstream.name, self._yard.clock.monotonic())
         left = execution.deadline - self._yard.clock.monotonic()
         sender = self._senders[execution.route.kind]
+        sent_before = execution.sent
         try:
-            async with asyncio.timeout(left):
+            async with asyncio.timeout(left), self._watch_crash(execution, upstream):
                 answer = await sender.send(execution, grant, answer_tokens)
         except UpstreamError as error:
-            crashed = error.crashed
-            execution.sent = execution.sent and error.sent
+            execution.sent = sent_before or error.sent
             raise
         except TimeoutError as error:
             raise CallError(
@@ -180,11 +198,27 @@
                 "the upstream did not answer in time",
                 executed=execution.executed,
             ) from error
-        finally:
-            self._yard.quarantine.ended(digest, upstream.name, crashed=crashed)
         self._report_outcome(upstream, ok=True)
         return answer
 
+    @contextlib.asynccontextmanager
+    async def _watch_crash(self, execution, upstream):
+        """Tell the quarantine what becomes of a request in flight."""
+        quarantine = self._yard.quarantine
+        digest = execution.run.digest
+        quarantine.began(digest, upstream.name)
+        crashed = completed = False
+        try:
+            yield
+            completed = True
+        except UpstreamError as error:
+            crashed = error.crashed
+            raise
+        finally:
+            quarantine.ended(
+                digest, upstream.name, crashed=crashed, completed=completed
+            )
+
     def _may_retry(self, execution, error):
         if execution.run.has_chunks:
             return False
--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -74,7 +74,7 @@
 @dataclass
 class CallCompleted:
     """
-    A call has its final answer; the delta of the history.
+    A call has its final answer; the delta of the history. It stands without a CallReserved when the call may be repeated and no budget is counted.
     """
 
     program: str
@@ -97,6 +97,9 @@
     Tokens settled; the reservation is returned.
     """
     idempotency_key: str = ''
+    route: str = ''
+    repeatable: bool = False
+    is_model: bool = False
 
 
 @dataclass
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs.py
@@ -74,6 +74,11 @@
         """bool: Whether the budget is this program's own."""
         return self.key == self.root
 
+    @property
+    def has_budget(self):
+        """bool: Whether tokens, calls or seconds of the program are limited."""
+        return bool(self.budget_tokens or self.budget_calls or self.budget_seconds)
+
     @property
     def next_sequence(self):
         """int: The sequence that may run next."""
@@ -173,26 +178,15 @@
     @_fold.register
     def _(self, record: CallReserved, programs):
         program = programs[record.program]
-        assert record.sequence == program.next_sequence, (
-            f"{record.program}: sequence {record.sequence} reserved, "
-            f"{program.next_sequence} is next"
-        )
-        program.calls[record.sequence] = Call(
-            sequence=record.sequence,
-            state=CALL_RESERVED,
-            digest=record.digest,
-            route=record.route,
-            repeatable=record.repeatable,
-            tokens=record.tokens,
-            idempotency_key=record.idempotency_key,
-            is_model=record.is_model,
-        )
-        _index_key(program, record)
+        _add_call(program, record)
         _spend(programs, program, tokens=record.tokens, calls=1)
 
     @_fold.register
     def _(self, record: CallCompleted, programs):
         program = programs[record.program]
+        if record.sequence not in program.calls:
+            _add_call(program, record)
+            _spend(programs, program, tokens=record.tokens, calls=1)
         call = program.calls[record.sequence]
         assert call.state == CALL_RESERVED, f"call {record.sequence} is {call.state}"
         _spend(programs, program, tokens=record.tokens - call.tokens, calls=0)
@@ -298,6 +292,24 @@
         return any(program.running is not None for program in self.each(partition))
 
 
+def _add_call(program, record):
+    assert record.sequence == program.next_sequence, (
+        f"{record.program}: sequence {record.sequence} reserved, "
+        f"{program.next_sequence} is next"
+    )
+    program.calls[record.sequence] = Call(
+        sequence=record.sequence,
+        state=CALL_RESERVED,
+        digest=record.digest,
+        route=record.route,
+        repeatable=record.repeatable,
+        tokens=record.tokens,
+        idempotency_key=record.idempotency_key,
+        is_model=record.is_model,
+    )
+    _index_key(program, record)
+
+
 def _index_key(program, item):
     if item.idempotency_key:
         program.sequences_by_key[item.idempotency_key] = item.sequence
--- a/sapphireyard/reservations.py
+++ b/sapphireyard/reservations.py
@@ -23,7 +23,8 @@
     """Reserves calls in their programs and settles them.
 
     A call leaves the host only after `commit`; its answer reaches the caller
-    only after `complete`.
+    only after `complete`. A call that may be repeated, in a program without a
+    budget, needs no durable reservation: if it is lost nothing is owed.
 
     Parameters
     ----------
@@ -53,8 +54,17 @@
         execution.reserved = True
         return record
 
-    async def commit(self, execution, record):
-        """Make a reservation durable.
+    async def commit(self, execution, record, payers):
+        """Make a reservation durable, where something depends on it.
+
+        Parameters
+        ----------
+        execution : Execution
+            The call.
+        record : CallReserved or None
+            Its reservation.
+        payers : iterable of Program
+            Programs whose budgets it draws on.
 
         Raises
         ------
@@ -65,6 +75,8 @@
         """
         if record is None:
             return
+        if record.repeatable and not any(payer.has_budget for payer in payers):
+            return
         program = execution.program
         records = [program.opening, record] if program.opening else [record]
         execution.journalled = True
@@ -115,7 +127,8 @@
             await self._yard.journal.commit([record], partition=execution.partition)
 
     def _build_completion(self, execution, answer, reserved_tokens):
-        is_model = execution.route.kind == "model"
+        route = execution.route
+        is_model = route.kind == "model"
         body = execution.body
         request = {"messages": body["messages"]} if is_model else body
         return CallCompleted(
@@ -127,11 +140,18 @@
             answer=answer.body,
             tokens=reserved_tokens if answer.tokens < 0 else answer.tokens,
             idempotency_key=execution.call.idempotency_key,
+            route=route.name,
+            repeatable=route.repeatable,
+            is_model=is_model,
         )
 
     async def _commit_answer(self, execution, record):
+        program = execution.program
+        records = [program.opening, record] if program.opening else [record]
+        execution.journalled = True
         try:
-            await self._yard.journal.commit([record], partition=execution.partition)
+            await self._yard.journal.commit(records, partition=execution.partition)
+            program.opening = None
         except StoreUnavailable as error:
             await self.abandon(execution, error)
             raise CallError(
