--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -64,13 +64,17 @@
     repeatable: bool
     tokens: int
     upstream: str = ''
+    is_model: bool = False
+    """
+    Whether a model engine serves the route.
+    """
     idempotency_key: str = ''
 
 
 @dataclass
 class CallCompleted:
     """
-    A call has its final answer; the delta of the history.
+    A call has its final answer; the delta of the history. It stands without a CallReserved when the call may be repeated and no budget is counted.
     """
 
     program: str
@@ -93,6 +97,9 @@
     Tokens settled; the reservation is returned.
     """
     idempotency_key: str = ''
+    route: str = ''
+    repeatable: bool = False
+    is_model: bool = False
 
 
 @dataclass
@@ -127,6 +134,7 @@
     status: int = 0
     request: str = ''
     answer: str = ''
+    is_model: bool = False
     idempotency_key: str = ''
 
 
