--- a/sapphireyard/assignment.py
+++ b/sapphireyard/assignment.py
@@ -320,7 +320,7 @@
 def _choose_successor(planned, partition, dead, loads, bound):
     ranked = rank_members(planned, partition, away_from=dead)
     if not ranked:
-        raise ValueError("no active member is left to take partitions")
+        ranked = sorted(planned.members.values(), key=lambda member: member.host)
     fitting = (member for member in ranked if loads[member.host] < bound)
     return next(fitting, ranked[0])
 
@@ -346,12 +346,19 @@
 
 
 def _keeps_sources(before, after):
-    sealed = after.sources[: len(before.sources)] == before.sources
-    if sealed and len(after.sources) - len(before.sources) in (0, 1):
-        return True
-    snapshot = after.sources
-    return len(snapshot) <= 1 and all(
-        (source.host, source.incarnation) == (before.host, before.incarnation)
+    """Return whether a changed entry names all that its state is folded from."""
+    added = after.sources[len(before.sources) :]
+    extended = after.sources[: len(before.sources)] == before.sources
+    owner_range = (before.host, before.incarnation, before.since, before.epoch)
+    if extended and all(_key(source) == owner_range for source in added):
+        return len(added) <= 1
+    return len(after.sources) <= 1 and all(
+        (source.host, source.incarnation, source.epoch)
+        == (before.host, before.incarnation, before.epoch)
         and source.first >= before.since
-        for source in snapshot
+        for source in after.sources
     )
+
+
+def _key(source):
+    return source.host, source.incarnation, source.first, source.epoch
--- a/sapphireyard/ownership.py
+++ b/sapphireyard/ownership.py
@@ -317,7 +317,7 @@
                 self.adopt(
                     await self.recovery.take_over(host, incarnation, version=version)
                 )
-            except (StoreConflict, StoreUnavailable) as error:
+            except (StoreConflict, StoreUnavailable, JournalSealed) as error:
                 self.log.info("no takeover of %s: %s", host, error)
 
     async def recover(self):
--- a/sapphireyard/recovery.py
+++ b/sapphireyard/recovery.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from sapphireyard.assignment import plan_takeover
-from sapphireyard.exceptions import CallError, PeerError, StoreConflict
+from sapphireyard.exceptions import CallError, JournalSealed, PeerError, StoreConflict
 from sapphireyard.generated_replication import CollectTails
 from sapphireyard.journal import JournalRange, name_segment, read_range
 from sapphireyard.members import MemberObjects
@@ -134,6 +134,8 @@
             The member lives, or another host is at it.
         StoreUnavailable
             The store did not answer; any host may try again.
+        JournalSealed
+            This host is no member itself.
         """
         member = await self._members.read(host)
         if version is not None:
@@ -149,6 +151,10 @@
             old = await self._assignments.read()
             if old is None or not old.has_member(host, incarnation):
                 return old
+            if heir is None and not old.has_member(
+                self.yard.host, self.yard.incarnation
+            ):
+                raise JournalSealed("only a member takes over")
             await self._collect_tails(old, host, incarnation, tails)
             last = await self._seal(host, incarnation, start, tails.segments)
             new = await self._plan(
--- /dev/null
+++ b/tests/test_ownership_machine.py
@@ -0,0 +1,214 @@
+"""Random interleavings of commits, faults, moves, takeovers and restarts."""
+
+import asyncio
+import logging
+import unittest
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from sapphireyard.exceptions import YardError
+from standins.memory import CONFLICT, DROP, LOSE, MemoryStore
+from tests.fleet import PARTITIONS
+from tests.test_takeover import RecordedFleet
+
+HOSTS = "abcd"
+SETTLE_STEPS = 40
+"""Turns of the loop that a rule waits for what it began."""
+
+HEAL_SECONDS = 10
+"""Time for everything begun to end once all faults are gone."""
+
+hosts = st.sampled_from(HOSTS)
+indexes = st.integers(0, PARTITIONS - 1)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Hosts with views of one store, driven at random.
+
+    A host that is replaced goes on running as `gone`, as a paused process
+    does. Commits that wait are left behind and end when they can.
+    """
+
+    @initialize()
+    def begin(self):
+        logging.disable(logging.WARNING)
+        self.runner = asyncio.Runner()
+        self.tasks = []
+        self.run(self._begin())
+
+    async def _begin(self):
+        self.fleet = RecordedFleet(MemoryStore())
+        for host in HOSTS:
+            await self.fleet.add(host, store=self._view())
+            await self.fleet.settle()
+
+    def _view(self):
+        return MemoryStore(shared=self.fleet.store)
+
+    def run(self, coroutine):
+        return self.runner.run(coroutine)
+
+    async def _attempt(self, coroutine):
+        """Run some turns; what is not done by then is left to go on."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.append(task)
+        for _ in range(SETTLE_STEPS):
+            if task.done():
+                return
+            await asyncio.sleep(0)
+
+    @rule(host=hosts, index=indexes, count=st.integers(1, 3), needs_store=st.booleans())
+    def commit(self, host, index, count, needs_store):
+        yard = self.fleet.yards[host]
+        self.run(self._commit(yard, index, count, needs_store))
+
+    @precondition(lambda self: self.fleet.gone)
+    @rule(data=st.data(), index=indexes)
+    def commit_on_replaced_process(self, data, index):
+        yard = data.draw(st.sampled_from(self.fleet.gone), "process")
+        self.run(self._commit(yard, index, 1, False))
+
+    async def _commit(self, yard, index, count, needs_store):
+        yard.clock.now += 1
+        ready = [p for p in yard.ownership.owned if yard.ownership.is_ready(p)]
+        if not ready or yard.journal.sealed:
+            return
+        partition = ready[index % len(ready)]
+        for _ in range(count):
+            await self._attempt(
+                self.fleet.commit(yard, partition, needs_store=needs_store)
+            )
+
+    @rule(
+        host=hosts,
+        kind=st.sampled_from([LOSE, DROP, CONFLICT]),
+        operation=st.sampled_from(["get", "create", "update"]),
+        prefix=st.sampled_from(["", "journal/", "assignment"]),
+    )
+    def break_call(self, host, kind, operation, prefix):
+        if kind == CONFLICT and operation == "get":
+            return
+        self.fleet.yards[host].store.add_fault(kind, operation=operation, prefix=prefix)
+
+    @rule(host=hosts)
+    def cut_off_from_store(self, host):
+        self.fleet.yards[host].store.out = True
+
+    @precondition(lambda self: any(y.store.out for y in self.fleet.yards.values()))
+    @rule(host=hosts)
+    def connect_to_store(self, host):
+        self.fleet.yards[host].store.out = False
+
+    @rule(host=hosts, observers=st.sets(hosts, min_size=1, max_size=2))
+    def take_over(self, host, observers):
+        self.run(self._take_over(host, observers - {host}))
+
+    async def _take_over(self, host, observers):
+        incarnation = self.fleet.yards[host].incarnation
+        for name in sorted(observers):
+            yard = self.fleet.yards[name]
+            await self._attempt(
+                self._ignore(self._take_over_by(yard, host, incarnation))
+            )
+
+    async def _take_over_by(self, yard, host, incarnation):
+        yard.ownership.adopt(await yard.ownership.recovery.take_over(host, incarnation))
+
+    @rule(host=hosts)
+    def refresh(self, host):
+        self.run(self._attempt(self._ignore(self._refresh(self.fleet.yards[host]))))
+
+    async def _refresh(self, yard):
+        yard.ownership.adopt(await yard.ownership.assignments.read())
+        await yard.ownership.recover()
+
+    @rule(host=hosts)
+    def balance(self, host):
+        yard = self.fleet.yards[host]
+        if not yard.journal.sealed:
+            self.run(self._attempt(self._ignore(yard.ownership.balance())))
+
+    @rule(host=hosts)
+    def join_again(self, host):
+        yard = self.fleet.yards[host]
+        if yard.journal.sealed and not yard.store.out:
+            self.run(self._wait(self._ignore(yard.ownership.join())))
+
+    @rule(host=hosts)
+    def replace_process(self, host):
+        holder = self.fleet.yards[host].ownership.handlers
+        if not holder.held_bytes:
+            self.run(self._wait(self._replace(host)))
+
+    async def _replace(self, host):
+        store = self._view()
+        await self._ignore(self.fleet.add(host, store=store))
+
+    async def _wait(self, coroutine):
+        async with asyncio.timeout(HEAL_SECONDS):
+            await coroutine
+
+    async def _ignore(self, coroutine):
+        try:
+            await coroutine
+        except YardError:
+            return
+
+    async def _heal(self):
+        """Remove all faults, let everything end, and check what is folded."""
+        yards = [*self.fleet.yards.values(), *self.fleet.gone]
+        for yard in yards:
+            yard.store.out = False
+            yard.store.faults.clear()
+        for task in self.tasks:
+            while not task.done():
+                for yard in yards:
+                    yard.clock.now += 1
+                await asyncio.sleep(0.001)
+            await task
+        for yard in self.fleet.yards.values():
+            await self._refresh(yard)
+            if yard.journal.sealed:
+                await yard.ownership.join()
+        await self.fleet.spread()
+        for gone in self.fleet.gone:
+            await gone.journal.stop()
+
+    def teardown(self):
+        try:
+            self.run(self._wait(self._heal()))
+            self.fleet.check()
+            self.run(self._fold_all())
+            self.fleet.check()
+        finally:
+            self.run(self.fleet.stop())
+            self.runner.close()
+            logging.disable(logging.NOTSET)
+
+    async def _fold_all(self):
+        """Let a new host take over from all, so that every journal is folded."""
+        await self.fleet.add("z")
+        for host in HOSTS:
+            yard = await self.fleet.kill(host)
+            await self.fleet.yards["z"].ownership.recovery.take_over(
+                host, yard.incarnation
+            )
+        await self.fleet.spread()
+
+
+class OwnershipMachineTest(unittest.TestCase):
+    def test_machine(self):
+        machine = FleetMachine.TestCase
+        machine.settings = settings(
+            max_examples=40,
+            stateful_step_count=25,
+            deadline=None,
+            database=None,
+            derandomize=True,
+            suppress_health_check=list(HealthCheck),
+        )
+        result = unittest.TestResult()
+        machine().run(result)
+        for _, trace in result.failures + result.errors:
+            self.fail(trace)
