Add log lines, metrics and the operators' HTTP interface

Cause: operators need the state of hosts, the reason of a decision and a planned stop; logs need one form, without keys. Ruled out: /metrics without a key on the callers' port, which shows customers' loads to anyone.

--- /dev/null
+++ b/sapphireyard/administration.py
@@ -0,0 +1,219 @@
+"""The operators' HTTP interface of entry hosts.
+
+All routes need an operator's key.
+"""
+
+import asyncio
+import json
+import logging
+import signal
+
+from aiohttp import web
+
+from sapphireyard import generated_administration
+from sapphireyard.completions import dump_json
+from sapphireyard.dispatcher import describe
+from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.generated_administration import (
+    DrainOrder,
+    ExplainAnswer,
+    ExplainQuery,
+    StatusAnswer,
+    StatusQuery,
+)
+from sapphireyard.generated_messages import Done
+from sapphireyard.logs import PACKAGE, DecisionBuffer
+from sapphireyard.metrics import build_metrics_page
+
+logger = logging.getLogger(__name__)
+
+ASK_SECONDS = 2.0
+"""Longest wait for another host."""
+
+EXPLAIN_HOSTS = 32
+"""Most hosts that are asked about one program."""
+
+
+def add_routes(app, yard):
+    """Add the operators' routes of an entry host to its application."""
+    Administration(yard).add_routes(app)
+
+
+def ask_stop():
+    """Ask this process for a planned stop."""
+    signal.raise_signal(signal.SIGTERM)
+
+
+class Administration:
+    """Answers operators, and other hosts on their behalf.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    stop : callable, optional
+        Begins the planned stop of this process.
+    """
+
+    def __init__(self, yard, *, stop=ask_stop):
+        self._yard = yard
+        self._stop = stop
+        self._decisions = DecisionBuffer()
+        yard.peers.codec.register_module(generated_administration)
+        yard.peers.register(StatusQuery, self._answer_status)
+        yard.peers.register(ExplainQuery, self._answer_explain)
+        yard.peers.register(DrainOrder, self._answer_drain)
+
+    def add_routes(self, app):
+        """Add the routes, and keep decisions while the application runs."""
+        app.router.add_get("/metrics", self._serve_metrics)
+        app.router.add_get("/admin/v1/status", self._serve_status)
+        app.router.add_get("/admin/v1/explain/{program:.+}", self._serve_explain)
+        app.router.add_post("/admin/v1/drain", self._serve_drain)
+        app.cleanup_ctx.append(self._keep_decisions)
+
+    async def _keep_decisions(self, app):
+        logging.getLogger(PACKAGE).addHandler(self._decisions)
+        yield
+        logging.getLogger(PACKAGE).removeHandler(self._decisions)
+
+    def _check_operator(self, request):
+        self._yard.configuration.check_fresh()
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            raise CallError("key_unknown", "a bearer key is needed")
+        principal = self._yard.configuration.authenticate(key.strip())
+        if not principal.operator:
+            raise CallError("not_allowed", "this needs an operator's key")
+
+    async def _serve_metrics(self, request):
+        self._check_operator(request)
+        return build_metrics_page()
+
+    async def _serve_status(self, request):
+        self._check_operator(request)
+        host = request.query.get("host", self._yard.host)
+        answer = await self._ask(host, StatusQuery())
+        return web.json_response(text=answer.body)
+
+    async def _serve_explain(self, request):
+        self._check_operator(request)
+        program = request.match_info["program"]
+        if "/" not in program:
+            raise CallError("invalid_request", "name the program as CUSTOMER/PROGRAM")
+        owner = self._yard.ownership.locate(program)
+        others = sorted(set(self._members()) - {owner.host})
+        hosts = [owner.host, *others][:EXPLAIN_HOSTS]
+        answers = await asyncio.gather(
+            *(self._ask_about(host, program) for host in hosts)
+        )
+        result = {"program": program, "partition": owner.partition}
+        result["owner"] = owner.host
+        result["state"] = answers[0]["state"]
+        result["decisions"] = sorted(
+            (decision for answer in answers for decision in answer["decisions"]),
+            key=lambda decision: decision["time"],
+        )
+        result["silent_hosts"] = [
+            host
+            for host, answer in zip(hosts, answers, strict=True)
+            if answer["silent"]
+        ]
+        return web.json_response(result)
+
+    async def _ask_about(self, host, program):
+        try:
+            answer = await self._ask(host, ExplainQuery(program=program))
+        except (PeerUnavailable, CallError):
+            return {"state": None, "decisions": [], "silent": True}
+        return {**json.loads(answer.body), "silent": False}
+
+    async def _serve_drain(self, request):
+        self._check_operator(request)
+        try:
+            host = (await request.json())["host"]
+        except (ValueError, KeyError, TypeError) as error:
+            raise CallError("invalid_request", "name the host") from error
+        if host != self._yard.host and host not in self._members():
+            raise CallError("invalid_request", f"no host or upstream is named {host!r}")
+        logger.info("drain ordered", extra={"drained_host": host})
+        await self._ask(host, DrainOrder())
+        return web.json_response({"host": host, "state": "leaving"})
+
+    async def _ask(self, host, message):
+        try:
+            return await self._yard.peers.ask(host, message, timeout=ASK_SECONDS)
+        except PeerUnavailable as error:
+            raise CallError(
+                "overloaded", f"host {host} does not answer: {error}", retry_after=1
+            ) from error
+
+    async def _answer_status(self, query, context):
+        return StatusAnswer(body=dump_json(describe_host(self._yard)))
+
+    async def _answer_explain(self, query, context):
+        location = self._yard.ownership.locate(query.program)
+        program = self._yard.programs.get(location.partition, query.program)
+        body = {
+            "state": None if program is None else describe(program),
+            "decisions": self._decisions.find(query.program),
+        }
+        return ExplainAnswer(body=json.dumps(body, default=str))
+
+    async def _answer_drain(self, order, context):
+        asyncio.get_running_loop().call_soon(self._stop)
+        return Done()
+
+    def _members(self):
+        assignment = self._yard.ownership.assignment
+        return assignment.members if assignment is not None else {}
+
+
+def describe_host(yard):
+    """Return the state of a host as plain data."""
+    assignment = yard.ownership.assignment
+    members = assignment.members.values() if assignment is not None else ()
+    now = yard.clock.monotonic()
+    return {
+        "host": yard.host,
+        "incarnation": yard.incarnation,
+        "failure_domain": yard.settings.failure_domain,
+        "draining": yard.gateway.draining,
+        "open_requests": yard.gateway.open_requests,
+        "running_calls": yard.dispatcher.running_calls,
+        "programs": len(yard.programs),
+        "configuration": {
+            "version": yard.configuration.version,
+            "age_seconds": round(yard.configuration.age_seconds, 3),
+        },
+        "assignment": {
+            "version": assignment.version if assignment is not None else 0,
+            "members": [
+                {
+                    "host": member.host,
+                    "failure_domain": member.failure_domain,
+                    "state": member.state,
+                    "partitions": assignment.loads[member.host],
+                }
+                for member in members
+            ],
+        },
+        "upstreams": _describe_upstreams(yard, now),
+        "store_calls": dict(yard.store.calls),
+    }
+
+
+def _describe_upstreams(yard, now):
+    configuration = yard.configuration.current
+    pools = configuration.pools.values() if configuration is not None else ()
+    return [
+        {
+            "name": upstream.name,
+            "pool": pool.name,
+            "address": upstream.address,
+            "state": upstream.state,
+            "ejected": yard.outliers.is_ejected(upstream.name, now),
+        }
+        for pool in pools
+        for upstream in pool.upstreams
+    ]
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -17,6 +17,7 @@
 from sapphireyard.journal import JournalService
 from sapphireyard.lifetimes import LifetimeService
 from sapphireyard.logs import configure_logging
+from sapphireyard.metrics import configure_metrics
 from sapphireyard.objects import ObjectStore
 from sapphireyard.outliers import OutlierDetector
 from sapphireyard.ownership import OwnershipService
@@ -141,6 +142,7 @@
         EntrySettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
     )
     configure_logging(settings, host=settings.host)
+    configure_metrics()
     sys.exit(asyncio.run(run(settings)))
 
 
--- /dev/null
+++ b/sapphireyard/logs.py
@@ -0,0 +1,143 @@
+"""Log lines: one for each decision, as JSON or text, never with a key.
+
+Values given with ``extra`` become fields of the line. Everything that looks
+like a customer's key is replaced.
+"""
+
+import json
+import logging
+import re
+import time
+from collections import deque
+
+from sapphireyard.keys import KEY_PREFIX
+
+PACKAGE = "sapphireyard"
+
+REDACTED = "[redacted]"
+
+SECRET = re.compile(
+    rf"{KEY_PREFIX}[A-Za-z0-9_-]+|(?<=[Bb]earer )[^\s\"',}}]+", re.ASCII
+)
+"""What may never stand in a log line."""
+
+STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+"""Attributes of each log record; all others were given with ``extra``."""
+
+KEPT_DECISIONS = 2000
+"""Log records that name a program which a host keeps in memory."""
+
+
+def redact(text):
+    """Return `text` without anything that looks like a key."""
+    return SECRET.sub(REDACTED, text)
+
+
+def extra_fields(record):
+    """Return what was given with ``extra``."""
+    return {
+        name: value
+        for name, value in vars(record).items()
+        if name not in STANDARD_FIELDS
+    }
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object for each record.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host, put into each line.
+    """
+
+    def __init__(self, *, host):
+        super().__init__()
+        self._host = host
+
+    def format(self, record):
+        line = {
+            "time": _format_time(record.created),
+            "level": record.levelname,
+            "host": self._host,
+            "logger": record.name,
+            "message": record.getMessage(),
+            **extra_fields(record),
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return redact(json.dumps(line, ensure_ascii=False, default=str))
+
+
+class TextFormatter(logging.Formatter):
+    """A line of text with the extra fields behind the message."""
+
+    def __init__(self, *, host):
+        super().__init__()
+        self._host = host
+
+    def format(self, record):
+        fields = " ".join(
+            f"{name}={value}" for name, value in extra_fields(record).items()
+        )
+        time_text = _format_time(record.created)
+        head = f"{time_text} {record.levelname} {self._host} {record.name}"
+        text = f"{head}: {record.getMessage()} {fields}".rstrip()
+        if record.exc_info:
+            text += "\n" + self.formatException(record.exc_info)
+        return redact(text)
+
+
+class DecisionBuffer(logging.Handler):
+    """Keeps the last records that name a program, for operators.
+
+    Parameters
+    ----------
+    capacity : int, optional
+        Records kept.
+    """
+
+    def __init__(self, *, capacity=KEPT_DECISIONS):
+        super().__init__(logging.INFO)
+        self._records = deque(maxlen=capacity)
+
+    def emit(self, record):
+        """Keep a record with a ``program`` field."""
+        if getattr(record, "program", None):
+            self._records.append(record)
+
+    def find(self, program):
+        """Return the kept records of a program as plain data, oldest first."""
+        return [
+            {
+                "time": _format_time(record.created),
+                "message": redact(record.getMessage()),
+                **extra_fields(record),
+            }
+            for record in self._records
+            if record.program == program
+        ]
+
+
+def configure_logging(settings, *, host):
+    """Send log lines to standard error.
+
+    Parameters
+    ----------
+    settings : EntrySettings or other settings model
+        Gives ``log_format`` and ``log_level``.
+    host : str
+        Name of this host.
+    """
+    formatter_class = JsonFormatter if settings.log_format == "json" else TextFormatter
+    handler = logging.StreamHandler()
+    handler.setFormatter(formatter_class(host=host))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    logging.getLogger(PACKAGE).setLevel(settings.log_level)
+
+
+def _format_time(seconds):
+    whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    return f"{whole}.{int(seconds % 1 * 1000):03d}Z"
--- /dev/null
+++ b/sapphireyard/metrics.py
@@ -0,0 +1,90 @@
+"""Metrics by OpenTelemetry, read by Prometheus.
+
+Modules take their own instruments from ``opentelemetry.metrics``; those of
+the running path stand in `INSTRUMENTS`, by name.
+"""
+
+from dataclasses import dataclass
+
+import prometheus_client
+from aiohttp import web
+from opentelemetry import metrics
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+COUNTER = "counter"
+HISTOGRAM = "histogram"
+
+
+@dataclass(frozen=True)
+class Instrument:
+    """A counter or histogram: its name, unit and meaning."""
+
+    name: str
+    kind: str
+    unit: str
+    description: str
+
+
+INSTRUMENTS = (
+    Instrument("calls", COUNTER, "1", "Calls answered, by route and code."),
+    Instrument("call_duration", HISTOGRAM, "s", "Time from call to whole answer."),
+    Instrument("first_token", HISTOGRAM, "s", "Time from call to first token."),
+    Instrument("queue_wait", HISTOGRAM, "s", "Time that a call waited for a slot."),
+    Instrument("prompt_tokens", COUNTER, "1", "Prompt tokens, by pool."),
+    Instrument("cached_tokens", COUNTER, "1", "Prompt tokens found cached, by pool."),
+    Instrument("output_tokens", COUNTER, "1", "Tokens generated, by pool."),
+    Instrument("refusals", COUNTER, "1", "Calls refused, by code."),
+    Instrument("forwarded", COUNTER, "1", "Calls passed to another host."),
+    Instrument("upstream_failures", COUNTER, "1", "Failed attempts, by upstream."),
+    Instrument("store_calls", COUNTER, "1", "Calls to the object store, by kind."),
+    Instrument("commit_duration", HISTOGRAM, "s", "Time to make records durable."),
+)
+
+
+class Metrics:
+    """The instruments of `INSTRUMENTS`.
+
+    Parameters
+    ----------
+    meter : opentelemetry.metrics.Meter, optional
+        Where they are made.
+    """
+
+    def __init__(self, meter=None):
+        meter = meter or metrics.get_meter("sapphireyard")
+        self._instruments = {}
+        for instrument in INSTRUMENTS:
+            create = (
+                meter.create_counter
+                if instrument.kind == COUNTER
+                else meter.create_histogram
+            )
+            self._instruments[instrument.name] = create(
+                f"sapphireyard_{instrument.name}",
+                unit=instrument.unit,
+                description=instrument.description,
+            )
+
+    def count(self, name, amount=1, **attributes):
+        """Add to a counter."""
+        self._instruments[name].add(amount, attributes)
+
+    def record(self, name, value, **attributes):
+        """Record a value in a histogram."""
+        self._instruments[name].record(value, attributes)
+
+
+def configure_metrics():
+    """Let all instruments of this process report to Prometheus."""
+    reader = PrometheusMetricReader()
+    metrics.set_meter_provider(MeterProvider(metric_readers=[reader]))
+
+
+def build_metrics_page():
+    """Return the response of a Prometheus scrape."""
+    return web.Response(
+        body=prometheus_client.generate_latest(),
+        headers={"Content-Type": CONTENT_TYPE_LATEST},
+    )
--- /dev/null
+++ b/tests/test_administration.py
@@ -0,0 +1,182 @@
+"""Tests of log lines, metrics and the operators' HTTP interface."""
+
+import json
+import logging
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+import aiohttp
+from aiohttp import web
+
+from sapphireyard._problems import build_problem_response
+from sapphireyard.administration import Administration
+from sapphireyard.assignment import Assignment, Member
+from sapphireyard.clocks import Clock
+from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.frames import MessageCodec
+from sapphireyard.keys import KeyRing, create_key, create_salt, digest_key
+from sapphireyard.logs import DecisionBuffer, JsonFormatter, TextFormatter
+from sapphireyard.metrics import INSTRUMENTS, Metrics
+from sapphireyard.outliers import OutlierDetector
+from sapphireyard.programs import Programs
+from sapphireyard.tables import Configuration, KeyEntry
+from standins._serving import serving
+
+
+def make_record(message, *arguments, **extra):
+    logger = logging.getLogger("sapphireyard.test")
+    return logger.makeRecord(
+        logger.name, logging.INFO, "f", 1, message, arguments, None, extra=extra
+    )
+
+
+class LogTest(unittest.TestCase):
+    def test_keys_never_stand_in_a_line(self):
+        key = create_key()
+        records = [
+            make_record("call with %s", key),
+            make_record("call", authorization=f"Bearer {key}"),
+            make_record("call", headers={"Authorization": "Bearer abc.def"}),
+        ]
+        for formatter in (JsonFormatter(host="h"), TextFormatter(host="h")):
+            for record in records:
+                with self.subTest(formatter=formatter, record=record.getMessage()):
+                    line = formatter.format(record)
+                    self.assertNotIn(key, line)
+                    self.assertNotIn("abc.def", line)
+                    self.assertIn("[redacted]", line)
+
+    def test_json_has_the_extra_fields(self):
+        record = make_record("routed", program="east/p", upstream="e1")
+        line = json.loads(JsonFormatter(host="h").format(record))
+        self.assertEqual((line["program"], line["upstream"]), ("east/p", "e1"))
+        self.assertEqual((line["host"], line["message"]), ("h", "routed"))
+
+    def test_decisions_of_a_program(self):
+        buffer = DecisionBuffer(capacity=2)
+        for number in range(3):
+            buffer.handle(make_record("routed", program="a/p", number=number))
+        buffer.handle(make_record("no program"))
+        self.assertEqual([d["number"] for d in buffer.find("a/p")], [1, 2])
+        self.assertEqual(buffer.find("b/p"), [])
+
+
+class MetricsTest(unittest.TestCase):
+    def test_each_instrument_takes_values(self):
+        metrics = Metrics()
+        for instrument in INSTRUMENTS:
+            with self.subTest(instrument.name):
+                act = metrics.count if instrument.kind == "counter" else metrics.record
+                act(instrument.name, 1, pool="p")
+
+
+class LocalPeers:
+    """Peers of one host; all others are silent."""
+
+    def __init__(self):
+        self.codec = MessageCodec()
+        self.handlers = {}
+
+    def register(self, message_class, handler):
+        self.handlers[message_class] = handler
+
+    async def ask(self, host, message, *, timeout):
+        if host != "h1":
+            raise PeerUnavailable("silent")
+        return await self.handlers[type(message)](message, None)
+
+
+def build_yard():
+    """Return the parts of a yard that operators ask about, and its keys."""
+    salt = create_salt()
+    keys = {role: create_key() for role in ("operator", "customer")}
+    entries = [KeyEntry(digest_key(key, salt), role) for role, key in keys.items()]
+    ring = KeyRing(entries, salt)
+    members = {
+        name: Member(name, 1, "127.0.0.1:1", "127.0.0.1:2", "a")
+        for name in ("h1", "h2")
+    }
+    assignment = Assignment(3, members)
+    location = SimpleNamespace(host="h1", partition=7)
+    yard = SimpleNamespace(
+        host="h1",
+        incarnation=1,
+        clock=Clock(),
+        peers=LocalPeers(),
+        programs=Programs(),
+        outliers=OutlierDetector(),
+        settings=SimpleNamespace(failure_domain="a"),
+        gateway=SimpleNamespace(draining=False, open_requests=0),
+        dispatcher=SimpleNamespace(running_calls=0),
+        store=SimpleNamespace(calls=Counter(get=4)),
+        ownership=SimpleNamespace(assignment=assignment, locate=lambda _: location),
+        configuration=SimpleNamespace(
+            version=5,
+            age_seconds=0.5,
+            current=Configuration(5),
+            check_fresh=lambda: None,
+            authenticate=ring.authenticate,
+        ),
+    )
+    return yard, keys
+
+
+@web.middleware
+async def answer_problems(request, handler):
+    try:
+        return await handler(request)
+    except CallError as error:
+        return build_problem_response(error)
+
+
+class AdministrationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        yard, self.keys = build_yard()
+        self.stops = []
+        app = web.Application(middlewares=[answer_problems])
+        administration = Administration(yard, stop=lambda: self.stops.append(1))
+        administration.add_routes(app)
+        context = serving(app)
+        self.address = await context.__aenter__()
+        self.addAsyncCleanup(context.__aexit__, None, None, None)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def ask(self, path, *, key="", method="GET", body=None):
+        url = f"http://{self.address}{path}"
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        async with self.session.request(
+            method, url, headers=headers, json=body
+        ) as answer:
+            return answer.status, await answer.text()
+
+    async def test_only_operators_are_answered(self):
+        paths = ["/metrics", "/admin/v1/status", "/admin/v1/explain/a/p"]
+        for path in paths:
+            for role, expected in (("", 401), ("customer", 403), ("operator", 200)):
+                with self.subTest(path=path, role=role):
+                    status, _ = await self.ask(path, key=self.keys.get(role, ""))
+                    self.assertEqual(status, expected)
+
+    async def test_status_and_explain(self):
+        key = self.keys["operator"]
+        status = json.loads((await self.ask("/admin/v1/status", key=key))[1])
+        self.assertEqual(status["configuration"]["version"], 5)
+        self.assertEqual(len(status["assignment"]["members"]), 2)
+        logger = logging.getLogger("sapphireyard.test")
+        logger.warning("call routed", extra={"program": "a/p", "upstream": "e1"})
+        _, text = await self.ask("/admin/v1/explain/a/p", key=key)
+        explained = json.loads(text)
+        self.assertEqual(explained["decisions"][0]["upstream"], "e1")
+        self.assertEqual(explained["owner"], "h1")
+        self.assertEqual(explained["silent_hosts"], ["h2"])
+
+    async def test_drain(self):
+        key = self.keys["operator"]
+        for host, expected, stops in (("none", 400, 0), ("h2", 503, 0), ("h1", 200, 1)):
+            with self.subTest(host):
+                status, _ = await self.ask(
+                    "/admin/v1/drain", key=key, method="POST", body={"host": host}
+                )
+                self.assertEqual((status, len(self.stops)), (expected, stops))
