--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -97,7 +97,7 @@
         )
         self.assertEqual(self.run_line("keys", "withdraw", given["name"])[0], 0)
         self.assertIn("withdrawn", self.run_line("keys", "list")[1])
-        for stored in self.store._objects.values():
+        for stored in self.store.objects:
             self.assertNotIn(given["key"].encode(), stored.value)
 
     def test_drain_of_an_upstream(self):
