--- a/sapphireyard/dispatcher.py
+++ b/sapphireyard/dispatcher.py
@@ -240,15 +240,26 @@
             program=key,
             root=root,
             opened_at=self._yard.clock.wall(),
-            budget_tokens=call.budget_tokens,
-            budget_calls=call.budget_calls,
-            budget_seconds=call.budget_seconds,
+            **self._choose_budget(call, is_root=root == key),
         )
         self._yard.programs.apply(partition, record)
         program = self._yard.programs.get(partition, key)
         program.opening = record
         return program
 
+    def _choose_budget(self, call, *, is_root):
+        """Return the caller's budget; for a root without one, the customer's."""
+        limits = call
+        customer = self._yard.configuration.current.customers.get(call.customer)
+        given = call.budget_tokens or call.budget_calls or call.budget_seconds
+        if is_root and not given and customer is not None:
+            limits = customer
+        return {
+            "budget_tokens": limits.budget_tokens,
+            "budget_calls": limits.budget_calls,
+            "budget_seconds": limits.budget_seconds,
+        }
+
     async def _link(self, key, root, partition):
         location = self._yard.ownership.locate(key)
         if location.partition == partition:
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -17,7 +17,7 @@
 from sapphireyard.journal import JournalService
 from sapphireyard.lifetimes import LifetimeService
 from sapphireyard.logs import configure_logging
-from sapphireyard.metrics import configure_metrics
+from sapphireyard.metrics import Metrics, configure_metrics, observe_store
 from sapphireyard.objects import ObjectStore
 from sapphireyard.outliers import OutlierDetector
 from sapphireyard.ownership import OwnershipService
@@ -99,6 +99,8 @@
 def build_yard(settings):
     """Return a `Yard` with all services of an entry host."""
     yard = Yard(settings, ObjectStore(settings.store))
+    yard.metrics = Metrics()
+    observe_store(yard.store)
     yard.programs = Programs()
     yard.peers = Peers(yard)
     yard.configuration = ConfigurationService(yard)
@@ -143,6 +145,7 @@
     )
     configure_logging(settings, host=settings.host)
     configure_metrics()
+    configure_metrics()
     sys.exit(asyncio.run(run(settings)))
 
 
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -10,7 +10,7 @@
     check_calls,
     fit_answer_tokens,
 )
-from sapphireyard.completions import digest_program, dump_json
+from sapphireyard.completions import digest_program
 from sapphireyard.exceptions import CallError
 from sapphireyard.reservations import Reservations
 from sapphireyard.senders import SENDERS
@@ -101,9 +101,9 @@
         check_calls(payers)
         if execution.route.kind != "model":
             return 0, 0
-        messages = execution.body["messages"]
-        size = len(dump_json(messages).encode())
-        prompt = bound_prompt_tokens(execution.program, size, len(messages))
+        size = len(execution.call.body.encode())
+        count = len(execution.body["messages"])
+        prompt = bound_prompt_tokens(execution.program, size, count)
         wanted = execution.body.get("max_tokens")
         answer = fit_answer_tokens(payers, prompt, wanted)
         return answer, prompt + answer
@@ -139,7 +139,9 @@
         try:
             for _ in range(ATTEMPTS):
                 request = self._build_slot_request(execution, answer_tokens, failed)
+                asked_at = self._yard.clock.monotonic()
                 async with self._yard.slots.lease(request) as grant:
+                    self._record_wait(execution, asked_at)
                     await commit
                     self._check_may_send(execution)
                     try:
@@ -160,6 +162,10 @@
             retry_after=UPSTREAM_RETRY_SECONDS,
         )
 
+    def _record_wait(self, execution, asked_at):
+        waited = self._yard.clock.monotonic() - asked_at
+        self._yard.metrics.record("queue_wait", waited, pool=execution.route.pool)
+
     def _check_may_send(self, execution):
         if execution.is_kept:
             self._yard.ownership.check_owned(execution.partition)
@@ -246,6 +252,7 @@
 
     def _report_failure(self, execution, grant, error):
         self._report_outcome(grant.upstream, ok=False)
+        self._yard.metrics.count("upstream_failures", upstream=grant.upstream.name)
         logger.warning(
             "upstream failed",
             extra={
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -281,9 +281,18 @@
         seconds = route.timeout_seconds
         if headers.deadline:
             seconds = min(seconds, headers.deadline)
-        answer = self._follow(call, self._yard.clock.monotonic() + seconds)
-        async with contextlib.aclosing(answer):
-            return await self._reply(request, answer)
+        started = self._yard.clock.monotonic()
+        answer = self._follow(call, started + seconds)
+        try:
+            async with contextlib.aclosing(answer):
+                response = await self._reply(request, answer, started)
+        except CallError as error:
+            self._yard.metrics.count("refusals", code=error.code, route=route.name)
+            raise
+        duration = self._yard.clock.monotonic() - started
+        self._yard.metrics.record("call_duration", duration, route=route.name)
+        self._yard.metrics.count("calls", route=route.name, status=response.status)
+        return response
 
     def _complete_identity(self, call, route):
         """Give a call what lets it be sent again to a new owner safely."""
@@ -317,9 +326,10 @@
                     "no answer before the deadline",
                     executed=EXECUTED_UNKNOWN if sent else EXECUTED_NO,
                 )
+            call.hops = hops
             owner = self._find_owner(call)
+            self._log_forward(call, owner)
             call.deadline_seconds = left
-            call.hops = hops
             elsewhere = ""
             try:
                 answers = self._yard.peers.stream(owner, call, timeout=left)
@@ -349,12 +359,28 @@
             if not elsewhere or hops > HOPS:
                 await asyncio.sleep(REROUTE_SECONDS)
 
+    def _log_forward(self, call, owner):
+        if owner == self._yard.host:
+            return
+        self._yard.metrics.count("forwarded")
+        logger.info(
+            "call forwarded",
+            extra={
+                "decision": "forward",
+                "program": f"{call.customer}/{call.program}",
+                "sequence": call.sequence,
+                "owner": owner,
+                "attempt": call.hops,
+                "reason": "the owner of the program's partition",
+            },
+        )
+
     def _find_owner(self, call):
         if not call.program:
             return self._yard.host
         return self._yard.ownership.locate(call.root).host
 
-    async def _reply(self, request, answer):
+    async def _reply(self, request, answer, started):
         start = await anext(answer)
         assert isinstance(start, AnswerStart), f"{start} is no start of an answer"
         headers = {}
@@ -370,6 +396,8 @@
                 content_type="application/json",
                 headers=headers,
             )
+        first = self._yard.clock.monotonic() - started
+        self._yard.metrics.record("first_token", first)
         return await self._reply_stream(request, answer, headers)
 
     async def _reply_stream(self, request, answer, headers):
--- a/sapphireyard/metrics.py
+++ b/sapphireyard/metrics.py
@@ -38,7 +38,6 @@
     Instrument("refusals", COUNTER, "1", "Calls refused, by code."),
     Instrument("forwarded", COUNTER, "1", "Calls passed to another host."),
     Instrument("upstream_failures", COUNTER, "1", "Failed attempts, by upstream."),
-    Instrument("store_calls", COUNTER, "1", "Calls to the object store, by kind."),
     Instrument("commit_duration", HISTOGRAM, "s", "Time to make records durable."),
 )
 
@@ -82,6 +81,22 @@
     metrics.set_meter_provider(MeterProvider(metric_readers=[reader]))
 
 
+def observe_store(store):
+    """Report the calls to an `ObjectStore`, by kind."""
+
+    def observe(options):
+        return [
+            metrics.Observation(count, {"kind": kind})
+            for kind, count in store.calls.items()
+        ]
+
+    metrics.get_meter("sapphireyard").create_observable_counter(
+        "sapphireyard_store_calls",
+        [observe],
+        description="Calls to the object store, by kind.",
+    )
+
+
 def build_metrics_page():
     """Return the response of a Prometheus scrape."""
     return web.Response(
--- a/sapphireyard/reservations.py
+++ b/sapphireyard/reservations.py
@@ -81,11 +81,7 @@
         records = [program.opening, record] if program.opening else [record]
         execution.journalled = True
         try:
-            await self._yard.journal.commit(
-                records,
-                partition=execution.partition,
-                needs_store=not record.repeatable,
-            )
+            await self._write(records, execution, needs_store=not record.repeatable)
         except StoreUnavailable as error:
             raise CallError(
                 "store_unavailable",
@@ -145,12 +141,20 @@
             is_model=is_model,
         )
 
+    async def _write(self, records, execution, *, needs_store=False):
+        clock = self._yard.clock
+        started = clock.monotonic()
+        await self._yard.journal.commit(
+            records, partition=execution.partition, needs_store=needs_store
+        )
+        self._yard.metrics.record("commit_duration", clock.monotonic() - started)
+
     async def _commit_answer(self, execution, record):
         program = execution.program
         records = [program.opening, record] if program.opening else [record]
         execution.journalled = True
         try:
-            await self._yard.journal.commit(records, partition=execution.partition)
+            await self._write(records, execution)
             program.opening = None
         except StoreUnavailable as error:
             await self.abandon(execution, error)
--- a/sapphireyard/senders.py
+++ b/sapphireyard/senders.py
@@ -1,6 +1,7 @@
 """Sends a call to an upstream and reads its whole answer."""
 
 import contextlib
+import functools
 import json
 
 from sapphireyard.completions import (
@@ -65,7 +66,7 @@
         if not assembler.finished:
             raise UpstreamError("the answer is not complete", sent=True)
         answer = assembler.build()
-        self._report(grant, answer["usage"] or {})
+        self._report(execution, grant, answer["usage"] or {})
         return UpstreamAnswer(
             200,
             dump_json(answer),
@@ -92,8 +93,12 @@
                 execution.run.add_chunk(data)
         return last_chunks
 
-    def _report(self, grant, usage):
+    def _report(self, execution, grant, usage):
         details = usage.get("prompt_tokens_details") or {}
+        count = functools.partial(self._yard.metrics.count, pool=execution.route.pool)
+        count("prompt_tokens", usage.get("prompt_tokens", 0))
+        count("cached_tokens", details.get("cached_tokens", 0))
+        count("output_tokens", usage.get("completion_tokens", 0))
         grant.report(
             output_tokens=usage.get("completion_tokens", 0),
             cached_tokens=details.get("cached_tokens", -1),
--- a/sapphireyard/yard.py
+++ b/sapphireyard/yard.py
@@ -46,6 +46,10 @@
         Connections to upstreams.
     dispatcher : Dispatcher
         Carries calls on their owner.
+    lifetimes : LifetimeService
+        Ends idle and endless programs.
+    metrics : Metrics
+        Instruments of the running path.
     gateway : Gateway
         The callers' HTTP interface.
     """
@@ -67,6 +71,8 @@
         self.outliers = None
         self.upstreams = None
         self.dispatcher = None
+        self.lifetimes = None
+        self.metrics = None
         self.gateway = None
 
     @property
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -68,7 +68,8 @@
     await cluster.apply_tables(build_tables(cluster))
     keys = {name: await give_key(cluster, name) for name in CUSTOMERS}
     for number in range(entries):
-        await cluster.start_entry(number, *entry_flags)
+        flags = ("--address-ttl-seconds", "1", *entry_flags)
+        await cluster.start_entry(number, *flags)
     return keys
 
 
@@ -163,9 +164,9 @@
         rows = await run_workload(cluster, keys)
         seconds = time.monotonic() - started
         booked = await count_bookings(cluster)
-        statuses = [
-            await cluster[f"entry-{number}"].stop() for number in range(ENTRIES)
-        ]
+        statuses = await asyncio.gather(
+            *(cluster[f"entry-{number}"].stop() for number in range(ENTRIES))
+        )
     print(describe_rows(rows))
     expected = PROGRAMS * 2 * (TURNS + 1)
     print(
