--- a/sapphireyard/holders.py
+++ b/sapphireyard/holders.py
@@ -84,7 +84,7 @@
             self._agenda.bring_forward(customer, self._ask_at(share))
             return waiter
         wait = self._expect_wait(share, share.waiting + tokens, rule, now)
-        if not self._may_wait(share, waiter, wait, now):
+        if not self._may_enter(share, waiter, wait, now):
             waiter.retry_after = wait
             self._reschedule(customer, share, now)
             return waiter
@@ -232,7 +232,7 @@
         staying = deque()
         for waiter in share.waiters:
             wait = self._expect_wait(share, position + waiter.tokens, rule, now)
-            if self._may_wait(share, waiter, wait, now):
+            if self._may_stay(waiter, wait, now):
                 position += waiter.tokens
                 staying.append(waiter)
                 continue
@@ -248,10 +248,20 @@
         share.waiters.clear()
         share.waiting = 0
 
-    def _may_wait(self, share, waiter, wait, now):
-        """Return whether a call can be served in time and without a long line."""
-        queue = wait - max(0.0, share.opens_at - now)
-        return now < waiter.deadline - wait and queue <= self._longest_queue
+    def _may_enter(self, share, waiter, wait, now):
+        """Return whether a call may join the line.
+
+        The line may be longer while the home is away, since the calls in it
+        are not to blame.
+        """
+        if not self._may_stay(waiter, wait, now):
+            return False
+        return now < share.opens_at or wait <= self._longest_queue
+
+    @staticmethod
+    def _may_stay(waiter, wait, now):
+        """Return whether a call can be served before its deadline."""
+        return now < waiter.deadline - wait
 
     @staticmethod
     def _expect_wait(share, position, rule, now):
