--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -217,7 +217,7 @@
                 self.assertEqual(caught.exception.code, code)
             self.assertEqual(host.current.pools["engines"].upstreams[0].name, "e1")
         self.assertTrue(key.startswith(KEY_PREFIX))
-        values = [stored.value for stored in self.store._objects.values()]
+        values = [stored.value for stored in self.store.objects]
         self.assertFalse([v for v in values if key.encode() in v])
 
     async def test_start_during_an_outage_takes_the_newest_of_its_peers(self):
