Convict only suspects that ran alone, one at a time in each pool

Cause: a call whose upstream crashed is retried at once, as a suspect but not alone. When the crashing request is retried beside it, the upstream crashes again with both in flight, and the innocent one was quarantined as well.

Change: a run convicts only inside alone(), which is held for each attempt, for one pool, and gives up after a timeout.

--- a/sapphireyard/generated_quarantine.py
+++ b/sapphireyard/generated_quarantine.py
@@ -55,6 +55,10 @@
     """
 
     digest: str
+    pool: str = ''
+    """
+    Pool in which the suspect is to run.
+    """
 
 
 @dataclass
--- a/sapphireyard/quarantine.py
+++ b/sapphireyard/quarantine.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from collections import Counter, defaultdict
 from dataclasses import asdict
 
 from mode import Service
@@ -35,7 +36,7 @@
 PEER_SECONDS = 1.0
 LONE_RUN_SECONDS = 120.0
 """Longest time for which one suspect keeps others from running."""
-SUSPECTS_KEY = "suspects"
+SUSPECT_RETRY_SECONDS = 5.0
 
 
 class QuarantineService(Service):
@@ -57,7 +58,8 @@
         self._quarantine = Quarantine()
         self._unsaved = {}
         self._saved = set()
-        self._lone_run = asyncio.Lock()
+        self._lone_runs = defaultdict(asyncio.Lock)
+        self._lone = Counter()
         self._counter = metrics.get_meter("sapphireyard.quarantine").create_counter(
             "sapphireyard.quarantine.verdicts",
             description="Requests suspected, cleared and quarantined.",
@@ -90,7 +92,8 @@
 
     def began(self, digest, upstream):
         """Note that a request is about to be sent to an upstream."""
-        self._quarantine.began(digest, upstream, self._now())
+        lone = self._lone[digest] > 0
+        self._quarantine.began(digest, upstream, self._now(), lone=lone)
 
     def ended(self, digest, upstream, *, crashed, completed=False):
         """Note the end of a run.
@@ -111,16 +114,36 @@
             self._spread(verdict)
 
     @contextlib.asynccontextmanager
-    async def alone(self, digest):
-        """Hold the right to run a suspect; only one runs at a time.
+    async def alone(self, digest, *, pool="", timeout=LONE_RUN_SECONDS):
+        """Hold the right to run a suspect; one runs at a time in each pool.
 
-        The run is to have an upstream for itself. The body is checked again
-        before it starts, since the suspect may be quarantined by then.
+        Only a crash inside this context quarantines, so it is entered for each
+        attempt anew.
+
+        Parameters
+        ----------
+        digest : str
+            The suspect.
+        pool : str, optional
+            Where it is to run.
+        timeout : float, optional
+            Seconds to wait for other suspects.
+
+        Raises
+        ------
+        CallError
+            ``quarantined`` when it is quarantined by the time that its turn
+            comes; ``overloaded`` when its turn does not come in time.
         """
         async with contextlib.AsyncExitStack() as stack:
-            await self._enter_line(stack, digest)
+            await self._enter_line(stack, digest, pool, timeout)
             self.check(digest)
-            yield
+            self._lone[digest] += 1
+            try:
+                yield
+            finally:
+                self._lone[digest] -= 1
+                self._lone += Counter()
 
     async def release(self, digest):
         """Let a quarantined request run again, on all hosts.
@@ -261,24 +284,34 @@
             )
         return True
 
-    async def _enter_line(self, stack, digest):
+    async def _enter_line(self, stack, digest, pool, timeout):
+        """Wait for the other suspects of a pool; give up after `timeout`."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._enter_line_at_home(stack, digest, pool, timeout)
+        except TimeoutError as error:
+            raise CallError(
+                "overloaded",
+                "other requests that may crash upstreams run first",
+                retry_after=SUSPECT_RETRY_SECONDS,
+            ) from error
+
+    async def _enter_line_at_home(self, stack, digest, pool, timeout):
         """Wait at the home of suspects; if it is away, at this host only."""
-        home = choose_home(SUSPECTS_KEY, self._active())
+        home = choose_home(f"suspects/{pool}", self._active()) or self.yard.host
+        grants = self.yard.peers.stream(
+            home, LoneRunRequest(digest, pool), timeout=timeout + LONE_RUN_SECONDS
+        )
+        grants = await stack.enter_async_context(contextlib.aclosing(grants))
         try:
-            grants = self.yard.peers.stream(
-                home or self.yard.host,
-                LoneRunRequest(digest),
-                timeout=LONE_RUN_SECONDS,
-            )
-            grants = await stack.enter_async_context(contextlib.aclosing(grants))
             await anext(grants)
         except (PeerError, CallError, StopAsyncIteration) as error:
-            self.log.warning("suspect %s runs without a grant: %s", digest, error)
-            await stack.enter_async_context(self._lone_run)
+            self.log.warning("suspect %s waits at this host only: %s", digest, error)
+            await stack.enter_async_context(self._lone_runs[pool])
 
     async def _serve_lone_run(self, message, context):
         """Let one suspect run until its host ends the stream."""
-        async with self._lone_run:
+        async with self._lone_runs[message.pool]:
             yield LoneRunGrant()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LONE_RUN_SECONDS):
--- a/sapphireyard/suspicion.py
+++ b/sapphireyard/suspicion.py
@@ -1,8 +1,8 @@
 """Which requests crash upstreams: suspects, and those in quarantine.
 
 Every request in flight on an upstream that crashes becomes a suspect, and
-suspects run alone. A suspect that completes is cleared. One that is in flight
-on an upstream that crashes again is quarantined.
+suspects run alone. A suspect that completes is cleared. One that runs alone on
+an upstream that crashes again is quarantined.
 """
 
 import json
@@ -113,12 +113,22 @@
             if now < until
         }
 
-    def began(self, digest, upstream, now):
-        """Note that a request is about to be sent to an upstream."""
+    def began(self, digest, upstream, now, *, lone=False):
+        """Note that a request is about to be sent to an upstream.
+
+        Parameters
+        ----------
+        digest, upstream : str
+            What is to run where.
+        now : float
+            Monotonic seconds.
+        lone : bool, optional
+            No other suspect runs meanwhile, so a crash convicts.
+        """
         flights = self._flights.setdefault(upstream, {})
         flight = flights.setdefault(digest, _Flight())
         flight.running += 1
-        flight.as_suspect = self.is_suspect(digest, now)
+        flight.as_suspect = lone and self.is_suspect(digest, now)
 
     def ended(self, digest, upstream, now, *, crashed, completed=False):
         """Note the end of a run; return the `Verdict` objects that follow.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of suspects and quarantine."""
 
 import asyncio
+import contextlib
 import types
 import unittest
 from unittest import mock
@@ -66,7 +67,8 @@
             if any(flight[2] == upstream for flight in self.flights) or self.lone:
                 return
             self.lone[upstream] = request
-        decision.began(request, upstream, self.now)
+        lone = self.lone.get(upstream) == request
+        decision.began(request, upstream, self.now, lone=lone)
         informed = self.crashes[request] > 0 and not self.is_coming(host, request)
         self.flights.append((host, request, upstream, informed))
 
@@ -142,8 +144,8 @@
 CrashTest = CrashMachine.TestCase
 
 
-def _blame_all_runs(decision, digest, upstream, now):
-    BEGAN(decision, digest, upstream, now)
+def _blame_all_runs(decision, digest, upstream, now, *, lone):
+    BEGAN(decision, digest, upstream, now, lone=lone)
     decision._flights[upstream][digest].as_suspect = True
 
 
@@ -182,12 +184,13 @@
             ("one crash", [crash], True, False),
             ("a crash, then a whole answer", [crash, good], False, False),
             ("a crash, then given up", [crash, given_up], True, False),
+            ("given up, then a crash", [given_up, crash], True, False),
         ]
         for name, outcomes, suspect, quarantined in cases:
             with self.subTest(name):
                 decision = Quarantine()
                 for outcome in outcomes:
-                    decision.began("d", "u", 0.0)
+                    decision.began("d", "u", 0.0, lone=True)
                     decision.ended("d", "u", 1.0, **outcome)
                 self.assertEqual(decision.is_suspect("d", 1.0), suspect)
                 self.assertEqual(decision.is_quarantined("d", 1.0), quarantined)
@@ -263,14 +266,16 @@
             while not condition():
                 await asyncio.sleep(0.005)
 
-    def crash(self, service, digest="d"):
-        service.began(digest, "u")
-        service.ended(digest, "u", crashed=True)
+    async def crash(self, service, digest="d"):
+        lone = service.alone(digest)
+        async with lone if service.is_suspect(digest) else contextlib.nullcontext():
+            service.began(digest, "u")
+            service.ended(digest, "u", crashed=True)
 
     async def test_second_crash_on_another_host_quarantines_everywhere(self):
-        self.crash(self.first)
+        await self.crash(self.first)
         await self.wait_until(lambda: self.second.is_suspect("d"))
-        self.crash(self.second)
+        await self.crash(self.second)
         await self.wait_until(lambda: "d" in self.first.entries())
         for service in (self.first, self.second):
             with self.assertRaises(CallError) as caught:
@@ -281,8 +286,8 @@
 
     async def test_entry_is_kept_through_an_outage_of_the_store(self):
         with self.store.outage():
-            self.crash(self.first)
-            self.crash(self.first)
+            await self.crash(self.first)
+            await self.crash(self.first)
             await self.wait_until(lambda: "d" in self.second.entries())
         await self.first.refresh()
         await self.add("c")
@@ -293,8 +298,8 @@
     async def test_released_entry(self):
         for name in ("by the service", "by deleting the object"):
             with self.subTest(name):
-                self.crash(self.first)
-                self.crash(self.first)
+                await self.crash(self.first)
+                await self.crash(self.first)
                 for service in (self.first, self.second):
                     await service.refresh()
                 if name == "by the service":
@@ -306,8 +311,8 @@
                     service.check("d")
 
     async def test_ended_entry_is_deleted_and_can_come_again(self):
-        self.crash(self.first)
-        self.crash(self.first)
+        await self.crash(self.first)
+        await self.crash(self.first)
         await self.first.refresh()
         later = self.yards["b"].clock.wall() + 10 * 24 * 3600
         with mock.patch.object(self.yards["b"].clock, "wall", return_value=later):
@@ -331,19 +336,37 @@
         self.assertEqual(most, 1)
 
     async def test_suspect_quarantined_in_line_does_not_run(self):
-        self.crash(self.first)
+        await self.crash(self.first)
         await self.wait_until(lambda: self.second.is_suspect("d"))
         async with self.first.alone("d"):
             waiting = asyncio.ensure_future(self.second.alone("d").__aenter__())
-            self.crash(self.first)
+            self.first.began("d", "u")
+            self.first.ended("d", "u", crashed=True)
             await self.wait_until(lambda: "d" in self.second.entries())
         with self.assertRaises(CallError):
             await waiting
 
+    async def test_crash_of_suspects_that_do_not_run_alone_convicts_none(self):
+        for _ in range(3):
+            for digest in ("d", "e"):
+                self.first.began(digest, "u")
+            for digest in ("d", "e"):
+                self.first.ended(digest, "u", crashed=True)
+        self.assertEqual(self.first.entries(), {})
+
+    async def test_turn_that_does_not_come_in_time(self):
+        async with self.first.alone("d"):
+            with self.assertRaises(CallError) as caught:
+                async with self.second.alone("e", timeout=0.02):
+                    pass
+            self.assertEqual(caught.exception.code, "overloaded")
+            async with self.second.alone("e", pool="other", timeout=5.0):
+                pass
+
     async def test_started_host_learns_from_a_peer(self):
-        self.crash(self.first)
-        self.crash(self.first, "e")
-        self.crash(self.first, "e")
+        await self.crash(self.first)
+        await self.crash(self.first, "e")
+        await self.crash(self.first, "e")
         await self.second.on_start()
         self.assertTrue(self.second.is_suspect("d"))
         self.assertIn("e", self.second.entries())
