Hold new programs rather than push out prefixes; measure the policy

Cause: with cache affinity alone, a scheduled fleet re-prefilled as much as the naive one as soon as memory was short: every new program pushed out the prefix of one in a tool pause. A request without a prefix now waits while the upstream's memory is full of prefixes whose programs are expected back, unless its customer holds less than its share of that memory or the upstream is less than a quarter in use.

bench/policy.py runs the decision modules in virtual time against EngineTiming, beside a naive baseline in the same run.

--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,223 @@
+"""Measures the policy under load beside a naive baseline, in virtual time.
+
+Run ``python -m bench.policy``; it prints a table and, with ``--json FILE``,
+writes all figures. The same seeds give the same figures.
+"""
+
+import argparse
+import json
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass
+from functools import partial
+from statistics import mean
+
+from bench.arms import NaiveArm, PolicyChange, ScheduledArm
+from bench.simulation import Simulation
+from bench.workload import HATUA, KITAMICHI, Workload
+
+SECONDS = 600.0
+LOAD = 0.2
+BUSY_LOAD = 0.27
+FLOOD = (120.0, 420.0)
+DEATHS = ((150.0, 0, 60.0), (330.0, 1, 60.0))
+DEPLOYMENTS = {each.name: each for each in (HATUA, KITAMICHI)}
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """What happens during a run.
+
+    Parameters
+    ----------
+    load : float
+        Programs per second and engine.
+    flood : tuple of float, optional
+        When the largest customer sends five times its rate.
+    deaths : tuple, optional
+        Engines that die: time, number, seconds out.
+    """
+
+    load: float = LOAD
+    flood: tuple | None = None
+    deaths: tuple = ()
+
+
+SCENARIOS = {
+    "calm": Scenario(),
+    "busy": Scenario(load=BUSY_LOAD),
+    "overload": Scenario(flood=FLOOD),
+    "deaths": Scenario(deaths=DEATHS),
+}
+
+ARMS = {"naive": NaiveArm, "policy": ScheduledArm}
+
+ABLATIONS = {
+    "without fair shares": PolicyChange({"fair": False}),
+    "without service levels": PolicyChange({"first_level": 0.0}),
+    "without cache affinity": PolicyChange(
+        {"cache_affinity": False, "hold_new": False}
+    ),
+    "without holding new": PolicyChange({"hold_new": False}),
+    "without moves": PolicyChange({"move": False}),
+    "without early refusal": PolicyChange({"refuse": False}),
+    "without release": PolicyChange(release=False),
+}
+
+TRIALS = {
+    "import of prefixes": PolicyChange(transfer_rate=40_000.0),
+    "no resident levels": PolicyChange({"resident_levels": 0}),
+    "nine resident levels": PolicyChange({"resident_levels": 9}),
+    "share quantum 64k": PolicyChange({"share_quantum": 64_000.0}),
+    "share quantum 256k": PolicyChange({"share_quantum": 256_000.0}),
+    "started roots not held": PolicyChange({"hold_started": False}),
+    "keep for prefill time": PolicyChange({"keep_factor": 1.0}),
+}
+
+WEIGHTS = {
+    f"latency weight {weight}": PolicyChange(latency_weight=weight)
+    for weight in (0.0, 0.25, 0.5, 0.75, 1.0)
+}
+
+
+@dataclass
+class Result:
+    """Figures of one run, or their means over seeds.
+
+    ``wrongful`` counts refusals of customers within their rate, ``flooder``
+    prefixes the customer over its rate.
+    """
+
+    programs: float
+    p50: float
+    p95: float
+    p99: float
+    within_p95: float
+    again_millions: float
+    again_share: float
+    worst: float
+    worst_within: float
+    wrongful: float
+    flooder_programs: float
+    flooder_given_up: float
+    failed_calls: float
+
+
+def take_quantile(values, share):
+    """Return the value below which `share` of all lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def run(deployment, scenario, change, seed):
+    """Run one arm on one workload; return its `Result`."""
+    workload = Workload(
+        deployment,
+        seed=seed,
+        seconds=SECONDS,
+        load=scenario.load,
+        flood=scenario.flood,
+    )
+    arm = change
+    if isinstance(change, PolicyChange):
+        arm = partial(ScheduledArm, change=change)
+    simulation = Simulation(workload, deployment, arm, deaths=scenario.deaths)
+    return summarise(simulation.run(), workload.flooding)
+
+
+def summarise(measures, flooding):
+    """Return the `Result` of the measures of one run."""
+    latencies = measures.latencies
+    every = [value for values in latencies.values() for value in values]
+    within = [v for name, vs in latencies.items() if name != flooding for v in vs]
+    slowdowns = {name: mean(values) for name, values in measures.slowdowns.items()}
+    wrongful = sum(n for name, n in measures.wrongful.items() if name != flooding)
+    return Result(
+        programs=len(every),
+        p50=take_quantile(every, 0.5),
+        p95=take_quantile(every, 0.95),
+        p99=take_quantile(every, 0.99),
+        within_p95=take_quantile(within, 0.95),
+        again_millions=measures.again_tokens / 1e6,
+        again_share=measures.again_tokens / measures.prompt_tokens,
+        worst=max(slowdowns.values()),
+        worst_within=max(v for name, v in slowdowns.items() if name != flooding),
+        wrongful=wrongful,
+        flooder_programs=len(latencies[flooding]) if flooding else 0,
+        flooder_given_up=measures.given_up[flooding],
+        failed_calls=measures.failed_calls,
+    )
+
+
+def average(results):
+    """Return the mean of some results."""
+    rows = [asdict(result) for result in results]
+    return Result(**{name: mean(row[name] for row in rows) for name in rows[0]})
+
+
+def plan_jobs(options):
+    """Return (deployment, scenario, arm's name, arm) of all runs but seeds."""
+    jobs = []
+    for deployment in options.deployments:
+        for scenario in options.scenarios:
+            arms = dict(ARMS)
+            if options.trials:
+                arms |= TRIALS
+            elif options.weights:
+                arms |= WEIGHTS
+            elif scenario == "overload":
+                arms |= ABLATIONS
+            jobs += [(deployment, scenario, *arm) for arm in arms.items()]
+    return jobs
+
+
+def _run_job(job):
+    deployment, scenario, _, change, seed = job
+    return run(DEPLOYMENTS[deployment], SCENARIOS[scenario], change, seed)
+
+
+def print_table(rows):
+    """Print the rows: deployment, scenario, arm and `Result`."""
+    names = list(Result.__dataclass_fields__)
+    last = None
+    for deployment, scenario, arm, result in rows:
+        if (deployment, scenario) != last:
+            last = (deployment, scenario)
+            print(f"\n{deployment}, {scenario}")
+            print(f"{'':24s}" + "".join(f"{name[:12]:>13s}" for name in names))
+        values = asdict(result).values()
+        print(f"{arm:24s}" + "".join(f"{value:13.2f}" for value in values))
+
+
+def main():
+    """Run what the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    parser.add_argument("--deployments", nargs="+", default=list(DEPLOYMENTS))
+    parser.add_argument("--scenarios", nargs="+", default=list(SCENARIOS))
+    parser.add_argument("--trials", action="store_true", help="dropped options")
+    parser.add_argument("--weights", action="store_true", help="latency weights")
+    parser.add_argument("--workers", type=int, default=3)
+    parser.add_argument("--json", help="file for all figures")
+    options = parser.parse_args()
+    jobs = plan_jobs(options)
+    runs = [(*job, seed) for job in jobs for seed in options.seeds]
+    with ProcessPoolExecutor(options.workers) as executor:
+        results = list(executor.map(_run_job, runs))
+    count = len(options.seeds)
+    rows = [
+        (*job[:3], average(results[index * count : (index + 1) * count]))
+        for index, job in enumerate(jobs)
+    ]
+    print(f"seeds {options.seeds}; means over seeds; times in seconds")
+    print_table(rows)
+    if options.json:
+        figures = [
+            {"deployment": d, "scenario": s, "arm": a, **asdict(r)}
+            for d, s, a, r in rows
+        ]
+        with open(options.json, "w") as file:
+            json.dump({"seeds": options.seeds, "results": figures}, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- a/sapphireyard/capacity.py
+++ b/sapphireyard/capacity.py
@@ -1,5 +1,6 @@
 """Admission slots of one upstream: how many requests and tokens it can take."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -66,6 +67,7 @@
     foreign_running: int = 0
     foreign_reserved: int = 0
     bound: int | None = None
+    by_customer: Counter = field(default_factory=Counter)
 
     @property
     def is_up(self):
@@ -107,19 +109,24 @@
         used = self.reserved + self.foreign_reserved
         return used + tokens <= self.limits.kv_tokens
 
-    def take(self, request_id, tokens):
+    def take(self, request_id, tokens, *, customer=""):
         """Take a slot; idempotent by request id."""
         if request_id in self.running:
             return
-        self.running[request_id] = tokens
+        self.running[request_id] = (tokens, customer)
         self.reserved += tokens
+        self.by_customer[customer] += tokens
 
     def give_back(self, request_id):
         """Give a slot back; False when it was not taken."""
-        tokens = self.running.pop(request_id, None)
-        if tokens is None:
+        taken = self.running.pop(request_id, None)
+        if taken is None:
             return False
+        tokens, customer = taken
         self.reserved -= tokens
+        self.by_customer[customer] -= tokens
+        if not self.by_customer[customer]:
+            del self.by_customer[customer]
         return True
 
     def report(self, running, reserved_tokens, own_running, own_reserved):
--- a/sapphireyard/placement.py
+++ b/sapphireyard/placement.py
@@ -1,8 +1,9 @@
 """What the upstreams of a group hold, and what moving a program costs."""
 
-from collections import OrderedDict
 from dataclasses import dataclass
 
+from sapphireyard.prefixes import PrefixRecord
+
 
 @dataclass(frozen=True)
 class Move:
@@ -20,73 +21,6 @@
     import_tokens: int = 0
 
 
-class PrefixRecord:
-    """Prefixes that one upstream holds, as far as is known from here.
-
-    It follows what was sent there: a finished request leaves its prefix, and
-    the least recently used prefixes go when memory is short. Cache events of
-    the upstream, late and with gaps, correct it.
-
-    Parameters
-    ----------
-    kv_tokens : int
-        KV memory of the upstream in tokens.
-    """
-
-    def __init__(self, kv_tokens):
-        self._kv_tokens = kv_tokens
-        self._prefixes = OrderedDict()
-        self._total = 0
-
-    @property
-    def total(self):
-        """int: Tokens of all prefixes held."""
-        return self._total
-
-    def tokens(self, program):
-        """Return the tokens of the prefix of `program` held here."""
-        return self._prefixes.get(program, (0, 0.0))[0]
-
-    def keep(self, program, tokens, now, *, reserved=0):
-        """Record the prefix that a request left, beside `reserved` tokens."""
-        self.drop(program)
-        self._prefixes[program] = (tokens, now)
-        self._total += tokens
-        self.trim(reserved)
-
-    def drop(self, program):
-        """Record that a prefix is in use or gone; return its tokens."""
-        tokens = self._prefixes.pop(program, (0, 0.0))[0]
-        self._total -= tokens
-        return tokens
-
-    def trim(self, reserved):
-        """Forget what cannot be held beside `reserved` tokens in use."""
-        while self._prefixes and self._total + reserved > self._kv_tokens:
-            program, (tokens, kept_at) = self._prefixes.popitem(last=False)
-            excess = self._total + reserved - self._kv_tokens
-            self._total -= tokens
-            if tokens > excess:
-                self._prefixes[program] = (tokens - excess, kept_at)
-                self._prefixes.move_to_end(program, last=False)
-                self._total += tokens - excess
-
-    def correct(self, program, tokens, observed_at):
-        """Take in a cache event; older than the record, it says nothing."""
-        entry = self._prefixes.get(program)
-        if entry is None or observed_at < entry[1]:
-            return
-        self._total += tokens - entry[0]
-        self._prefixes[program] = (tokens, entry[1])
-        if tokens <= 0:
-            self.drop(program)
-
-    def clear(self):
-        """Forget all: the upstream restarted."""
-        self._prefixes.clear()
-        self._total = 0
-
-
 class Placement:
     """Which upstream holds a program's prefix, and whether leaving it pays.
 
@@ -94,15 +28,22 @@
     ----------
     least_prefix : int, optional
         Tokens below which a prefix is not worth waiting for.
+    keep_factor : float, optional
+        Pause for which prefixes are kept fresh, against the time in which an
+        upstream prefills its whole memory.
     """
 
-    def __init__(self, *, least_prefix=64):
+    def __init__(self, *, least_prefix=64, keep_factor=1.0):
         self._least_prefix = least_prefix
+        self._keep_factor = keep_factor
         self._records = {}
 
     def add(self, limits):
         """Follow one more upstream."""
-        self._records[limits.name] = PrefixRecord(limits.kv_tokens)
+        keep_seconds = self._keep_factor * limits.kv_tokens / limits.prefill_rate
+        self._records[limits.name] = PrefixRecord(
+            limits.kv_tokens, keep_seconds=keep_seconds
+        )
 
     def remove(self, name):
         """Forget an upstream."""
--- a/sapphireyard/queues.py
+++ b/sapphireyard/queues.py
@@ -28,6 +28,8 @@
         Place among the customer's requests.
     submitted : float
         Time of arrival.
+    started : bool
+        Whether the root program was served before.
     """
 
     request: SlotRequest
@@ -35,6 +37,7 @@
     affinity: str
     key: OrderKey
     submitted: float
+    started: bool = False
 
 
 class _CustomerQueue:
@@ -139,8 +142,8 @@
         """Return the tag of a customer with a request here."""
         return self._tags[customer]
 
-    def head(self, affinity, aged_before):
-        """Return the next request with this affinity, or None.
+    def heads(self, affinity, aged_before):
+        """Yield the next request of each customer, the least served first.
 
         Parameters
         ----------
@@ -150,10 +153,8 @@
             Requests submitted up to this time go before all others of their
             customer, in the order of their arrival.
         """
-        index = self._index.get(affinity)
-        if not index:
-            return None
-        return self._queues[(affinity, index[0][1])].head(aged_before)
+        for _, customer in self._index.get(affinity, ()):
+            yield self._queues[(affinity, customer)].head(aged_before)
 
     def rebind(self, waiting, affinity):
         """Change the affinity of a request that is here."""
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -53,7 +53,7 @@
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
-        self._placement = Placement()
+        self._placement = Placement(keep_factor=self._options.keep_factor)
         self._queues = RequestQueues()
         self._slots = {}
         self._waiting = {}
@@ -65,7 +65,12 @@
         self._output_cost = 1.0
         self._duration = MeanDuration()
         self._selection = Selection(
-            self._slots, self._queues, self._placement, self._duration, self._options
+            self._slots,
+            self._queues,
+            self._placement,
+            self._duration,
+            self._shares,
+            self._options,
         )
         for limits in upstreams:
             self.add_upstream(limits)
@@ -178,7 +183,13 @@
         if slots and output_tokens and slots.limits.kv_tokens:
             tokens = request.prefix_tokens + request.new_tokens + output_tokens
             record = self._placement.record(running.upstream)
-            record.keep(request.program, tokens, now, reserved=slots.reserved)
+            record.keep(
+                request.program,
+                tokens,
+                now,
+                customer=self._share_name(request.customer),
+                reserved=slots.reserved,
+            )
         return self._decide(now)
 
     def adopt(self, request, upstream, now):
@@ -281,6 +292,7 @@
             affinity=self._selection.affinity(request),
             key=self._order.key(request.root, now),
             submitted=now,
+            started=self._order.attained(request.root) > 0,
         )
         self._waiting[request.request_id] = waiting
         self._backlog[customer] = self._backlog.get(customer, 0) + 1
@@ -343,7 +355,8 @@
 
     def _start(self, request, upstream, cost, now):
         slots = self._slots[upstream]
-        slots.take(request.request_id, request.total_tokens)
+        customer = self._share_name(request.customer)
+        slots.take(request.request_id, request.total_tokens, customer=customer)
         record = self._placement.record(upstream)
         record.drop(request.program)
         record.trim(slots.reserved)
--- a/sapphireyard/scheduling.py
+++ b/sapphireyard/scheduling.py
@@ -122,9 +122,20 @@
         Wait after which requests of a customer go by arrival.
     share_quantum : float, optional
         Tokens of service within which customers count as equally served.
+    hold_new : bool, optional
+        Whether a request without a prefix waits rather than push out the
+        fresh prefixes of others, unless its customer holds less than its
+        share of the memory.
     hold_fill : float, optional
-        Share of the batch in use above which new programs wait rather than
-        push out prefixes; above 1 they never wait for that.
+        Share of the slots or memory in use below which nothing waits so.
+    hold_seconds : float, optional
+        Longest such wait.
+    hold_started : bool, optional
+        Whether requests of roots that were served before wait so, too.
+    keep_factor : float, optional
+        See `Placement`.
+    move : bool, optional
+        Whether requests may leave the holder of their prefix while it is full.
     refuse : bool, optional
         Whether requests that cannot make their deadline are refused at once.
     """
@@ -135,5 +146,10 @@
     resident_levels: int = 1
     aging_seconds: float = 30.0
     share_quantum: float = 0.0
-    hold_fill: float = 2.0
+    hold_new: bool = True
+    hold_fill: float = 0.25
+    hold_seconds: float = 120.0
+    hold_started: bool = True
+    keep_factor: float = 9.0
+    move: bool = True
     refuse: bool = True
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -1,6 +1,7 @@
 """Chooses the next request and its upstream among the heads of the queues."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import islice
 from math import floor
 
 from sapphireyard.placement import Move
@@ -12,6 +13,9 @@
     REASON_MOVED,
 )
 
+LOOKAHEAD_CUSTOMERS = 4
+"""Customers looked at, when the requests of the least served cannot start."""
+
 
 @dataclass(frozen=True)
 class Choice:
@@ -23,6 +27,13 @@
     move: Move
 
 
+@dataclass(order=True)
+class _Candidate:
+    rank: tuple
+    waiting: WaitingRequest = field(compare=False)
+    move: Move = field(compare=False)
+
+
 class Selection:
     """The rule by which a free slot finds its request.
 
@@ -42,15 +53,18 @@
         What the upstreams hold.
     duration : MeanDuration
         How long a slot is held.
+    shares : FairShares
+        Weights of customers.
     options : SchedulerOptions
         Switches and weights.
     """
 
-    def __init__(self, slots, queues, placement, duration, options):
+    def __init__(self, slots, queues, placement, duration, shares, options):
         self._slots = slots
         self._queues = queues
         self._placement = placement
         self._duration = duration
+        self._shares = shares
         self.options = options
 
     def affinity(self, request):
@@ -75,27 +89,34 @@
 
     def _best(self, slots, now):
         aged_before = now - self.options.aging_seconds
+        self._placement.record(slots.limits.name).age(now)
         best = None
         for affinity in self._sources(slots.limits.name):
-            waiting = self._queues.head(affinity, aged_before)
-            if waiting is None or not self._may_use(waiting, slots):
-                continue
-            aged = waiting.submitted <= aged_before
-            move = self._price(waiting, slots)
-            if move is None or not self._may_start(waiting, slots, aged):
-                continue
-            rank = self._rank(waiting, aged, move)
-            if best is None or rank < best[0]:
-                best = (rank, waiting, move)
+            found = self._first(affinity, slots, aged_before, now)
+            if found and (best is None or found < best):
+                best = found
         if best is None:
             return None
-        _, waiting, move = best
+        waiting, move = best.waiting, best.move
         if not slots.fits(waiting.request.total_tokens):
             self._queues.rebind(waiting, slots.limits.name)
             return None
         reason = self._reason(waiting, slots, move)
         return Choice(waiting, slots.limits.name, reason, move)
 
+    def _first(self, affinity, slots, aged_before, now):
+        """Return the first candidate among the heads of some customers."""
+        heads = self._queues.heads(affinity, aged_before)
+        for waiting in islice(heads, LOOKAHEAD_CUSTOMERS):
+            if not self._may_use(waiting, slots):
+                continue
+            aged = waiting.submitted <= aged_before
+            move = self._price(waiting, slots)
+            if move is None or not self._may_start(waiting, slots, aged, now):
+                continue
+            return _Candidate(self._rank(waiting, aged, move), waiting, move)
+        return None
+
     def _sources(self, name):
         return [name, ANY] + [a for a in self._queues.affinities() if a and a != name]
 
@@ -106,22 +127,38 @@
         up = (s.limits.name for s in self._slots.values() if s.is_up)
         return all(name in excluded for name in up)
 
-    def _may_start(self, waiting, slots, aged):
+    def _may_start(self, waiting, slots, aged, now):
+        if waiting.affinity == ANY and self._must_hold(waiting, slots, now):
+            return False
         if aged and waiting.affinity in (slots.limits.name, ANY):
             return True
-        if not slots.fits(waiting.request.total_tokens):
-            return False
-        return waiting.affinity != ANY or not self._is_pressed(waiting, slots)
+        return slots.fits(waiting.request.total_tokens)
 
-    def _is_pressed(self, waiting, slots):
-        """Return whether a new program would push out prefixes of others."""
+    def _must_hold(self, waiting, slots, now):
+        """Return whether a request would push out fresh prefixes of others."""
         kv_tokens = slots.limits.kv_tokens
-        if not kv_tokens:
+        if not kv_tokens or not self.options.hold_new:
             return False
         if slots.fill < self.options.hold_fill:
             return False
-        held = self._placement.record(slots.limits.name).total
-        return held + slots.reserved + waiting.request.total_tokens > kv_tokens
+        if now - waiting.submitted >= self.options.hold_seconds:
+            return False
+        if waiting.started and not self.options.hold_started:
+            return False
+        tokens = waiting.request.total_tokens
+        record = self._placement.record(slots.limits.name)
+        if record.fresh_total + slots.reserved + tokens <= kv_tokens:
+            return False
+        customer = waiting.customer
+        used = record.fresh_of(customer) + slots.by_customer[customer]
+        weights = self._weigh_memory(record, slots, customer)
+        share = self._shares.weight(customer) / weights
+        return used + tokens > kv_tokens * share
+
+    def _weigh_memory(self, record, slots, customer):
+        """Return the weights of all customers that use an upstream's memory."""
+        users = {customer, *record.customers(), *slots.by_customer}
+        return sum(map(self._shares.weight, users))
 
     def _price(self, waiting, slots):
         """Return the `Move` of a request to an upstream; None if it must wait."""
@@ -130,6 +167,8 @@
         holder = self._slots.get(waiting.affinity)
         if holder is None:
             return Move(0.0)
+        if not self.options.move:
+            return None
         if holder.fits(waiting.request.total_tokens):
             return None
         move = self._placement.move(waiting.request, slots.limits, holder.limits.name)
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -11,7 +11,7 @@
     def __init__(self, upstreams, options):
         self.limits = {limits.name: limits for limits in upstreams}
         self.options = options
-        self.placement = Placement()
+        self.placement = Placement(keep_factor=options.keep_factor)
         for limits in upstreams:
             self.placement.add(limits)
         self.state = dict.fromkeys(self.limits, "up")
@@ -59,7 +59,13 @@
             if output:
                 tokens = request.prefix_tokens + request.new_tokens + output
                 record = self.placement.record(name)
-                record.keep(request.program, tokens, now, reserved=self.reserved(name))
+                record.keep(
+                    request.program,
+                    tokens,
+                    now,
+                    customer=request.customer,
+                    reserved=self.reserved(name),
+                )
         return self.decide(now)
 
     def set_state(self, name, state, now):
@@ -111,44 +117,61 @@
                 return grants
         return grants
 
-    def head(self, at, now):
+    def heads(self, at, now):
+        """Return the head of each customer's requests, the least served first."""
         mine = [w for w in self.waiting if w["at"] == at]
-        if not mine:
-            return None, False
-        customer = min((self.tags[w["customer"]], w["customer"]) for w in mine)[1]
-        mine = [w for w in mine if w["customer"] == customer]
-        oldest = min(mine, key=lambda w: (w["submitted"], w["key"][2]))
-        if oldest["submitted"] <= now - self.options.aging_seconds:
-            return oldest, True
-        return min(mine, key=lambda w: w["key"]), False
+        customers = sorted({(self.tags[w["customer"]], w["customer"]) for w in mine})
+        heads = []
+        for _, customer in customers[:4]:
+            own = [w for w in mine if w["customer"] == customer]
+            oldest = min(own, key=lambda w: (w["submitted"], w["key"][2]))
+            aged = oldest["submitted"] <= now - self.options.aging_seconds
+            heads.append((oldest if aged else min(own, key=lambda w: w["key"]), aged))
+        return heads
+
+    def must_hold(self, name, waiting, now):
+        request, customer = waiting["request"], waiting["customer"]
+        limits, record = self.limits[name], self.placement.record(name)
+        if self.fill(name) < self.options.hold_fill:
+            return False
+        if now - waiting["submitted"] >= self.options.hold_seconds:
+            return False
+        need = request.total_tokens
+        if record.fresh_total + self.reserved(name) + need <= limits.kv_tokens:
+            return False
+        users = {r.customer for r in self.on(name)} | set(record.customers())
+        used = sum(r.total_tokens for r in self.on(name) if r.customer == customer)
+        used += record.fresh_of(customer) + need
+        return used > limits.kv_tokens / len(users | {customer})
+
+    def price(self, name, waiting):
+        """Return the seconds that a request costs here; None if it must wait."""
+        at, request = waiting["at"], waiting["request"]
+        if at in (name, ""):
+            return 0.0
+        if self.fits(at, request):
+            return None
+        seconds = self.placement.move(request, self.limits[name], at).seconds
+        queued = sum(w["at"] == at for w in self.waiting)
+        saved = queued * self.mean / self.limits[at].batch_size
+        return seconds if saved > seconds * (1 + len(self.on(name))) else None
+
+    def may_start(self, name, waiting, aged, now):
+        if waiting["at"] == "" and self.must_hold(name, waiting, now):
+            return False
+        own = aged and waiting["at"] in (name, "")
+        return own or self.fits(name, waiting["request"])
 
     def best(self, name, now):
+        self.placement.record(name).age(now)
         ranked = []
         for at in {name, ""} | {w["at"] for w in self.waiting}:
-            waiting, aged = self.head(at, now)
-            if waiting is None:
-                continue
-            request, seconds = waiting["request"], 0.0
-            if at not in (name, ""):
-                if self.fits(at, request):
+            for waiting, aged in self.heads(at, now):
+                seconds = self.price(name, waiting)
+                if seconds is None or not self.may_start(name, waiting, aged, now):
                     continue
-                seconds = self.placement.move(request, self.limits[name], at).seconds
-                queued = sum(w["at"] == at for w in self.waiting)
-                saved = queued * self.mean / self.limits[at].batch_size
-                if saved <= seconds * (1 + len(self.on(name))):
-                    continue
-            if not (aged and at in (name, "")) and not self.fits(name, request):
-                continue
-            share = self.tags[waiting["customer"]]
-            if self.options.share_quantum:
-                share = floor(share / self.options.share_quantum)
-            level, start, number = waiting["key"]
-            if at and not seconds:
-                level -= self.options.resident_levels
-            rank = (share, 1, level, start, number)
-            if aged:
-                rank = (share, 0, waiting["submitted"], 0.0, number)
-            ranked.append((rank, waiting, seconds))
+                ranked.append((self.rank(waiting, aged, seconds), waiting, seconds))
+                break
         if not ranked:
             return None
         _, waiting, seconds = min(ranked, key=lambda entry: entry[0])
@@ -157,6 +180,17 @@
             return None
         return waiting, seconds
 
+    def rank(self, waiting, aged, seconds):
+        share = self.tags[waiting["customer"]]
+        if self.options.share_quantum:
+            share = floor(share / self.options.share_quantum)
+        level, start, number = waiting["key"]
+        if waiting["at"] and not seconds:
+            level -= self.options.resident_levels
+        if aged:
+            return (share, 0, waiting["submitted"], 0.0, number)
+        return (share, 1, level, start, number)
+
     def grant(self, name, waiting, seconds, now):
         self.virtual = max(
             self.virtual, min(self.tags[w["customer"]] for w in self.waiting)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -169,11 +169,8 @@
 
     def test_a_wrong_order_is_found(self):
         class Reversed(RequestQueues):
-            def head(self, affinity, aged_before):
-                index = self._index.get(affinity)
-                if not index:
-                    return None
-                return self._queues[(affinity, index[-1][1])].head(aged_before)
+            def heads(self, affinity, aged_before):
+                return reversed(list(super().heads(affinity, aged_before)))
 
         with self.assertRaises(AssertionError):
             self.compare(self.OPTIONS[0], queues=Reversed, steady=FIND_ONLY)
