Add pool control: leases, engine orders and the release of memory

Cause: engines must hold the models of their pool's row, take orders from one process at a time, and hold no memory of programs that ended or lost their owner. Ruled out: counting a lease from the answer to its write, and taking over without a wait: both are broken variants in test_control and are caught. Releasing at the first look: a program that begins or moves meanwhile would lose its cache; two looks are needed, each with an answer from every owner for one assignment. Upstreams that ignore fencing are ordered only after the lease is renewed and the earlier holder's longest order has passed, and are read back. Not done: questions to owners grow with hosts times held programs.

--- a/sapphireyard/administration.py
+++ b/sapphireyard/administration.py
@@ -24,6 +24,7 @@
 from sapphireyard.generated_messages import Done
 from sapphireyard.logs import PACKAGE, DecisionBuffer
 from sapphireyard.metrics import build_metrics_page
+from sapphireyard.residency import Residency
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +38,7 @@
 def add_routes(app, yard):
     """Add the operators' routes of an entry host to its application."""
     Administration(yard).add_routes(app)
+    Residency(yard)
 
 
 def ask_stop():
--- /dev/null
+++ b/sapphireyard/control.py
@@ -0,0 +1,334 @@
+"""The binary of a control process: keeps the engines of pools as the tables say.
+
+For each pool one process is active, by a lease in the store. It brings the
+engines to the models, adapters and roles of the pool's row, and releases
+memory that engines hold for programs which ended or whose owner died.
+"""
+
+import asyncio
+import logging
+import os
+import secrets
+import signal
+import sys
+
+import mode
+
+from sapphireyard import generated_control
+from sapphireyard._options import load_settings
+from sapphireyard.assignment_store import AssignmentStore
+from sapphireyard.configuration import ConfigurationService
+from sapphireyard.engines import EngineClient, EngineFailure, OldFencing
+from sapphireyard.exceptions import (
+    CallError,
+    PeerError,
+    RecordError,
+    StoreError,
+    StoreUnavailable,
+)
+from sapphireyard.generated_control import LiveQuery
+from sapphireyard.generated_control_settings import ControlSettings
+from sapphireyard.lease_store import LeaseStore
+from sapphireyard.leases import LeaseKeeper
+from sapphireyard.logs import configure_logging
+from sapphireyard.metrics import configure_metrics
+from sapphireyard.objects import ObjectStore
+from sapphireyard.orders import plan_orders
+from sapphireyard.peers import Peers
+from sapphireyard.sweeps import MemorySweep, join_answers
+from sapphireyard.yard import Yard
+
+logger = logging.getLogger(__name__)
+
+PROGRAM = "sapphireyard-control"
+LEASE_TICK_SHARE = 0.1
+"""Time between two looks at a lease, as a share of its length."""
+
+ASK_SECONDS = 2.0
+DIGESTS_ASKED = 5000
+"""Most programs asked about at once."""
+
+TOKEN_BYTES = 8
+
+
+class PoolControl:
+    """The control of one pool by this process.
+
+    Parameters
+    ----------
+    yard : Yard
+        The control process.
+    engines : EngineClient
+        Connections to engines.
+    name : str
+        Name of the pool.
+    """
+
+    def __init__(self, yard, engines, name):
+        settings = yard.settings
+        self._yard = yard
+        self._engines = engines
+        self._name = name
+        self._lease_store = LeaseStore(yard.store, name)
+        self._sweep = MemorySweep(grace_seconds=settings.sweep_seconds)
+        self._drained = set()
+        self.keeper = LeaseKeeper(
+            settings.host,
+            lease_seconds=settings.lease_seconds,
+            order_seconds=settings.order_seconds,
+        )
+
+    @property
+    def _pool(self):
+        configuration = self._yard.configuration.current
+        return configuration.pools.get(self._name) if configuration else None
+
+    async def keep_lease(self):
+        """Take or renew the lease when it is time to."""
+        was_held = self.keeper.is_held(self._now())
+        await self._lease_store.step(self.keeper, self._now, self._make_token)
+        held = self.keeper.is_held(self._now())
+        if held != was_held:
+            logger.info(
+                "lease taken" if held else "lease lost",
+                extra={"pool": self._name, "fencing": self.keeper.fencing},
+            )
+
+    async def work(self, assignment):
+        """Order and sweep once, if the lease is held."""
+        pool = self._pool
+        if pool is None or not self.keeper.is_held(self._now()):
+            return
+        self._yard.configuration.check_fresh()
+        for upstream in pool.upstreams:
+            try:
+                await self._order(pool, upstream)
+            except EngineFailure as error:
+                logger.warning(
+                    "engine not as ordered: %s",
+                    error,
+                    extra={"pool": pool.name, "upstream": upstream.name},
+                )
+        await self._release_memory(pool, assignment)
+        await self._note_drained(pool)
+
+    async def _order(self, pool, upstream):
+        state = await self._engines.read_state(upstream.address)
+        for order in plan_orders(pool, upstream, state):
+            if not await self._may_order(upstream):
+                return
+            body = order.encode(
+                fencing=self.keeper.fencing, holder=self._yard.settings.host
+            )
+            logger.info(
+                "engine ordered",
+                extra={"decision": "order", "upstream": upstream.name, **body},
+            )
+            await self._engines.send_order(
+                upstream.address, body, seconds=self._yard.settings.order_seconds
+            )
+            if upstream.fencing == "ignore":
+                await self._check_applied(upstream, order)
+
+    async def _may_order(self, upstream):
+        """Return whether to order now; verifies the lease where nobody else does."""
+        checks = upstream.fencing == "check"
+        if not checks and self.keeper.is_held(self._now()):
+            await self._lease_store.renew(self.keeper, self._now, self._make_token)
+        return self.keeper.may_order(self._now(), checks_fencing=checks)
+
+    async def _check_applied(self, upstream, order):
+        """Read an order back from an upstream that takes orders from anybody."""
+        state = await self._engines.read_state(upstream.address)
+        present = {**state.models, **state.adapters, state.role: ""}
+        applied = (order.name in present) != order.kind.startswith("unload")
+        if not applied:
+            raise EngineFailure(f"{order} was overtaken by another order")
+
+    async def _release_memory(self, pool, assignment):
+        held = {}
+        for upstream in pool.upstreams:
+            try:
+                held[upstream] = await self._engines.read_held(upstream.address)
+            except EngineFailure as error:
+                logger.debug("memory of %s not read: %s", upstream.name, error)
+        if assignment is None or not any(held.values()):
+            return
+        live, certain = await self._find_live(held, assignment)
+        due = self._sweep.judge(
+            {upstream.address: set(programs) for upstream, programs in held.items()},
+            live,
+            certain=certain,
+            now=self._now(),
+        )
+        for address, digest in due:
+            if not self.keeper.is_held(self._now()):
+                return
+            await self._release(address, digest)
+
+    async def _find_live(self, held, assignment):
+        digests = sorted({digest for programs in held.values() for digest in programs})
+        query = LiveQuery(digests=digests[:DIGESTS_ASKED])
+        hosts = list(assignment.members)
+        answers = await asyncio.gather(*(self._ask(host, query) for host in hosts))
+        live, certain = join_answers(dict(zip(hosts, answers, strict=True)), assignment)
+        # Digests beyond the limit were not asked about; they stay for now.
+        return live | set(digests[DIGESTS_ASKED:]), certain
+
+    async def _ask(self, host, query):
+        try:
+            return await self._yard.peers.ask(host, query, timeout=ASK_SECONDS)
+        except (PeerError, CallError) as error:
+            logger.info("%s did not say what lives there: %s", host, error)
+            return None
+
+    async def _release(self, address, digest):
+        try:
+            await self._engines.release(address, digest)
+        except EngineFailure as error:
+            logger.info("memory not released: %s", error)
+            return
+        logger.info(
+            "memory released",
+            extra={"decision": "release", "upstream": address, "digest": digest},
+        )
+
+    async def _note_drained(self, pool):
+        leaving = {each.name for each in pool.upstreams if each.state == "leaving"}
+        self._drained &= leaving
+        for upstream in pool.upstreams:
+            if upstream.name in self._drained or upstream.name not in leaving:
+                continue
+            try:
+                load = await self._engines.read_load(upstream.address)
+            except EngineFailure:
+                continue
+            if not load.get("running") and not load.get("waiting"):
+                self._drained.add(upstream.name)
+                logger.info("upstream is drained", extra={"upstream": upstream.name})
+
+    def _now(self):
+        return self._yard.clock.monotonic()
+
+    def _make_token(self):
+        return secrets.token_hex(TOKEN_BYTES)
+
+
+class ControlService(mode.Service):
+    """Controls the model pools for which this process holds the lease.
+
+    Parameters
+    ----------
+    yard : Yard
+        The control process, with peers and configuration set.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._engines = EngineClient()
+        self._assignments = AssignmentStore(yard.store)
+        self._assignment = None
+        self.pools = {}
+        yard.peers.codec.register_module(generated_control)
+
+    async def on_start(self):
+        await self._engines.open()
+        await self.add_runtime_dependency(self._yard.peers)
+        await self.add_runtime_dependency(self._yard.configuration)
+
+    async def on_stop(self):
+        await self._engines.close()
+
+    @mode.Service.task
+    async def _keep_leases(self):
+        while not self.should_stop:
+            self._update_pools()
+            await asyncio.gather(*map(self._keep_lease, self.pools.values()))
+            await self.sleep(self._yard.settings.lease_seconds * LEASE_TICK_SHARE)
+
+    async def _keep_lease(self, pool):
+        try:
+            await pool.keep_lease()
+        except (StoreError, ValueError) as error:
+            logger.info("lease not kept: %s", error)
+
+    @mode.Service.task
+    async def _work(self):
+        while not self.should_stop:
+            await self._read_assignment()
+            for pool in list(self.pools.values()):
+                try:
+                    await pool.work(self._assignment)
+                except (StoreError, CallError, OldFencing) as error:
+                    logger.warning("pool not controlled now: %s", error)
+            await self.sleep(self._yard.settings.sweep_seconds)
+
+    def _update_pools(self):
+        configuration = self._yard.configuration.current
+        if configuration is None:
+            return
+        wanted = {
+            route.pool
+            for route in configuration.routes.values()
+            if route.kind == "model"
+        }
+        for name in wanted - set(self.pools):
+            self.pools[name] = PoolControl(self._yard, self._engines, name)
+        for name in set(self.pools) - wanted:
+            del self.pools[name]
+
+    async def _read_assignment(self):
+        try:
+            self._assignment = await self._assignments.read()
+        except (StoreUnavailable, RecordError) as error:
+            logger.info("assignment not read: %s", error)
+            return
+        if self._assignment is None:
+            return
+        self._yard.peers.static_addresses = {
+            host: member.peer_address
+            for host, member in self._assignment.members.items()
+        }
+
+
+def build_yard(settings):
+    """Return the `Yard` of a control process."""
+    yard = Yard(settings, ObjectStore(settings.store))
+    yard.peers = Peers(yard)
+    yard.configuration = ConfigurationService(yard)
+    return yard
+
+
+async def run(settings):
+    """Run a control process until it is asked to stop; return the exit status."""
+    yard = build_yard(settings)
+    service = ControlService(yard)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await yard.peers.listen()
+    await service.start()
+    print(f"listening on {yard.peers.address}", flush=True)
+    crashed = asyncio.ensure_future(service.wait_until_stopped())
+    asked = asyncio.ensure_future(stop.wait())
+    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
+    status = 1 if service.crash_reason else 0
+    await service.stop()
+    await yard.store.close()
+    return status
+
+
+def main():
+    """Run the binary."""
+    settings = load_settings(
+        ControlSettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
+    )
+    configure_logging(settings, host=settings.host)
+    configure_metrics()
+    sys.exit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sapphireyard/engines.py
@@ -0,0 +1,108 @@
+"""Orders to model engines and questions about their memory, over HTTP."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from sapphireyard.exceptions import YardError
+from sapphireyard.orders import EngineState
+
+ASK_SECONDS = 3.0
+CONNECT_SECONDS = 1.0
+
+OLD_FENCING_STATUS = 409
+"""Status by which an engine refuses an old fencing number."""
+
+
+class EngineFailure(YardError):
+    """An engine did not answer as expected; an order may have been applied."""
+
+    code = "engine_failed"
+
+
+class OldFencing(EngineFailure):
+    """An engine has had an order with a newer fencing number."""
+
+    code = "old_fencing"
+
+
+class EngineClient:
+    """Talks to engines outside of calls; each request has its own connection.
+
+    A connection that went silent is thus never met twice.
+    """
+
+    def __init__(self):
+        self._session = None
+
+    async def open(self):
+        """Make the session; done on the running loop."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self):
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_state(self, address):
+        """Return the `EngineState` of an engine."""
+        answer = await self._request("GET", address, "/orders")
+        return EngineState(
+            models=answer.get("models", {}),
+            adapters=answer.get("adapters", {}),
+            role=answer.get("role", ""),
+        )
+
+    async def send_order(self, address, body, *, seconds):
+        """Send one order and wait until it is applied.
+
+        Raises
+        ------
+        OldFencing
+            The engine refused it for its fencing number.
+        EngineFailure
+            It is not known whether it was applied.
+        """
+        await self._request("POST", address, "/orders", body=body, seconds=seconds)
+
+    async def read_held(self, address):
+        """Return the tokens held by digest of program."""
+        return (await self._request("GET", address, "/cache")).get("programs", {})
+
+    async def release(self, address, digest):
+        """Ask an engine to drop what it holds of a program."""
+        await self._request("POST", address, "/cache/release", body={"program": digest})
+
+    async def read_load(self, address):
+        """Return an engine's load report."""
+        return await self._request("GET", address, "/load")
+
+    async def _request(self, method, address, path, *, body=None, seconds=ASK_SECONDS):
+        timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
+        try:
+            async with self._session.request(
+                method, f"http://{address}{path}", json=body, timeout=timeout
+            ) as response:
+                text = await response.text()
+                status = response.status
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            raise EngineFailure(f"{method} {address}{path}: {error!r}") from error
+        if status == OLD_FENCING_STATUS:
+            raise OldFencing(f"{address} refused: {text[:200]}")
+        if status != 200:
+            raise EngineFailure(f"{method} {address}{path}: status {status}")
+        return _parse(text, address)
+
+
+def _parse(text, address):
+    try:
+        answer = json.loads(text)
+    except ValueError as error:
+        raise EngineFailure(f"{address} answered no JSON") from error
+    if not isinstance(answer, dict):
+        raise EngineFailure(f"{address} answered no JSON object")
+    return answer
--- /dev/null
+++ b/sapphireyard/residency.py
@@ -0,0 +1,37 @@
+"""Tells control processes which programs live on this host."""
+
+from sapphireyard import generated_control
+from sapphireyard.completions import digest_program
+from sapphireyard.generated_control import LiveAnswer, LiveQuery
+
+
+class Residency:
+    """Answers `LiveQuery` on an entry host.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        self._yard = yard
+        yard.peers.codec.register_module(generated_control)
+        yard.peers.register(LiveQuery, self._answer)
+
+    async def _answer(self, query, context):
+        ownership = self._yard.ownership
+        assignment = ownership.assignment
+        version = assignment.version if assignment is not None else 0
+        owned = sorted(ownership.owned)
+        living = {
+            digest_program(program.key)
+            for partition in owned
+            for program in self._yard.programs.each(partition)
+            if not program.ended and not program.link
+        }
+        return LiveAnswer(
+            live=[digest for digest in query.digests if digest in living],
+            complete=all(ownership.is_ready(partition) for partition in owned),
+            assignment=version,
+        )
--- /dev/null
+++ b/sapphireyard/sweeps.py
@@ -0,0 +1,83 @@
+"""Which programs' memory engines hold in vain."""
+
+
+class MemorySweep:
+    """Finds memory held for programs that no host serves any more.
+
+    A program's memory is released once no owner has known it as living for
+    the grace time, at looks in which every owner answered. A program that
+    begins or moves meanwhile is seen by one of the looks.
+
+    Parameters
+    ----------
+    grace_seconds : float
+        Time between the first look and the release.
+    """
+
+    def __init__(self, *, grace_seconds):
+        self._grace_seconds = grace_seconds
+        self._dead_since = {}
+
+    @property
+    def suspected(self):
+        """int: Pieces of memory that wait for their release."""
+        return len(self._dead_since)
+
+    def judge(self, held, live, *, certain, now):
+        """Return the pairs (upstream, digest) to release, sorted.
+
+        Parameters
+        ----------
+        held : dict
+            Digests of programs by upstream, as the engines reported them
+            before the owners were asked.
+        live : set of str
+            Digests that some owner serves.
+        certain : bool
+            Whether every owner answered, for the same assignment.
+        now : float
+            Seconds.
+        """
+        dead = {
+            (upstream, digest)
+            for upstream, digests in held.items()
+            for digest in digests
+            if digest not in live
+        }
+        if not certain:
+            known = self._dead_since.items()
+            self._dead_since = {pair: at for pair, at in known if pair in dead}
+            return []
+        self._dead_since = {
+            pair: self._dead_since.get(pair, now) for pair in sorted(dead)
+        }
+        return [
+            pair
+            for pair, since in self._dead_since.items()
+            if now - since >= self._grace_seconds
+        ]
+
+
+def join_answers(answers, assignment):
+    """Return the living digests and whether the answers cover everything.
+
+    Parameters
+    ----------
+    answers : dict
+        `LiveAnswer` by host; None from a host that did not answer.
+    assignment : Assignment
+        Names the hosts that own partitions.
+    """
+    live = set()
+    certain = True
+    for host, count in assignment.loads.items():
+        answer = answers.get(host)
+        if answer is not None:
+            live.update(answer.live)
+        if count == 0:
+            continue
+        if answer is None or not answer.complete:
+            certain = False
+        elif answer.assignment != assignment.version:
+            certain = False
+    return live, certain
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 PACKAGE = ROOT / "sapphireyard"
-BORDER_SCHEMAS = {"settings", "tables", "api"}
+BORDER_SCHEMAS = {"settings", "tables", "api", "control_settings", "archive_settings"}
 """Schemas of data that comes from people or callers: validated models."""
 
 OPEN_SCHEMAS = {"api"}
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,329 @@
+"""Tests of leases, engine orders and the release of memory."""
+
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies as st
+
+from sapphireyard.assignment import Assignment, Member, PartitionEntry
+from sapphireyard.clocks import Clock
+from sapphireyard.control import PoolControl
+from sapphireyard.engines import EngineClient, OldFencing
+from sapphireyard.exceptions import PeerUnavailable, StoreUnavailable
+from sapphireyard.generated_control import LiveAnswer
+from sapphireyard.leases import LeaseKeeper
+from sapphireyard.orders import EngineState, plan_orders
+from sapphireyard.sweeps import MemorySweep, join_answers
+from sapphireyard.tables import Configuration, Model, Pool, Upstream
+from standins._serving import serving
+from standins.engine import EngineOptions, EngineServer
+from standins.memory import LOSE, MemoryStore
+
+LEASE = 10.0
+ORDER = 30.0
+KEEPERS = 3
+
+SETTINGS = settings(max_examples=200, derandomize=True, deadline=None, database=None)
+
+
+class HastyKeeper(LeaseKeeper):
+    """A broken variant: counts its lease from the answer to its write."""
+
+    def wrote(self, record, version, started_at, now):
+        super().wrote(record, version, now, now)
+
+
+class BlindKeeper(LeaseKeeper):
+    """A broken variant: takes over without a wait."""
+
+    def observe(self, record, version, now):
+        super().observe(record, version, now)
+        self._seen_at = float("-inf")
+
+
+class LeaseWorld:
+    """Processes that may pause anywhere, and a store that may lose answers."""
+
+    def __init__(self, keeper_class):
+        self.now = 0.0
+        self.stored = (None, 0)
+        self.fencings = {}
+        self.keepers = [
+            keeper_class(f"c{n}", lease_seconds=LEASE, order_seconds=ORDER)
+            for n in range(KEEPERS)
+        ]
+        self.writes = [None] * KEEPERS
+        self.answers = [None] * KEEPERS
+        self.tokens = 0
+
+    def step(self, kind, index, seconds):
+        """Carry out one step of a process, let time pass and check."""
+        getattr(self, f"_{kind}")(index, self.keepers[index])
+        self.now += seconds
+        held = [keeper for keeper in self.keepers if keeper.is_held(self.now)]
+        assert len(held) <= 1, "two processes hold the lease"
+
+    def _read(self, index, keeper):
+        if self.writes[index] is None and self.answers[index] is None:
+            keeper.observe(*self.stored, self.now)
+            self.tokens += 1
+            write = keeper.next_write(self.now, str(self.tokens))
+            self.writes[index] = write and (write, self.now)
+
+    def _apply(self, index, keeper):
+        if self.writes[index] is None:
+            return
+        write, started_at = self.writes[index]
+        self.writes[index] = None
+        if write.expected_version != self.stored[1]:
+            self.answers[index] = (None, 0, 0.0)
+            return
+        self.stored = (write.record, self.stored[1] + 1)
+        holder = self.fencings.setdefault(write.record.fencing, write.record.holder)
+        assert holder == write.record.holder, "two holders have one fencing number"
+        assert write.record.fencing == max(self.fencings), "fencing went back"
+        self.answers[index] = (*self.stored, started_at)
+
+    def _answer(self, index, keeper):
+        if self.answers[index] is None:
+            return
+        record, version, started_at = self.answers[index]
+        self.answers[index] = None
+        if record is None:
+            keeper.lost()
+        else:
+            keeper.wrote(record, version, started_at, self.now)
+
+    def _lose(self, index, keeper):
+        self.answers[index] = None
+
+
+KINDS = st.sampled_from(["read", "apply", "answer", "lose"])
+STEPS = st.lists(
+    st.tuples(KINDS, st.integers(0, KEEPERS - 1), st.sampled_from([0.0, 1.0, 8.0])),
+    max_size=60,
+)
+
+
+class LeaseTest(unittest.TestCase):
+    @SETTINGS
+    @given(STEPS)
+    def test_one_holder_at_a_time(self, steps):
+        world = LeaseWorld(LeaseKeeper)
+        for step in steps:
+            world.step(*step)
+
+    def test_broken_variants_are_found(self):
+        take = [("read", 0, 0.0), ("apply", 0, 0.0), ("answer", 0, 0.0)]
+        rival = [("read", 1, 0.0), ("apply", 1, 0.0), ("answer", 1, 0.0)]
+        late = [("read", 0, 0.0), ("apply", 0, 0.0), ("read", 1, 8.0)]
+        late += [("read", 1, 8.0), ("answer", 0, 0.0), *rival]
+        for variant, steps in ((BlindKeeper, take + rival), (HastyKeeper, late)):
+            with self.subTest(variant.__name__):
+                with self.assertRaises(AssertionError):
+                    self.run_steps(variant, steps)
+                self.run_steps(LeaseKeeper, steps)
+
+    def run_steps(self, keeper_class, steps):
+        world = LeaseWorld(keeper_class)
+        for step in steps:
+            world.step(*step)
+
+    def test_upstreams_that_ignore_fencing_wait_for_the_earlier_holder(self):
+        world = LeaseWorld(LeaseKeeper)
+        for step in [("read", 0, 0.0), ("apply", 0, 0.0), ("answer", 0, 0.0)]:
+            world.step(*step)
+        first, second = world.keepers[:2]
+        self.assertTrue(first.may_order(0.0, checks_fencing=False))
+        for step in [("read", 1, 8.0), ("read", 1, 8.0)]:
+            world.step(*step)
+        for step in [("read", 1, 0.0), ("apply", 1, 0.0), ("answer", 1, 0.0)]:
+            world.step(*step)
+        self.assertEqual(second.fencing, 2)
+        self.assertTrue(second.may_order(world.now, checks_fencing=True))
+        self.assertFalse(second.may_order(world.now, checks_fencing=False))
+        world.now += 9.0
+        self.assertFalse(second.may_order(world.now + ORDER, checks_fencing=True))
+
+
+class OrderTest(unittest.TestCase):
+    CASES = [
+        ({}, {}, "", []),
+        ({"a": "1"}, {"a": "1"}, "", []),
+        ({"a": "1"}, {}, "", ["load_model a 1"]),
+        ({"a": "2"}, {"a": "1"}, "", ["load_model a 2"]),
+        ({"a": ""}, {"a": "1", "b": ""}, "", ["unload_model b "]),
+        ({}, {"b": ""}, "", []),
+        ({"a": ""}, {"b": ""}, "prefill", ["role prefill ", "unload_model b "]),
+    ]
+
+    def test_orders(self):
+        for wanted, present, role, expected in self.CASES:
+            with self.subTest(wanted=wanted, present=present):
+                models = tuple(Model(*pair) for pair in wanted.items())
+                upstream = Upstream("e", "127.0.0.1:1", role=role)
+                pool = Pool("p", (upstream,), models=models)
+                orders = plan_orders(pool, upstream, EngineState(models=present))
+                texts = [f"{o.kind} {o.name} {o.version}" for o in orders]
+                self.assertEqual(texts[: len(expected)], expected)
+                leaving = Upstream("e", "127.0.0.1:1", state="leaving")
+                self.assertEqual(plan_orders(pool, leaving, EngineState(present)), [])
+
+
+class SweepTest(unittest.TestCase):
+    def test_release_after_two_certain_looks(self):
+        looks = [
+            (0.0, set(), True, []),
+            (3.0, set(), True, []),
+            (5.0, set(), False, []),
+            (6.0, set(), True, [("e", "d")]),
+            (7.0, {"d"}, True, []),
+            (9.0, set(), True, []),
+            (14.0, set(), True, [("e", "d")]),
+        ]
+        sweep = MemorySweep(grace_seconds=5.0)
+        for now, live, certain, expected in looks:
+            with self.subTest(now=now):
+                due = sweep.judge({"e": {"d"}}, live, certain=certain, now=now)
+                self.assertEqual(due, expected)
+        sweep.judge({}, set(), certain=True, now=15.0)
+        self.assertEqual(sweep.suspected, 0)
+
+    def test_every_owner_has_to_answer_for_the_same_assignment(self):
+        assignment = build_assignment()
+        good = LiveAnswer(live=["d"], complete=True, assignment=4)
+        cases = [
+            ({"h1": good, "h2": good}, True),
+            ({"h1": good}, False),
+            ({"h1": good, "h2": None}, False),
+            ({"h1": good, "h2": LiveAnswer([], False, 4)}, False),
+            ({"h1": good, "h2": LiveAnswer([], True, 3)}, False),
+            ({"h1": good, "h2": good, "h3": None}, True),
+        ]
+        for answers, expected in cases:
+            with self.subTest(answers=answers):
+                live, certain = join_answers(answers, assignment)
+                self.assertEqual((live, certain), ({"d"}, expected))
+
+
+def build_assignment():
+    """Return two owners of a partition each, and a member without any."""
+    members = {
+        name: Member(name, 1, "127.0.0.1:1", "127.0.0.1:2", "a")
+        for name in ("h1", "h2", "h3")
+    }
+    entries = (PartitionEntry("h1", 1, 1), PartitionEntry("h2", 1, 1))
+    return Assignment(4, members, entries)
+
+
+class VirtualClock(Clock):
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+class PoolControlTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.engines, upstreams = {}, []
+        for fencing in ("check", "ignore"):
+            options = EngineOptions(fencing=fencing, models="old", scale=0.01)
+            self.engines[fencing] = EngineServer(options)
+            context = serving(self.engines[fencing].app)
+            address = await context.__aenter__()
+            self.addAsyncCleanup(context.__aexit__, None, None, None)
+            upstreams.append(Upstream(fencing, address, fencing=fencing))
+        self.pool = Pool("p", tuple(upstreams), models=(Model("new", "2"),))
+        self.store = MemoryStore()
+        self.clock = VirtualClock()
+        self.client = EngineClient()
+        await self.client.open()
+        self.addAsyncCleanup(self.client.close)
+        self.live = {"h1": ["living"], "h2": []}
+
+    def build(self, host):
+        async def ask(owner, query, *, timeout):
+            if self.live[owner] is None:
+                raise PeerUnavailable("silent")
+            live = [d for d in query.digests if d in self.live[owner]]
+            return LiveAnswer(live=live, complete=True, assignment=4)
+
+        yard = SimpleNamespace(
+            store=self.store,
+            clock=self.clock,
+            peers=SimpleNamespace(ask=ask),
+            settings=SimpleNamespace(
+                host=host, lease_seconds=LEASE, order_seconds=ORDER, sweep_seconds=5.0
+            ),
+            configuration=SimpleNamespace(
+                current=Configuration(1, pools={"p": self.pool}),
+                check_fresh=lambda: None,
+            ),
+        )
+        return PoolControl(yard, self.client, "p")
+
+    def models(self, fencing):
+        return self.engines[fencing].orders.to_json()["models"]
+
+    async def take_over(self, control):
+        await control.keep_lease()
+        self.clock.now += LEASE * 2
+        await control.keep_lease()
+
+    async def test_one_process_orders_and_the_next_waits(self):
+        first, second = self.build("c1"), self.build("c2")
+        self.live["h3"] = []
+        await first.keep_lease()
+        await second.keep_lease()
+        for control in (second, first):
+            await control.work(build_assignment())
+        for fencing in ("check", "ignore"):
+            self.assertEqual(self.models(fencing), {"new": "2"})
+        await self.take_over(second)
+        self.pool = Pool("p", self.pool.upstreams, models=(Model("new", "3"),))
+        second = self.replace_tables(second)
+        await second.work(build_assignment())
+        self.assertEqual(self.models("check"), {"new": "3"})
+        self.assertEqual(self.models("ignore"), {"new": "2"})
+        while self.clock.now < 100 + LEASE * 2 + ORDER:
+            self.clock.now += 5
+            await second.keep_lease()
+        await second.work(build_assignment())
+        self.assertEqual(self.models("ignore"), {"new": "3"})
+        with self.assertRaises(OldFencing):
+            await self.client.send_order(
+                self.pool.upstreams[0].address,
+                {"kind": "load_model", "name": "x", "fencing": 1},
+                seconds=1,
+            )
+
+    def replace_tables(self, control):
+        current = Configuration(2, pools={"p": self.pool})
+        control._yard.configuration.current = current
+        return control
+
+    async def test_a_lost_answer_keeps_the_lease(self):
+        control = self.build("c1")
+        self.store.add_fault(LOSE, operation="create")
+        with self.assertRaises(StoreUnavailable):
+            await control.keep_lease()
+        await control.keep_lease()
+        self.assertTrue(control.keeper.is_held(self.clock.now))
+        self.assertEqual(control.keeper.fencing, 1)
+
+    async def test_memory_of_ended_programs_is_released(self):
+        self.live["h3"] = []
+        engine = self.engines["check"]
+        for digest in ("living", "ended"):
+            engine._known[digest] = {"x"}
+            engine.timing.import_prefix(digest, 160, 0.0)
+        control = self.build("c1")
+        for silent, expected in ((True, 2), (False, 1)):
+            self.live["h2"] = None if silent else []
+            for _ in range(3):
+                await control.keep_lease()
+                await control.work(build_assignment())
+                self.clock.now += 5
+            held = await self.client.read_held(self.pool.upstreams[0].address)
+            self.assertEqual(len(held), expected)
+        self.assertEqual(list(held), ["living"])
