--- /dev/null
+++ b/tests/process_site.py
@@ -0,0 +1,77 @@
+"""Base of the tests on a small site of real processes."""
+
+import os
+import unittest
+
+from scripts.client import CallFailed
+from scripts.cluster import LocalCluster
+from scripts.sites import Site, wait_until
+from standins.answers import answer_text
+
+__all__ = ["ProcessTestCase", "wait_until"]
+
+ENTRY_VARIABLE = "SAPPHIREYARD_TEST_ENTRY"
+"""Names another module of entry hosts, such as ``tests.broken_entry``."""
+
+
+class ProcessTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with one small site for each test.
+
+    Attributes
+    ----------
+    site_options : dict
+        Options of `Site.start`.
+    """
+
+    site_options = {}
+
+    async def asyncSetUp(self):
+        cluster = await self.enterAsyncContext(LocalCluster())
+        self.site = Site(cluster)
+        self.site.entry_module = os.environ.get(ENTRY_VARIABLE, Site.entry_module)
+        self.addAsyncCleanup(self.site.close)
+        await self.site.start(**self.site_options)
+        self.cluster = cluster
+
+    async def asyncTearDown(self):
+        self.assertEqual(await self.site.find_keys_seen(), [])
+        for name in self.site.entries:
+            log = self.site.read_log(name)
+            self.assertNotIn("Traceback", log, f"{name}: {log[-4000:]}")
+
+    async def chat(self, client, text, *, max_tokens=16):
+        """Run one turn and judge the answer by the whole history."""
+        before = list(client.messages)
+        reply = await client.chat("guide", text, max_tokens=max_tokens)
+        messages = [*before, {"role": "user", "content": text}]
+        self.assertEqual(
+            client.messages[-1]["content"], answer_text(messages, max_tokens)
+        )
+        return reply
+
+    async def book(self, client, name):
+        """Book; return the answer, or the final problem document."""
+        try:
+            reply = await client.call("booking", {"van": name})
+        except CallFailed as failure:
+            return failure.problem
+        return reply.body
+
+    async def check_booked_at_most_once(self):
+        """Judge the services' own counts."""
+        doubled = {k: n for k, n in (await self.site.count_bookings()).items() if n > 1}
+        self.assertEqual(doubled, {})
+
+    async def check_history(self, client):
+        """Judge the stored history by the client's own messages."""
+        view = await client.inspect("/history")
+        messages = []
+        for call in view["calls"]:
+            if call["route"] != "guide":
+                continue
+            messages += call["request"]["messages"]
+            answer = call["answer"]["choices"][0]["message"]
+            messages.append({"role": "assistant", "content": answer["content"]})
+        self.assertEqual(messages, client.messages)
+        sequences = [call["sequence"] for call in view["calls"]]
+        self.assertEqual(sequences, list(range(1, len(sequences) + 1)))
