Run suspects alone for each attempt

Cause: the quarantine convicts only runs that were alone; the executor took the turn once for all attempts of a call. Pool and time limit are passed on.

--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -145,7 +145,6 @@
     )
     configure_logging(settings, host=settings.host)
     configure_metrics()
-    configure_metrics()
     sys.exit(asyncio.run(run(settings)))
 
 
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -59,8 +59,7 @@
         record = self._reservations.reserve(execution, tokens)
         try:
             await self._acquire_rate(execution)
-            async with self._isolate(execution):
-                answer = await self._attempt(execution, record, answer_tokens)
+            answer = await self._attempt(execution, record, answer_tokens)
         except BaseException as error:
             await self._reservations.abandon(execution, error)
             raise
@@ -109,7 +108,7 @@
         return answer, prompt + answer
 
     def _plan_seconds(self, execution):
-        now = self._yard.clock.monotonic()
+        now = self._now()
         payers = self._payers(execution)
         left = bound_seconds(payers, execution.deadline - now, self._yard.clock.wall())
         execution.deadline = now + left
@@ -121,40 +120,24 @@
         await self._yard.limits.acquire(customer, deadline=execution.deadline)
         execution.rated = True
 
-    def _isolate(self, execution):
-        """Return a context in which a suspect of crashing upstreams runs alone."""
-        digest = execution.run.digest
-        if self._yard.quarantine.is_suspect(digest):
-            return self._yard.quarantine.alone(digest)
-        return contextlib.nullcontext()
-
     async def _attempt(self, execution, record, answer_tokens):
         """Send the call until an answer came; return the answer."""
         commit = asyncio.ensure_future(
             self._reservations.commit(execution, record, self._payers(execution))
         )
         failed = []
-        now = self._yard.clock.monotonic()
-        self._yard.retries.note_request(execution.route.name, now)
+        self._yard.retries.note_request(execution.route.name, self._now())
         try:
             for _ in range(ATTEMPTS):
-                request = self._build_slot_request(execution, answer_tokens, failed)
-                asked_at = self._yard.clock.monotonic()
-                async with self._yard.slots.lease(request) as grant:
-                    self._record_wait(execution, asked_at)
-                    await commit
-                    self._check_may_send(execution)
-                    try:
-                        return await self._send(execution, grant, answer_tokens)
-                    except UpstreamError as error:
-                        failed.append(grant.upstream.name)
-                        last_error = error
-                        self._report_failure(execution, grant, error)
+                try:
+                    async with self._isolate(execution):
+                        return await self._try(execution, commit, answer_tokens, failed)
+                except UpstreamError as error:
+                    last_error = error
                 if not self._may_retry(execution, last_error):
                     break
         finally:
-            if not commit.done():
-                await asyncio.wait([commit])
+            await asyncio.gather(commit, return_exceptions=True)
         raise CallError(
             "upstream_failed",
             str(last_error),
@@ -162,15 +145,44 @@
             retry_after=UPSTREAM_RETRY_SECONDS,
         )
 
+    async def _try(self, execution, commit, answer_tokens, failed):
+        """Send the call once, when it has a slot and its reservation is durable."""
+        request = self._build_slot_request(execution, answer_tokens, failed)
+        asked_at = self._now()
+        async with self._yard.slots.lease(request) as grant:
+            self._record_wait(execution, asked_at)
+            await commit
+            self._check_may_send(execution)
+            try:
+                return await self._send(execution, grant, answer_tokens)
+            except UpstreamError as error:
+                failed.append(grant.upstream.name)
+                self._report_failure(execution, grant, error)
+                raise
+
+    def _isolate(self, execution):
+        """Return a context in which a suspect of crashing upstreams runs alone."""
+        digest = execution.run.digest
+        if not self._yard.quarantine.is_suspect(digest):
+            return contextlib.nullcontext()
+        return self._yard.quarantine.alone(
+            digest,
+            pool=execution.route.pool,
+            timeout=execution.deadline - self._now(),
+        )
+
+    def _now(self):
+        return self._yard.clock.monotonic()
+
     def _record_wait(self, execution, asked_at):
-        waited = self._yard.clock.monotonic() - asked_at
+        waited = self._now() - asked_at
         self._yard.metrics.record("queue_wait", waited, pool=execution.route.pool)
 
     def _check_may_send(self, execution):
         if execution.is_kept:
             self._yard.ownership.check_owned(execution.partition)
         self._yard.configuration.check_fresh()
-        if self._yard.clock.monotonic() >= execution.deadline:
+        if self._now() >= execution.deadline:
             raise CallError(
                 "deadline_exceeded", "no upstream was free before the deadline"
             )
@@ -193,14 +205,14 @@
         """Return the upstreams that are not to get a call."""
         upstreams = self._yard.configuration.current.pools[pool].upstreams
         names = [upstream.name for upstream in upstreams]
-        usable = self._yard.outliers.usable(names, self._yard.clock.monotonic())
+        usable = self._yard.outliers.usable(names, self._now())
         return tuple(name for name in names if name in failed or name not in usable)
 
     async def _send(self, execution, grant, answer_tokens):
         upstream = grant.upstream
         self._log_route(execution, upstream)
-        self._yard.outliers.probe(upstream.name, self._yard.clock.monotonic())
-        left = execution.deadline - self._yard.clock.monotonic()
+        self._yard.outliers.probe(upstream.name, self._now())
+        left = execution.deadline - self._now()
         sender = self._senders[execution.route.kind]
         sent_before = execution.sent
         try:
@@ -241,13 +253,13 @@
             return False
         if error.sent and not execution.route.repeatable:
             return False
-        now = self._yard.clock.monotonic()
+        now = self._now()
         if error.sent and not self._yard.retries.may_retry(execution.route.name, now):
             return False
         return now < execution.deadline
 
     def _report_outcome(self, upstream, *, ok):
-        now = self._yard.clock.monotonic()
+        now = self._now()
         self._yard.outliers.report(upstream.name, ok=ok, now=now)
 
     def _report_failure(self, execution, grant, error):
