--- a/bench/path.py
+++ b/bench/path.py
@@ -75,10 +75,11 @@
         self._histogram.record_value(max(1, int(seconds * MICROSECONDS)))
 
     def describe(self):
-        """Return p50 and p99 in milliseconds and the count."""
+        """Return p50, p99 and the worst in milliseconds, and the count."""
         return {
             "p50_ms": self._histogram.get_value_at_percentile(50) / 1000,
             "p99_ms": self._histogram.get_value_at_percentile(99) / 1000,
+            "worst_ms": self._histogram.get_max_value() / 1000,
             "count": self._histogram.get_total_count(),
         }
 
