Run each attempt of a suspect alone, and never say not run after a send

Cause: a call was isolated only if it was a suspect before its first attempt, so its repeats ran beside others; and a refusal of a repeat (quarantined or overloaded) said executed: no although the first attempt was sent.

Change: isolation for each attempt, by pool, within the call's deadline; errors after a send say unknown.

--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -11,7 +11,7 @@
     fit_answer_tokens,
 )
 from sapphireyard.completions import digest_program, dump_json
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import EXECUTED_NO, CallError
 from sapphireyard.reservations import Reservations
 from sapphireyard.senders import SENDERS
 from sapphireyard.slots import SlotRequest
@@ -59,8 +59,7 @@
         record = self._reservations.reserve(execution, tokens)
         try:
             await self._acquire_rate(execution)
-            async with self._isolate(execution):
-                answer = await self._attempt(execution, record, answer_tokens)
+            answer = await self._attempt(execution, record, answer_tokens)
         except BaseException as error:
             await self._reservations.abandon(execution, error)
             raise
@@ -123,10 +122,12 @@
 
     def _isolate(self, execution):
         """Return a context in which a suspect of crashing upstreams runs alone."""
+        quarantine = self._yard.quarantine
         digest = execution.run.digest
-        if self._yard.quarantine.is_suspect(digest):
-            return self._yard.quarantine.alone(digest)
-        return contextlib.nullcontext()
+        if not quarantine.is_suspect(digest):
+            return contextlib.nullcontext()
+        left = execution.deadline - self._yard.clock.monotonic()
+        return quarantine.alone(digest, pool=execution.route.pool, timeout=left)
 
     async def _attempt(self, execution, record, answer_tokens):
         """Send the call until an answer came; return the answer."""
@@ -139,7 +140,10 @@
         try:
             for _ in range(ATTEMPTS):
                 request = self._build_slot_request(execution, answer_tokens, failed)
-                async with self._yard.slots.lease(request) as grant:
+                async with (
+                    self._isolate(execution),
+                    self._yard.slots.lease(request) as grant,
+                ):
                     await commit
                     self._check_may_send(execution)
                     try:
@@ -150,6 +154,10 @@
                         self._report_failure(execution, grant, error)
                 if not self._may_retry(execution, last_error):
                     break
+        except CallError as error:
+            if execution.sent and error.executed == EXECUTED_NO:
+                error.executed = execution.executed
+            raise
         finally:
             if not commit.done():
                 await asyncio.wait([commit])
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -102,6 +102,20 @@
                     await build_executor(outcomes).execute(execution)
                 self.assertEqual(raised.exception.executed, executed)
 
+    async def test_refused_repeat_of_a_suspect_does_not_say_not_run(self):
+        table = [([], "no"), ([SENT], "unknown")]
+        for outcomes, executed in table:
+            with self.subTest(outcomes=outcomes):
+                executor = build_executor(outcomes)
+                suspect = [False] * len(outcomes) + [True]
+                quarantine = executor._yard.quarantine
+                quarantine.is_suspect = mock.Mock(side_effect=suspect)
+                quarantine.alone.side_effect = CallError("quarantined", "crashes")
+                with self.assertRaises(CallError) as raised:
+                    await executor.execute(build_execution())
+                self.assertEqual(raised.exception.code, "quarantined")
+                self.assertEqual(raised.exception.executed, executed)
+
     async def test_stop_waits_for_the_record_of_an_answer(self):
         executor = build_executor([UpstreamAnswer(200, "{}", tokens=0)])
         began, allowed = asyncio.Event(), asyncio.Event()
