--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -11,7 +11,7 @@
     fit_answer_tokens,
 )
 from sapphireyard.completions import digest_program
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import EXECUTED_NO, CallError
 from sapphireyard.reservations import Reservations
 from sapphireyard.senders import SENDERS
 from sapphireyard.slots import SlotRequest
@@ -136,6 +136,10 @@
                     last_error = error
                 if not self._may_retry(execution, last_error):
                     break
+        except CallError as error:
+            if execution.sent and error.executed == EXECUTED_NO:
+                error.executed = execution.executed
+            raise
         finally:
             await asyncio.gather(commit, return_exceptions=True)
         raise CallError(
