--- a/sapphireyard/capacity.py
+++ b/sapphireyard/capacity.py
@@ -32,8 +32,6 @@
         Prompt tokens prefilled per second.
     decode_seconds : float, optional
         Duration of one decode step.
-    transfer_rate : float, optional
-        Tokens of KV imported per second; 0 when it cannot import.
     """
 
     name: str
@@ -41,7 +39,6 @@
     kv_tokens: int = 0
     prefill_rate: float = 8_000.0
     decode_seconds: float = 0.02
-    transfer_rate: float = 0.0
 
     @property
     def output_cost(self):
--- a/sapphireyard/generated_slots.py
+++ b/sapphireyard/generated_slots.py
@@ -43,11 +43,6 @@
     upstream: str
     address: str
     cached_tokens: int = 0
-    import_from: str = ''
-    """
-    Address of the upstream from which to import the prefix.
-    """
-    import_tokens: int = 0
 
 
 @dataclass
--- a/sapphireyard/home_registry.py
+++ b/sapphireyard/home_registry.py
@@ -97,8 +97,6 @@
             upstream=grant.upstream,
             address=addresses[grant.upstream],
             cached_tokens=grant.cached_tokens,
-            import_from=addresses.get(grant.import_from, ""),
-            import_tokens=grant.import_tokens,
         )
 
     async def serve_return(self, message, context):
--- a/sapphireyard/placement.py
+++ b/sapphireyard/placement.py
@@ -1,26 +1,8 @@
 """What the upstreams of a group hold, and what moving a program costs."""
 
-from dataclasses import dataclass
-
 from sapphireyard.prefixes import PrefixRecord
 
 
-@dataclass(frozen=True)
-class Move:
-    """What it costs to run a program away from its prefix.
-
-    Parameters
-    ----------
-    seconds : float
-        Time of the upstream spent on it.
-    import_tokens : int
-        Tokens to import rather than to prefill again; 0 to prefill.
-    """
-
-    seconds: float
-    import_tokens: int = 0
-
-
 class Placement:
     """Which upstream holds a program's prefix, and whether leaving it pays.
 
@@ -28,21 +10,19 @@
     ----------
     least_prefix : int, optional
         Tokens below which a prefix is not worth waiting for.
-    keep_factor : float, optional
-        Pause for which prefixes are kept fresh, against the time in which an
-        upstream prefills its whole memory.
+    keep_seconds : float, optional
+        Pause after which the memory of a prefix counts as free.
     """
 
-    def __init__(self, *, least_prefix=64, keep_factor=1.0):
+    def __init__(self, *, least_prefix=64, keep_seconds=float("inf")):
         self._least_prefix = least_prefix
-        self._keep_factor = keep_factor
+        self._keep_seconds = keep_seconds
         self._records = {}
 
     def add(self, limits):
         """Follow one more upstream."""
-        keep_seconds = self._keep_factor * limits.kv_tokens / limits.prefill_rate
         self._records[limits.name] = PrefixRecord(
-            limits.kv_tokens, keep_seconds=keep_seconds
+            limits.kv_tokens, keep_seconds=self._keep_seconds
         )
 
     def remove(self, name):
@@ -70,17 +50,11 @@
         """Return the tokens of a request that `name` need not prefill."""
         return min(self._tokens(name, request.program), request.prefix_tokens)
 
-    def move(self, request, limits, source):
-        """Return the `Move` of a request from its holder to an upstream."""
-        held = self.cached(source, request) if source in self._records else 0
+    def move_seconds(self, request, limits, source):
+        """Return the time to prefill again what a request leaves at `source`."""
+        held = self.cached(source, request)
         tokens = max(0, held - self.cached(limits.name, request))
-        prefill = tokens / limits.prefill_rate
-        if not limits.transfer_rate:
-            return Move(prefill)
-        transfer = tokens / limits.transfer_rate
-        if transfer >= prefill:
-            return Move(prefill)
-        return Move(transfer, tokens)
+        return tokens / limits.prefill_rate
 
     def end(self, program):
         """Forget an ended program; return the upstreams that held it."""
--- a/sapphireyard/queues.py
+++ b/sapphireyard/queues.py
@@ -28,8 +28,6 @@
         Place among the customer's requests.
     submitted : float
         Time of arrival.
-    started : bool
-        Whether the root program was served before.
     """
 
     request: SlotRequest
@@ -37,7 +35,6 @@
     affinity: str
     key: OrderKey
     submitted: float
-    started: bool = False
 
 
 class _CustomerQueue:
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -53,7 +53,7 @@
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
-        self._placement = Placement(keep_factor=self._options.keep_factor)
+        self._placement = Placement(keep_seconds=self._options.keep_seconds)
         self._queues = RequestQueues()
         self._slots = {}
         self._waiting = {}
@@ -292,7 +292,6 @@
             affinity=self._selection.affinity(request),
             key=self._order.key(request.root, now),
             submitted=now,
-            started=self._order.attained(request.root) > 0,
         )
         self._waiting[request.request_id] = waiting
         self._backlog[customer] = self._backlog.get(customer, 0) + 1
@@ -324,8 +323,7 @@
         self._shares.advance(tag)
         self._dequeue(choice.waiting)
         cached = self._placement.cached(choice.upstream, request)
-        held = cached + choice.move.import_tokens
-        self._start(request, choice.upstream, self._cost(request, held), now)
+        self._start(request, choice.upstream, self._cost(request, cached), now)
         actions = [
             Grant(
                 request=request,
@@ -333,10 +331,6 @@
                 reason=choice.reason,
                 among=tuple(n for n, s in self._slots.items() if s.is_up),
                 cached_tokens=cached,
-                import_from=(
-                    choice.waiting.affinity if choice.move.import_tokens else ""
-                ),
-                import_tokens=choice.move.import_tokens,
                 waited=now - choice.waiting.submitted,
             )
         ]
--- a/sapphireyard/scheduling.py
+++ b/sapphireyard/scheduling.py
@@ -5,7 +5,6 @@
 REASON_CACHED = "cached"
 REASON_LEAST_LOADED = "least_loaded"
 REASON_MOVED = "moved"
-REASON_IMPORTED = "imported"
 
 
 @dataclass(frozen=True)
@@ -69,10 +68,6 @@
         Upstreams that were up.
     cached_tokens : int
         Prefix expected to be there.
-    import_from : str
-        Upstream to import the prefix from; empty for none.
-    import_tokens : int
-        Tokens to import.
     waited : float
         Seconds in the queue.
     """
@@ -82,8 +77,6 @@
     reason: str
     among: tuple[str, ...]
     cached_tokens: int = 0
-    import_from: str = ""
-    import_tokens: int = 0
     waited: float = 0.0
 
 
@@ -116,12 +109,8 @@
         go by the start of the program alone.
     cache_affinity : bool, optional
         Whether requests prefer the upstream that holds their prefix.
-    resident_levels : int, optional
-        Levels by which a request whose prefix is held goes before others.
     aging_seconds : float, optional
         Wait after which requests of a customer go by arrival.
-    share_quantum : float, optional
-        Tokens of service within which customers count as equally served.
     hold_new : bool, optional
         Whether a request without a prefix waits rather than push out the
         fresh prefixes of others, unless its customer holds less than its
@@ -130,10 +119,8 @@
         Share of the slots or memory in use below which nothing waits so.
     hold_seconds : float, optional
         Longest such wait.
-    hold_started : bool, optional
-        Whether requests of roots that were served before wait so, too.
-    keep_factor : float, optional
-        See `Placement`.
+    keep_seconds : float, optional
+        Pause after which the memory of a prefix counts as free.
     move : bool, optional
         Whether requests may leave the holder of their prefix while it is full.
     refuse : bool, optional
@@ -143,13 +130,10 @@
     fair: bool = True
     first_level: float = 4_000.0
     cache_affinity: bool = True
-    resident_levels: int = 1
     aging_seconds: float = 30.0
-    share_quantum: float = 0.0
     hold_new: bool = True
     hold_fill: float = 0.25
     hold_seconds: float = 120.0
-    hold_started: bool = True
-    keep_factor: float = 9.0
+    keep_seconds: float = 72.0
     move: bool = True
     refuse: bool = True
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -2,13 +2,10 @@
 
 from dataclasses import dataclass, field
 from itertools import islice
-from math import floor
 
-from sapphireyard.placement import Move
 from sapphireyard.queues import ANY, WaitingRequest
 from sapphireyard.scheduling import (
     REASON_CACHED,
-    REASON_IMPORTED,
     REASON_LEAST_LOADED,
     REASON_MOVED,
 )
@@ -19,19 +16,17 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """The next request, the upstream for it and what moving it there costs."""
+    """The next request, the upstream for it and why that one."""
 
     waiting: WaitingRequest
     upstream: str
     reason: str
-    move: Move
 
 
 @dataclass(order=True)
 class _Candidate:
     rank: tuple
     waiting: WaitingRequest = field(compare=False)
-    move: Move = field(compare=False)
 
 
 class Selection:
@@ -97,12 +92,12 @@
                 best = found
         if best is None:
             return None
-        waiting, move = best.waiting, best.move
+        waiting = best.waiting
         if not slots.fits(waiting.request.total_tokens):
             self._queues.rebind(waiting, slots.limits.name)
             return None
-        reason = self._reason(waiting, slots, move)
-        return Choice(waiting, slots.limits.name, reason, move)
+        reason = self._reason(waiting, slots)
+        return Choice(waiting, slots.limits.name, reason)
 
     def _first(self, affinity, slots, aged_before, now):
         """Return the first candidate among the heads of some customers."""
@@ -111,10 +106,11 @@
             if not self._may_use(waiting, slots):
                 continue
             aged = waiting.submitted <= aged_before
-            move = self._price(waiting, slots)
-            if move is None or not self._may_start(waiting, slots, aged, now):
+            if not self._may_come(waiting, slots):
                 continue
-            return _Candidate(self._rank(waiting, aged, move), waiting, move)
+            if not self._may_start(waiting, slots, aged, now):
+                continue
+            return _Candidate(self._rank(waiting, aged), waiting)
         return None
 
     def _sources(self, name):
@@ -143,8 +139,6 @@
             return False
         if now - waiting.submitted >= self.options.hold_seconds:
             return False
-        if waiting.started and not self.options.hold_started:
-            return False
         tokens = waiting.request.total_tokens
         record = self._placement.record(slots.limits.name)
         if record.fresh_total + slots.reserved + tokens <= kv_tokens:
@@ -160,37 +154,28 @@
         users = {customer, *record.customers(), *slots.by_customer}
         return sum(map(self._shares.weight, users))
 
-    def _price(self, waiting, slots):
-        """Return the `Move` of a request to an upstream; None if it must wait."""
+    def _may_come(self, waiting, slots):
+        """Return whether a request may leave the holder of its prefix."""
         if waiting.affinity in (slots.limits.name, ANY):
-            return Move(0.0)
+            return True
         holder = self._slots.get(waiting.affinity)
         if holder is None:
-            return Move(0.0)
-        if not self.options.move:
-            return None
-        if holder.fits(waiting.request.total_tokens):
-            return None
-        move = self._placement.move(waiting.request, slots.limits, holder.limits.name)
+            return True
+        if not self.options.move or holder.fits(waiting.request.total_tokens):
+            return False
+        name = holder.limits.name
+        seconds = self._placement.move_seconds(waiting.request, slots.limits, name)
         queued = self._queues.length(waiting.affinity)
         saved = queued * self._duration.seconds / holder.limits.batch_size
-        spent = move.seconds * (1 + len(slots.running))
-        return move if saved > spent else None
+        return saved > seconds * (1 + len(slots.running))
 
-    def _rank(self, waiting, aged, move):
-        quantum = self.options.share_quantum
-        tag = self._queues.tag(waiting.customer)
-        share = floor(tag / quantum) if quantum else tag
+    def _rank(self, waiting, aged):
+        share = self._queues.tag(waiting.customer)
         if aged:
             return (share, 0, waiting.submitted, 0.0, waiting.key.number)
-        level = waiting.key.level
-        if waiting.affinity != ANY and not move.seconds:
-            level -= self.options.resident_levels
-        return (share, 1, level, waiting.key.root_start, waiting.key.number)
+        return (share, 1, *waiting.key)
 
-    def _reason(self, waiting, slots, move):
+    def _reason(self, waiting, slots):
         if waiting.affinity == slots.limits.name:
             return REASON_CACHED
-        if waiting.affinity == ANY:
-            return REASON_LEAST_LOADED
-        return REASON_IMPORTED if move.import_tokens else REASON_MOVED
+        return REASON_LEAST_LOADED if waiting.affinity == ANY else REASON_MOVED
--- a/sapphireyard/slot_homes.py
+++ b/sapphireyard/slot_homes.py
@@ -291,7 +291,6 @@
             "among": list(grant.among),
             "reason": grant.reason,
             "cached_tokens": grant.cached_tokens,
-            "import_from": grant.import_from,
             "waited_seconds": round(grant.waited, 4),
             "holder": request.holder,
         },
--- a/sapphireyard/slots.py
+++ b/sapphireyard/slots.py
@@ -53,16 +53,10 @@
         Where to send the request.
     cached_tokens : int, optional
         Prefix expected there.
-    import_from : str, optional
-        Address of an upstream from which to import the prefix first.
-    import_tokens : int, optional
-        Tokens to import.
     """
 
     upstream: Upstream
     cached_tokens: int = 0
-    import_from: str = ""
-    import_tokens: int = 0
     reported_output: int = 0
     reported_cached: int = -1
 
@@ -261,8 +255,6 @@
         return Lease(
             Upstream(answer.upstream, answer.address),
             cached_tokens=answer.cached_tokens,
-            import_from=answer.import_from,
-            import_tokens=answer.import_tokens,
         )
 
     def _guess_locally(self, group, request):
