Add the archive: a disk cache of immutable objects

Cause: recoveries and long histories read the same segments again and again, at the store's rate. Ruled out: keeping by name alone; each file carries a checksum over name and value, and a damaged, torn or missing one is read again from the store. What may change is refused, and absence is never kept. Log lines of a binary run as a module are kept now (its logger is __main__). Not done: recovery does not read through ArchiveReader yet.

--- /dev/null
+++ b/sapphireyard/archive.py
@@ -0,0 +1,164 @@
+"""The binary of an archive: a disk cache of immutable objects of the store.
+
+It is never the only copy: what it does not have, or has damaged, it reads
+from the store. Journal segments and parts of the configuration never change
+under their name, so a cached one is always right.
+"""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+
+import mode
+
+from sapphireyard import generated_control
+from sapphireyard._options import load_settings
+from sapphireyard.archive_files import ArchiveFiles, compute_checksum
+from sapphireyard.archive_reader import ARCHIVE_PREFIX, IMMUTABLE_PREFIXES
+from sapphireyard.exceptions import CallError, StoreConflict, StoreError
+from sapphireyard.generated_archive_settings import ArchiveSettings
+from sapphireyard.generated_control import SegmentAnswer, SegmentQuery
+from sapphireyard.logs import configure_logging
+from sapphireyard.metrics import configure_metrics
+from sapphireyard.objects import ObjectStore
+from sapphireyard.peers import Peers
+from sapphireyard.yard import Yard
+
+logger = logging.getLogger(__name__)
+
+PROGRAM = "sapphireyard-archive"
+ANNOUNCE_SECONDS = 30.0
+"""Time between two looks at the object that names this archive."""
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+class ArchiveService(mode.Service):
+    """Serves immutable objects from one folder.
+
+    Parameters
+    ----------
+    yard : Yard
+        The archive process, with peers set.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._fetches = {}
+        self.files = ArchiveFiles(
+            yard.settings.data_folder, capacity=yard.settings.size_bytes
+        )
+        yard.peers.codec.register_module(generated_control)
+        yard.peers.register(SegmentQuery, self.answer)
+
+    async def on_start(self):
+        self.files.open()
+        await self.add_runtime_dependency(self._yard.peers)
+
+    async def answer(self, query, context):
+        """Serve a `SegmentQuery`.
+
+        Raises
+        ------
+        CallError
+            The object may change, or the store did not answer.
+        """
+        name = query.name
+        if not name.startswith(IMMUTABLE_PREFIXES):
+            raise CallError("invalid_request", f"{name} may change")
+        value = self.files.read(name)
+        if value is None:
+            value = await self._fetch_once(name)
+        if value is None:
+            return SegmentAnswer(found=False)
+        checksum = compute_checksum(name, value).hex()
+        return SegmentAnswer(found=True, value=value, checksum=checksum)
+
+    async def _fetch_once(self, name):
+        """Read an object from the store, once for all that wait for it."""
+        task = self._fetches.get(name)
+        if task is None:
+            task = asyncio.ensure_future(self._fetch(name))
+            self._fetches[name] = task
+            task.add_done_callback(lambda _: self._fetches.pop(name, None))
+        return await asyncio.shield(task)
+
+    async def _fetch(self, name):
+        try:
+            stored = await self._yard.store.get(name)
+        except StoreError as error:
+            raise CallError(
+                "store_unavailable", str(error), retry_after=RETRY_AFTER_SECONDS
+            ) from error
+        if stored is None:
+            return None
+        self.files.write(name, stored.value)
+        return stored.value
+
+    @mode.Service.task
+    async def _announce_steadily(self):
+        while not self.should_stop:
+            try:
+                await self._announce()
+            except StoreError as error:
+                logger.info("archive not announced: %s", error)
+            await self.sleep(ANNOUNCE_SECONDS)
+
+    async def _announce(self):
+        settings = self._yard.settings
+        name = ARCHIVE_PREFIX + settings.host
+        value = json.dumps(
+            {
+                "peer_address": self._yard.peers.address,
+                "failure_domain": settings.failure_domain,
+            }
+        ).encode()
+        stored = await self._yard.store.get(name)
+        if stored is None:
+            await self._yard.store.create(name, value)
+        elif stored.value != value:
+            try:
+                await self._yard.store.update(
+                    name, value, expected_version=stored.version
+                )
+            except StoreConflict:
+                logger.warning("another archive has the name %s", settings.host)
+
+
+async def run(settings):
+    """Run an archive until it is asked to stop; return the exit status."""
+    yard = Yard(settings, ObjectStore(settings.store))
+    yard.peers = Peers(yard)
+    service = ArchiveService(yard)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await yard.peers.listen()
+    await service.start()
+    print(f"listening on {yard.peers.address}", flush=True)
+    crashed = asyncio.ensure_future(service.wait_until_stopped())
+    asked = asyncio.ensure_future(stop.wait())
+    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
+    status = 1 if service.crash_reason else 0
+    await service.stop()
+    await yard.store.close()
+    return status
+
+
+def main():
+    """Run the binary."""
+    settings = load_settings(
+        ArchiveSettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
+    )
+    configure_logging(settings, host=settings.host)
+    configure_metrics()
+    sys.exit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sapphireyard/archive_reader.py
@@ -0,0 +1,92 @@
+"""Reads immutable objects through archives, with the store behind them."""
+
+import json
+import logging
+
+from sapphireyard import generated_control
+from sapphireyard._hashing import hash_text
+from sapphireyard.archive_files import compute_checksum
+from sapphireyard.exceptions import CallError, PeerError, StoreError
+from sapphireyard.generated_control import SegmentQuery
+from sapphireyard.stores import StoredObject
+
+logger = logging.getLogger(__name__)
+
+ARCHIVE_PREFIX = "archives/"
+"""Start of the names of the objects that tell where archives are."""
+
+IMMUTABLE_PREFIXES = ("journal/", "config/part/")
+"""Starts of the names of objects that never change."""
+
+ASK_SECONDS = 0.5
+REFRESH_SECONDS = 30.0
+FIRST_VERSION = 1
+
+
+class ArchiveReader:
+    """Has the `get` of a `Store`; asks an archive first.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives peers, store and clock.
+    """
+
+    def __init__(self, yard):
+        self._yard = yard
+        self._archives = {}
+        self._refreshed_at = None
+        yard.peers.codec.register_module(generated_control)
+
+    async def get(self, name):
+        """Return the `StoredObject` called `name`, or None.
+
+        Raises
+        ------
+        StoreUnavailable
+            Neither an archive nor the store had an answer.
+        """
+        if name.startswith(IMMUTABLE_PREFIXES):
+            value = await self._ask_archive(name)
+            if value is not None:
+                return StoredObject(name, value, FIRST_VERSION)
+        return await self._yard.store.get(name)
+
+    async def _ask_archive(self, name):
+        await self._refresh()
+        if not self._archives:
+            return None
+        host = max(self._archives, key=lambda each: hash_text(f"{each} {name}"))
+        self._yard.peers.static_addresses[host] = self._archives[host]
+        try:
+            answer = await self._yard.peers.ask(
+                host, SegmentQuery(name=name), timeout=ASK_SECONDS
+            )
+        except (PeerError, CallError) as error:
+            logger.info("archive %s did not serve %s: %s", host, name, error)
+            return None
+        if not answer.found:
+            return None
+        if compute_checksum(name, answer.value).hex() != answer.checksum:
+            logger.warning("archive %s sent %s damaged", host, name)
+            return None
+        return answer.value
+
+    async def _refresh(self):
+        """Look for archives now and then; keep the known ones in an outage."""
+        now = self._yard.clock.monotonic()
+        if self._refreshed_at is not None:
+            if now - self._refreshed_at < REFRESH_SECONDS:
+                return
+        self._refreshed_at = now
+        try:
+            self._archives = {
+                name.removeprefix(ARCHIVE_PREFIX): await self._read_address(name)
+                for name, _ in await self._yard.store.list(ARCHIVE_PREFIX)
+            }
+        except (StoreError, ValueError, KeyError) as error:
+            logger.info("archives not listed: %s", error)
+
+    async def _read_address(self, name):
+        stored = await self._yard.store.get(name)
+        return json.loads(stored.value)["peer_address"] if stored else ""
--- a/sapphireyard/logs.py
+++ b/sapphireyard/logs.py
@@ -14,6 +14,9 @@
 
 PACKAGE = "sapphireyard"
 
+MAIN_MODULE = "__main__"
+"""Name of the logger of a binary that is run as a module."""
+
 REDACTED = "[redacted]"
 
 SECRET = re.compile(
@@ -135,7 +138,8 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
-    logging.getLogger(PACKAGE).setLevel(settings.log_level)
+    for name in (PACKAGE, MAIN_MODULE):
+        logging.getLogger(name).setLevel(settings.log_level)
 
 
 def _format_time(seconds):
