--- a/sapphireyard/capacity.py
+++ b/sapphireyard/capacity.py
@@ -1,5 +1,6 @@
 """Admission slots of one upstream: how many requests and tokens it can take."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -31,8 +32,6 @@
         Prompt tokens prefilled per second.
     decode_seconds : float, optional
         Duration of one decode step.
-    transfer_rate : float, optional
-        Tokens of KV imported per second; 0 when it cannot import.
     """
 
     name: str
@@ -40,7 +39,6 @@
     kv_tokens: int = 0
     prefill_rate: float = 8_000.0
     decode_seconds: float = 0.02
-    transfer_rate: float = 0.0
 
     @property
     def output_cost(self):
@@ -66,6 +64,7 @@
     foreign_running: int = 0
     foreign_reserved: int = 0
     bound: int | None = None
+    by_customer: Counter = field(default_factory=Counter)
 
     @property
     def is_up(self):
@@ -107,19 +106,24 @@
         used = self.reserved + self.foreign_reserved
         return used + tokens <= self.limits.kv_tokens
 
-    def take(self, request_id, tokens):
+    def take(self, request_id, tokens, *, customer=""):
         """Take a slot; idempotent by request id."""
         if request_id in self.running:
             return
-        self.running[request_id] = tokens
+        self.running[request_id] = (tokens, customer)
         self.reserved += tokens
+        self.by_customer[customer] += tokens
 
     def give_back(self, request_id):
         """Give a slot back; False when it was not taken."""
-        tokens = self.running.pop(request_id, None)
-        if tokens is None:
+        taken = self.running.pop(request_id, None)
+        if taken is None:
             return False
+        tokens, customer = taken
         self.reserved -= tokens
+        self.by_customer[customer] -= tokens
+        if not self.by_customer[customer]:
+            del self.by_customer[customer]
         return True
 
     def report(self, running, reserved_tokens, own_running, own_reserved):
--- a/sapphireyard/queues.py
+++ b/sapphireyard/queues.py
@@ -139,8 +139,8 @@
         """Return the tag of a customer with a request here."""
         return self._tags[customer]
 
-    def head(self, affinity, aged_before):
-        """Return the next request with this affinity, or None.
+    def heads(self, affinity, aged_before):
+        """Yield the next request of each customer, the least served first.
 
         Parameters
         ----------
@@ -150,10 +150,8 @@
             Requests submitted up to this time go before all others of their
             customer, in the order of their arrival.
         """
-        index = self._index.get(affinity)
-        if not index:
-            return None
-        return self._queues[(affinity, index[0][1])].head(aged_before)
+        for _, customer in self._index.get(affinity, ()):
+            yield self._queues[(affinity, customer)].head(aged_before)
 
     def rebind(self, waiting, affinity):
         """Change the affinity of a request that is here."""
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -1,26 +1,32 @@
 """Chooses the next request and its upstream among the heads of the queues."""
 
-from dataclasses import dataclass
-from math import floor
+from dataclasses import dataclass, field
+from itertools import islice
 
-from sapphireyard.placement import Move
 from sapphireyard.queues import ANY, WaitingRequest
 from sapphireyard.scheduling import (
     REASON_CACHED,
-    REASON_IMPORTED,
     REASON_LEAST_LOADED,
     REASON_MOVED,
 )
 
+LOOKAHEAD_CUSTOMERS = 4
+"""Customers looked at, when the requests of the least served cannot start."""
+
 
 @dataclass(frozen=True)
 class Choice:
-    """The next request, the upstream for it and what moving it there costs."""
+    """The next request, the upstream for it and why that one."""
 
     waiting: WaitingRequest
     upstream: str
     reason: str
-    move: Move
+
+
+@dataclass(order=True)
+class _Candidate:
+    rank: tuple
+    waiting: WaitingRequest = field(compare=False)
 
 
 class Selection:
@@ -42,15 +48,18 @@
         What the upstreams hold.
     duration : MeanDuration
         How long a slot is held.
+    shares : FairShares
+        Weights of customers.
     options : SchedulerOptions
         Switches and weights.
     """
 
-    def __init__(self, slots, queues, placement, duration, options):
+    def __init__(self, slots, queues, placement, duration, shares, options):
         self._slots = slots
         self._queues = queues
         self._placement = placement
         self._duration = duration
+        self._shares = shares
         self.options = options
 
     def affinity(self, request):
@@ -75,26 +84,34 @@
 
     def _best(self, slots, now):
         aged_before = now - self.options.aging_seconds
+        self._placement.record(slots.limits.name).age(now)
         best = None
         for affinity in self._sources(slots.limits.name):
-            waiting = self._queues.head(affinity, aged_before)
-            if waiting is None or not self._may_use(waiting, slots):
-                continue
-            aged = waiting.submitted <= aged_before
-            move = self._price(waiting, slots)
-            if move is None or not self._may_start(waiting, slots, aged):
-                continue
-            rank = self._rank(waiting, aged, move)
-            if best is None or rank < best[0]:
-                best = (rank, waiting, move)
+            found = self._first(affinity, slots, aged_before, now)
+            if found and (best is None or found < best):
+                best = found
         if best is None:
             return None
-        _, waiting, move = best
+        waiting = best.waiting
         if not slots.fits(waiting.request.total_tokens):
             self._queues.rebind(waiting, slots.limits.name)
             return None
-        reason = self._reason(waiting, slots, move)
-        return Choice(waiting, slots.limits.name, reason, move)
+        reason = self._reason(waiting, slots)
+        return Choice(waiting, slots.limits.name, reason)
+
+    def _first(self, affinity, slots, aged_before, now):
+        """Return the first candidate among the heads of some customers."""
+        heads = self._queues.heads(affinity, aged_before)
+        for waiting in islice(heads, LOOKAHEAD_CUSTOMERS):
+            if not self._may_use(waiting, slots):
+                continue
+            aged = waiting.submitted <= aged_before
+            if not self._may_come(waiting, slots):
+                continue
+            if not self._may_start(waiting, slots, aged, now):
+                continue
+            return _Candidate(self._rank(waiting, aged), waiting)
+        return None
 
     def _sources(self, name):
         return [name, ANY] + [a for a in self._queues.affinities() if a and a != name]
@@ -106,52 +123,59 @@
         up = (s.limits.name for s in self._slots.values() if s.is_up)
         return all(name in excluded for name in up)
 
-    def _may_start(self, waiting, slots, aged):
+    def _may_start(self, waiting, slots, aged, now):
+        if waiting.affinity == ANY and self._must_hold(waiting, slots, now):
+            return False
         if aged and waiting.affinity in (slots.limits.name, ANY):
             return True
-        if not slots.fits(waiting.request.total_tokens):
-            return False
-        return waiting.affinity != ANY or not self._is_pressed(waiting, slots)
+        return slots.fits(waiting.request.total_tokens)
 
-    def _is_pressed(self, waiting, slots):
-        """Return whether a new program would push out prefixes of others."""
+    def _must_hold(self, waiting, slots, now):
+        """Return whether a request would push out fresh prefixes of others."""
         kv_tokens = slots.limits.kv_tokens
-        if not kv_tokens:
+        if not kv_tokens or not self.options.hold_new:
             return False
         if slots.fill < self.options.hold_fill:
             return False
-        held = self._placement.record(slots.limits.name).total
-        return held + slots.reserved + waiting.request.total_tokens > kv_tokens
-
-    def _price(self, waiting, slots):
-        """Return the `Move` of a request to an upstream; None if it must wait."""
+        if now - waiting.submitted >= self.options.hold_seconds:
+            return False
+        tokens = waiting.request.total_tokens
+        record = self._placement.record(slots.limits.name)
+        if record.fresh_total + slots.reserved + tokens <= kv_tokens:
+            return False
+        customer = waiting.customer
+        used = record.fresh_of(customer) + slots.by_customer[customer]
+        weights = self._weigh_memory(record, slots, customer)
+        share = self._shares.weight(customer) / weights
+        return used + tokens > kv_tokens * share
+
+    def _weigh_memory(self, record, slots, customer):
+        """Return the weights of all customers that use an upstream's memory."""
+        users = {customer, *record.customers(), *slots.by_customer}
+        return sum(map(self._shares.weight, users))
+
+    def _may_come(self, waiting, slots):
+        """Return whether a request may leave the holder of its prefix."""
         if waiting.affinity in (slots.limits.name, ANY):
-            return Move(0.0)
+            return True
         holder = self._slots.get(waiting.affinity)
         if holder is None:
-            return Move(0.0)
-        if holder.fits(waiting.request.total_tokens):
-            return None
-        move = self._placement.move(waiting.request, slots.limits, holder.limits.name)
+            return True
+        if not self.options.move or holder.fits(waiting.request.total_tokens):
+            return False
+        name = holder.limits.name
+        seconds = self._placement.move_seconds(waiting.request, slots.limits, name)
         queued = self._queues.length(waiting.affinity)
         saved = queued * self._duration.seconds / holder.limits.batch_size
-        spent = move.seconds * (1 + len(slots.running))
-        return move if saved > spent else None
+        return saved > seconds * (1 + len(slots.running))
 
-    def _rank(self, waiting, aged, move):
-        quantum = self.options.share_quantum
-        tag = self._queues.tag(waiting.customer)
-        share = floor(tag / quantum) if quantum else tag
+    def _rank(self, waiting, aged):
+        share = self._queues.tag(waiting.customer)
         if aged:
             return (share, 0, waiting.submitted, 0.0, waiting.key.number)
-        level = waiting.key.level
-        if waiting.affinity != ANY and not move.seconds:
-            level -= self.options.resident_levels
-        return (share, 1, level, waiting.key.root_start, waiting.key.number)
+        return (share, 1, *waiting.key)
 
-    def _reason(self, waiting, slots, move):
+    def _reason(self, waiting, slots):
         if waiting.affinity == slots.limits.name:
             return REASON_CACHED
-        if waiting.affinity == ANY:
-            return REASON_LEAST_LOADED
-        return REASON_IMPORTED if move.import_tokens else REASON_MOVED
+        return REASON_LEAST_LOADED if waiting.affinity == ANY else REASON_MOVED
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -111,6 +111,11 @@
         """int: Number of changes made so far."""
         return self._content.revision
 
+    @property
+    def objects(self):
+        """list of StoredObject: Everything that is stored now."""
+        return list(self._content.objects.values())
+
     def add_fault(self, kind, **options):
         """Add a `Fault` and return it."""
         fault = Fault(kind, **options)
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -1,7 +1,5 @@
 """A slow scheduler that states the rule plainly: scan all, take the least."""
 
-from math import floor
-
 from sapphireyard.placement import Placement
 
 
@@ -11,7 +9,7 @@
     def __init__(self, upstreams, options):
         self.limits = {limits.name: limits for limits in upstreams}
         self.options = options
-        self.placement = Placement()
+        self.placement = Placement(keep_seconds=options.keep_seconds)
         for limits in upstreams:
             self.placement.add(limits)
         self.state = dict.fromkeys(self.limits, "up")
@@ -59,7 +57,13 @@
             if output:
                 tokens = request.prefix_tokens + request.new_tokens + output
                 record = self.placement.record(name)
-                record.keep(request.program, tokens, now, reserved=self.reserved(name))
+                record.keep(
+                    request.program,
+                    tokens,
+                    now,
+                    customer=request.customer,
+                    reserved=self.reserved(name),
+                )
         return self.decide(now)
 
     def set_state(self, name, state, now):
@@ -105,59 +109,79 @@
             for name in sorted(names, key=lambda n: (self.fill(n), n)):
                 choice = self.best(name, now)
                 if choice:
-                    grants.append(self.grant(name, *choice, now))
+                    grants.append(self.grant(name, choice, now))
                     break
             else:
                 return grants
         return grants
 
-    def head(self, at, now):
+    def heads(self, at, now):
+        """Return the head of each customer's requests, the least served first."""
         mine = [w for w in self.waiting if w["at"] == at]
-        if not mine:
-            return None, False
-        customer = min((self.tags[w["customer"]], w["customer"]) for w in mine)[1]
-        mine = [w for w in mine if w["customer"] == customer]
-        oldest = min(mine, key=lambda w: (w["submitted"], w["key"][2]))
-        if oldest["submitted"] <= now - self.options.aging_seconds:
-            return oldest, True
-        return min(mine, key=lambda w: w["key"]), False
+        customers = sorted({(self.tags[w["customer"]], w["customer"]) for w in mine})
+        heads = []
+        for _, customer in customers[:4]:
+            own = [w for w in mine if w["customer"] == customer]
+            oldest = min(own, key=lambda w: (w["submitted"], w["key"][2]))
+            aged = oldest["submitted"] <= now - self.options.aging_seconds
+            heads.append((oldest if aged else min(own, key=lambda w: w["key"]), aged))
+        return heads
+
+    def must_hold(self, name, waiting, now):
+        request, customer = waiting["request"], waiting["customer"]
+        limits, record = self.limits[name], self.placement.record(name)
+        if self.fill(name) < self.options.hold_fill:
+            return False
+        if now - waiting["submitted"] >= self.options.hold_seconds:
+            return False
+        need = request.total_tokens
+        if record.fresh_total + self.reserved(name) + need <= limits.kv_tokens:
+            return False
+        users = {r.customer for r in self.on(name)} | set(record.customers())
+        used = sum(r.total_tokens for r in self.on(name) if r.customer == customer)
+        used += record.fresh_of(customer) + need
+        return used > limits.kv_tokens / len(users | {customer})
+
+    def may_come(self, name, waiting):
+        at, request = waiting["at"], waiting["request"]
+        if at in (name, "") or self.fits(at, request):
+            return at in (name, "")
+        seconds = self.placement.move_seconds(request, self.limits[name], at)
+        queued = sum(w["at"] == at for w in self.waiting)
+        saved = queued * self.mean / self.limits[at].batch_size
+        return saved > seconds * (1 + len(self.on(name)))
+
+    def may_start(self, name, waiting, aged, now):
+        if waiting["at"] == "" and self.must_hold(name, waiting, now):
+            return False
+        own = aged and waiting["at"] in (name, "")
+        return own or self.fits(name, waiting["request"])
 
     def best(self, name, now):
+        self.placement.record(name).age(now)
         ranked = []
         for at in {name, ""} | {w["at"] for w in self.waiting}:
-            waiting, aged = self.head(at, now)
-            if waiting is None:
-                continue
-            request, seconds = waiting["request"], 0.0
-            if at not in (name, ""):
-                if self.fits(at, request):
-                    continue
-                seconds = self.placement.move(request, self.limits[name], at).seconds
-                queued = sum(w["at"] == at for w in self.waiting)
-                saved = queued * self.mean / self.limits[at].batch_size
-                if saved <= seconds * (1 + len(self.on(name))):
-                    continue
-            if not (aged and at in (name, "")) and not self.fits(name, request):
-                continue
-            share = self.tags[waiting["customer"]]
-            if self.options.share_quantum:
-                share = floor(share / self.options.share_quantum)
-            level, start, number = waiting["key"]
-            if at and not seconds:
-                level -= self.options.resident_levels
-            rank = (share, 1, level, start, number)
-            if aged:
-                rank = (share, 0, waiting["submitted"], 0.0, number)
-            ranked.append((rank, waiting, seconds))
+            for waiting, aged in self.heads(at, now):
+                may = self.may_come(name, waiting)
+                if may and self.may_start(name, waiting, aged, now):
+                    ranked.append((self.rank(waiting, aged), waiting))
+                    break
         if not ranked:
             return None
-        _, waiting, seconds = min(ranked, key=lambda entry: entry[0])
+        _, waiting = min(ranked, key=lambda entry: entry[0])
         if not self.fits(name, waiting["request"]):
             waiting["at"] = name
             return None
-        return waiting, seconds
+        return waiting
+
+    def rank(self, waiting, aged):
+        share = self.tags[waiting["customer"]]
+        level, start, number = waiting["key"]
+        if aged:
+            return (share, 0, waiting["submitted"], 0.0, number)
+        return (share, 1, level, start, number)
 
-    def grant(self, name, waiting, seconds, now):
+    def grant(self, name, waiting, now):
         self.virtual = max(
             self.virtual, min(self.tags[w["customer"]] for w in self.waiting)
         )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -217,7 +217,7 @@
                 self.assertEqual(caught.exception.code, code)
             self.assertEqual(host.current.pools["engines"].upstreams[0].name, "e1")
         self.assertTrue(key.startswith(KEY_PREFIX))
-        values = [stored.value for stored in self.store._objects.values()]
+        values = [stored.value for stored in self.store.objects]
         self.assertFalse([v for v in values if key.encode() in v])
 
     async def test_start_during_an_outage_takes_the_newest_of_its_peers(self):
@@ -332,6 +332,7 @@
             now=0.0,
         )
         rows[700]["rate"] = 2
+        store.calls.clear()
         second = await repository.write(
             {"customers": rows},
             base=first,
@@ -342,5 +343,6 @@
         )
         changed = set(second.parts["customers"]) - set(first.parts["customers"])
         self.assertEqual(len(changed), 1)
+        self.assertEqual(store.calls, {"create": 2, "update": 1})
         _, _, tables = await repository.read_tables()
         self.assertEqual(len(tables["customers"]), 1300)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -97,7 +97,7 @@
         )
         self.assertEqual(self.run_line("keys", "withdraw", given["name"])[0], 0)
         self.assertIn("withdrawn", self.run_line("keys", "list")[1])
-        for stored in self.store._objects.values():
+        for stored in self.store.objects:
             self.assertNotIn(given["key"].encode(), stored.value)
 
     def test_drain_of_an_upstream(self):
@@ -108,7 +108,8 @@
         ):
             self.assertEqual(self.run_line(*argv)[0], 0)
             tables = json.loads(self.run_line("get", "pools", "--output", "json")[1])
-            self.assertEqual(tables["pools"][0]["upstreams"][0]["state"], state)
+            upstream = tables["pools"][0]["upstreams"][0]
+            self.assertEqual(upstream.get("state", "active"), state)
 
     def test_help_has_examples(self):
         for argv in (["apply", "--help"], ["keys", "give", "--help"]):
