--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -4,13 +4,19 @@
 import logging
 import unittest
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from sapphireyard.exceptions import YardError
 from standins.memory import CONFLICT, DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS
-from tests.test_takeover import RecordedFleet
+from tests.test_takeover import (
+    RecordedFleet,
+    TaillessRecovery,
+    UnfilteredOwnership,
+    UnsealedRecovery,
+    make_broken,
+)
 
 HOSTS = "abcd"
 SETTLE_STEPS = 40
@@ -30,6 +36,8 @@
     does. Commits that wait are left behind and end when they can.
     """
 
+    fleet_class = RecordedFleet
+
     @initialize()
     def begin(self):
         logging.disable(logging.WARNING)
@@ -38,7 +46,7 @@
         self.run(self._begin())
 
     async def _begin(self):
-        self.fleet = RecordedFleet(MemoryStore())
+        self.fleet = self.fleet_class(MemoryStore())
         for host in HOSTS:
             await self.fleet.add(host, store=self._view())
             await self.fleet.settle()
@@ -197,18 +205,40 @@
         await self.fleet.spread()
 
 
+def run_machine(fleet_class, *, phases=tuple(Phase)):
+    """Run the machine on a class of fleets; return the failures' traces."""
+
+    class Machine(FleetMachine):
+        pass
+
+    Machine.fleet_class = fleet_class
+    Machine.TestCase.settings = settings(
+        max_examples=40,
+        stateful_step_count=25,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        phases=phases,
+        report_multiple_bugs=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    result = unittest.TestResult()
+    Machine.TestCase().run(result)
+    return [trace for _, trace in result.failures + result.errors]
+
+
 class OwnershipMachineTest(unittest.TestCase):
     def test_machine(self):
-        machine = FleetMachine.TestCase
-        machine.settings = settings(
-            max_examples=40,
-            stateful_step_count=25,
-            deadline=None,
-            database=None,
-            derandomize=True,
-            suppress_health_check=list(HealthCheck),
-        )
-        result = unittest.TestResult()
-        machine().run(result)
-        for _, trace in result.failures + result.errors:
-            self.fail(trace)
+        self.assertEqual(run_machine(RecordedFleet), [])
+
+    BROKEN = {
+        "unsealed": make_broken(recovery_class=UnsealedRecovery),
+        "tailless": make_broken(recovery_class=TaillessRecovery),
+        "one epoch": make_broken(ownership=UnfilteredOwnership),
+    }
+
+    def test_broken_variants_fail(self):
+        for name, fleet_class in self.BROKEN.items():
+            with self.subTest(name):
+                traces = run_machine(fleet_class, phases=[Phase.generate])
+                self.assertIn("AssertionError", "".join(traces))
