--- a/sapphireyard/failure_detector.py
+++ b/sapphireyard/failure_detector.py
@@ -12,8 +12,8 @@
 WATCHED_HOSTS = 3
 """Live hosts that each host watches."""
 
-SILENCE_SECONDS = 2.0
-"""Time without a heartbeat after which a watcher looks at the store."""
+SILENCE_FRACTION = 1 / 3
+"""Part of the expiry without a heartbeat after which a watcher looks closer."""
 
 LOOK_FACTOR = 5
 """Renewals between two looks at the object of a host that is heard."""
@@ -47,9 +47,15 @@
         self._host = host
         self._renewal = renewal_seconds
         self._expiry = expiry_seconds
+        self._silence = expiry_seconds * SILENCE_FRACTION
         self._observed = {}
         self._ring = [host]
 
+    @property
+    def silence_seconds(self):
+        """float: Time without a heartbeat after which a host counts as silent."""
+        return self._silence
+
     def update_members(self, incarnations, now):
         """Take the members as a dict of incarnations by host."""
         for host in set(self._observed) - set(incarnations):
@@ -69,7 +75,7 @@
 
     def is_silent(self, host, now):
         """Return whether a host was not heard lately."""
-        return now - self._observed[host].heard_at > SILENCE_SECONDS
+        return now - self._observed[host].heard_at > self._silence
 
     def watched(self, now):
         """Return the hosts that this host watches."""
--- a/sapphireyard/membership.py
+++ b/sapphireyard/membership.py
@@ -5,7 +5,7 @@
 from mode import Service
 
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable
-from sapphireyard.failure_detector import SILENCE_SECONDS, FailureDetector
+from sapphireyard.failure_detector import FailureDetector
 from sapphireyard.generated_replication import Heartbeat
 from sapphireyard.members import MemberObjects, MemberRecord
 
@@ -57,7 +57,7 @@
             return True
         if not self._store_out or now - self._attempted_at > expiry:
             return False
-        return now - self._peer_store_at > SILENCE_SECONDS
+        return now - self._peer_store_at > self.detector.silence_seconds
 
     async def begin(self):
         """Take the next incarnation; return it.
--- /dev/null
+++ b/tests/test_ownership_service.py
@@ -0,0 +1,105 @@
+"""The ownership service with its own tasks and real time."""
+
+import asyncio
+import logging
+import unittest
+
+from sapphireyard.clocks import Clock
+from sapphireyard.exceptions import YardError
+from sapphireyard.generated_records import ProgramOpened
+from standins.memory import MemoryStore
+from tests.fleet import PARTITIONS, Fleet
+
+WAIT_SECONDS = 30
+"""Time after which a condition that never comes true fails a test."""
+
+
+class RunningFleet(Fleet):
+    """A fleet whose services run by themselves."""
+
+    async def start(self, host):
+        """Start a host with all its tasks."""
+        yard = await self.begin(host)
+        yard.clock = Clock()
+        yard.settings.renewal_seconds = 0.05
+        yard.settings.expiry_seconds = 1.0
+        await yard.ownership.start()
+        return yard
+
+    async def end(self, host):
+        """End a host's process without any goodbye."""
+        await self.yards[host].ownership.stop()
+        return await self.kill(host)
+
+    async def stop(self):
+        for yard in self.yards.values():
+            await yard.ownership.stop()
+        await super().stop()
+
+
+class OwnershipServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.fleet = RunningFleet(MemoryStore())
+        for host in "abc":
+            await self.fleet.start(host)
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def is_balanced(self):
+        """Return whether all know of an even load and are ready."""
+        yards = list(self.fleet.yards.values())
+        if len({yard.ownership.version for yard in yards}) > 1:
+            return False
+        shares = [len(yard.ownership.owned) for yard in yards]
+        ready = all(
+            yard.ownership.is_ready(p) for yard in yards for p in yard.ownership.owned
+        )
+        even = max(shares) - min(shares) <= 1
+        return ready and even and sum(shares) == PARTITIONS
+
+    async def open_program(self, key):
+        while True:
+            try:
+                return await self.try_open(key)
+            except YardError:
+                await self.wait_for(self.is_balanced)
+
+    async def try_open(self, key):
+        location = self.fleet.yards["a"].ownership.locate(key)
+        yard = self.fleet.yards[location.host]
+        record = ProgramOpened(key, key, 1.0)
+        await yard.journal.commit([record], partition=location.partition)
+        yard.programs.apply(location.partition, record)
+        return location.partition
+
+    def find_program(self, partition, key):
+        for yard in self.fleet.yards.values():
+            if partition in yard.ownership.owned:
+                return yard.programs.get(partition, key)
+        return None
+
+    async def test_balance_takeover_restart_and_leaving(self):
+        await self.wait_for(self.is_balanced)
+        keys = {f"c/{n}": await self.open_program(f"c/{n}") for n in range(8)}
+        await self.fleet.end("b")
+        await self.wait_for(self.is_balanced)
+        await self.fleet.start("b")
+        await self.wait_for(self.is_balanced)
+        self.assertTrue(await self.fleet.yards["c"].ownership.leave(timeout=20))
+        await self.fleet.end("c")
+        await self.wait_for(self.is_balanced)
+        for key, partition in keys.items():
+            self.assertIsNotNone(self.find_program(partition, key), key)
+
+    async def test_sealed_host_joins_again(self):
+        await self.wait_for(self.is_balanced)
+        yard = self.fleet.yards["b"]
+        recovery = self.fleet.yards["a"].ownership.recovery
+        await recovery.take_over("b", yard.incarnation)
+        await self.wait_for(lambda: yard.incarnation == 2 and self.is_balanced())
