--- a/sapphireyard/calls.py
+++ b/sapphireyard/calls.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError
+from sapphireyard.generated_records import CallSource
 
 CALL_RESERVED = "reserved"
 CALL_COMPLETED = "completed"
@@ -44,6 +45,8 @@
         The caller's key, may be empty.
     is_model : bool
         Whether a model engine serves the route.
+    source : CallSource or None
+        Where request and answer stand in a journal.
     turn_text : str
         The turn's messages as sent to engines; made when first needed.
     """
@@ -59,8 +62,24 @@
     answer: str = ""
     idempotency_key: str = ""
     is_model: bool = False
+    source: CallSource | None = None
     turn_text: str = field(default="", compare=False, repr=False)
 
+    @property
+    def is_loaded(self):
+        """bool: Whether the texts are in memory, as far as there are any."""
+        return self.state != CALL_COMPLETED or bool(self.answer)
+
+    @property
+    def text_bytes(self):
+        """int: Characters of text in memory."""
+        return len(self.request) + len(self.answer) + len(self.turn_text)
+
+    def unload(self):
+        """Drop the texts, which stand at `source`."""
+        assert self.source is not None, f"call {self.sequence} stands nowhere else"
+        self.request = self.answer = self.turn_text = ""
+
     @property
     def is_model_turn(self):
         """bool: Whether the call is a turn of the conversation."""
--- a/sapphireyard/dispatcher.py
+++ b/sapphireyard/dispatcher.py
@@ -112,6 +112,7 @@
         program = await self._open(partition, call, request.deadline)
         decision = await self._admit(request, program, partition)
         if decision.admission is Admission.REPLAY:
+            await self._yard.texts.load(partition, program)
             for message in self._replay(program, decision.sequence, call):
                 yield message
             return
@@ -137,7 +138,10 @@
             raise CallError("program_unknown", f"no program {query.program!r}")
         if query.end:
             await self.end(partition, program, ENDED_BY_CALLER)
-        view = describe_history(program) if query.history else describe(program)
+        view = describe(program)
+        if query.history:
+            await self._yard.texts.load(partition, program)
+            view = describe_history(program)
         return ProgramView(body=dump_json(view))
 
     async def link(self, request, context):
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -10,6 +10,7 @@
 
 from sapphireyard._options import load_settings
 from sapphireyard.administration import add_routes
+from sapphireyard.collector import CollectorService
 from sapphireyard.configuration import ConfigurationService
 from sapphireyard.dispatcher import Dispatcher
 from sapphireyard.gateway import Gateway
@@ -27,6 +28,7 @@
 from sapphireyard.retries import RetryBudget
 from sapphireyard.shares import LimitService
 from sapphireyard.slots import SlotService
+from sapphireyard.texts import TextService
 from sapphireyard.upstreams import Upstreams
 from sapphireyard.yard import Yard
 
@@ -65,6 +67,8 @@
             yard.quarantine,
             yard.dispatcher,
             yard.lifetimes,
+            yard.texts,
+            yard.collector,
             yard.gateway,
         ):
             await self.add_runtime_dependency(service)
@@ -113,6 +117,8 @@
     yard.retries = RetryBudget()
     yard.outliers = OutlierDetector()
     yard.lifetimes = LifetimeService(yard)
+    yard.texts = TextService(yard)
+    yard.collector = CollectorService(yard)
     yard.dispatcher = Dispatcher(yard)
     yard.gateway = Gateway(yard, add_routes=[add_routes])
     return yard
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -54,6 +54,8 @@
             This host no longer owns the program.
         """
         self._yard.quarantine.check(execution.run.digest)
+        if execution.is_kept and execution.route.kind == "model":
+            await self._yard.texts.load(execution.partition, execution.program)
         answer_tokens, tokens = self._plan_tokens(execution)
         self._plan_seconds(execution)
         record = self._reservations.reserve(execution, tokens)
--- a/sapphireyard/generated_records.py
+++ b/sapphireyard/generated_records.py
@@ -120,22 +120,15 @@
 
 
 @dataclass
-class SnapshotCall:
+class CallSource:
     """
-    One call of a snapshot; `state` is completed, unknown or reserved.
+    Segments first to last of a journal, in which the texts of a call stand.
     """
 
-    sequence: int
-    state: str
-    digest: str
-    route: str
-    repeatable: bool = False
-    tokens: int = 0
-    status: int = 0
-    request: str = ''
-    answer: str = ''
-    is_model: bool = False
-    idempotency_key: str = ''
+    host: str
+    incarnation: int
+    first: int
+    last: int
 
 
 @dataclass
@@ -168,28 +161,26 @@
 
 
 @dataclass
-class ProgramSnapshot:
+class SnapshotCall:
     """
-    The whole state of a program, in place of all its earlier records. Calls are CallCompleted, CallReserved and CallAbandoned records in order.
+    One call of a snapshot; `state` is completed, unknown or reserved.
     """
 
-    program: str
-    root: str
-    opened_at: float
-    budget_tokens: int = 0
-    budget_calls: int = 0
-    budget_seconds: float = 0
-    spent_tokens: int = 0
-    spent_calls: int = 0
-    ended: str = ''
-    """
-    Reason of the end
-    """
-    link: bool = False
+    sequence: int
+    state: str
+    digest: str
+    route: str
+    repeatable: bool = False
+    tokens: int = 0
+    status: int = 0
+    request: str = ''
+    answer: str = ''
+    is_model: bool = False
+    idempotency_key: str = ''
+    source: CallSource | None = None
     """
-    True for a ProgramLinked entry.
+    Where request and answer stand when they are left out here.
     """
-    calls: list[SnapshotCall] = field(default_factory=list)
 
 
 @dataclass
@@ -207,3 +198,32 @@
     """
     records: list[EncodedRecord]
     seal: str = ''
+    written_at: float = 0
+    """
+    Wall-clock seconds since the epoch.
+    """
+
+
+@dataclass
+class ProgramSnapshot:
+    """
+    The whole state of a program, in place of all its earlier records. Calls are CallCompleted, CallReserved and CallAbandoned records in order.
+    """
+
+    program: str
+    root: str
+    opened_at: float
+    budget_tokens: int = 0
+    budget_calls: int = 0
+    budget_seconds: float = 0
+    spent_tokens: int = 0
+    spent_calls: int = 0
+    ended: str = ''
+    """
+    Reason of the end
+    """
+    link: bool = False
+    """
+    True for a ProgramLinked entry.
+    """
+    calls: list[SnapshotCall] = field(default_factory=list)
--- a/sapphireyard/generated_settings.py
+++ b/sapphireyard/generated_settings.py
@@ -84,6 +84,10 @@
     """
     Largest header of a request in bytes.
     """
+    text_bytes: int = Field(67108864, ge=0)
+    """
+    Texts of programs kept in memory in bytes; texts of idle programs are read back from the store.
+    """
     address_ttl_seconds: int = Field(10, ge=1)
     """
     Seconds for which callers may keep an address answer.
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -238,7 +238,12 @@
             return
         writer.interval_seconds = self._find_interval()
         now = self.yard.clock.monotonic()
-        if writer.stage(now, token=secrets.token_hex(TOKEN_BYTES)) is not None:
+        segment = writer.stage(
+            now,
+            token=secrets.token_hex(TOKEN_BYTES),
+            written_at=self.yard.clock.wall(),
+        )
+        if segment is not None:
             self._flush.set()
         if writer.behind and not writer.sealed:
             await self._replicate(writer)
--- a/sapphireyard/journal_writer.py
+++ b/sapphireyard/journal_writer.py
@@ -167,13 +167,15 @@
         credit = (self._burst_segments - 1) * self.interval_seconds
         return max(0.0, self._paid_until - credit - now)
 
-    def stage(self, now, *, token):
+    def stage(self, now, *, token, written_at=0.0):
         """Close the next segment; return it, or None when it is not yet time.
 
         Parameters
         ----------
         token : str
             Unique to the segment.
+        written_at : float, optional
+            Wall-clock seconds, kept in the segment.
         """
         if self.delay(now) != 0.0:
             return None
@@ -184,6 +186,7 @@
             number=self._next_number,
             token=token,
             records=records,
+            written_at=written_at,
         )
         segment = StagedSegment(self._next_number, value, commits)
         self._staged.append(segment)
--- a/sapphireyard/moves.py
+++ b/sapphireyard/moves.py
@@ -30,7 +30,7 @@
 COMPACT_SOURCES = 2
 """Sources from which on a partition is compacted."""
 
-COMPACT_SEGMENTS = 10_000
+COMPACT_SEGMENTS = 300
 """Segments of the own journal after which a partition is compacted."""
 
 
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs.py
@@ -96,6 +96,16 @@
                 return call.tokens
         return 0
 
+    @property
+    def text_bytes(self):
+        """int: Characters of texts in memory."""
+        return sum(call.text_bytes for call in self.calls.values())
+
+    @property
+    def is_loaded(self):
+        """bool: Whether all texts are in memory."""
+        return all(call.is_loaded for call in self.calls.values())
+
     def unknown_sequences(self):
         """Return the sequences whose outcome is unknown."""
         return [n for n, call in self.calls.items() if call.state == CALL_UNKNOWN]
@@ -134,10 +144,20 @@
             for program in programs.values()
         ]
 
-    def apply(self, partition, record):
-        """Fold one record into the state of its program."""
+    def apply(self, partition, record, *, source=None):
+        """Fold one record into the state of its program.
+
+        Parameters
+        ----------
+        partition : int
+            Partition of the program.
+        record : object
+            Instance of a class of `generated_records`.
+        source : CallSource, optional
+            Where the record stands in a journal.
+        """
         programs = self._partitions[partition]
-        self._fold(record, programs)
+        self._fold(record, programs, source)
         program = programs.get(record.program)
         if program is None:
             return
@@ -156,11 +176,11 @@
         programs.pop(key, None)
 
     @singledispatchmethod
-    def _fold(self, record, programs):
+    def _fold(self, record, programs, source):
         raise TypeError(f"{type(record).__name__} is not a program record")
 
     @_fold.register
-    def _(self, record: ProgramOpened, programs):
+    def _(self, record: ProgramOpened, programs, source):
         if record.program in programs:
             return
         program = Program(record.program, record.root, record.opened_at)
@@ -170,19 +190,19 @@
         programs[record.program] = program
 
     @_fold.register
-    def _(self, record: ProgramLinked, programs):
+    def _(self, record: ProgramLinked, programs, source):
         program = Program(record.program, record.root, 0.0)
         program.link = True
         programs[record.program] = program
 
     @_fold.register
-    def _(self, record: CallReserved, programs):
+    def _(self, record: CallReserved, programs, source):
         program = programs[record.program]
         _add_call(program, record)
         _spend(programs, program, tokens=record.tokens, calls=1)
 
     @_fold.register
-    def _(self, record: CallCompleted, programs):
+    def _(self, record: CallCompleted, programs, source):
         program = programs[record.program]
         if record.sequence not in program.calls:
             _add_call(program, record)
@@ -195,13 +215,16 @@
         call.status = record.status
         call.request = record.request
         call.answer = record.answer
+        call.source = source
 
     @_fold.register
-    def _(self, record: CallAbandoned, programs):
+    def _(self, record: CallAbandoned, programs, source):
         program = programs.get(record.program)
         call = program.calls.get(record.sequence) if program else None
         if call is None:
             return
+        if call.state == CALL_COMPLETED:
+            return
         assert call.state == CALL_RESERVED, f"call {record.sequence} is {call.state}"
         if record.executed == EXECUTED_NO:
             _spend(programs, program, tokens=-call.tokens, calls=-1)
@@ -212,29 +235,36 @@
         program.sequences_by_key.pop(call.idempotency_key, None)
 
     @_fold.register
-    def _(self, record: ProgramEnded, programs):
+    def _(self, record: ProgramEnded, programs, source):
         program = programs.get(record.program)
         if program is not None:
             program.ended = program.ended or record.reason
 
     @_fold.register
-    def _(self, record: ProgramSnapshot, programs):
+    def _(self, record: ProgramSnapshot, programs, source):
         program = Program(record.program, record.root, record.opened_at)
         program.budget_tokens = record.budget_tokens
         program.budget_calls = record.budget_calls
         program.budget_seconds = record.budget_seconds
         program.spent_tokens = record.spent_tokens
         program.spent_calls = record.spent_calls
-        program.ended = record.ended
+        earlier = programs.get(record.program)
+        program.ended = record.ended or (earlier.ended if earlier else "")
         program.link = record.link
         for item in record.calls:
-            program.calls[item.sequence] = Call(**vars(item))
+            call = Call(**vars(item))
+            if call.answer:
+                call.source = source
+            program.calls[item.sequence] = call
             _index_key(program, item)
         programs[record.program] = program
 
     def snapshot(self, partition):
-        """Return a `ProgramSnapshot` of each program of a partition."""
-        return [_take_snapshot(program) for program in self.each(partition)]
+        """Return a `ProgramSnapshot` of each program of a partition.
+
+        Texts that stand in a journal are left out.
+        """
+        return [take_snapshot(program) for program in self.each(partition)]
 
     def finish_recovery(self, partition, *, tail_uncertain=False):
         """Settle what earlier owners left open, after all records were folded.
@@ -326,12 +356,16 @@
         assert payer.spent_tokens >= 0, f"{key} spent {payer.spent_tokens} tokens"
 
 
-def _take_call(call):
-    names = (field.name for field in dataclasses.fields(SnapshotCall))
-    return SnapshotCall(**{name: getattr(call, name) for name in names})
-
+def take_snapshot(program, *, with_texts=False):
+    """Return the whole state of a program.
 
-def _take_snapshot(program):
+    Parameters
+    ----------
+    program : Program
+        With all its texts loaded, if they are wanted.
+    with_texts : bool, optional
+        Whether texts that stand in a journal are repeated.
+    """
     return ProgramSnapshot(
         program=program.key,
         root=program.root,
@@ -343,5 +377,16 @@
         spent_calls=program.spent_calls,
         ended=program.ended,
         link=program.link,
-        calls=[_take_call(call) for call in program.calls.values()],
+        calls=[_take_call(call, with_texts) for call in program.calls.values()],
     )
+
+
+def _take_call(call, with_texts):
+    names = (field.name for field in dataclasses.fields(SnapshotCall))
+    item = SnapshotCall(**{name: getattr(call, name) for name in names})
+    if with_texts:
+        assert call.is_loaded, f"call {call.sequence} is not loaded"
+        item.source = None
+    elif item.source is not None:
+        item.request = item.answer = ""
+    return item
--- a/sapphireyard/records.py
+++ b/sapphireyard/records.py
@@ -58,12 +58,15 @@
         Version of the assignment under which it was written.
     record : object
         Instance of a class of `sapphireyard.generated_records`.
+    first : int
+        Number of the segment in which the record begins.
     """
 
     number: int
     partition: int
     epoch: int
     record: object
+    first: int
 
 
 def pack_record(record, *, partition, epoch=0):
@@ -104,13 +107,15 @@
     ]
 
 
-def pack_segment(*, host, incarnation, number, token, records, seal=""):
+def pack_segment(*, host, incarnation, number, token, records, seal="", written_at=0.0):
     """Return the stored form of a segment.
 
     Parameters
     ----------
     records : sequence of bytes
         Packed records, in order.
+    written_at : float, optional
+        Wall-clock seconds.
     """
     packer = msgpack.Packer(autoreset=False)
     fields = {
@@ -119,6 +124,7 @@
         "number": number,
         "token": token,
         "seal": seal,
+        "written_at": written_at,
     }
     packer.pack_map_header(len(fields) + 1)
     for name, value in fields.items():
@@ -182,29 +188,34 @@
         """
         placed = []
         for encoded in segment.records:
+            first = segment.number
             if partitions is not None and encoded.partition not in partitions:
                 continue
             if encoded.kind == RecordPart.__name__:
-                encoded = self._join(decode_record(encoded))
+                encoded, first = self._join(decode_record(encoded), segment.number)
             if encoded is None:
                 continue
             record = decode_record(encoded)
             placed.append(
-                PlacedRecord(segment.number, encoded.partition, encoded.epoch, record)
+                PlacedRecord(
+                    segment.number, encoded.partition, encoded.epoch, record, first
+                )
             )
         return placed
 
-    def _join(self, part):
+    def _join(self, part, number):
+        """Return a joined record and the number of its first segment."""
         if part.index > 0 and part.token not in self._pieces:
-            return None  # began before the first segment fed
-        pieces = self._pieces.setdefault(part.token, [])
+            return None, 0  # began before the first segment fed
+        first, pieces = self._pieces.setdefault(part.token, (number, []))
         if part.index != len(pieces):
             raise RecordError(f"piece {part.index} of record {part.token} is astray")
         pieces.append(part.data)
         if len(pieces) < part.count:
-            return None
-        packed = b"".join(self._pieces.pop(part.token))
-        return _find_adapter("EncodedRecord").validate_python(msgpack.unpackb(packed))
+            return None, 0
+        del self._pieces[part.token]
+        fields = msgpack.unpackb(b"".join(pieces))
+        return _find_adapter("EncodedRecord").validate_python(fields), first
 
 
 def _strip_defaults(instance):
@@ -216,7 +227,7 @@
             continue
         if isinstance(value, list):
             value = [_strip_item(item) for item in value]
-        fields[field.name] = value
+        fields[field.name] = _strip_item(value)
     return fields
 
 
--- a/sapphireyard/recovery.py
+++ b/sapphireyard/recovery.py
@@ -11,6 +11,7 @@
 
 from sapphireyard.assignment import plan_takeover
 from sapphireyard.exceptions import CallError, PeerError, StoreConflict
+from sapphireyard.generated_records import CallSource
 from sapphireyard.generated_replication import CollectTails
 from sapphireyard.journal import JournalRange, name_segment, read_range
 from sapphireyard.members import MemberObjects
@@ -190,8 +191,9 @@
             self.yard.programs.drop(partition)
             for source in entry.sources:
                 placed = records[source.host, source.incarnation].get(partition, ())
-                for record in select_records(source, placed):
-                    self.yard.programs.apply(partition, record)
+                for item in select_records(source, placed):
+                    place = CallSource(*source[:2], item.first, item.number)
+                    self.yard.programs.apply(partition, item.record, source=place)
             await self._settle(partition, entry)
             yield partition
 
@@ -274,12 +276,12 @@
 
 
 def select_records(source, placed):
-    """Yield the records of one partition that belong to a source."""
+    """Yield the `PlacedRecord` items of one partition that belong to a source."""
     for item in placed:
         if not source.first <= item.number <= source.last:
             continue
         if source.epoch in (0, item.epoch):
-            yield item.record
+            yield item
 
 
 def _group_sources(assignment, partitions):
--- a/sapphireyard/reservations.py
+++ b/sapphireyard/reservations.py
@@ -14,6 +14,7 @@
     CallAbandoned,
     CallCompleted,
     CallReserved,
+    CallSource,
 )
 
 STORE_RETRY_SECONDS = 2.0
@@ -103,8 +104,9 @@
         run = execution.run
         if execution.is_kept:
             record = self._build_completion(execution, answer, reserved_tokens)
-            await self._commit_answer(execution, record)
-            self._yard.programs.apply(execution.partition, record)
+            position = await self._commit_answer(execution, record)
+            place = CallSource(*position)
+            self._yard.programs.apply(execution.partition, record, source=place)
         run.finish(answer.status, answer.body, answer.last_chunks)
 
     async def abandon(self, execution, error):
@@ -144,18 +146,18 @@
     async def _write(self, records, execution, *, needs_store=False):
         clock = self._yard.clock
         started = clock.monotonic()
-        await self._yard.journal.commit(
+        position = await self._yard.journal.commit(
             records, partition=execution.partition, needs_store=needs_store
         )
         self._yard.metrics.record("commit_duration", clock.monotonic() - started)
+        return position
 
     async def _commit_answer(self, execution, record):
         program = execution.program
         records = [program.opening, record] if program.opening else [record]
         execution.journalled = True
         try:
-            await self._write(records, execution)
-            program.opening = None
+            position = await self._write(records, execution)
         except StoreUnavailable as error:
             await self.abandon(execution, error)
             raise CallError(
@@ -164,3 +166,5 @@
                 executed=EXECUTED_YES,
                 retry_after=STORE_RETRY_SECONDS,
             ) from error
+        program.opening = None
+        return position
--- /dev/null
+++ b/sapphireyard/texts.py
@@ -0,0 +1,239 @@
+"""Texts of histories: loaded when a call needs them, dropped when memory is short.
+
+The state of a program is small; its texts are not. Texts stand in journal
+segments, which never change, and each call knows where. A program whose texts
+lie in many segments gets them written together before they are dropped, so
+that a later load reads few objects.
+"""
+
+import asyncio
+import logging
+from collections import OrderedDict
+
+import mode
+
+from sapphireyard.exceptions import (
+    CallError,
+    JournalSealed,
+    RecordError,
+    StoreUnavailable,
+)
+from sapphireyard.generated_records import (
+    CallCompleted,
+    CallSource,
+    ProgramSnapshot,
+)
+from sapphireyard.journal import JournalRange, read_range
+from sapphireyard.programs import take_snapshot
+from sapphireyard.records import RecordAssembler
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 1.0
+IDLE_SECONDS = 60.0
+"""Seconds without a call after which a program's texts are dropped."""
+
+SCATTERED_SEGMENTS = 8
+"""Segments from which on a program's texts are written together."""
+
+EVICTIONS = 64
+"""Most programs that are looked at in one tick."""
+
+READS = 16
+"""Programs' texts that are loaded at a time."""
+
+RETRY_SECONDS = 2.0
+
+
+class TextCache:
+    """Decides whose texts are dropped: those of the longest idle programs.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Texts kept in memory.
+    idle_seconds : float, optional
+        Seconds after which a program's texts are dropped anyway.
+    """
+
+    def __init__(self, limit_bytes, *, idle_seconds=IDLE_SECONDS):
+        self._limit = limit_bytes
+        self._idle_seconds = idle_seconds
+        self._entries = OrderedDict()
+        self._bytes = 0
+
+    def __len__(self):
+        return len(self._entries)
+
+    @property
+    def bytes(self):
+        """int: Characters of text in memory."""
+        return self._bytes
+
+    def touch(self, partition, key, size, now):
+        """Note that a program was used and how much text it holds."""
+        self.forget(partition, key)
+        if not size:
+            return
+        self._entries[partition, key] = (size, now)
+        self._bytes += size
+
+    def forget(self, partition, key):
+        """Note that a program holds no text any more."""
+        size, _ = self._entries.pop((partition, key), (0, 0.0))
+        self._bytes -= size
+
+    def find_due(self, now, *, most=EVICTIONS):
+        """Return (partition, key) of programs to drop, the longest idle first."""
+        due = []
+        left = self._bytes
+        for place, (size, touched_at) in self._entries.items():
+            idle = now - touched_at >= self._idle_seconds
+            if not idle and left <= self._limit or len(due) >= most:
+                break
+            due.append(place)
+            left -= size
+        return due
+
+
+class TextService(mode.Service):
+    """Loads and drops the texts of programs owned here.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._reads = asyncio.Semaphore(READS)
+        self.cache = TextCache(yard.settings.text_bytes)
+        yard.programs.on_change(self._touch)
+
+    def _touch(self, partition, program):
+        now = self._yard.clock.monotonic()
+        self.cache.touch(partition, program.key, program.text_bytes, now)
+
+    async def load(self, partition, program):
+        """Have all texts of a program in memory.
+
+        They stay as long as the program runs a call; otherwise use them
+        before the next await.
+
+        Raises
+        ------
+        CallError
+            ``history_unavailable``: they cannot be read now.
+        """
+        while not program.is_loaded:
+            async with self._reads:
+                await self._read(program)
+        self._touch(partition, program)
+
+    async def _read(self, program):
+        missing = {}
+        for call in program.calls.values():
+            if not call.is_loaded:
+                place = call.source
+                key = (place.host, place.incarnation, place.first, place.last)
+                missing.setdefault(key, []).append(call)
+        try:
+            for place, calls in missing.items():
+                await self._read_range(JournalRange(*place), program, calls)
+        except (StoreUnavailable, RecordError) as error:
+            raise CallError(
+                "history_unavailable",
+                "the program's history cannot be read now",
+                retry_after=RETRY_SECONDS,
+            ) from error
+
+    async def _read_range(self, span, program, calls):
+        found = {}
+        assembler = RecordAssembler()
+        async for segment in read_range(self._yard.store, span):
+            for placed in assembler.feed(segment):
+                found.update(_find_texts(placed.record, program.key))
+        for call in calls:
+            texts = found.get((call.sequence, call.digest))
+            if texts is None:
+                raise RecordError(f"call {call.sequence} is not in {span}")
+            call.request, call.answer = texts
+
+    @mode.Service.task
+    async def _evict_steadily(self):
+        while not self.should_stop:
+            await self.sleep(TICK_SECONDS)
+            for partition, key in self.cache.find_due(self._yard.clock.monotonic()):
+                await self._evict(partition, key)
+
+    async def _evict(self, partition, key):
+        program = self._yard.programs.get(partition, key)
+        if program is None:
+            self.cache.forget(partition, key)
+            return
+        if not self._may_evict(partition, program):
+            self._touch(partition, program)
+            return
+        try:
+            await self._gather(partition, program)
+        except (StoreUnavailable, JournalSealed, CallError) as error:
+            logger.info("texts of %s stay: %s", key, error)
+            self._touch(partition, program)
+            return
+        if not self._may_evict(partition, program):
+            self._touch(partition, program)
+            return
+        for call in program.calls.values():
+            if call.is_loaded and call.source is not None:
+                call.unload()
+        self.cache.forget(partition, key)
+
+    def _may_evict(self, partition, program):
+        if program.running is not None or self._yard.programs.is_held(partition):
+            return False
+        if self._yard.programs.get(partition, program.key) is not program:
+            return False
+        return all(map(self._is_stored, program.calls.values()))
+
+    def _is_stored(self, call):
+        """Return whether the store has a call's texts for certain."""
+        place = call.source
+        if place is None:
+            return True
+        own = (self._yard.host, self._yard.incarnation)
+        if (place.host, place.incarnation) != own:
+            return True
+        return place.last <= self._yard.journal.stored_number
+
+    async def _gather(self, partition, program):
+        """Write scattered texts together; the calls then stand at one place."""
+        calls = list(program.calls.values())
+        places = {(c.source.host, c.source.last) for c in calls if c.source}
+        if len(places) < SCATTERED_SEGMENTS or not program.is_loaded:
+            return
+        position = await self._yard.journal.commit(
+            [take_snapshot(program, with_texts=True)],
+            partition=partition,
+            needs_store=True,
+        )
+        for call in calls:
+            if call.answer:
+                call.source = CallSource(*position)
+
+
+def _find_texts(record, key):
+    """Return texts by (sequence, digest) that a record has of program `key`."""
+    if record.program != key:
+        return {}
+    if isinstance(record, CallCompleted):
+        texts = (record.request, record.answer)
+        return {(record.sequence, record.digest): texts}
+    if isinstance(record, ProgramSnapshot):
+        return {
+            (call.sequence, call.digest): (call.request, call.answer)
+            for call in record.calls
+            if call.answer
+        }
+    return {}
--- a/sapphireyard/yard.py
+++ b/sapphireyard/yard.py
@@ -48,6 +48,10 @@
         Carries calls on their owner.
     lifetimes : LifetimeService
         Ends idle and endless programs.
+    texts : TextService
+        Texts of histories in memory.
+    collector : CollectorService
+        Deletes journal segments that nothing needs.
     metrics : Metrics
         Instruments of the running path.
     gateway : Gateway
@@ -72,6 +76,8 @@
         self.upstreams = None
         self.dispatcher = None
         self.lifetimes = None
+        self.texts = None
+        self.collector = None
         self.metrics = None
         self.gateway = None
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -91,7 +91,7 @@
     def __init__(self):
         self.numbers = defaultdict(list)
 
-    def apply(self, partition, record):
+    def apply(self, partition, record, *, source=None):
         if isinstance(record, ProgramSnapshot):
             self.numbers[partition] = json.loads(record.ended)
             return
--- /dev/null
+++ b/tests/test_collector.py
@@ -0,0 +1,116 @@
+"""Tests of the deletion of journal segments."""
+
+import unittest
+from types import SimpleNamespace
+
+from sapphireyard.collector import (
+    CollectorService,
+    choose_candidates,
+    find_needed,
+    parse_segment,
+)
+from sapphireyard.journal import name_segment
+from standins.memory import MemoryStore
+from tests.fleet import run_fleet
+from tests.test_ownership import open_programs
+
+LONG_SECONDS = 10 * 86400.0
+
+
+def names(host, incarnation, first, last):
+    return [name_segment(host, incarnation, n) for n in range(first, last + 1)]
+
+
+class CandidatesTest(unittest.TestCase):
+    CASES = [
+        ("needed from 3 on", {("a", 1): 3}, names("a", 1, 1, 5), [1, 2]),
+        ("needed whole", {("a", 1): 1}, names("a", 1, 1, 5), []),
+        ("not needed: the newest stays", {}, names("a", 1, 1, 5), [1, 2, 3, 4]),
+        ("a single segment stays", {}, names("a", 1, 7, 7), []),
+        ("strange names", {}, ["journal/a/x/1", "journal/a"], []),
+    ]
+
+    def test_candidates(self):
+        for name, needed, listed, expected in self.CASES:
+            with self.subTest(name):
+                chosen = choose_candidates(listed, needed)
+                numbers = [parse_segment(each).number for each in chosen]
+                self.assertEqual(numbers, expected)
+
+    def test_newest_of_each_journal_stays(self):
+        listed = sorted([*names("a", 1, 1, 2), *names("a", 10, 1, 2)])
+        self.assertEqual(
+            choose_candidates(listed, {}),
+            [name_segment("a", 1, 1), name_segment("a", 10, 1)],
+        )
+
+
+class SweepTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+
+    def build(self, yard, **options):
+        yard.configuration = SimpleNamespace(current=None)
+        return CollectorService(yard, **options)
+
+    def stored(self):
+        listed = [each.name for each in self.store.objects]
+        return [name for name in listed if name.startswith("journal/")]
+
+    async def sweep(self, yard, page=50):
+        collector = self.build(yard, page=page)
+        for _ in range(20):
+            await collector.sweep_page()
+
+    async def test_young_segments_stay(self):
+        async with run_fleet(self.store, "a") as fleet:
+            await open_programs(fleet)
+            before = self.stored()
+            await self.sweep(fleet.yards["a"])
+            self.assertEqual(self.stored(), before)
+
+    async def test_old_segments_go_and_programs_stay(self):
+        for page in (2, 3, 50):
+            with self.subTest(page=page):
+                self.setUp()
+                async with run_fleet(self.store, "a") as fleet:
+                    keys = await open_programs(fleet)
+                    await fleet.add("b")
+                    await fleet.settle()
+                    await fleet.kill("a")
+                    await fleet.expire("a", by="b")
+                    await fleet.spread()
+                    survivor = fleet.yards["b"]
+                    await survivor.ownership._mover.move(
+                        survivor.ownership.owned, "b", quiesce_seconds=1
+                    )
+                    survivor.clock.now += LONG_SECONDS
+                    before = self.stored()
+                    await self.sweep(survivor, page)
+                    self.assertLess(len(self.stored()), len(before))
+                    await fleet.kill("b")
+                    await fleet.add("c")
+                    await fleet.expire("b", by="c")
+                    await fleet.spread()
+                    heir = fleet.yards["c"]
+                    for key in keys:
+                        partition = heir.ownership.locate(key).partition
+                        self.assertIsNotNone(heir.programs.get(partition, key))
+
+    async def test_seal_of_a_dead_journal_stays(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            await open_programs(fleet)
+            paused = fleet.pause("a")
+            await fleet.expire("a", by="b")
+            await fleet.spread()
+            survivor = fleet.yards["b"]
+            survivor.clock.now += LONG_SECONDS
+            last = max(name for name in self.stored() if "/a/" in name)
+            await self.sweep(survivor)
+            self.assertIn(last, self.stored())
+            self.assertFalse(paused.journal.sealed)
+
+    async def test_needed_of_a_fresh_assignment(self):
+        async with run_fleet(self.store, "a") as fleet:
+            assignment = fleet.yards["a"].ownership.assignment
+            self.assertEqual(find_needed(assignment), {("a", 1): 1})
--- /dev/null
+++ b/tests/test_texts.py
@@ -0,0 +1,173 @@
+"""Tests of texts that are dropped from memory and read back."""
+
+import unittest
+
+from sapphireyard.exceptions import CallError
+from sapphireyard.generated_records import CallCompleted, CallSource, ProgramOpened
+from sapphireyard.texts import SCATTERED_SEGMENTS, TextCache, TextService
+from standins.memory import MemoryStore
+from tests.fleet import run_fleet
+
+KEY = "customer/program"
+FEW = SCATTERED_SEGMENTS - 1
+MANY = SCATTERED_SEGMENTS * 3
+
+
+class TextCacheTest(unittest.TestCase):
+    CASES = [
+        ("all fit", 100, 5.0, []),
+        ("too much text", 25, 5.0, ["a"]),
+        ("far too much", 0, 5.0, ["a", "b", "c"]),
+        ("the first is idle", 100, 10.0, ["a"]),
+        ("all are idle", 100, 60.0, ["a", "b", "c"]),
+    ]
+
+    def test_longest_idle_are_due_first(self):
+        for name, limit, now, expected in self.CASES:
+            with self.subTest(name):
+                cache = TextCache(limit, idle_seconds=10.0)
+                for at, key in enumerate("abc"):
+                    cache.touch(0, key, 10, float(at))
+                self.assertEqual([key for _, key in cache.find_due(now)], expected)
+
+    def test_bytes_are_counted_once(self):
+        cache = TextCache(100)
+        for size in (5, 7, 9):
+            cache.touch(0, "a", size, 0.0)
+        self.assertEqual(cache.bytes, 9)
+        cache.forget(0, "a")
+        cache.forget(0, "a")
+        self.assertEqual((cache.bytes, len(cache)), (0, 0))
+
+
+async def complete(yard, partition, sequence):
+    """Commit and apply one call, as the reservations do."""
+    record = CallCompleted(
+        program=KEY,
+        sequence=sequence,
+        digest=f"d{sequence}",
+        status=200,
+        request=f'{{"messages":[{{"role":"user","content":"q{sequence}"}}]}}',
+        answer=f'{{"choices":[{{"message":{{"content":"a{sequence}"}}}}]}}',
+        tokens=sequence,
+        route="guide",
+        repeatable=True,
+        is_model=True,
+    )
+    position = await yard.journal.commit([record], partition=partition)
+    yard.programs.apply(partition, record, source=CallSource(*position))
+    return record
+
+
+async def open_program(yard, calls):
+    """Open the program and complete some calls; return partition and records."""
+    yard.texts = TextService(yard)
+    partition = yard.ownership.locate(KEY).partition
+    opened = ProgramOpened(KEY, KEY, 1.0)
+    await yard.journal.commit([opened], partition=partition)
+    yard.programs.apply(partition, opened)
+    records = [await complete(yard, partition, n + 1) for n in range(calls)]
+    return partition, records
+
+
+class TextServiceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+
+    def check_texts(self, program, records):
+        for record in records:
+            call = program.calls[record.sequence]
+            self.assertEqual(call.request, record.request)
+            self.assertEqual(call.answer, record.answer)
+
+    async def test_dropped_texts_come_back(self):
+        for calls in (1, FEW, MANY):
+            with self.subTest(calls=calls):
+                self.setUp()
+                async with run_fleet(self.store, "a") as fleet:
+                    yard = fleet.yards["a"]
+                    partition, records = await open_program(yard, calls)
+                    program = yard.programs.get(partition, KEY)
+                    await yard.texts._evict(partition, KEY)
+                    self.assertEqual(program.text_bytes, 0)
+                    await yard.texts.load(partition, program)
+                    self.check_texts(program, records)
+
+    async def test_scattered_texts_are_written_together(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            partition, _ = await open_program(yard, MANY)
+            program = yard.programs.get(partition, KEY)
+            await yard.texts._evict(partition, KEY)
+            places = {call.source.last for call in program.calls.values()}
+            self.assertEqual(len(places), 1)
+            before = self.store.calls["get"]
+            await yard.texts.load(partition, program)
+            self.assertEqual(self.store.calls["get"] - before, 1)
+
+    async def test_successor_knows_the_program_and_reads_its_texts(self):
+        for evicted in (False, True):
+            with self.subTest(evicted=evicted):
+                self.setUp()
+                async with run_fleet(self.store, "ab") as fleet:
+                    await fleet.settle()
+                    owner = fleet.yards["a"].ownership.locate(KEY).host
+                    other = "b" if owner == "a" else "a"
+                    yard = fleet.yards[owner]
+                    partition, records = await open_program(yard, MANY)
+                    if evicted:
+                        await yard.texts._evict(partition, KEY)
+                    await fleet.kill(owner)
+                    await fleet.expire(owner, by=other)
+                    await fleet.spread()
+                    successor = fleet.yards[other]
+                    successor.texts = TextService(successor)
+                    program = successor.programs.get(partition, KEY)
+                    self.assertEqual(len(program.calls), MANY)
+                    await successor.texts.load(partition, program)
+                    self.check_texts(program, records)
+
+    async def test_snapshots_name_texts_and_do_not_repeat_them(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            partition, _ = await open_program(yard, FEW)
+            (snapshot,) = yard.programs.snapshot(partition)
+            self.assertEqual({call.answer for call in snapshot.calls}, {""})
+            self.assertNotIn(None, [call.source for call in snapshot.calls])
+
+    async def test_texts_stay_until_the_store_has_them(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            partition, _ = await open_program(yard, 2)
+            program = yard.programs.get(partition, KEY)
+            call = program.calls[2]
+            call.source.last = call.source.first = yard.journal.stored_number + 1
+            await yard.texts._evict(partition, KEY)
+            self.assertTrue(program.is_loaded)
+
+    async def test_running_program_keeps_its_texts(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            partition, _ = await open_program(yard, 2)
+            program = yard.programs.get(partition, KEY)
+            program.running = object()
+            await yard.texts._evict(partition, KEY)
+            self.assertTrue(program.is_loaded)
+
+    async def test_unreadable_texts_are_never_left_out(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            partition, _ = await open_program(yard, 2)
+            program = yard.programs.get(partition, KEY)
+            await yard.texts._evict(partition, KEY)
+            with self.store.outage():
+                await self.check_unavailable(yard, partition, program)
+            program.calls[1].source.first += 1
+            program.calls[1].source.last += 1
+            await self.check_unavailable(yard, partition, program)
+
+    async def check_unavailable(self, yard, partition, program):
+        with self.assertRaises(CallError) as caught:
+            await yard.texts.load(partition, program)
+        self.assertEqual(caught.exception.code, "history_unavailable")
+        self.assertEqual(caught.exception.executed, "no")
