--- a/bench/limits.py
+++ b/bench/limits.py
@@ -13,12 +13,10 @@
 import random
 import statistics
 import sys
-import time
-import tracemalloc
 from dataclasses import asdict, dataclass, field
 
+from bench.limit_costs import measure_slopes
 from sapphireyard.buckets import Rule
-from sapphireyard.generated_limits import TokenAsk
 from sapphireyard.holders import ShareHolder
 from sapphireyard.homes import HomeTracker, View, choose_home
 from sapphireyard.limits import RateHome
@@ -260,89 +258,6 @@
     return results
 
 
-@dataclass
-class Slope:
-    """Cost of one size."""
-
-    customers: int
-    holders: int
-    bytes_home: int = 0
-    bytes_holder: int = 0
-    microseconds_ask: float = 0.0
-    microseconds_acquire: float = 0.0
-    microseconds_choose: float = 0.0
-
-
-def measure_home(slope):
-    """Measure a home that serves every customer to every holder."""
-    hosts = [f"h{number}" for number in range(slope.holders)]
-    tracker = HomeTracker("h0")
-    home = RateHome(tracker)
-    home.change_view(View(1, {"h0": 1}, frozenset(["h0"])), 0.0)
-    rule = Rule(1000.0, 1000.0)
-    asks = 0
-    tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    started = time.perf_counter()
-    for number in (1, 2):
-        for customer in range(slope.customers):
-            for host in hosts[: max(1, 20_000 // slope.customers)]:
-                ask = TokenAsk(f"c{customer}", number, wanted=1)
-                home.ask(host, 1, ask, rule, 10.0 + number / 10, valid=True)
-                asks += 1
-        if number == 1:
-            slope.bytes_home = tracemalloc.get_traced_memory()[0] - before
-            tracemalloc.stop()
-            started, asks = time.perf_counter(), 0
-    slope.microseconds_ask = round(1e6 * (time.perf_counter() - started) / asks, 2)
-
-
-def measure_holder(slope):
-    """Measure a holder that admits calls of every customer."""
-    holder = ShareHolder()
-    rule = Rule(1000.0, 1000.0)
-    tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    for customer in range(slope.customers):
-        holder.acquire(f"c{customer}", rule, 0.0, deadline=5.0)
-    slope.bytes_holder = tracemalloc.get_traced_memory()[0] - before
-    tracemalloc.stop()
-    for ask in holder.poll(lambda _: rule, 0.0):
-        home = RateHome(HomeTracker("h0"))
-        home.change_view(View(1, {"h0": 1}, frozenset(["h0"])), -9.0)
-        grant = home.ask("h0", 1, ask, rule, 0.0, valid=True)
-        grant.tokens = 20
-        holder.answer(ask.customer, grant, rule, 0.0)
-    started = time.perf_counter()
-    calls = 0
-    for _ in range(max(1, min(15, 20_000 // slope.customers))):
-        for customer in range(slope.customers):
-            holder.acquire(f"c{customer}", rule, 0.1, deadline=5.0)
-            calls += 1
-    slope.microseconds_acquire = round(1e6 * (time.perf_counter() - started) / calls, 2)
-
-
-def measure_choice(slope):
-    """Measure the choice of a home that is not remembered."""
-    hosts = [f"h{number}" for number in range(slope.holders)]
-    started = time.perf_counter()
-    for customer in range(200):
-        choose_home(f"c{customer}", hosts)
-    slope.microseconds_choose = round(1e6 * (time.perf_counter() - started) / 200, 2)
-
-
-def measure_slopes():
-    """Return the cost at several sizes."""
-    slopes = []
-    for customers, holders in ((8, 8), (100, 8), (1300, 8), (8, 100), (8, 410)):
-        slope = Slope(customers, holders)
-        measure_home(slope)
-        measure_holder(slope)
-        measure_choice(slope)
-        slopes.append(slope)
-    return slopes
-
-
 @dataclass
 class Report:
     """One run of the measurement."""
--- a/sapphireyard/homes.py
+++ b/sapphireyard/homes.py
@@ -95,7 +95,8 @@
         if view.version <= self._view.version:
             return False
         old, self._view = self._view, view
-        self._choices.clear()
+        if view.active != old.active:
+            self._choices.clear()
         incarnation = view.members.get(self._host)
         restarted = old.members.get(self._host) != incarnation
         if restarted:
