--- a/sapphireyard/suspicion.py
+++ b/sapphireyard/suspicion.py
@@ -5,7 +5,6 @@
 an upstream that crashes again is quarantined.
 """
 
-import json
 from collections import OrderedDict
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -20,21 +19,22 @@
 DIGEST_BYTES = 16
 
 
-def digest_request(route, body):
-    """Return the digest of a request's content, as hexadecimal text.
+def digest_chain(digests):
+    """Return the digest of a request and the turns before it, as hex text.
 
     The customer is left out: a content that crashes upstreams does so whoever
     sends it, and each customer that repeats it would crash two more. Nobody
     can quarantine another's request except by sending what crashes upstreams.
+    Answers are left out too, because they differ when a program is repeated.
 
     Parameters
     ----------
-    route : str
-        Name of the route.
-    body : dict
-        What the upstream is sent, with the history of the program.
+    digests : list of str
+        Digests of the route and body of each turn, the request's own last.
     """
-    text = json.dumps([route, body], sort_keys=True, separators=(",", ":"))
+    if len(digests) == 1:
+        return digests[0]
+    text = "\n".join(digests)
     return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
