Load and send just what changed of the configuration

Change: rows are built once for each part; peers send the difference of two manifests, checked by a digest, and the whole one when it does not fit; digests of parts have 16 bytes in base64; the choice of peers has its module. Keys are found by their salted digest without a table built for each version.

--- a/sapphireyard/configuration.py
+++ b/sapphireyard/configuration.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 
 import mode
 
 from sapphireyard import generated_configuration
-from sapphireyard._hashing import hash_text
+from sapphireyard.configuration_sources import ConfigurationSources
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
@@ -33,10 +34,12 @@
 from sapphireyard.manifests import (
     MANIFEST_NAME,
     ManifestRepository,
+    PartCache,
     decode_manifest,
+    diff_manifests,
     digest_text,
     encode_manifest,
-    load_configuration,
+    patch_manifest,
 )
 
 logger = logging.getLogger(__name__)
@@ -53,8 +56,8 @@
 ASK_SECONDS = 1.0
 """Longest wait for a peer's answer."""
 
-FIRST_PEERS = 16
-"""Peers asked at once by a host that has no version yet."""
+RECENT_VERSIONS = 32
+"""Versions from which a peer is told just the change."""
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -75,22 +78,25 @@
     def __init__(self, yard, *, watchers_per_domain=2, poll_seconds=POLL_SECONDS):
         super().__init__()
         self._yard = yard
-        self._watchers_per_domain = watchers_per_domain
+        self._sources = ConfigurationSources(
+            yard, watchers_per_domain=watchers_per_domain
+        )
         self._poll_seconds = poll_seconds
         self._bound = yard.settings.withdrawal_seconds
         self._repository = ManifestRepository(yard.store)
         self._freshness = Freshness(self._bound)
         self._current = None
         self._manifest = None
-        self._keys = KeyRing((), "")
-        self._parts = {}
+        self._keys = KeyRing({}, "")
+        self._cache = PartCache()
+        self._recent = OrderedDict()
         self._callbacks = []
         self._installing = asyncio.Lock()
         self._loaded = asyncio.Event()
         self._revision = None
         self._store_version = 0
         self._asked = set()
-        self._turn = 0
+        self._needs_whole = False
         yard.peers.codec.register_module(generated_configuration)
         yard.peers.register(ConfigurationQuery, self._answer_query)
         yard.peers.register(ConfigurationNotice, self._take_notice)
@@ -132,7 +138,7 @@
         """
         now = self._now()
         self._freshness.hear_domain(self._yard.settings.failure_domain, now)
-        if self._freshness.is_fresh(now, self._domains()):
+        if self._freshness.is_fresh(now, self._sources.domains()):
             return
         raise CallError(
             "configuration_stale",
@@ -154,7 +160,7 @@
     async def _follow_store(self):
         while not self.should_stop:
             try:
-                if self._is_watcher():
+                if self._sources.is_watcher():
                     await self._watch_store()
                     continue
                 if self._needs_news():
@@ -173,8 +179,15 @@
     @mode.Service.task
     async def _follow_peers(self):
         while not self.should_stop:
-            if not self._is_watcher() or self._needs_news():
-                await asyncio.gather(*map(self._ask, self._choose_peers()))
+            if not self._sources.is_watcher() or self._needs_news():
+                await asyncio.gather(
+                    *map(
+                        self._ask,
+                        self._sources.choose_peers(
+                            first=self._current is None, needs_news=self._needs_news()
+                        ),
+                    )
+                )
             await self.sleep(self._poll_seconds)
 
     def _now(self):
@@ -229,14 +242,14 @@
         try:
             asked_at = self._now()
             answer = await self._yard.peers.ask(
-                host, ConfigurationQuery(version=self.version), timeout=ASK_SECONDS
+                host, ConfigurationQuery(self._version_to_name()), timeout=ASK_SECONDS
             )
             self._freshness.hear(answer.version)
-            member = self._members().get(host)
+            member = self._sources.members().get(host)
             if member is not None:
                 self._freshness.hear_domain(member.failure_domain, asked_at)
-            if answer.manifest:
-                manifest = decode_manifest(answer.manifest)
+            manifest = self._read_answer(answer)
+            if manifest is not None:
                 await self._install(manifest, source=host)
             self._freshness.confirm(
                 answer.version, asked_at=asked_at, age=answer.age_seconds
@@ -248,6 +261,22 @@
         finally:
             self._asked.discard(host)
 
+    def _version_to_name(self):
+        """Return the version to ask with; 0 asks for the whole manifest."""
+        return 0 if self._needs_whole else self.version
+
+    def _read_answer(self, answer):
+        """Return the manifest of an answer, or None when it has none."""
+        if answer.manifest:
+            self._needs_whole = False
+            return decode_manifest(answer.manifest)
+        if not answer.delta:
+            return None
+        self._needs_whole = True
+        manifest = patch_manifest(self._manifest, answer.delta)
+        self._needs_whole = False
+        return manifest
+
     async def _install(self, manifest, *, source):
         """Put a version in force if it is newer; return whether it was."""
         async with self._installing:
@@ -257,12 +286,13 @@
             async def fetch(digest):
                 return await self._fetch_part(digest, source)
 
-            configuration = await load_configuration(manifest, fetch)
+            configuration = await self._cache.load(manifest, fetch)
             self._freshness.install(manifest.version)
             self._manifest = manifest
             self._current = configuration
-            self._keys = KeyRing(configuration.keys.values(), configuration.salt)
-            self._forget_old_parts()
+            self._keys = KeyRing(configuration.keys, configuration.salt)
+            self._cache.keep_only(manifest)
+            self._remember(manifest)
         logger.info(
             "configuration %d is in force",
             manifest.version,
@@ -274,13 +304,11 @@
         return True
 
     async def _fetch_part(self, digest, source):
-        text = self._parts.get(digest, "")
-        if not text and source != "store":
+        if source != "store":
             text = await self._fetch_from_peer(digest, source)
-        if not text:
-            text = await self._repository.fetch(digest)
-        self._parts[digest] = text
-        return text
+            if text:
+                return text
+        return await self._repository.fetch(digest)
 
     async def _fetch_from_peer(self, digest, host):
         try:
@@ -291,33 +319,33 @@
             return ""
         return answer.text if digest_text(answer.text) == digest else ""
 
-    def _forget_old_parts(self):
-        named = {
-            digest for digests in self._manifest.parts.values() for digest in digests
-        }
-        self._parts = {
-            digest: text for digest, text in self._parts.items() if digest in named
-        }
+    def _remember(self, manifest):
+        """Keep the last manifests, so that peers can be told what changed."""
+        self._recent[manifest.version] = manifest
+        while len(self._recent) > RECENT_VERSIONS:
+            self._recent.popitem(last=False)
 
     def _spread(self):
         """Tell the hosts of this failure domain of a new version."""
         notice = ConfigurationNotice(version=self.version)
-        for host in self._domain_hosts():
+        for host in self._sources.domain_hosts():
             if host != self._yard.host:
                 self._yard.peers.tell(host, notice)
 
     async def _answer_query(self, query, context):
-        text = ""
-        if self._manifest is not None and self.version > query.version:
-            text = encode_manifest(self._manifest)
         if query.version > self.version:
             self._pull(context.host, query.version)
-        return ConfigurationAnswer(
-            version=self.version, age_seconds=self.age_seconds, manifest=text
-        )
+        answer = ConfigurationAnswer(self.version, self.age_seconds)
+        if self.version > query.version:
+            base = self._recent.get(query.version)
+            if base is not None:
+                answer.delta = diff_manifests(base, self._manifest)
+            else:
+                answer.manifest = encode_manifest(self._manifest)
+        return answer
 
     async def _answer_part(self, query, context):
-        return PartAnswer(text=self._parts.get(query.digest, ""))
+        return PartAnswer(text=self._cache.text(query.digest))
 
     async def _take_notice(self, notice, context):
         self._pull(context.host, notice.version)
@@ -329,52 +357,3 @@
     def _pull(self, host, version):
         if self._freshness.hear(version) and host and host != self._yard.host:
             self.add_future(self._ask(host))
-
-    def _members(self):
-        ownership = self._yard.ownership
-        assignment = ownership.assignment if ownership is not None else None
-        return assignment.members if assignment is not None else {}
-
-    def _domains(self):
-        """Return the hosts of each failure domain."""
-        domains = {}
-        for host, member in self._members().items():
-            domains.setdefault(member.failure_domain, []).append(host)
-        return domains
-
-    def _domain_hosts(self):
-        return self._domains().get(self._yard.settings.failure_domain, [])
-
-    def _domain_watchers(self):
-        hosts = sorted(self._domain_hosts(), key=_rank_host)
-        return hosts[: self._watchers_per_domain]
-
-    def _is_watcher(self):
-        watchers = self._domain_watchers()
-        return not watchers or self._yard.host in watchers
-
-    def _choose_peers(self):
-        """Return the peers to ask now: watchers, and others when news is old."""
-        own = self._yard.host
-        others = sorted({*self._members(), *self._yard.peers.static_addresses} - {own})
-        if self._current is None:
-            self._turn += FIRST_PEERS
-            start = self._turn % max(1, len(others))
-            return (others[start:] + others[:start])[:FIRST_PEERS]
-        watchers = [host for host in self._domain_watchers() if host != own]
-        if not self._needs_news():
-            return watchers[:1]
-        self._turn += 1
-        return sorted({*watchers, *self._choose_far_peers()})
-
-    def _choose_far_peers(self):
-        """Return one host of each other failure domain, in turn."""
-        return [
-            hosts[self._turn % len(hosts)]
-            for domain, hosts in self._domains().items()
-            if domain != self._yard.settings.failure_domain
-        ]
-
-
-def _rank_host(host):
-    return hash_text(host), host
--- a/sapphireyard/generated_configuration.py
+++ b/sapphireyard/generated_configuration.py
@@ -75,6 +75,10 @@
     Age of the store's last confirmation that this version is the newest; negative when there was none.
     """
     manifest: str = ''
+    delta: str = ''
+    """
+    In place of the manifest
+    """
 
 
 @dataclass
--- a/sapphireyard/keys.py
+++ b/sapphireyard/keys.py
@@ -14,8 +14,6 @@
 KEY_BYTES = 24
 SALT_BYTES = 32
 DIGEST_BYTES = 32
-LOOKUP_CHARACTERS = 16
-"""Leading characters of a digest by which its entry is found."""
 
 
 @dataclass(frozen=True)
@@ -56,22 +54,22 @@
 
 
 class KeyRing:
-    """Finds the principal of a key in constant time.
+    """Finds the principal of a key.
+
+    The lookup goes by the salted digest, which nobody can choose without the
+    salt; the comparison takes constant time.
 
     Parameters
     ----------
-    entries : iterable of KeyEntry
-        The keys of one version of the configuration.
+    entries : dict
+        `KeyEntry` by digest, of one version of the configuration.
     salt : str
         Hex salt of their digests.
     """
 
     def __init__(self, entries, salt):
         self._salt = salt
-        self._entries = {}
-        for entry in entries:
-            start = entry.digest[:LOOKUP_CHARACTERS]
-            self._entries.setdefault(start, []).append(entry)
+        self._entries = entries
 
     def authenticate(self, key):
         """Return the `Principal` of a key.
@@ -92,11 +90,10 @@
         if not self._salt:
             return None
         digest = digest_key(key, self._salt)
-        found = None
-        for entry in self._entries.get(digest[:LOOKUP_CHARACTERS], ()):
-            if hmac.compare_digest(entry.digest, digest):
-                found = entry
-        return found
+        entry = self._entries.get(digest)
+        if entry is None or not hmac.compare_digest(entry.digest, digest):
+            return None
+        return entry
 
 
 def describe_key(entry):
--- a/sapphireyard/manifests.py
+++ b/sapphireyard/manifests.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import base64
 import hashlib
 import json
 from dataclasses import asdict
@@ -15,7 +16,7 @@
 from sapphireyard.exceptions import StoreConflict, StoreError, StoreUnavailable
 from sapphireyard.generated_configuration import Manifest
 from sapphireyard.keys import create_salt
-from sapphireyard.tables import build_configuration
+from sapphireyard.tables import NAME_FIELDS, Configuration, build_rows
 
 MANIFEST_NAME = "config/manifest"
 PART_PREFIX = "config/part/"
@@ -25,8 +26,7 @@
 PART_ROWS = 64
 """Rows that a part holds on average, at most."""
 
-DIGEST_BYTES = 20
-NAME_FIELDS = {"keys": "digest"}
+DIGEST_BYTES = 16
 WRITE_ATTEMPTS = 5
 RETRY_SECONDS = 0.2
 HISTORY_CHECKED = 50
@@ -41,7 +41,8 @@
 
 def digest_text(text):
     """Return the digest that names a part."""
-    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return base64.urlsafe_b64encode(digest).decode().rstrip("=")
 
 
 def encode_manifest(manifest):
@@ -77,18 +78,99 @@
     return [row for text in texts for row in json.loads(text)]
 
 
-async def load_configuration(manifest, fetch):
-    """Return the `Configuration` of a manifest.
+class PartCache:
+    """The parts of the version in force, with the rows built from them.
 
-    Parameters
-    ----------
-    manifest : Manifest
-        Names the parts.
-    fetch : callable
-        ``await fetch(digest)`` returns the text of a part.
+    A change of one row so costs one part, however large the tables are.
+    """
+
+    def __init__(self):
+        self._texts = {}
+        self._rows = {}
+
+    @property
+    def digests(self):
+        """set of str: The parts held."""
+        return set(self._texts)
+
+    def text(self, digest):
+        """Return the text of a part, empty when it is not held."""
+        return self._texts.get(digest, "")
+
+    async def load(self, manifest, fetch):
+        """Return the `Configuration` of a manifest.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            Names the parts.
+        fetch : callable
+            ``await fetch(digest)`` returns the text of a part.
+        """
+        tables = {}
+        for table in TABLES:
+            digests = manifest.parts.get(table, ())
+            missing = [digest for digest in digests if digest not in self._rows]
+            texts = await asyncio.gather(*map(fetch, missing))
+            for digest, text in zip(missing, texts, strict=True):
+                self._texts[digest] = text
+                self._rows[digest] = build_rows(table, json.loads(text))
+            rows = {}
+            for digest in digests:
+                rows.update(self._rows[digest])
+            tables[table] = rows
+        return Configuration(version=manifest.version, salt=manifest.salt, **tables)
+
+    def keep_only(self, manifest):
+        """Forget the parts that a manifest does not name."""
+        named = {digest for digests in manifest.parts.values() for digest in digests}
+        for digest in self.digests - named:
+            del self._texts[digest]
+            del self._rows[digest]
+
+
+def diff_manifests(old, new):
+    """Return the text from which `patch_manifest` makes `new` of `old`."""
+    delta = asdict(new)
+    del delta["salt"]
+    parts = {}
+    for table, digests in new.parts.items():
+        before = old.parts.get(table, [])
+        if len(before) != len(digests):
+            parts[table] = {"all": digests}
+            continue
+        pairs = enumerate(zip(before, digests, strict=True))
+        parts[table] = {str(n): after for n, (was, after) in pairs if was != after}
+    delta["parts"] = parts
+    delta["base"] = old.version
+    delta["digest"] = digest_text(encode_manifest(new))
+    return _dump(delta)
+
+
+def patch_manifest(old, text):
+    """Return the manifest that a `diff_manifests` text makes of `old`.
+
+    Raises
+    ------
+    ValueError
+        The text was made for another manifest.
     """
-    tables = await load_tables(manifest, fetch)
-    return build_configuration(manifest.version, manifest.salt, tables)
+    delta = json.loads(text)
+    if old is None or delta.pop("base") != old.version:
+        raise ValueError("the change is from another version")
+    digest = delta.pop("digest")
+    parts = {}
+    for table, changed in delta.pop("parts").items():
+        if "all" in changed:
+            parts[table] = changed["all"]
+            continue
+        parts[table] = list(old.parts.get(table, []))
+        for index, after in changed.items():
+            parts[table][int(index)] = after
+    new = Manifest(salt=old.salt, parts=parts, **delta)
+    if digest_text(encode_manifest(new)) != digest:
+        raise ValueError("the change does not lead to the manifest")
+    return new
 
 
 async def load_tables(manifest, fetch):
--- a/sapphireyard/tables.py
+++ b/sapphireyard/tables.py
@@ -1,9 +1,9 @@
 """The tables that operators write: rows, their joins and their inner form."""
 
-import dataclasses
 import ipaddress
 import math
 from dataclasses import dataclass, field
+from functools import partial
 
 from pydantic import ValidationError
 
@@ -13,6 +13,9 @@
 ROW_MODELS = {"routes": RouteRow, "pools": PoolRow, "customers": CustomerRow}
 """Model of the rows of each table that files may hold."""
 
+NAME_FIELDS = {"keys": "digest"}
+"""Field that names a row, for tables where it is not ``name``."""
+
 PUBLIC_CUSTOMER = "public"
 """Customer of calls without a key on open routes; not for tables."""
 
@@ -190,22 +193,19 @@
     tables : dict
         Lists of rows (plain data) by table: routes, pools, customers, keys.
     """
-    routes = [_build(Route, row) for row in tables.get("routes", ())]
-    pools = [_build_pool(row) for row in tables.get("pools", ())]
-    customers = [_build(Customer, row) for row in tables.get("customers", ())]
-    keys = [_build(KeyEntry, row) for row in tables.get("keys", ())]
-    return Configuration(
-        version=version,
-        salt=salt,
-        routes={row.name: row for row in routes},
-        pools={row.name: row for row in pools},
-        customers={row.name: row for row in customers},
-        keys={row.digest: row for row in keys},
-    )
+    built = {table: build_rows(table, tables.get(table, ())) for table in ROW_BUILDERS}
+    return Configuration(version=version, salt=salt, **built)
+
+
+def build_rows(table, rows):
+    """Return the inner form of a table's rows (plain data) by name."""
+    build = ROW_BUILDERS[table]
+    field = NAME_FIELDS.get(table, "name")
+    return {row[field]: build(row) for row in rows}
 
 
 def _build(row_class, row):
-    known = {entry.name for entry in dataclasses.fields(row_class)}
+    known = row_class.__dataclass_fields__
     values = {name: value for name, value in row.items() if name in known}
     for name, value in values.items():
         if isinstance(value, list):
@@ -222,6 +222,15 @@
     return _build(Pool, {**row, **parts})
 
 
+ROW_BUILDERS = {
+    "routes": partial(_build, Route),
+    "pools": _build_pool,
+    "customers": partial(_build, Customer),
+    "keys": partial(_build, KeyEntry),
+}
+"""What makes the inner form of a row, for each table."""
+
+
 def _check_fields(row):
     try:
         model = ROW_MODELS[row.table].model_validate(row.value)
