Let a planned stop end while callers keep coming

Change: answers of a leaving host close their connection, and once the addresses' time has run out the listener closes. Ruled out: calls waiting for a rate hold partitions back; they delay the hand over by seconds only.

--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -85,9 +85,10 @@
         logger.info("partitions handed over" if left else "partitions are left")
         forward_until = started + yard.settings.address_ttl_seconds
         while loop.time() < deadline:
-            busy = yard.gateway.open_requests or yard.dispatcher.running_calls
-            if not busy and (loop.time() >= forward_until or not self._has_others()):
-                return
+            if loop.time() >= forward_until or not self._has_others():
+                await yard.gateway.close_listener()
+                if not (yard.gateway.open_requests or yard.dispatcher.running_calls):
+                    return
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         logger.warning("%s requests are cut off", yard.gateway.open_requests)
 
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -75,14 +75,15 @@
         self._add_routes = add_routes
         self._runner = None
         self._site = None
+        self._address = ""
+        self._closed = False
         self._requests = {}
         self.draining = False
 
     @property
     def address(self):
         """str: IP:PORT on which callers are served."""
-        ip, port = self._site._server.sockets[0].getsockname()[:2]
-        return f"{ip}:{port}"
+        return self._address
 
     @property
     def open_requests(self):
@@ -95,6 +96,7 @@
         app = web.Application(
             client_max_size=settings.body_bytes, middlewares=[self._handle]
         )
+        app.on_response_prepare.append(self._send_away)
         app.router.add_get("/healthz", self._serve_health)
         app.router.add_get("/readyz", self._serve_ready)
         app.router.add_get("/v1/address", self._serve_address)
@@ -107,6 +109,11 @@
             add(app, self._yard)
         return app
 
+    async def _send_away(self, request, response):
+        """Let the caller of a leaving host connect anew, perhaps elsewhere."""
+        if self.draining:
+            response.force_close()
+
     async def listen(self):
         """Open the callers' socket."""
         settings = self._yard.settings
@@ -122,6 +129,16 @@
         ip, port = settings.caller_address.rsplit(":", 1)
         self._site = web.TCPSite(self._runner, ip, int(port))
         await self._site.start()
+        ip, port = self._runner.addresses[0][:2]
+        self._address = f"{ip}:{port}"
+
+    async def close_listener(self):
+        """Take no new connections; end the open ones after their requests."""
+        if self._closed:
+            return
+        self._closed = True
+        await self._site.stop()
+        self._runner.server.pre_shutdown()
 
     async def on_start(self):
         if self._site is None:
--- a/scripts/client.py
+++ b/scripts/client.py
@@ -155,8 +155,10 @@
                     return answer
                 total = time.monotonic() - started
                 return Reply(200, answer, self.sequence, first, total)
-        except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+        except aiohttp.ClientConnectorError as error:
             return {"code": "unreachable", "detail": str(error)}
+        except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+            return {"code": "cut", "detail": repr(error)}
 
     async def _read_stream(self, response, started):
         first = 0.0
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -39,6 +39,22 @@
             lines = self.site.read_log(name).splitlines()
             self.assertEqual([line for line in lines if "Traceback" in line], [], name)
 
+    async def wait_model_calls(self, number):
+        """Wait until the engines began `number` completions."""
+
+        async def began():
+            return await self.site.count_model_calls() >= number
+
+        await wait_until(began, f"{number} model calls began")
+
+    async def wait_bookings(self, number):
+        """Wait until the services carried out `number` requests."""
+
+        async def booked():
+            return (await self.site.count_bookings()).total() >= number
+
+        await wait_until(booked, f"{number} bookings")
+
     async def chat(self, client, text, *, max_tokens=16):
         """Run one turn and judge the answer by the whole history."""
         before = list(client.messages)
--- a/tests/test_process_owner.py
+++ b/tests/test_process_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from tests.process_site import ProcessTestCase, wait_until
+from tests.process_site import ProcessTestCase
 
 LONG_ANSWER_TOKENS = 80
 
@@ -15,18 +15,6 @@
         self.others = ["entry-0", "entry-2"]
         self.program = await self.site.choose_program(self.owner)
 
-    async def wait_model_calls(self, number):
-        async def began():
-            return await self.site.count_model_calls() >= number
-
-        await wait_until(began, f"{number} model calls began")
-
-    async def wait_bookings(self, number):
-        async def booked():
-            return (await self.site.count_bookings()).total() >= number
-
-        await wait_until(booked, f"{number} bookings")
-
     async def test_kill_during_stream_and_booking_and_second_kill(self):
         for name in self.site.services:
             await self.cluster.set_faults(name, hang="after", count=1)
--- /dev/null
+++ b/tests/test_process_stop.py
@@ -0,0 +1,42 @@
+"""A planned stop under load."""
+
+import asyncio
+import signal
+
+from tests.process_site import ProcessTestCase
+
+PROGRAMS = 8
+TURNS = 12
+
+
+class PlannedStopTest(ProcessTestCase):
+    async def run_turns(self, client):
+        for turn in range(TURNS):
+            await self.chat(client, f"turn {turn}", max_tokens=24)
+            if turn % 4 == 1:
+                answer = await self.book(client, f"{client.program} {turn}")
+                self.assertIn("confirmation", answer)
+
+    async def test_planned_stop_cuts_off_nothing(self):
+        entries = [*self.site.entries[1:], self.site.entries[0]]
+        clients = [
+            self.site.client(f"program-{number}", entries=entries)
+            for number in range(PROGRAMS)
+        ]
+        tasks = [asyncio.ensure_future(self.run_turns(client)) for client in clients]
+        await self.wait_model_calls(3 * PROGRAMS)
+        stopping = self.cluster["entry-1"]
+        stopping.send(signal.SIGTERM)
+        self.assertEqual(await stopping.stop(), 0)
+        still_running = [task for task in tasks if not task.done()]
+        self.assertTrue(still_running, "the load ended before the stop")
+        await asyncio.gather(*tasks)
+        refusals = [refusal for client in clients for refusal in client.refusals]
+        cut = [refusal for refusal in refusals if refusal["code"] != "unreachable"]
+        self.assertEqual(cut, [])
+        self.assertNotIn("cut off", self.site.read_log("entry-1"))
+        for client in clients:
+            await self.check_history(client)
+        counts = await self.site.count_bookings()
+        self.assertEqual(set(counts.values()), {1})
+        self.assertEqual(len(counts), PROGRAMS * 3)
