--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -188,6 +188,7 @@
     "not_allowed": 403,
     "route_unknown": 404,
     "program_unknown": 404,
+    "method_not_allowed": 405,
     "sequence_gap": 409,
     "sequence_conflict": 409,
     "outcome_unknown": 409,
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -54,6 +54,9 @@
 """Most times a call follows a moved program without a pause."""
 
 SHUTDOWN_SECONDS = 1.0
+HTTP_ERROR_CODES = {404: "route_unknown", 405: "method_not_allowed"}
+"""Codes for the errors of the HTTP library's router."""
+
 CLIENT_CLOSED_STATUS = 499
 """Status of an answer that nobody is there to read."""
 
@@ -167,11 +170,12 @@
             error = CallError("request_too_large", f"the limit is {limit} bytes")
             return build_problem_response(error)
         except web.HTTPException as error:
-            if error.status == 404:
-                return build_problem_response(
-                    CallError("route_unknown", f"no {request.method} {request.path}")
-                )
-            raise
+            code = HTTP_ERROR_CODES.get(error.status)
+            if code is None:
+                raise
+            return build_problem_response(
+                CallError(code, f"no {request.method} {request.path}")
+            )
         except asyncio.CancelledError as error:
             if error.args != ("key_withdrawn",):
                 raise
