--- a/sapphireyard/executions.py
+++ b/sapphireyard/executions.py
@@ -1,11 +1,13 @@
 """What is known of one call while its owner carries it out."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from sapphireyard.exceptions import EXECUTED_NO, EXECUTED_UNKNOWN, CallError
 from sapphireyard.generated_messages import ForwardCall
 from sapphireyard.programs import Program
 from sapphireyard.runs import Run
+from sapphireyard.suspicion import digest_chain
 from sapphireyard.tables import Route
 
 LOSS_RETRY_SECONDS = 1.0
@@ -64,6 +66,22 @@
         """str: What is known about an upstream having run the call."""
         return EXECUTED_UNKNOWN if self.sent else EXECUTED_NO
 
+    @cached_property
+    def content_digest(self):
+        """str: Digest of all that an upstream is sent, history included.
+
+        Short bodies are the same in many programs, so the body alone would not
+        tell the program that crashes upstreams from the others.
+        """
+        if self.route.kind != "model":
+            return self.run.digest
+        earlier = [
+            call.digest
+            for sequence, call in self.program.calls.items()
+            if call.is_model_turn and sequence < self.run.sequence
+        ]
+        return digest_chain([*earlier, self.run.digest])
+
     @property
     def is_kept(self):
         """bool: Whether the call is part of a durable program."""
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -31,6 +31,9 @@
 READ_AHEAD = 16
 """Segments of a range read at a time."""
 
+NUMBER_DIGITS = 10
+"""Digits of a segment's number in its name."""
+
 TOKEN_BYTES = 8
 """Random bytes of a token."""
 
@@ -66,7 +69,7 @@
 
 def name_segment(host, incarnation, number):
     """Return the name of a segment's object."""
-    return f"journal/{host}/{incarnation}/{number:010d}"
+    return f"journal/{host}/{incarnation}/{number:0{NUMBER_DIGITS}d}"
 
 
 class JournalService(Service):
@@ -238,7 +241,12 @@
             return
         writer.interval_seconds = self._find_interval()
         now = self.yard.clock.monotonic()
-        if writer.stage(now, token=secrets.token_hex(TOKEN_BYTES)) is not None:
+        segment = writer.stage(
+            now,
+            token=secrets.token_hex(TOKEN_BYTES),
+            written_at=self.yard.clock.wall(),
+        )
+        if segment is not None:
             self._flush.set()
         if writer.behind and not writer.sealed:
             await self._replicate(writer)
