--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -54,6 +54,9 @@
 """Most times a call follows a moved program without a pause."""
 
 SHUTDOWN_SECONDS = 1.0
+HTTP_ERROR_CODES = {404: "route_unknown", 405: "method_not_allowed"}
+"""Codes for the errors of the HTTP library's router."""
+
 CLIENT_CLOSED_STATUS = 499
 """Status of an answer that nobody is there to read."""
 
@@ -75,14 +78,15 @@
         self._add_routes = add_routes
         self._runner = None
         self._site = None
+        self._address = ""
+        self._closed = False
         self._requests = {}
         self.draining = False
 
     @property
     def address(self):
         """str: IP:PORT on which callers are served."""
-        ip, port = self._site._server.sockets[0].getsockname()[:2]
-        return f"{ip}:{port}"
+        return self._address
 
     @property
     def open_requests(self):
@@ -95,6 +99,7 @@
         app = web.Application(
             client_max_size=settings.body_bytes, middlewares=[self._handle]
         )
+        app.on_response_prepare.append(self._send_away)
         app.router.add_get("/healthz", self._serve_health)
         app.router.add_get("/readyz", self._serve_ready)
         app.router.add_get("/v1/address", self._serve_address)
@@ -107,6 +112,11 @@
             add(app, self._yard)
         return app
 
+    async def _send_away(self, request, response):
+        """Let the caller of a leaving host connect anew, perhaps elsewhere."""
+        if self.draining:
+            response.force_close()
+
     async def listen(self):
         """Open the callers' socket."""
         settings = self._yard.settings
@@ -122,6 +132,16 @@
         ip, port = settings.caller_address.rsplit(":", 1)
         self._site = web.TCPSite(self._runner, ip, int(port))
         await self._site.start()
+        ip, port = self._runner.addresses[0][:2]
+        self._address = f"{ip}:{port}"
+
+    async def close_listener(self):
+        """Take no new connections; end the open ones after their requests."""
+        if self._closed:
+            return
+        self._closed = True
+        await self._site.stop()
+        self._runner.server.pre_shutdown()
 
     async def on_start(self):
         if self._site is None:
@@ -150,11 +170,12 @@
             error = CallError("request_too_large", f"the limit is {limit} bytes")
             return build_problem_response(error)
         except web.HTTPException as error:
-            if error.status == 404:
-                return build_problem_response(
-                    CallError("route_unknown", f"no {request.method} {request.path}")
-                )
-            raise
+            code = HTTP_ERROR_CODES.get(error.status)
+            if code is None:
+                raise
+            return build_problem_response(
+                CallError(code, f"no {request.method} {request.path}")
+            )
         except asyncio.CancelledError as error:
             if error.args != ("key_withdrawn",):
                 raise
