--- a/sapphireyard/holders.py
+++ b/sapphireyard/holders.py
@@ -85,7 +85,7 @@
             return waiter
         wait = self._expect_wait(share, share.waiting + tokens, rule, now)
         if not self._may_enter(share, waiter, wait, now):
-            waiter.retry_after = wait
+            waiter.retry_after = max(wait, tokens / rule.rate)
             self._reschedule(customer, share, now)
             return waiter
         share.waiters.append(waiter)
@@ -236,7 +236,7 @@
                 position += waiter.tokens
                 staying.append(waiter)
                 continue
-            waiter.retry_after = wait
+            waiter.retry_after = max(wait, waiter.tokens / rule.rate)
             self._settled.append(waiter)
         share.waiters = staying
         share.waiting = position
