--- a/sapphireyard/control.py
+++ b/sapphireyard/control.py
@@ -122,7 +122,7 @@
             )
             logger.info(
                 "engine ordered",
-                extra={"decision": "order", "upstream": upstream.name, **body},
+                extra={"decision": "order", "upstream": upstream.name, "order": body},
             )
             await self._engines.send_order(
                 upstream.address, body, seconds=self._yard.settings.order_seconds
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -275,8 +275,10 @@
         self.live["h3"] = []
         await first.keep_lease()
         await second.keep_lease()
-        for control in (second, first):
-            await control.work(build_assignment())
+        with self.assertLogs("sapphireyard.control", "INFO") as logs:
+            for control in (second, first):
+                await control.work(build_assignment())
+        self.assertEqual(len([r for r in logs.records if r.decision == "order"]), 4)
         for fencing in ("check", "ignore"):
             self.assertEqual(self.models(fencing), {"new": "2"})
         await self.take_over(second)
