--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -53,7 +53,9 @@
         JournalSealed
             This host no longer owns the program.
         """
-        self._yard.quarantine.check(execution.run.digest)
+        self._yard.quarantine.check(execution.content_digest)
+        if execution.is_kept and execution.route.kind == "model":
+            await self._yard.texts.load(execution.partition, execution.program)
         answer_tokens, tokens = self._plan_tokens(execution)
         self._plan_seconds(execution)
         record = self._reservations.reserve(execution, tokens)
@@ -166,7 +168,7 @@
 
     def _isolate(self, execution):
         """Return a context in which a suspect of crashing upstreams runs alone."""
-        digest = execution.run.digest
+        digest = execution.content_digest
         if not self._yard.quarantine.is_suspect(digest):
             return contextlib.nullcontext()
         return self._yard.quarantine.alone(
@@ -238,7 +240,7 @@
     async def _watch_crash(self, execution, upstream):
         """Tell the quarantine what becomes of a request in flight."""
         quarantine = self._yard.quarantine
-        digest = execution.run.digest
+        digest = execution.content_digest
         quarantine.began(digest, upstream.name)
         crashed = completed = False
         try:
