Keep a host that joins again from planning moves

Ruled out: a member removed while it moves; the entry was of the old incarnation. The unit test fails with the same KeyError on the old code.

--- a/sapphireyard/ownership.py
+++ b/sapphireyard/ownership.py
@@ -133,6 +133,8 @@
         """Return whether this host may give and take partitions now."""
         if self.assignment is None or self.membership.store_out:
             return False
+        if not self.assignment.has_member(self.yard.host, self.yard.incarnation):
+            return False
         return not self.yard.journal.store_out and self._is_valid_now()
 
     def locate(self, root_key):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -47,6 +47,14 @@
             self.assertTrue(location.is_self and location.ready)
             self.assertEqual(len(fleet.yards["a"].ownership.owned), PARTITIONS)
 
+    async def test_host_that_joins_moves_nothing(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = await fleet.begin("b")
+            yard.incarnation = await yard.ownership.membership.begin()
+            yard.journal.open(yard.incarnation)
+            yard.ownership.adopt(fleet.yards["a"].ownership.assignment)
+            self.assertEqual(await yard.ownership.balance(), 0)
+
     async def test_moves_keep_programs(self):
         async with run_fleet(self.store, "a") as fleet:
             keys = await open_programs(fleet)
