Let requests age only while a customer's backlog can be served

Cause: aging by arrival made every program of an overloaded customer crawl on together, so none ended soon; without aging, customers within their rate were refused at their deadline. Requests now age only while the customer's expected wait is short; else the programs that started first go on and new ones are refused before their first call.

latency_weight moves from levels of attained service and a long such wait (0) to the order of program starts and a short one (1).

python -m unittest tests.test_scheduler tests.test_slots: 32 tests pass.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -54,6 +54,9 @@
 ABLATIONS = {
     "without fair shares": PolicyChange({"fair": False}),
     "without service levels": PolicyChange({"first_level": 0.0}),
+    "with service levels": PolicyChange({"first_level": 4_000.0}),
+    "without aging": PolicyChange({"aging_seconds": 1e9}),
+    "aging of all": PolicyChange({"aging_backlog": float("inf")}),
     "without cache affinity": PolicyChange(
         {"cache_affinity": False, "hold_new": False}
     ),
--- a/sapphireyard/queues.py
+++ b/sapphireyard/queues.py
@@ -55,9 +55,9 @@
         self._by_key.remove((waiting.key, waiting.request.request_id))
         del self._by_arrival[waiting.request.request_id]
 
-    def head(self, aged_before):
+    def head(self, is_aged):
         oldest = next(iter(self._by_arrival.values()))
-        if oldest.submitted <= aged_before:
+        if is_aged(oldest):
             return oldest
         return self._by_arrival[self._by_key[0][1]]
 
@@ -139,19 +139,19 @@
         """Return the tag of a customer with a request here."""
         return self._tags[customer]
 
-    def heads(self, affinity, aged_before):
+    def heads(self, affinity, is_aged):
         """Yield the next request of each customer, the least served first.
 
         Parameters
         ----------
         affinity : str
             Upstream or `ANY`.
-        aged_before : float
-            Requests submitted up to this time go before all others of their
-            customer, in the order of their arrival.
+        is_aged : callable
+            Tells whether the oldest request of a customer goes before its
+            others.
         """
         for _, customer in self._index.get(affinity, ()):
-            yield self._queues[(affinity, customer)].head(aged_before)
+            yield self._queues[(affinity, customer)].head(is_aged)
 
     def rebind(self, waiting, affinity):
         """Change the affinity of a request that is here."""
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+from sapphireyard.backlog import Backlog
 from sapphireyard.capacity import MeanDuration, UpstreamSlots, UpstreamState
 from sapphireyard.fairness import FairShares
 from sapphireyard.order import ProgramOrder
@@ -60,16 +61,16 @@
         self._running = {}
         self._held = {}
         self._deadlines = []
-        self._backlog = {}
-        self._backlog_weight = 0.0
         self._output_cost = 1.0
         self._duration = MeanDuration()
+        self._backlog = Backlog(self._slots, self._shares, self._duration)
         self._selection = Selection(
             self._slots,
             self._queues,
             self._placement,
             self._duration,
             self._shares,
+            self._backlog,
             self._options,
         )
         for limits in upstreams:
@@ -100,9 +101,7 @@
 
     def set_weight(self, customer, weight):
         """Set the weight of a customer."""
-        if customer in self._backlog:
-            self._backlog_weight += weight - self._shares.weight(customer)
-        self._shares.set_weight(customer, weight)
+        self._backlog.set_weight(customer, weight)
 
     def add_upstream(self, limits):
         """Take an upstream into the group, or change its limits."""
@@ -263,16 +262,7 @@
 
     def expected_wait(self, customer):
         """Return the seconds that a new request of a customer will wait."""
-        name = self._share_name(customer)
-        ahead = self._backlog.get(name, 0)
-        if not ahead:
-            return 0.0
-        slots = [s for s in self._slots.values() if s.state is UpstreamState.UP]
-        room = sum(s.batch_limit for s in slots)
-        if not room:
-            return float("inf")
-        share = self._shares.weight(name) / self._backlog_weight
-        return ahead * self._duration.seconds / room / share
+        return self._backlog.expected_wait(self._share_name(customer))
 
     def _share_name(self, customer):
         return customer if self._options.fair else ALL_CUSTOMERS
@@ -285,7 +275,6 @@
         customer = self._share_name(request.customer)
         if not self._queues.has_customer(customer):
             self._shares.activate(customer)
-            self._backlog_weight += self._shares.weight(customer)
         waiting = WaitingRequest(
             request=request,
             customer=customer,
@@ -294,7 +283,7 @@
             submitted=now,
         )
         self._waiting[request.request_id] = waiting
-        self._backlog[customer] = self._backlog.get(customer, 0) + 1
+        self._backlog.add(customer)
         self._queues.add(waiting, self._shares.tag(customer))
         if request.deadline:
             heapq.heappush(self._deadlines, (request.deadline, request.request_id))
@@ -302,11 +291,7 @@
     def _dequeue(self, waiting):
         del self._waiting[waiting.request.request_id]
         self._queues.remove(waiting)
-        self._backlog[waiting.customer] -= 1
-        if self._queues.has_customer(waiting.customer):
-            return
-        del self._backlog[waiting.customer]
-        self._backlog_weight -= self._shares.weight(waiting.customer)
+        self._backlog.remove(waiting.customer)
 
     def _decide(self, now):
         actions = []
--- a/sapphireyard/scheduling.py
+++ b/sapphireyard/scheduling.py
@@ -111,6 +111,9 @@
         Whether requests prefer the upstream that holds their prefix.
     aging_seconds : float, optional
         Wait after which requests of a customer go by arrival.
+    aging_backlog : float, optional
+        Expected wait in seconds of a customer above which its requests do not
+        age: not all can be served in time, so programs that started go on.
     hold_new : bool, optional
         Whether a request without a prefix waits rather than push out the
         fresh prefixes of others, unless its customer holds less than its
@@ -131,6 +134,7 @@
     first_level: float = 4_000.0
     cache_affinity: bool = True
     aging_seconds: float = 30.0
+    aging_backlog: float = float("inf")
     hold_new: bool = True
     hold_fill: float = 0.25
     hold_seconds: float = 120.0
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -1,6 +1,7 @@
 """Chooses the next request and its upstream among the heads of the queues."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import islice
 
 from sapphireyard.queues import ANY, WaitingRequest
@@ -50,16 +51,19 @@
         How long a slot is held.
     shares : FairShares
         Weights of customers.
+    backlog : Backlog
+        How long customers will wait.
     options : SchedulerOptions
         Switches and weights.
     """
 
-    def __init__(self, slots, queues, placement, duration, shares, options):
+    def __init__(self, slots, queues, placement, duration, shares, backlog, options):
         self._slots = slots
         self._queues = queues
         self._placement = placement
         self._duration = duration
         self._shares = shares
+        self._backlog = backlog
         self.options = options
 
     def affinity(self, request):
@@ -83,11 +87,10 @@
         return None
 
     def _best(self, slots, now):
-        aged_before = now - self.options.aging_seconds
         self._placement.record(slots.limits.name).age(now)
         best = None
         for affinity in self._sources(slots.limits.name):
-            found = self._first(affinity, slots, aged_before, now)
+            found = self._first(affinity, slots, now)
             if found and (best is None or found < best):
                 best = found
         if best is None:
@@ -99,13 +102,13 @@
         reason = self._reason(waiting, slots)
         return Choice(waiting, slots.limits.name, reason)
 
-    def _first(self, affinity, slots, aged_before, now):
+    def _first(self, affinity, slots, now):
         """Return the first candidate among the heads of some customers."""
-        heads = self._queues.heads(affinity, aged_before)
+        heads = self._queues.heads(affinity, partial(self._is_aged, now=now))
         for waiting in islice(heads, LOOKAHEAD_CUSTOMERS):
             if not self._may_use(waiting, slots):
                 continue
-            aged = waiting.submitted <= aged_before
+            aged = self._is_aged(waiting, now)
             if not self._may_come(waiting, slots):
                 continue
             if not self._may_start(waiting, slots, aged, now):
@@ -113,6 +116,12 @@
             return _Candidate(self._rank(waiting, aged), waiting)
         return None
 
+    def _is_aged(self, waiting, now):
+        if now - waiting.submitted < self.options.aging_seconds:
+            return False
+        wait = self._backlog.expected_wait(waiting.customer)
+        return wait <= self.options.aging_backlog
+
     def _sources(self, name):
         return [name, ANY] + [a for a in self._queues.affinities() if a and a != name]
 
--- a/sapphireyard/weighting.py
+++ b/sapphireyard/weighting.py
@@ -7,11 +7,14 @@
 FIRST_LEVEL_TOKENS = 4_000.0
 """Bound of the first level of attained service at weight 0."""
 
-AGING_SECONDS = 30.0
-"""Wait at weight 0 after which a customer's requests go by arrival."""
+FIRST_LEVEL_GROWTH = 64.0
+"""By how much that bound grows up to weight 1, where levels end."""
 
-AGING_SPAN_SECONDS = 90.0
-"""What full weight adds to that wait."""
+AGING_BACKLOG_SECONDS = 60.0
+"""Expected wait of a customer at weight 0 above which no request ages."""
+
+AGING_BACKLOG_SHARE = 0.25
+"""What is left of that wait at weight 1."""
 
 
 def choose_options(latency_weight, **changes):
@@ -25,9 +28,9 @@
     **changes
         Options that are to differ.
     """
-    equality = 1.0 - latency_weight
+    first_level = FIRST_LEVEL_TOKENS * FIRST_LEVEL_GROWTH**latency_weight
     options = SchedulerOptions(
-        first_level=FIRST_LEVEL_TOKENS / equality if equality > 0 else 0.0,
-        aging_seconds=AGING_SECONDS + AGING_SPAN_SECONDS * latency_weight,
+        first_level=first_level if latency_weight < 1 else 0.0,
+        aging_backlog=AGING_BACKLOG_SECONDS * AGING_BACKLOG_SHARE**latency_weight,
     )
     return replace(options, **changes)
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -123,10 +123,20 @@
         for _, customer in customers[:4]:
             own = [w for w in mine if w["customer"] == customer]
             oldest = min(own, key=lambda w: (w["submitted"], w["key"][2]))
-            aged = oldest["submitted"] <= now - self.options.aging_seconds
+            aged = self.is_aged(oldest, now)
             heads.append((oldest if aged else min(own, key=lambda w: w["key"]), aged))
         return heads
 
+    def is_aged(self, waiting, now):
+        if now - waiting["submitted"] < self.options.aging_seconds:
+            return False
+        customers = [w["customer"] for w in self.waiting]
+        up = [n for n in self.limits if self.state[n] == "up"]
+        room = sum(self.limits[n].batch_size for n in up)
+        ahead = customers.count(waiting["customer"])
+        wait = ahead * self.mean / room * len(set(customers))
+        return wait <= self.options.aging_backlog
+
     def must_hold(self, name, waiting, now):
         request, customer = waiting["request"], waiting["customer"]
         limits, record = self.limits[name], self.placement.record(name)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -147,6 +147,7 @@
         SchedulerOptions(refuse=False, hold_fill=0.0, keep_seconds=20.0),
         SchedulerOptions(refuse=False, first_level=0.0, aging_seconds=5.0),
         SchedulerOptions(refuse=False, cache_affinity=False),
+        SchedulerOptions(refuse=False, aging_seconds=5.0, aging_backlog=3.0),
     ]
 
     def test_grants_as_the_naive_scheduler(self):
@@ -296,6 +297,16 @@
     def test_aging_bounds_the_wait(self):
         self.assertLessEqual(self.overtaken(10.0), 11)
 
+    def test_requests_do_not_age_when_not_all_can_be_served(self):
+        options = SchedulerOptions(first_level=0.0, aging_backlog=3.0)
+        scheduler = Scheduler(make_upstreams(batch_size=1)[:1], options=options)
+        scheduler.submit(make_request(0, program="begun"), 0.0)
+        for number in range(1, 9):
+            scheduler.submit(make_request(number), 0.5)
+        scheduler.submit(make_request(9, program="begun", prefix_tokens=110), 1.0)
+        (grant,) = scheduler.finish("a0", 10, 0, 100.0)
+        self.assertEqual(grant.request.program, "begun")
+
     def test_without_aging_it_starves(self):
         self.assertEqual(self.overtaken(1e9), 97)
 
