--- a/sapphireyard/configuration.py
+++ b/sapphireyard/configuration.py
@@ -137,6 +137,8 @@
             tell an outage of the store from a cut of this host.
         """
         now = self._now()
+        if self._freshness.is_fresh(now):
+            return
         self._freshness.hear_domain(self._yard.settings.failure_domain, now)
         if self._freshness.is_fresh(now, self._sources.domains()):
             return
