--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -168,6 +168,8 @@
 
     def _judge_logs(self):
         for name in self._site.entries:
+            if not self._site.cluster[name].alive:
+                self.note("finished", f"{name} ended unasked")
             for line in self._site.read_log(name).splitlines():
                 if "Traceback" in line:
                     self.note("finished", f"{name}: {line[-700:]}")
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -27,11 +27,12 @@
     """
 
     site_options = {}
+    entry_module = Site.entry_module
 
     async def asyncSetUp(self):
         cluster = await self.enterAsyncContext(LocalCluster())
         self.site = Site(cluster)
-        self.site.entry_module = os.environ.get(ENTRY_VARIABLE, Site.entry_module)
+        self.site.entry_module = os.environ.get(ENTRY_VARIABLE, self.entry_module)
         self.addAsyncCleanup(self.site.close)
         await self.site.start(**self.site_options)
         self.cluster = cluster
--- /dev/null
+++ b/tests/relayed_entry.py
@@ -0,0 +1,13 @@
+"""An entry host that other hosts reach through a relay."""
+
+import os
+import sys
+
+from sapphireyard import entry
+from sapphireyard.peers import Peers
+
+VARIABLE = "SAPPHIREYARD_RELAYED_ADDRESS"
+
+if __name__ == "__main__":
+    Peers.address = property(lambda self: os.environ[VARIABLE])
+    sys.exit(entry.main())
--- /dev/null
+++ b/tests/test_process_pause.py
@@ -0,0 +1,67 @@
+"""A holder paused at the worst lines: before the send, before the record."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import aiohttp
+
+from tests.process_site import ProcessTestCase, wait_until
+
+PATIENT = aiohttp.ClientTimeout(sock_read=40)
+
+
+class PausedHolderTest(ProcessTestCase):
+    entry_module = "tests.pausing_entry"
+
+    async def wait_stopped(self, name):
+        """Wait until the process has stopped itself."""
+        status = Path(f"/proc/{self.cluster[name].process.pid}/stat")
+
+        async def stopped():
+            return status.read_text().rpartition(")")[2].split()[0] == "T"
+
+        await wait_until(stopped, f"{name} stops")
+
+    async def send_patiently(self, owner, program, body):
+        """Book on the owner itself and wait for whatever it says."""
+        url = f"http://{self.site.address(owner)}/v1/call/booking"
+        headers = {
+            "Authorization": f"Bearer {self.site.keys['nyumbani']}",
+            "Sapphireyard-Program": program,
+            "Sapphireyard-Sequence": "1",
+        }
+        async with self.site.session.post(
+            url, json=body, headers=headers, timeout=PATIENT
+        ) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def test_paused_holder_doubles_and_promises_nothing(self):
+        owner = "entry-1"
+        for marker, ran_before_pause in (
+            ("pause-before-send", 0),
+            ("pause-before-record", 1),
+        ):
+            with self.subTest(marker):
+                program = await self.site.choose_program(owner, prefix=marker)
+                body = {"van": marker}
+                before = (await self.site.count_bookings()).total()
+                patient = asyncio.ensure_future(
+                    self.send_patiently(owner, program, body)
+                )
+                await self.wait_stopped(owner)
+                ran = (await self.site.count_bookings()).total() - before
+                self.assertEqual(ran, ran_before_pause)
+                await self.site.wait_owner_other_than(owner, program, ask="entry-0")
+                other = self.site.client(program, entries=["entry-0", "entry-2"])
+                outcome = await self.book(other, marker)
+                self.assertEqual(outcome.get("code"), "outcome_unknown", outcome)
+                self.cluster[owner].send(signal.SIGCONT)
+                status, answer = await patient
+                self.assertEqual((status, answer["executed"]), (409, "unknown"))
+                await self.check_booked_at_most_once()
+                view = await other.inspect()
+                self.assertEqual(view["unknown_outcomes"], [1])
+                await self.chat(other, "goes on")
+                await wait_until(self.site.is_balanced, "the host is back")
+        await self.check_booked_at_most_once()
