--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -31,6 +31,9 @@
 READ_AHEAD = 16
 """Segments of a range read at a time."""
 
+NUMBER_DIGITS = 10
+"""Digits of a segment's number in its name."""
+
 TOKEN_BYTES = 8
 """Random bytes of a token."""
 
@@ -66,7 +69,7 @@
 
 def name_segment(host, incarnation, number):
     """Return the name of a segment's object."""
-    return f"journal/{host}/{incarnation}/{number:010d}"
+    return f"journal/{host}/{incarnation}/{number:0{NUMBER_DIGITS}d}"
 
 
 class JournalService(Service):
--- a/sapphireyard/recovery.py
+++ b/sapphireyard/recovery.py
@@ -10,16 +10,19 @@
 from dataclasses import dataclass
 
 from sapphireyard.assignment import plan_takeover
-from sapphireyard.exceptions import CallError, PeerError, StoreConflict
+from sapphireyard.exceptions import CallError, JournalSealed, PeerError, StoreConflict
 from sapphireyard.generated_records import CallSource
 from sapphireyard.generated_replication import CollectTails
-from sapphireyard.journal import JournalRange, name_segment, read_range
+from sapphireyard.journal import NUMBER_DIGITS, JournalRange, name_segment, read_range
 from sapphireyard.members import MemberObjects
 from sapphireyard.records import RecordAssembler, pack_segment, unpack_segment
 
 COLLECT_SECONDS = 3.0
 """Time for a peer to give the tails it holds."""
 
+LISTED_SEGMENTS = 1000
+"""Names of segments listed at a time."""
+
 TOKEN_BYTES = 8
 """Random bytes of a token."""
 
@@ -71,27 +74,19 @@
 
 
 async def _find_end(store, host, incarnation, start):
-    """Return a number up to which a journal is stored, at least `start`.
+    """Return the number of the last segment stored, or `start`.
 
-    A journal has no holes, so a bisection finds its end in few reads.
+    Old segments may have been deleted, but never the newest, so the end is
+    sought by name and not by probing for the first that is missing.
     """
-
-    async def exists(number):
-        return await store.get(name_segment(host, incarnation, number)) is not None
-
-    if not await exists(start):
-        return start
-    low, step = start, 1
-    while await exists(low + step):
-        low, step = low + step, step * 2
-    high = low + step
-    while high - low > 1:
-        middle = (low + high) // 2
-        if await exists(middle):
-            low = middle
-        else:
-            high = middle
-    return low
+    prefix = name_segment(host, incarnation, 0).removesuffix("0" * NUMBER_DIGITS)
+    after, number = name_segment(host, incarnation, start - 1), start
+    while True:
+        page = await store.list(prefix, after=after, limit=LISTED_SEGMENTS)
+        if not page:
+            return number
+        after = page[-1][0]
+        number = int(after.removeprefix(prefix))
 
 
 class Recovery:
@@ -135,6 +130,8 @@
             The member lives, or another host is at it.
         StoreUnavailable
             The store did not answer; any host may try again.
+        JournalSealed
+            This host is no member itself.
         """
         member = await self._members.read(host)
         if version is not None:
@@ -150,6 +147,10 @@
             old = await self._assignments.read()
             if old is None or not old.has_member(host, incarnation):
                 return old
+            if heir is None and not old.has_member(
+                self.yard.host, self.yard.incarnation
+            ):
+                raise JournalSealed("only a member takes over")
             await self._collect_tails(old, host, incarnation, tails)
             last = await self._seal(host, incarnation, start, tails.segments)
             new = await self._plan(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 
+from sapphireyard.collector import find_needed
 from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
 from sapphireyard.generated_records import CallReserved, ProgramOpened
 from sapphireyard.generated_replication import CollectTails
+from sapphireyard.journal import name_segment
 from standins.memory import DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS, run_fleet
 
@@ -138,6 +140,26 @@
             await fleet.spread()
             self.check_served(fleet, keys)
 
+    async def test_restart_after_old_segments_were_deleted(self):
+        async with run_fleet(self.store, "a") as fleet:
+            yard = fleet.yards["a"]
+            keys = await open_programs(fleet)
+            for _ in range(3):
+                await yard.ownership._mover.move(
+                    yard.ownership.owned, "a", quiesce_seconds=1
+                )
+            last = yard.journal.stored_number
+            for number in range(1, last):
+                name = name_segment("a", 1, number)
+                needed = find_needed(yard.ownership.assignment)["a", 1]
+                if number < needed:
+                    await self.store.delete(name, expected_version=1)
+            self.assertIsNone(await self.store.get(name_segment("a", 1, 1)))
+            await fleet.kill("a")
+            await fleet.add("a")
+            self.check_served(fleet, keys)
+            self.assertIsNone(await self.store.get(name_segment("a", 1, 1)))
+
     async def test_restart_of_the_whole_fleet(self):
         async with run_fleet(self.store, "abc") as fleet:
             keys = await open_programs(fleet)
