--- a/sapphireyard/connections.py
+++ b/sapphireyard/connections.py
@@ -132,8 +132,11 @@
                 self._send(FrameKind.CANCEL, request_id)
 
     def _send(self, *parts):
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode_frame(*parts))
+        if self._transport is None or self._transport.is_closing():
+            return
+        frame = encode_frame(*parts)
+        self._peers.sent_bytes += len(frame)
+        self._transport.write(frame)
 
     def _receive(self, frame):
         kind, request_id, *rest = frame
@@ -214,8 +217,8 @@
             before = loop.time()
             await asyncio.sleep(self._peers.ping_seconds)
             now = loop.time()
-            if now - before > silence:
-                # This process stood still itself; the other end gets its time.
+            if now - before > silence or not self._is_busy():
+                # Nothing is awaited, or this process stood still itself.
                 self._heard_at = now
             if now - self._heard_at > silence:
                 logger.warning("peer %s is silent; connection closed", self.host)
@@ -224,10 +227,15 @@
             if self._is_idle(now):
                 self.close()
                 return
-            self._send(FrameKind.PING, 0)
+            if self._is_busy():
+                self._send(FrameKind.PING, 0)
+
+    def _is_busy(self):
+        """Return whether an answer is under way in one direction or the other."""
+        return bool(self._outgoing or self._incoming)
 
     def _is_idle(self, now):
-        if self._outgoing or self._incoming:
+        if self._is_busy():
             return False
         return now - self._used_at > self._peers.idle_seconds
 
--- a/sapphireyard/peers.py
+++ b/sapphireyard/peers.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import mode
+from opentelemetry import metrics
 
 from sapphireyard import generated_messages
 from sapphireyard.connections import Connection
@@ -75,6 +76,13 @@
         self.codec = MessageCodec()
         self.codec.register_module(generated_messages)
         self.static_addresses = {}
+        self.sent_bytes = 0
+        metrics.get_meter("sapphireyard").create_observable_counter(
+            "sapphireyard_peer_bytes",
+            [self._observe_bytes],
+            unit="By",
+            description="Bytes of frames sent to other hosts.",
+        )
 
     @property
     def address(self):
@@ -82,6 +90,9 @@
         ip, port = self._server.sockets[0].getsockname()[:2]
         return f"{ip}:{port}"
 
+    def _observe_bytes(self, options):
+        return [metrics.Observation(self.sent_bytes)]
+
     def register(self, message_class, handler):
         """Serve `message_class` with ``await handler(message, context)``."""
         self._handlers[message_class] = handler
