--- a/sapphireyard/texts.py
+++ b/sapphireyard/texts.py
@@ -12,6 +12,7 @@
 
 import mode
 
+from sapphireyard.archive_reader import ArchiveReader
 from sapphireyard.exceptions import (
     CallError,
     JournalSealed,
@@ -109,6 +110,7 @@
         super().__init__()
         self._yard = yard
         self._reads = asyncio.Semaphore(READS)
+        self._segments = ArchiveReader(yard)
         self.cache = TextCache(yard.settings.text_bytes)
         yard.programs.on_change(self._touch)
 
@@ -152,7 +154,7 @@
     async def _read_range(self, span, program, calls):
         found = {}
         assembler = RecordAssembler()
-        async for segment in read_range(self._yard.store, span):
+        async for segment in read_range(self._segments, span):
             for placed in assembler.feed(segment):
                 found.update(_find_texts(placed.record, program.key))
         for call in calls:
