Count offers under way when partitions are offered

Cause: several donors at once could fill a joining host beyond its quota, which then gave partitions back. An offer counts until its partition changed hands, at most 5 s. A first try without the look at the epoch let a leaving host wait.

--- a/sapphireyard/ownership_handlers.py
+++ b/sapphireyard/ownership_handlers.py
@@ -17,6 +17,9 @@
     TailSegment,
 )
 
+OFFER_SECONDS = 5.0
+"""Time for which an accepted offer counts as a partition to come."""
+
 
 class OwnershipHandlers:
     """Handlers of messages for an `OwnershipService`.
@@ -36,6 +39,7 @@
         self._ownership = ownership
         self._holder = holder
         self._encoded = (0, b"")
+        self._offered = {}
 
     @property
     def held_bytes(self):
@@ -74,14 +78,27 @@
         return AssignmentCopy(*self._encoded)
 
     async def _consider_offer(self, message, context):
-        accepted = False
-        if self._ownership.may_move():
-            load = len(self._ownership.owned) + len(message.partitions)
-            accepted = load <= quota_of(self._ownership.assignment, self.yard.host)
+        accepted = self._ownership.may_move() and self._has_room(message.partitions)
+        if accepted:
+            now = self.yard.clock.monotonic()
+            entries = self._ownership.assignment.entries
+            self._offered |= {p: (now, entries[p].epoch) for p in message.partitions}
         return OfferAnswer(
             accepted, self.yard.incarnation, self.yard.journal.next_number
         )
 
+    def _has_room(self, partitions):
+        """Return whether the quota allows for more, with offers under way."""
+        oldest = self.yard.clock.monotonic() - OFFER_SECONDS
+        entries = self._ownership.assignment.entries
+        self._offered = {
+            partition: (at, epoch)
+            for partition, (at, epoch) in self._offered.items()
+            if at >= oldest and entries[partition].epoch == epoch
+        }
+        expected = {*self._ownership.owned, *self._offered, *partitions}
+        return len(expected) <= quota_of(self._ownership.assignment, self.yard.host)
+
     async def _hold_tail(self, message, context):
         known = self._ownership.assignment is not None
         if not known or not self._ownership.assignment.has_member(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,10 +3,11 @@
 import asyncio
 import unittest
 
+from sapphireyard.assignment import quota_of
 from sapphireyard.collector import find_needed
 from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
 from sapphireyard.generated_records import CallReserved, ProgramOpened
-from sapphireyard.generated_replication import CollectTails
+from sapphireyard.generated_replication import CollectTails, OfferPartitions
 from sapphireyard.journal import name_segment
 from standins.memory import DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS, run_fleet
@@ -214,6 +215,19 @@
                 self.assertEqual(program.unknown_sequences(), [1])
                 self.assertEqual(program.spent_tokens, 10)
 
+    async def test_offers_under_way_count(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            joined = await fleet.add("c")
+            quota = quota_of(joined.ownership.assignment, "c")
+            owned = fleet.yards["a"].ownership.owned
+            answers = []
+            for partition in owned[: quota + 1]:
+                message = OfferPartitions([partition])
+                peers = fleet.yards["a"].peers
+                answers.append(await peers.ask("c", message, timeout=1))
+            accepted = [answer.accepted for answer in answers]
+            self.assertEqual(accepted, [True] * quota + [False])
+
     async def test_not_owner(self):
         async with run_fleet(self.store, "ab") as fleet:
             partition = fleet.yards["b"].ownership.owned[0]
