--- a/bench/arms.py
+++ b/bench/arms.py
@@ -10,9 +10,14 @@
 
 
 class NaiveArm:
-    """Round robin over the engines, first come first served, rates split."""
+    """Round robin over the engines, first come first served, rates split.
 
-    def __init__(self, simulation):
+    With ``split=False`` rates are counted exactly over the fleet, which shows
+    how much of the baseline's loss the split alone makes.
+    """
+
+    def __init__(self, simulation, *, split=True):
+        self._split = split
         self._simulation = simulation
         workload, hosts = simulation.workload, simulation.deployment.hosts
         self._next = list(range(hosts))
@@ -31,12 +36,14 @@
         simulation, plan = self._simulation, call.program.plan
         now = simulation.now
         fleet = self._fleet[plan.customer]
-        if not self._shares[(plan.customer, plan.host)].take(now):
+        bucket = self._shares[(plan.customer, plan.host)] if self._split else fleet
+        if not bucket.take(now):
             simulation.measures.refused[plan.customer] += 1
             simulation.measures.wrongful[plan.customer] += fleet.has_token(now)
             simulation.retry(call, 0.0)
             return
-        fleet.take(now)
+        if self._split:
+            fleet.take(now)
         self._next[plan.host] += 1
         simulation.send(call, self._next[plan.host] % len(simulation.engines))
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -54,7 +54,11 @@
     "slow": Scenario(slow=SLOW),
 }
 
-ARMS = {"naive": NaiveArm, "policy": ScheduledArm}
+ARMS = {
+    "naive": NaiveArm,
+    "naive, exact limits": partial(NaiveArm, split=False),
+    "policy": ScheduledArm,
+}
 
 ABLATIONS = {
     "without fair shares": PolicyChange({"fair": False}),
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -105,6 +105,7 @@
 
     def add_upstream(self, limits):
         """Take an upstream into the group, or change its limits."""
+        self._selection.unblock()
         if limits.name in self._slots:
             self._slots[limits.name].limits = limits
             return
@@ -175,6 +176,7 @@
             return self._decide(now)
         request = running.request
         self._forget_holder(request)
+        self._selection.unblock(running.upstream)
         slots = self._slots.get(running.upstream)
         if slots:
             slots.give_back(request_id)
@@ -214,6 +216,8 @@
         """Forget a program; its memory is to be released."""
         self._order.end(program)
         names = self._placement.end(program)
+        for name in names:
+            self._selection.unblock(name)
         return [Release(name, program) for name in names] + self._decide(now)
 
     def set_state(self, name, state, now):
@@ -224,17 +228,20 @@
             self._placement.record(name).clear()
         if state is not UpstreamState.UP:
             self._unbind(name)
+        self._selection.unblock()
         return self._decide(now)
 
     def set_bound(self, bound, now):
         """Bound the slots of each upstream below its batch; None lifts it."""
         for slots in self._slots.values():
             slots.bound = bound
+        self._selection.unblock()
         return self._decide(now)
 
     def report_load(self, name, running, reserved, own_running, own_reserved, now):
         """Take in a load report; the own counts are those of its time."""
         self._slots[name].report(running, reserved, own_running, own_reserved)
+        self._selection.unblock(name)
         return self._decide(now)
 
     def cache_event(self, name, program, tokens, observed_at):
@@ -252,6 +259,7 @@
             self._dequeue(waiting)
             wait = self.expected_wait(waiting.customer)
             actions.append(Refuse(waiting.request, max(wait, self._duration.seconds)))
+        self._selection.unblock()
         return actions + self._decide(now)
 
     def next_tick(self):
@@ -285,12 +293,14 @@
         self._waiting[request.request_id] = waiting
         self._backlog.add(customer)
         self._queues.add(waiting, self._shares.tag(customer))
+        self._selection.unblock(waiting.affinity)
         if request.deadline:
             heapq.heappush(self._deadlines, (request.deadline, request.request_id))
 
     def _dequeue(self, waiting):
         del self._waiting[waiting.request.request_id]
         self._queues.remove(waiting)
+        self._selection.unblock(waiting.affinity)
         self._backlog.remove(waiting.customer)
 
     def _decide(self, now):
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -64,8 +64,21 @@
         self._duration = duration
         self._shares = shares
         self._backlog = backlog
+        self._blocked = set()
+        self._users = None
         self.options = options
 
+    def unblock(self, name=ANY):
+        """Look at an upstream again, or at all: something changed for it.
+
+        An upstream for which no request could start is passed over until its
+        own slots or the heads that it may take change.
+        """
+        if name == ANY:
+            self._blocked.clear()
+        else:
+            self._blocked.discard(name)
+
     def affinity(self, request):
         """Return the upstream that should serve a request, or `ANY`."""
         if not self.options.cache_affinity:
@@ -79,15 +92,21 @@
 
     def next(self, now):
         """Return the next `Choice`, or None when nothing can start."""
-        free = [slots for slots in self._slots.values() if slots.has_slot()]
+        free = [
+            slots
+            for name, slots in self._slots.items()
+            if name not in self._blocked and slots.has_slot()
+        ]
         for slots in sorted(free, key=lambda s: (s.fill, s.limits.name)):
             choice = self._best(slots, now)
             if choice:
                 return choice
+            self._blocked.add(slots.limits.name)
         return None
 
     def _best(self, slots, now):
         self._placement.record(slots.limits.name).age(now)
+        self._users = None
         best = None
         for affinity in self._sources(slots.limits.name):
             found = self._first(affinity, slots, now)
@@ -154,14 +173,18 @@
             return False
         customer = waiting.customer
         used = record.fresh_of(customer) + slots.by_customer[customer]
-        weights = self._weigh_memory(record, slots, customer)
-        share = self._shares.weight(customer) / weights
-        return used + tokens > kv_tokens * share
+        weights = self._weigh_memory(record, slots)
+        weight = self._shares.weight(customer)
+        if not used:
+            weights += weight
+        return used + tokens > kv_tokens * weight / weights
 
-    def _weigh_memory(self, record, slots, customer):
+    def _weigh_memory(self, record, slots):
         """Return the weights of all customers that use an upstream's memory."""
-        users = {customer, *record.customers(), *slots.by_customer}
-        return sum(map(self._shares.weight, users))
+        if self._users is None or self._users[0] is not slots:
+            users = {*record.customers(), *slots.by_customer}
+            self._users = (slots, sum(map(self._shares.weight, users)))
+        return self._users[1]
 
     def _may_come(self, waiting, slots):
         """Return whether a request may leave the holder of its prefix."""
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -14,6 +14,7 @@
             self.placement.add(limits)
         self.state = dict.fromkeys(self.limits, "up")
         self.waiting = []
+        self.blocked = set()
         self.running = {}
         self.tags = {}
         self.virtual = 0.0
@@ -39,18 +40,25 @@
         self.waiting.append(
             dict(request=request, customer=customer, at=holder, key=key, submitted=now)
         )
+        self.unblock(holder)
         return self.decide(now)
 
+    def unblock(self, name):
+        """Look at an upstream again, or at all."""
+        self.blocked = self.blocked - {name} if name else set()
+
     def cancel(self, request_id, now):
         for waiting in self.waiting:
             if waiting["request"].request_id == request_id:
                 self.waiting.remove(waiting)
+                self.unblock(waiting["at"])
                 return self.decide(now)
         return self.finish(request_id, 0, now)
 
     def finish(self, request_id, output, now):
         if request_id in self.running:
             request, name, cost, started = self.running.pop(request_id)
+            self.unblock(name)
             self.mean += 0.1 * (now - started - self.mean)
             true = cost + (output - request.output_tokens) * self.output_cost
             self.account(request, true - cost, now)
@@ -74,6 +82,7 @@
             for waiting in self.waiting:
                 if waiting["at"] == name:
                     waiting["at"] = ""
+        self.unblock("")
         return self.decide(now)
 
     def account(self, request, cost, now):
@@ -106,11 +115,13 @@
         grants = []
         while self.waiting:
             names = [n for n in self.limits if self.has_slot(n)]
+            names = [n for n in names if n not in self.blocked]
             for name in sorted(names, key=lambda n: (self.fill(n), n)):
                 choice = self.best(name, now)
                 if choice:
                     grants.append(self.grant(name, choice, now))
                     break
+                self.blocked.add(name)
             else:
                 return grants
         return grants
@@ -197,6 +208,7 @@
         )
         request = waiting["request"]
         self.waiting.remove(waiting)
+        self.unblock(waiting["at"])
         cached = self.placement.cached(name, request)
         cost = request.prefix_tokens + request.new_tokens - cached
         cost += request.output_tokens * self.output_cost
