Stop a minority that is cut off while the store is out

Cause: with the store out a host took itself for valid while no peer reported a store that answers. A group cut off from the store and from the others therefore went on and acknowledged turns by tails among its own, while the others could seal it; these turns were then lost, and both sides granted a customer's rate.

Ruled out: stopping in every outage (repeatable calls must go on); asking for all members (one dead host in an outage would stop the fleet).

Change: without the store a host is valid only while it hears more than half of the failure domains and none reports a store that answers; in an outage hosts ask one host of each domain for a heartbeat. Tails acknowledge only on a valid host. Left: a majority cut off from the store while a minority has it.

Checked: tests.test_ownership; without the majority rule test_minority_without_the_store_stops fails in two of three rows. test_store_outage_expires_nobody let only one host try to renew and send nothing; now all renew and heartbeats go round, its assertions are unchanged.

--- a/sapphireyard/failure_detector.py
+++ b/sapphireyard/failure_detector.py
@@ -73,6 +73,10 @@
         if observed is not None and observed.incarnation == incarnation:
             observed.heard_at = now
 
+    def is_known(self, host):
+        """Return whether a host is observed."""
+        return host in self._observed
+
     def is_silent(self, host, now):
         """Return whether a host was not heard lately."""
         return now - self._observed[host].heard_at > self._silence
--- a/sapphireyard/generated_replication.py
+++ b/sapphireyard/generated_replication.py
@@ -87,6 +87,10 @@
     """
     The sender gets no answers from the store.
     """
+    reply: bool = False
+    """
+    The sender asks for a heartbeat in return.
+    """
 
 
 @dataclass
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -266,6 +266,8 @@
 
     async def _replicate(self, writer):
         tails = self._tails
+        if not self._may_acknowledge():
+            return
         number = await tails.send(writer.staged, incarnation=writer.incarnation)
         for commit in writer.peers_hold(number):
             self._succeed(commit, writer)
@@ -301,6 +303,11 @@
         if writer.head is None:
             self._tails.release(segment.number, incarnation=writer.incarnation)
 
+    def _may_acknowledge(self):
+        """Return whether tails count: nobody can have begun to seal this host."""
+        ownership = self.yard.ownership
+        return ownership is None or ownership.valid(self.yard.clock.monotonic())
+
     def _seal_writer(self, writer):
         if writer is not self._writer:
             return
--- a/sapphireyard/membership.py
+++ b/sapphireyard/membership.py
@@ -1,6 +1,7 @@
 """Keeps this host's member object alive and watches those of others."""
 
 import asyncio
+from collections import defaultdict
 
 from mode import Service
 
@@ -39,6 +40,7 @@
         self._attempted_at = float("-inf")
         self._store_out = False
         self._peer_store_at = float("-inf")
+        self._asked = 0
 
     @property
     def store_out(self):
@@ -49,15 +51,31 @@
         """Return whether no other host can have sealed this one by `now`.
 
         True for the expiry after the start of the last renewal that
-        succeeded; and while neither this host nor one that it hears gets
-        answers from the store, since nobody can seal without it.
+        succeeded; and while more than half of the failure domains are heard
+        and nobody there gets answers from the store, since nobody can seal
+        without it. A host that is cut off together with a few others cannot
+        know that.
         """
         expiry = self.yard.settings.expiry_seconds
         if now - self._renewed_at < expiry:
             return True
         if not self._store_out or now - self._attempted_at > expiry:
             return False
-        return now - self._peer_store_at > self.detector.silence_seconds
+        if now - self._peer_store_at <= self.detector.silence_seconds:
+            return False
+        return self._hears_majority(now)
+
+    def _hears_majority(self, now):
+        assignment = self.yard.ownership.assignment
+        if assignment is None:
+            return False
+        domains = {member.failure_domain for member in assignment.members.values()}
+        heard = {self.yard.settings.failure_domain}
+        for member in assignment.members.values():
+            known = self.detector.is_known(member.host)
+            if known and not self.detector.is_silent(member.host, now):
+                heard.add(member.failure_domain)
+        return 2 * len(heard & domains) > len(domains)
 
     async def begin(self):
         """Take the next incarnation; return it.
@@ -140,25 +158,48 @@
             return None
 
     def beat(self, extra=()):
-        """Send a heartbeat to the watchers of this host and to `extra` hosts."""
+        """Send a heartbeat to the watchers of this host and to `extra` hosts.
+
+        While the store is out a host of each failure domain is asked for one
+        in return.
+        """
         if self.yard.peers is None:
             return
-        message = Heartbeat(
+        receivers = self.detector.receivers(self.yard.clock.monotonic())
+        for host in dict.fromkeys([*receivers, *extra]):
+            self.yard.peers.tell(host, self._build_heartbeat())
+        if self._store_out:
+            self._ask_domains()
+
+    def _build_heartbeat(self, *, reply=False):
+        return Heartbeat(
             self.yard.host,
             self.yard.incarnation,
             assignment=self.yard.ownership.version,
             store_out=self._store_out,
+            reply=reply,
         )
-        receivers = self.detector.receivers(self.yard.clock.monotonic())
-        for host in dict.fromkeys([*receivers, *extra]):
-            self.yard.peers.tell(host, message)
+
+    def _ask_domains(self):
+        """Ask one host of each other failure domain, another one each time."""
+        assignment = self.yard.ownership.assignment
+        hosts = defaultdict(list)
+        for member in assignment.members.values() if assignment else ():
+            hosts[member.failure_domain].append(member.host)
+        hosts.pop(self.yard.settings.failure_domain, None)
+        self._asked += 1
+        for names in hosts.values():
+            host = sorted(names)[self._asked % len(names)]
+            self.yard.peers.tell(host, self._build_heartbeat(reply=True))
 
     def hear(self, heartbeat):
-        """Note a heartbeat of another host."""
+        """Note a heartbeat of another host; send one in return if asked."""
         now = self.yard.clock.monotonic()
         self.detector.hear(heartbeat.host, heartbeat.incarnation, now)
         if not heartbeat.store_out:
             self._peer_store_at = now
+        if heartbeat.reply:
+            self.yard.peers.tell(heartbeat.host, self._build_heartbeat())
 
     @Service.task
     async def _renew_steadily(self):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -102,12 +102,42 @@
             await membership.look()
             with self.store.outage():
                 for _ in range(5):
-                    fleet.yards["a"].clock.now += 10
-                    await membership.renew()
+                    await self.renew_all(fleet, seconds=10)
                     self.assertEqual(await membership.look(), [])
                     self.assertTrue(membership.valid(fleet.yards["a"].clock.now))
             self.assertEqual(await membership.look(), [])
 
+    async def renew_all(self, fleet, *, seconds):
+        """Let time pass, each host try to renew, and heartbeats go round."""
+        for yard in fleet.yards.values():
+            yard.clock.now += seconds
+            await yard.ownership.membership.renew()
+        for _ in range(2):
+            for yard in fleet.yards.values():
+                yard.ownership.membership.beat()
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+    async def test_minority_without_the_store_stops(self):
+        cases = [
+            ("a alone", {"a"}, {"a": False, "b": True, "c": True}),
+            ("all apart", {"a", "b", "c"}, {"a": False, "b": False, "c": False}),
+            ("nobody", set(), {"a": True, "b": True, "c": True}),
+        ]
+        for name, cut, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                async with run_fleet(self.store, "abc") as fleet:
+                    with self.store.outage():
+                        await self.renew_all(fleet, seconds=10)
+                        fleet.network.cut |= cut
+                        await self.renew_all(fleet, seconds=10)
+                        valid = {
+                            host: yard.ownership.valid(yard.clock.now)
+                            for host, yard in fleet.yards.items()
+                        }
+                        self.assertEqual(valid, expected)
+
     async def test_stalled_host_is_not_valid_until_renewed(self):
         async with run_fleet(self.store, "ab") as fleet:
             yard = fleet.yards["a"]
