Tell slot homes of programs that ended

Cause: SlotService.end_program was never called, so homes kept what they knew of prefixes until it aged out.

--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -79,7 +79,10 @@
             raise
 
     async def release(self, program):
-        """Ask the engines that served a program to drop what they hold of it."""
+        """Let homes and engines that served a program drop what they hold of it."""
+        for pool in program.pools:
+            self._yard.slots.end_program(program.key, program.root, pool)
+        program.pools.clear()
         for address in sorted(program.upstreams):
             try:
                 await self._yard.upstreams.release_program(
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs.py
@@ -67,6 +67,7 @@
         self.touched_at = 0.0
         self.opening = None
         self.upstreams = set()
+        self.pools = set()
         self.turn = asyncio.Condition()
 
     @property
--- a/sapphireyard/senders.py
+++ b/sapphireyard/senders.py
@@ -57,6 +57,7 @@
         """Return the answer; pass its chunks on as they come."""
         program = execution.program
         program.upstreams.add(grant.upstream.address)
+        program.pools.add(execution.route.pool)
         assembler = CompletionAssembler()
         try:
             last_chunks = await self._stream(execution, grant, answer_tokens, assembler)
