--- a/sapphireyard/ownership.py
+++ b/sapphireyard/ownership.py
@@ -2,19 +2,12 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from mode import Service
 
 from sapphireyard._hashing import hash_text
-from sapphireyard.assignment import (
-    LEAVING,
-    Member,
-    create_assignment,
-    plan_join,
-    plan_leave,
-    rank_holders,
-)
+from sapphireyard.assignment import rank_holders
 from sapphireyard.assignment_codec import decode_assignment
 from sapphireyard.assignment_store import AssignmentStore
 from sapphireyard.exceptions import (
@@ -32,6 +25,7 @@
 from sapphireyard.moves import QUIESCE_SECONDS, PartitionMover
 from sapphireyard.ownership_handlers import OwnershipHandlers
 from sapphireyard.recovery import Recovery
+from sapphireyard.roster import Roster
 from sapphireyard.tails import TailHolder
 
 RETRY_SECONDS = 0.5
@@ -99,6 +93,7 @@
         self._holder = TailHolder()
         self.assignments = AssignmentStore(yard.store, retry_seconds=retry_seconds)
         self.recovery = Recovery(yard, self._holder, self.assignments)
+        self._roster = Roster(yard, self.assignments)
         self._mover = PartitionMover(yard, self.assignments)
         self._ready = {}
         self._leaving = False
@@ -286,7 +281,7 @@
             self.yard.programs.drop(partition)
         self.yard.incarnation = await self.membership.begin()
         self.yard.journal.open(self.yard.incarnation)
-        assignment = await self._enter(self._describe())
+        assignment = await self._roster.enter()
         self._joined = self.yard.incarnation
         self.adopt(assignment)
         self._check_member()
@@ -297,25 +292,6 @@
         if not self.assignment.has_member(self.yard.host, self.yard.incarnation):
             self.note_sealed()
 
-    async def _enter(self, me):
-        while True:
-            assignment = await self.assignments.read()
-            known = assignment.members.get(me.host) if assignment is not None else None
-            if known is not None and known.incarnation < me.incarnation:
-                await self.recovery.take_over(me.host, known.incarnation, heir=me)
-            assignment = await self.assignments.change(
-                lambda current: self._plan_entry(current, me)
-            )
-            if assignment.has_member(me.host, me.incarnation):
-                return assignment
-
-    def _plan_entry(self, assignment, me):
-        if assignment is None:
-            return create_assignment(me, partitions=self.yard.settings.partitions)
-        if me.host in assignment.members:
-            return None
-        return plan_join(assignment, me)
-
     async def take_over(self, expired):
         """Take over from hosts that expired, given as by `MembershipService.look`."""
         for host, incarnation, version in expired:
@@ -374,33 +350,18 @@
 
     async def _try_leave(self, patience):
         try:
-            self.adopt(await self.assignments.change(self._plan_leaving))
+            self.adopt(await self._roster.begin_leaving())
             while self.owned:
                 if not await self._mover.balance(
                     limit=len(self.owned), quiesce_seconds=patience
                 ):
                     return False
-            self.adopt(await self.assignments.change(self._plan_removal))
+            self.adopt(await self._roster.remove())
         except (StoreUnavailable, JournalSealed) as error:
             self.log.info("not left yet: %s", error)
             return False
         return not self.assignment.has_member(self.yard.host, self.yard.incarnation)
 
-    def _plan_leaving(self, assignment):
-        member = assignment.members.get(self.yard.host)
-        if member is None or member.incarnation != self.yard.incarnation:
-            return None
-        if member.state == LEAVING:
-            return None
-        return plan_join(assignment, replace(member, state=LEAVING))
-
-    def _plan_removal(self, assignment):
-        if not assignment.has_member(self.yard.host, self.yard.incarnation):
-            return None
-        if assignment.loads[self.yard.host]:
-            return None
-        return plan_leave(assignment, self.yard.host)
-
     async def on_start(self):
         """Register the handlers of messages and join."""
         self.handlers.register()
@@ -461,18 +422,6 @@
     def _is_valid_now(self):
         return self.valid(self.yard.clock.monotonic())
 
-    def _describe(self):
-        settings = self.yard.settings
-        peers, gateway = self.yard.peers, self.yard.gateway
-        return Member(
-            host=self.yard.host,
-            incarnation=self.yard.incarnation,
-            peer_address=getattr(peers, "address", settings.peer_address),
-            caller_address=getattr(gateway, "address", settings.caller_address),
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-        )
-
     def _choose_gossip(self):
         """Return a few hosts that differ by host and version."""
         hosts = [host for host in self.assignment.members if host != self.yard.host]
--- /dev/null
+++ b/sapphireyard/roster.py
@@ -0,0 +1,99 @@
+"""This host's entry in the assignment: added, marked as leaving, removed."""
+
+from dataclasses import replace
+
+from sapphireyard.assignment import (
+    LEAVING,
+    Member,
+    create_assignment,
+    plan_join,
+    plan_leave,
+)
+from sapphireyard.exceptions import StoreConflict
+
+
+class Roster:
+    """Changes this host's place among the members of the assignment.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives settings, incarnation, addresses and the recovery.
+    assignments : AssignmentStore
+        The assignment in the store.
+    """
+
+    def __init__(self, yard, assignments):
+        self.yard = yard
+        self._assignments = assignments
+
+    async def enter(self):
+        """Add this incarnation; return the assignment that has it.
+
+        The partitions of an earlier incarnation that is still a member are
+        taken over by this one. The first member ever owns all partitions.
+
+        Raises
+        ------
+        StoreConflict
+            A later incarnation of this host is a member.
+        StoreUnavailable
+            The store did not answer; call again.
+        """
+        me = self._describe()
+        while True:
+            assignment = await self._assignments.read()
+            known = assignment.members.get(me.host) if assignment is not None else None
+            if known is not None and known.incarnation > me.incarnation:
+                raise StoreConflict(f"{me.host}/{known.incarnation} is a member")
+            if known is not None and known.incarnation < me.incarnation:
+                await self.yard.ownership.recovery.take_over(
+                    me.host, known.incarnation, heir=me
+                )
+            assignment = await self._assignments.change(
+                lambda current: self._plan_entry(current, me)
+            )
+            if assignment.has_member(me.host, me.incarnation):
+                return assignment
+
+    async def begin_leaving(self):
+        """Mark this host as leaving; return the assignment."""
+        return await self._assignments.change(self._plan_leaving)
+
+    async def remove(self):
+        """Remove this host if it owns nothing; return the assignment."""
+        return await self._assignments.change(self._plan_removal)
+
+    def _plan_entry(self, assignment, me):
+        if assignment is None:
+            return create_assignment(me, partitions=self.yard.settings.partitions)
+        if me.host in assignment.members:
+            return None
+        return plan_join(assignment, me)
+
+    def _plan_leaving(self, assignment):
+        member = assignment.members.get(self.yard.host)
+        if member is None or member.incarnation != self.yard.incarnation:
+            return None
+        if member.state == LEAVING:
+            return None
+        return plan_join(assignment, replace(member, state=LEAVING))
+
+    def _plan_removal(self, assignment):
+        if not assignment.has_member(self.yard.host, self.yard.incarnation):
+            return None
+        if assignment.loads[self.yard.host]:
+            return None
+        return plan_leave(assignment, self.yard.host)
+
+    def _describe(self):
+        settings = self.yard.settings
+        peers, gateway = self.yard.peers, self.yard.gateway
+        return Member(
+            host=self.yard.host,
+            incarnation=self.yard.incarnation,
+            peer_address=getattr(peers, "address", settings.peer_address),
+            caller_address=getattr(gateway, "address", settings.caller_address),
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+        )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,12 +3,13 @@
 import asyncio
 import unittest
 
-from sapphireyard.assignment import quota_of
+from sapphireyard.assignment import Member, plan_takeover, quota_of
 from sapphireyard.collector import find_needed
-from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
+from sapphireyard.exceptions import CallError, JournalSealed, NotOwner, StoreConflict
 from sapphireyard.generated_records import CallReserved, ProgramOpened
 from sapphireyard.generated_replication import CollectTails, OfferPartitions
 from sapphireyard.journal import name_segment
+from sapphireyard.roster import Roster
 from standins.memory import DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS, run_fleet
 
@@ -31,6 +32,16 @@
     return keys
 
 
+class FixedAssignments:
+    """An assignment that is only read."""
+
+    def __init__(self, assignment):
+        self.assignment = assignment
+
+    async def read(self):
+        return self.assignment
+
+
 class OwnershipTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.store = MemoryStore()
@@ -228,6 +239,19 @@
             accepted = [answer.accepted for answer in answers]
             self.assertEqual(accepted, [True] * quota + [False])
 
+    async def test_earlier_process_of_a_member_does_not_join(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            late = await fleet.begin("b")
+            late.incarnation = 1
+            newer = plan_takeover(
+                await late.ownership.assignments.read(),
+                "b",
+                last=0,
+                heir=Member("b", 2, "p", "c", "d"),
+            )
+            with self.assertRaises(StoreConflict):
+                await Roster(late, FixedAssignments(newer)).enter()
+
     async def test_not_owner(self):
         async with run_fleet(self.store, "ab") as fleet:
             partition = fleet.yards["b"].ownership.owned[0]
