--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -1,6 +1,7 @@
 """Chooses the next request and its upstream among the heads of the queues."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import islice
 
 from sapphireyard.queues import ANY, WaitingRequest
@@ -50,18 +51,34 @@
         How long a slot is held.
     shares : FairShares
         Weights of customers.
+    backlog : Backlog
+        How long customers will wait.
     options : SchedulerOptions
         Switches and weights.
     """
 
-    def __init__(self, slots, queues, placement, duration, shares, options):
+    def __init__(self, slots, queues, placement, duration, shares, backlog, options):
         self._slots = slots
         self._queues = queues
         self._placement = placement
         self._duration = duration
         self._shares = shares
+        self._backlog = backlog
+        self._blocked = set()
+        self._users = None
         self.options = options
 
+    def unblock(self, name=ANY):
+        """Look at an upstream again, or at all: something changed for it.
+
+        An upstream for which no request could start is passed over until its
+        own slots or the heads that it may take change.
+        """
+        if name == ANY:
+            self._blocked.clear()
+        else:
+            self._blocked.discard(name)
+
     def affinity(self, request):
         """Return the upstream that should serve a request, or `ANY`."""
         if not self.options.cache_affinity:
@@ -75,19 +92,24 @@
 
     def next(self, now):
         """Return the next `Choice`, or None when nothing can start."""
-        free = [slots for slots in self._slots.values() if slots.has_slot()]
+        free = [
+            slots
+            for name, slots in self._slots.items()
+            if name not in self._blocked and slots.has_slot()
+        ]
         for slots in sorted(free, key=lambda s: (s.fill, s.limits.name)):
             choice = self._best(slots, now)
             if choice:
                 return choice
+            self._blocked.add(slots.limits.name)
         return None
 
     def _best(self, slots, now):
-        aged_before = now - self.options.aging_seconds
         self._placement.record(slots.limits.name).age(now)
+        self._users = None
         best = None
         for affinity in self._sources(slots.limits.name):
-            found = self._first(affinity, slots, aged_before, now)
+            found = self._first(affinity, slots, now)
             if found and (best is None or found < best):
                 best = found
         if best is None:
@@ -99,13 +121,13 @@
         reason = self._reason(waiting, slots)
         return Choice(waiting, slots.limits.name, reason)
 
-    def _first(self, affinity, slots, aged_before, now):
+    def _first(self, affinity, slots, now):
         """Return the first candidate among the heads of some customers."""
-        heads = self._queues.heads(affinity, aged_before)
+        heads = self._queues.heads(affinity, partial(self._is_aged, now=now))
         for waiting in islice(heads, LOOKAHEAD_CUSTOMERS):
             if not self._may_use(waiting, slots):
                 continue
-            aged = waiting.submitted <= aged_before
+            aged = self._is_aged(waiting, now)
             if not self._may_come(waiting, slots):
                 continue
             if not self._may_start(waiting, slots, aged, now):
@@ -113,6 +135,12 @@
             return _Candidate(self._rank(waiting, aged), waiting)
         return None
 
+    def _is_aged(self, waiting, now):
+        if now - waiting.submitted < self.options.aging_seconds:
+            return False
+        wait = self._backlog.expected_wait(waiting.customer)
+        return wait <= self.options.aging_backlog
+
     def _sources(self, name):
         return [name, ANY] + [a for a in self._queues.affinities() if a and a != name]
 
@@ -145,14 +173,18 @@
             return False
         customer = waiting.customer
         used = record.fresh_of(customer) + slots.by_customer[customer]
-        weights = self._weigh_memory(record, slots, customer)
-        share = self._shares.weight(customer) / weights
-        return used + tokens > kv_tokens * share
+        weights = self._weigh_memory(record, slots)
+        weight = self._shares.weight(customer)
+        if not used:
+            weights += weight
+        return used + tokens > kv_tokens * weight / weights
 
-    def _weigh_memory(self, record, slots, customer):
+    def _weigh_memory(self, record, slots):
         """Return the weights of all customers that use an upstream's memory."""
-        users = {customer, *record.customers(), *slots.by_customer}
-        return sum(map(self._shares.weight, users))
+        if self._users is None or self._users[0] is not slots:
+            users = {*record.customers(), *slots.by_customer}
+            self._users = (slots, sum(map(self._shares.weight, users)))
+        return self._users[1]
 
     def _may_come(self, waiting, slots):
         """Return whether a request may leave the holder of its prefix."""
