Send heartbeats to a fixed number of hosts

A host walks the ring until it finds three live ones, and it never heard from those that watch it, so to it they were all silent and the walk went round: 409 receivers at 410 hosts.

Ruled out: probes of connections (stopped before, the slope stayed).

--- a/sapphireyard/failure_detector.py
+++ b/sapphireyard/failure_detector.py
@@ -86,8 +86,12 @@
         return self._walk(1, now)
 
     def receivers(self, now):
-        """Return the hosts that watch this host and get its heartbeats."""
-        return self._walk(-1, now)
+        """Return the hosts that get this host's heartbeats.
+
+        Those that watch it, and those that it watches: each side knows by that
+        which hosts of the other are live, and the walk on the ring ends.
+        """
+        return list(dict.fromkeys([*self._walk(-1, now), *self._walk(1, now)]))
 
     def hosts_to_look_at(self, now):
         """Return the hosts whose member object is to be read now."""
