Let the binaries share how they start and stop

Cause: the same 30 lines stood in entry, control and archive. Checked: make demo, tests.test_control, tests.test_archive, tests.test_site: 18 passed.

--- a/sapphireyard/archive.py
+++ b/sapphireyard/archive.py
@@ -8,21 +8,16 @@
 import asyncio
 import json
 import logging
-import os
-import signal
-import sys
 
 import mode
 
 from sapphireyard import generated_control
-from sapphireyard._options import load_settings
+from sapphireyard._binaries import run_binary, run_service
 from sapphireyard.archive_files import ArchiveFiles, compute_checksum
 from sapphireyard.archive_reader import ARCHIVE_PREFIX, IMMUTABLE_PREFIXES
 from sapphireyard.exceptions import CallError, StoreConflict, StoreError
 from sapphireyard.generated_archive_settings import ArchiveSettings
 from sapphireyard.generated_control import SegmentAnswer, SegmentQuery
-from sapphireyard.logs import configure_logging
-from sapphireyard.metrics import configure_metrics
 from sapphireyard.objects import ObjectStore
 from sapphireyard.peers import Peers
 from sapphireyard.yard import Yard
@@ -134,30 +129,13 @@
     yard = Yard(settings, ObjectStore(settings.store))
     yard.peers = Peers(yard)
     service = ArchiveService(yard)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     await yard.peers.listen()
-    await service.start()
-    print(f"listening on {yard.peers.address}", flush=True)
-    crashed = asyncio.ensure_future(service.wait_until_stopped())
-    asked = asyncio.ensure_future(stop.wait())
-    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
-    status = 1 if service.crash_reason else 0
-    await service.stop()
-    await yard.store.close()
-    return status
+    return await run_service(service, yard, find_address=lambda: yard.peers.address)
 
 
 def main():
     """Run the binary."""
-    settings = load_settings(
-        ArchiveSettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
-    )
-    configure_logging(settings, host=settings.host)
-    configure_metrics()
-    sys.exit(asyncio.run(run(settings)))
+    run_binary(run, ArchiveSettings, name=PROGRAM)
 
 
 if __name__ == "__main__":
--- a/sapphireyard/control.py
+++ b/sapphireyard/control.py
@@ -7,15 +7,12 @@
 
 import asyncio
 import logging
-import os
 import secrets
-import signal
-import sys
 
 import mode
 
 from sapphireyard import generated_control
-from sapphireyard._options import load_settings
+from sapphireyard._binaries import run_binary, run_service
 from sapphireyard.assignment_store import AssignmentStore
 from sapphireyard.configuration import ConfigurationService
 from sapphireyard.engines import EngineClient, EngineFailure, OldFencing
@@ -30,8 +27,6 @@
 from sapphireyard.generated_control_settings import ControlSettings
 from sapphireyard.lease_store import LeaseStore
 from sapphireyard.leases import LeaseKeeper
-from sapphireyard.logs import configure_logging
-from sapphireyard.metrics import configure_metrics
 from sapphireyard.objects import ObjectStore
 from sapphireyard.orders import plan_orders
 from sapphireyard.peers import Peers
@@ -304,30 +299,13 @@
     """Run a control process until it is asked to stop; return the exit status."""
     yard = build_yard(settings)
     service = ControlService(yard)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     await yard.peers.listen()
-    await service.start()
-    print(f"listening on {yard.peers.address}", flush=True)
-    crashed = asyncio.ensure_future(service.wait_until_stopped())
-    asked = asyncio.ensure_future(stop.wait())
-    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
-    status = 1 if service.crash_reason else 0
-    await service.stop()
-    await yard.store.close()
-    return status
+    return await run_service(service, yard, find_address=lambda: yard.peers.address)
 
 
 def main():
     """Run the binary."""
-    settings = load_settings(
-        ControlSettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
-    )
-    configure_logging(settings, host=settings.host)
-    configure_metrics()
-    sys.exit(asyncio.run(run(settings)))
+    run_binary(run, ControlSettings, name=PROGRAM)
 
 
 if __name__ == "__main__":
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import logging
-import os
-import signal
-import sys
 
 import mode
 
-from sapphireyard._options import load_settings
+from sapphireyard._binaries import run_binary, run_service
 from sapphireyard.administration import add_routes
 from sapphireyard.collector import CollectorService
 from sapphireyard.configuration import ConfigurationService
@@ -17,8 +14,7 @@
 from sapphireyard.generated_settings import EntrySettings
 from sapphireyard.journal import JournalService
 from sapphireyard.lifetimes import LifetimeService
-from sapphireyard.logs import configure_logging
-from sapphireyard.metrics import Metrics, configure_metrics, observe_store
+from sapphireyard.metrics import Metrics, observe_store
 from sapphireyard.objects import ObjectStore
 from sapphireyard.outliers import OutlierDetector
 from sapphireyard.ownership import OwnershipService
@@ -50,7 +46,6 @@
     def __init__(self, yard):
         super().__init__()
         self._yard = yard
-        self.stop_asked = asyncio.Event()
 
     async def on_start(self):
         yard = self._yard
@@ -129,30 +124,17 @@
     """Run an entry host until it is asked to stop; return the exit status."""
     yard = build_yard(settings)
     service = EntryService(yard)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, service.stop_asked.set)
-    await service.start()
-    print(f"listening on {yard.gateway.address}", flush=True)
-    crashed = asyncio.ensure_future(service.wait_until_stopped())
-    asked = asyncio.ensure_future(service.stop_asked.wait())
-    await asyncio.wait([crashed, asked], return_when=asyncio.FIRST_COMPLETED)
-    if asked.done():
-        await service.drain()
-    status = 1 if service.crash_reason else 0
-    await service.stop()
-    await yard.store.close()
-    return status
+    return await run_service(
+        service,
+        yard,
+        find_address=lambda: yard.gateway.address,
+        drain=service.drain,
+    )
 
 
 def main():
     """Run the binary."""
-    settings = load_settings(
-        EntrySettings, argv=sys.argv[1:], environ=os.environ, name=PROGRAM
-    )
-    configure_logging(settings, host=settings.host)
-    configure_metrics()
-    sys.exit(asyncio.run(run(settings)))
+    run_binary(run, EntrySettings, name=PROGRAM)
 
 
 if __name__ == "__main__":
