Prove fail-closed hosts, pass over late changes, measure recovery

A host that hears neither store nor peers refuses a withdrawn key: passes, and fails with 200 when `freshness` is switched off.

--- a/sapphireyard/configuration.py
+++ b/sapphireyard/configuration.py
@@ -241,14 +241,15 @@
         self._asked.add(host)
         try:
             asked_at = self._now()
+            named = self._version_to_name()
             answer = await self._yard.peers.ask(
-                host, ConfigurationQuery(self._version_to_name()), timeout=ASK_SECONDS
+                host, ConfigurationQuery(named), timeout=ASK_SECONDS
             )
             self._freshness.hear(answer.version)
             member = self._sources.members().get(host)
             if member is not None:
                 self._freshness.hear_domain(member.failure_domain, asked_at)
-            manifest = self._read_answer(answer)
+            manifest = self._read_answer(answer, named)
             if manifest is not None:
                 await self._install(manifest, source=host)
             self._freshness.confirm(
@@ -265,12 +266,16 @@
         """Return the version to ask with; 0 asks for the whole manifest."""
         return 0 if self._needs_whole else self.version
 
-    def _read_answer(self, answer):
-        """Return the manifest of an answer, or None when it has none."""
+    def _read_answer(self, answer, named):
+        """Return the manifest of an answer, or None when it has none.
+
+        A change of the version `named` in the question is of no use when
+        another host's answer came first.
+        """
         if answer.manifest:
             self._needs_whole = False
             return decode_manifest(answer.manifest)
-        if not answer.delta:
+        if not answer.delta or self.version != named:
             return None
         self._needs_whole = True
         manifest = patch_manifest(self._manifest, answer.delta)
--- a/scripts/sites.py
+++ b/scripts/sites.py
@@ -40,6 +40,8 @@
     ----------
     cluster : LocalCluster
         Where the processes run.
+    entry_flags : sequence of str, optional
+        Flags of each entry host.
 
     Attributes
     ----------
@@ -51,8 +53,9 @@
 
     entry_module = "sapphireyard.entry"
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, *, entry_flags=ENTRY_FLAGS):
         self.cluster = cluster
+        self.entry_flags = entry_flags
         self.keys = {name: create_key() for name in CUSTOMERS}
         self.operator_key = create_key()
         self.tables = {}
@@ -94,7 +97,7 @@
         if name not in self.entries:
             self.entries.append(name)
         await self.cluster.start_entry(
-            number, *ENTRY_FLAGS, *flags, module=self.entry_module
+            number, *self.entry_flags, *flags, module=self.entry_module
         )
 
     async def close(self):
@@ -185,7 +188,7 @@
         """Wait until each live entry host is ready and knows the assignment."""
         for name in self.live_entries():
             await wait_until(lambda: self._is_serving(name), f"{name} serves")
-        await wait_until(self.is_balanced, "the partitions are shared evenly")
+        await wait_until(self.is_balanced, "the partitions are shared", seconds=120)
 
     async def is_balanced(self):
         """Return whether the live hosts own equal numbers of partitions."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,6 +5,7 @@
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 
@@ -13,7 +14,7 @@
 from sapphireyard.configuration import ConfigurationService
 from sapphireyard.exceptions import CallError, PeerUnavailable, StoreConflict
 from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_configuration import Manifest
+from sapphireyard.generated_configuration import ConfigurationAnswer, Manifest
 from sapphireyard.keys import KEY_PREFIX, create_key, digest_key
 from sapphireyard.manifests import (
     ManifestRepository,
@@ -383,3 +384,14 @@
         self.assertEqual(store.calls, {"create": 2, "update": 1})
         _, _, tables = await repository.read_tables()
         self.assertEqual(len(tables["customers"]), 1300)
+
+
+class LateAnswerTest(unittest.TestCase):
+    def test_change_of_an_older_version_is_passed_over(self):
+        yard = mock.MagicMock()
+        yard.settings.withdrawal_seconds = 8.0
+        service = ConfigurationService(yard)
+        service._freshness.install(3)
+        answer = ConfigurationAnswer(3, 0.0, delta='{"base": 2}')
+        self.assertIsNone(service._read_answer(answer, 2))
+        self.assertFalse(service._needs_whole)
--- a/tests/test_process_store.py
+++ b/tests/test_process_store.py
@@ -1,6 +1,7 @@
 """The store is out, slow, or loses answers; processes run for real."""
 
 import asyncio
+import signal
 
 from tests.process_site import ProcessTestCase, wait_until
 
@@ -116,3 +117,19 @@
             self.assertEqual((status, problem.get("code")), (401, "key_withdrawn"))
         await self.chat(client, "after")
         await self.check_history(client)
+
+    async def test_host_that_hears_nobody_refuses(self):
+        lonely = self.cluster["entry-2"]
+        lonely.send(signal.SIGSTOP)
+        self.site.withdrawn.add("nyumbani")
+        await self.site.write_tables(self.site.tables)
+        await self.set_outage("refuse")
+        for name in ("entry-0", "entry-1"):
+            await self.cluster[name].kill()
+        await asyncio.sleep(WITHDRAWAL_SECONDS + MARGIN_SECONDS)
+        lonely.send(signal.SIGCONT)
+        for _ in range(5):
+            status, problem = await self.site.request(
+                "GET", "/v1/address?program=x", entry="entry-2"
+            )
+            self.assertIn((status, problem.get("code")), GONE)
