--- a/sapphireyard/roster.py
+++ b/sapphireyard/roster.py
@@ -47,6 +47,8 @@
             if known is not None and known.incarnation > me.incarnation:
                 raise StoreConflict(f"{me.host}/{known.incarnation} is a member")
             if known is not None and known.incarnation < me.incarnation:
+                # The holders of the earlier journal's tail are asked by address.
+                self.yard.ownership.adopt(assignment)
                 await self.yard.ownership.recovery.take_over(
                     me.host, known.incarnation, heir=me
                 )
--- a/scripts/sites.py
+++ b/scripts/sites.py
@@ -100,6 +100,17 @@
             number, *self.entry_flags, *flags, module=self.entry_module
         )
 
+    async def start_control(self, *flags):
+        """Start a control process."""
+        await self.cluster.start(
+            "control-0",
+            "sapphireyard.control",
+            *("--host", "control-0", "--failure-domain", "a"),
+            *("--peer-address", "127.0.0.30:0"),
+            *("--store", f"http://{self.cluster['store'].address}"),
+            *flags,
+        )
+
     async def close(self):
         """End the clients; the cluster ends the processes."""
         if self.store is not None:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -26,6 +26,7 @@
 ENTRIES = 5
 ENGINES = 3
 SERVICES = 3
+CONTROL_FLAGS = ("--sweep-seconds", "1", "--lease-seconds", "3")
 RATE = 20.0
 """Calls per second of the customer that asks for more than its rate."""
 
@@ -62,6 +63,7 @@
     site.keys["crowding"] = site.keys["kitamichi"].replace("syk_", "syk_crowding")
     site.rates = {"crowding": {"rate": RATE, "burst": RATE}}
     await site.start(entries=ENTRIES, engines=ENGINES, services=SERVICES)
+    await site.start_control(*CONTROL_FLAGS)
     judge = Judge(site, rate=RATE)
     load = Load(site, judge, seed=options.seed, programs=options.programs)
     striker = Striker(site, judge, seed=options.seed, only=options.only)
--- a/scripts/soak_load.py
+++ b/scripts/soak_load.py
@@ -43,6 +43,7 @@
         self._programs = programs
         self._stopping = False
         self._workers = []
+        self._open = {}
         self.counts = Counter()
         self.latencies = []
 
@@ -59,9 +60,11 @@
         """Let the programs under way end."""
         self._stopping = True
         done, pending = await asyncio.wait(self._workers, timeout=seconds)
+        for client in list(self._open.values()) if pending else ():
+            explained = await self._explain(client)
+            self._judge.note("finished", f"{client.program} did not end: {explained}")
         for task in pending:
             task.cancel()
-            self._judge.note("finished", "a program did not end after the healing")
         for task in done:
             if task.exception() is not None:
                 self._judge.note("finished", f"worker: {task.exception()!r}")
@@ -76,6 +79,7 @@
             serial += 1
             customer = CUSTOMERS[number % len(CUSTOMERS)]
             client = self._build_client(customer, f"program-{number}-{serial}")
+            self._open[number] = client
             await self._run_program(client, child=self._random.random() < 0.3)
             self.counts["programs"] += 1
 
@@ -115,6 +119,17 @@
     def _customer_of(self, client):
         return next(n for n, key in self._site.keys.items() if key == client.key)
 
+    async def _explain(self, client):
+        """Return what the program's owner knows of it."""
+        name = f"{self._customer_of(client)}/{client.program}"
+        found = []
+        for entry in self._site.live_entries():
+            path = f"/admin/v1/explain/{name}"
+            found.append(
+                await self._site.request("GET", path, entry=entry, customer="operator")
+            )
+        return found
+
     async def _chat(self, client, turn):
         text = f"{client.program} {turn}"
         message = {"role": "user", "content": text}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -70,6 +70,9 @@
         pass
 
     async def ask(self, host, message, *, timeout):
+        assignment = self.yard.ownership.assignment
+        if assignment is None or host not in assignment.members:
+            raise PeerUnavailable(f"{host} is not a member", sent=False)
         receiver = self.network.find(self.yard.host, host)
         context = PeerContext(self.yard.host, self.yard.incarnation)
         message = self.codec.load(*self.codec.dump(message))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -267,6 +267,7 @@
     async def test_offers_under_way_count(self):
         async with run_fleet(self.store, "ab") as fleet:
             joined = await fleet.add("c")
+            fleet.yards["a"].ownership.adopt(joined.ownership.assignment)
             quota = quota_of(joined.ownership.assignment, "c")
             owned = fleet.yards["a"].ownership.owned
             answers = []
@@ -320,6 +321,17 @@
             self.assertIsNotNone(owner.programs.get(partition, key))
             self.assertFalse(owner.programs.get(partition, key).tail_uncertain)
 
+    async def test_acknowledged_commit_survives_a_restart_of_its_host(self):
+        async with run_fleet(self.store, "abcd") as fleet:
+            yard, partition, key = await self.commit_in_outage(fleet)
+            await yard.journal.stop()
+            await fleet.kill(yard.host)
+            await fleet.add(yard.host)
+            await fleet.spread()
+            program = fleet.owners(partition)[0].programs.get(partition, key)
+            self.assertIsNotNone(program)
+            self.assertFalse(program.tail_uncertain)
+
     async def test_unreachable_holder_makes_the_tail_uncertain(self):
         async with run_fleet(self.store, "abcd") as fleet:
             yard, partition, key = await self.commit_in_outage(fleet)
