--- a/scripts/soak_load.py
+++ b/scripts/soak_load.py
@@ -81,6 +81,7 @@
             client = self._build_client(customer, f"program-{number}-{serial}")
             self._open[number] = client
             await self._run_program(client, child=self._random.random() < 0.3)
+            del self._open[number]
             self.counts["programs"] += 1
 
     def _build_client(self, customer, program, *, parent=""):
