Keep upstreams that leave out of the placement; forget idle records

Cause: the setting host_list was read by nobody, outliers.set_leaving and slots.set_state had no caller, and forget / forget_idle of outliers and retries were never called.

Leaving is believed. An upstream that vanished is only suspected and is out while GET /healthz on a fresh connection fails too. An empty list or none keeps the last word; upstreams that were never listed stay; a pool is never emptied. An upstream that answers 503 with Connection: close and Retry-After gets nothing new from this host for that time and is not counted as failing. A configured state leaving reaches the outliers too, and an upstream that the list calls live again does not come up against it. The same service forgets idle records once a minute.

The process test needs the wiring: the modules did not exist before, so the tests could not be imported.

Not done: the own word of an upstream is not told to other hosts; each learns it by its own first refused request.

--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -29,6 +29,7 @@
 from sapphireyard.shares import LimitService
 from sapphireyard.slots import SlotService
 from sapphireyard.texts import TextService
+from sapphireyard.upstream_states import UpstreamStates
 from sapphireyard.upstreams import Upstreams
 from sapphireyard.yard import Yard
 
@@ -64,6 +65,7 @@
             yard.upstreams,
             yard.limits,
             yard.slots,
+            yard.upstream_states,
             yard.quarantine,
             yard.dispatcher,
             yard.lifetimes,
@@ -117,6 +119,7 @@
     yard.quarantine = QuarantineService(yard)
     yard.retries = RetryBudget()
     yard.outliers = OutlierDetector()
+    yard.upstream_states = UpstreamStates(yard)
     yard.lifetimes = LifetimeService(yard)
     yard.texts = TextService(yard)
     yard.collector = CollectorService(yard)
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -16,7 +16,7 @@
 from sapphireyard.senders import SENDERS
 from sapphireyard.slots import SlotRequest
 from sapphireyard.tables import PUBLIC_CUSTOMER
-from sapphireyard.upstreams import UpstreamError
+from sapphireyard.upstreams import UpstreamError, UpstreamLeaving
 
 logger = logging.getLogger(__name__)
 
@@ -269,7 +269,12 @@
         self._yard.outliers.report(upstream.name, ok=ok, now=now)
 
     def _report_failure(self, execution, grant, error):
-        self._report_outcome(grant.upstream, ok=False)
+        if isinstance(error, UpstreamLeaving):
+            self._yard.upstream_states.note_leaving(
+                grant.upstream.name, seconds=error.seconds
+            )
+        else:
+            self._report_outcome(grant.upstream, ok=False)
         self._yard.metrics.count("upstream_failures", upstream=grant.upstream.name)
         logger.warning(
             "upstream failed",
--- a/sapphireyard/generated_settings.py
+++ b/sapphireyard/generated_settings.py
@@ -42,7 +42,7 @@
     """
     host_list: str = ''
     """
-    Address of the platform's host list.
+    Address (IP:PORT) of the platform's list of live and leaving hosts; empty for none.
     """
     data_folder: str = ''
     """
--- a/sapphireyard/home_registry.py
+++ b/sapphireyard/home_registry.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from sapphireyard.capacity import UpstreamState
 from sapphireyard.completions import digest_program
 from sapphireyard.exceptions import NotHome
 from sapphireyard.generated_messages import Done
@@ -75,7 +76,10 @@
 
     def set_state(self, pool, upstream, state):
         """Mark an upstream up, leaving or down for the groups homed here."""
-        self._states[(pool, upstream)] = state
+        if state is UpstreamState.UP:
+            self._states.pop((pool, upstream), None)
+        else:
+            self._states[(pool, upstream)] = state
         for home in self._homes.values():
             if home.group.pool == pool and upstream in home.scheduler.upstreams:
                 home.set_state(upstream, state)
--- /dev/null
+++ b/sapphireyard/host_lists.py
@@ -0,0 +1,80 @@
+"""The platform's list of live and leaving hosts, in the forms that sites use."""
+
+from typing import Literal
+
+import aiohttp
+import pydantic
+
+from sapphireyard.exceptions import YardError
+
+READ_SECONDS = 2.0
+"""Longest wait for the list."""
+
+
+class HostListError(YardError):
+    """The host list gave no usable answer."""
+
+    code = "host_list_failed"
+
+
+class ListedHost(pydantic.BaseModel):
+    """One row of the list.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host.
+    address : str, optional
+        IP or IP:PORT.
+    state : {'live', 'leaving'}, optional
+        What the platform plans for it.
+    """
+
+    name: str
+    address: str = ""
+    state: Literal["live", "leaving"] = "live"
+
+    def carries(self, upstream):
+        """Return whether an upstream, by its name or address, is on this host."""
+        if self.name == upstream.name:
+            return True
+        ip, _, _ = upstream.address.rpartition(":")
+        return self.address in (upstream.address, ip)
+
+
+class HostListAnswer(pydantic.BaseModel):
+    """The body of an answer."""
+
+    hosts: list[ListedHost]
+
+
+class HttpHostList:
+    """A list that is read with ``GET /hosts``.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT, with or without ``http://``.
+    """
+
+    def __init__(self, address):
+        host = address.removeprefix("http://").rstrip("/")
+        self._url = f"http://{host}/hosts"
+
+    async def read(self):
+        """Return the rows, each a `ListedHost`.
+
+        Raises
+        ------
+        HostListError
+            No whole answer came in time.
+        """
+        timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.get(self._url) as response:
+                    response.raise_for_status()
+                    text = await response.text()
+            return HostListAnswer.model_validate_json(text).hosts
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise HostListError(f"{self._url}: {error!r}") from error
--- a/sapphireyard/senders.py
+++ b/sapphireyard/senders.py
@@ -12,10 +12,12 @@
     dump_json,
 )
 from sapphireyard.executions import UpstreamAnswer
-from sapphireyard.upstreams import UpstreamError, UpstreamRefusal, parse_chunk
-
-FIRST_RETRIED_STATUS = 500
-"""From this HTTP status on, an answer is a failure of the upstream."""
+from sapphireyard.upstreams import (
+    FIRST_FAILURE_STATUS,
+    UpstreamError,
+    UpstreamRefusal,
+    parse_chunk,
+)
 
 
 class Sender:
@@ -128,7 +130,7 @@
 
 
 def _check_status(status):
-    if status >= FIRST_RETRIED_STATUS:
+    if status >= FIRST_FAILURE_STATUS:
         raise UpstreamError(f"status {status}", sent=True)
 
 
--- a/sapphireyard/slot_homes.py
+++ b/sapphireyard/slot_homes.py
@@ -132,7 +132,12 @@
         self.set_state(upstream.name, state)
 
     def set_state(self, name, state):
-        """Mark an upstream of the group up, leaving or down."""
+        """Mark an upstream of the group up, leaving or down.
+
+        One that is configured as leaving does not come up.
+        """
+        if state is UpstreamState.UP and name in self._leaving:
+            state = UpstreamState.LEAVING
         self._apply(self._scheduler.set_state(name, state, self._now))
 
     async def ask(self, request):
--- a/sapphireyard/upstreams.py
+++ b/sapphireyard/upstreams.py
@@ -19,9 +19,17 @@
 PROGRESS_SECONDS = 20.0
 """Seconds without a byte of an answer after which an upstream counts as silent."""
 
+FIRST_FAILURE_STATUS = 500
+"""From this HTTP status on, an answer is a failure of the upstream."""
+
 ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer of an upstream, in bytes."""
 
+UNAVAILABLE = 503
+
+PROBE_SECONDS = 2.0
+"""Time that a fresh connection has to answer before an upstream is judged."""
+
 STREAM_END = "[DONE]"
 
 
@@ -134,12 +142,23 @@
         async with self._post(self._pooled, url, body, {}) as response:
             await response.read()
 
+    async def probe(self, address):
+        """Return whether an upstream answers on a fresh connection."""
+        url = f"http://{address}/healthz"
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        try:
+            async with self._single.get(url, timeout=timeout) as response:
+                return response.status < FIRST_FAILURE_STATUS
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     @contextlib.asynccontextmanager
     async def _post(self, session, url, body, headers):
         data = body.encode()
         headers = {"Content-Type": "application/json", **headers}
         try:
             async with session.post(url, data=data, headers=headers) as response:
+                _check_leaving(url, response)
                 yield response
         except aiohttp.ClientConnectorError as error:
             raise UpstreamError(str(error), sent=False) from error
@@ -152,6 +171,20 @@
             raise UpstreamError(detail, sent=True, crashed=True) from error
 
 
+class UpstreamLeaving(UpstreamError):
+    """An upstream says that it leaves and takes nothing new.
+
+    Parameters
+    ----------
+    seconds : float
+        Time after which it may be tried again.
+    """
+
+    def __init__(self, detail, *, seconds):
+        super().__init__(detail, sent=True)
+        self.seconds = seconds
+
+
 class UpstreamRefusal(YardError):
     """An upstream answered with an error status; the answer is whole."""
 
@@ -163,6 +196,14 @@
         self.text = text
 
 
+def _check_leaving(url, response):
+    """Raise `UpstreamLeaving` when the answer says so."""
+    seconds = response.headers.get("Retry-After", "")
+    closing = response.headers.get("Connection", "").lower() == "close"
+    if response.status == UNAVAILABLE and closing and seconds.isdecimal():
+        raise UpstreamLeaving(f"{url}: it leaves", seconds=float(seconds))
+
+
 async def _read_text(response):
     data = bytearray()
     async for piece in response.content.iter_any():
--- a/sapphireyard/yard.py
+++ b/sapphireyard/yard.py
@@ -44,6 +44,8 @@
         Upstreams that fail more than others.
     upstreams : Upstreams
         Connections to upstreams.
+    upstream_states : UpstreamStates
+        Upstreams that leave.
     dispatcher : Dispatcher
         Carries calls on their owner.
     lifetimes : LifetimeService
@@ -74,6 +76,7 @@
         self.retries = None
         self.outliers = None
         self.upstreams = None
+        self.upstream_states = None
         self.dispatcher = None
         self.lifetimes = None
         self.texts = None
--- /dev/null
+++ b/tests/test_upstream_states.py
@@ -0,0 +1,136 @@
+"""Tests of upstreams that leave, by the host list or by their own word."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from aiohttp import web
+
+from sapphireyard.capacity import UpstreamState
+from sapphireyard.host_lists import HostListError, HttpHostList, ListedHost
+from sapphireyard.outliers import OutlierDetector
+from sapphireyard.retries import RetryBudget
+from sapphireyard.upstream_states import UpstreamStates
+from sapphireyard.upstreams import UpstreamLeaving, Upstreams
+from standins.hosts import HostsServer
+from tests.fleet import VirtualClock
+from tests.test_slots import make_pool
+
+NAMES = ["engine-0", "engine-1", "engine-2"]
+
+
+def list_hosts(*leaving, gone=()):
+    """Return a list of the hosts of all engines."""
+    return [
+        ListedHost(name=name, state="leaving" if name in leaving else "live")
+        for name in NAMES
+        if name not in gone
+    ]
+
+
+class UpstreamStatesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.yard = SimpleNamespace(
+            settings=SimpleNamespace(host_list="127.0.0.1:1"),
+            clock=VirtualClock(),
+            configuration=SimpleNamespace(current=None),
+            outliers=OutlierDetector(),
+            retries=RetryBudget(),
+            slots=mock.Mock(),
+            upstreams=SimpleNamespace(probe=mock.AsyncMock(return_value=True)),
+        )
+        self.states = UpstreamStates(self.yard)
+        self.states._list = mock.Mock()
+        self.configure()
+
+    def configure(self, **options):
+        pool = make_pool(upstreams=3, **options)
+        self.yard.configuration.current = SimpleNamespace(pools={pool.name: pool})
+
+    async def read(self, answer):
+        """Refresh with an answer of the list; return the usable upstreams."""
+        self.states._list.read = mock.AsyncMock(side_effect=[answer])
+        await self.states.refresh()
+        return self.yard.outliers.usable(NAMES, self.yard.clock.monotonic())
+
+    async def test_leaving_is_believed_and_taken_back(self):
+        set_state = self.yard.slots.set_state
+        self.assertEqual(await self.read(list_hosts("engine-1")), NAMES[::2])
+        set_state.assert_called_once_with("models", "engine-1", UpstreamState.LEAVING)
+        self.assertEqual(await self.read(list_hosts()), NAMES)
+        set_state.assert_called_with("models", "engine-1", UpstreamState.UP)
+
+    async def test_last_word_stays_while_the_list_is_out_or_empty(self):
+        await self.read(list_hosts("engine-1"))
+        for answer in (HostListError("out"), []):
+            with self.subTest(answer=answer):
+                self.assertEqual(await self.read(answer), NAMES[::2])
+
+    async def test_gone_is_only_a_suspicion(self):
+        await self.read(list_hosts())
+        for answers, usable in ((True, NAMES), (False, NAMES[1:]), (True, NAMES)):
+            with self.subTest(answers=answers):
+                self.yard.upstreams.probe.return_value = answers
+                self.assertEqual(await self.read(list_hosts(gone=NAMES[:1])), usable)
+
+    async def test_unlisted_and_whole_pools_stay(self):
+        self.yard.upstreams.probe.return_value = False
+        for hosts in (list_hosts(gone=NAMES[:2]), list_hosts(*NAMES)):
+            with self.subTest(hosts=hosts):
+                self.assertEqual(await self.read(hosts), NAMES)
+
+    async def test_configured_leaving_gets_nothing_new(self):
+        self.configure(leaving=["engine-2"])
+        self.assertEqual(await self.read(list_hosts()), NAMES[:2])
+        self.yard.slots.set_state.assert_not_called()
+
+    async def test_own_word_holds_for_its_time(self):
+        self.states.note_leaving("engine-0", seconds=30)
+        self.yard.clock.now += 29
+        self.assertEqual(await self.read(list_hosts()), NAMES[1:])
+        self.yard.clock.now += 1
+        self.assertEqual(await self.read(list_hosts()), NAMES)
+
+    def test_idle_records_are_forgotten(self):
+        now = self.yard.clock.now
+        self.yard.outliers.report("engine-9", ok=True, now=now)
+        self.yard.retries.note_request("old", now)
+        self.yard.clock.now += 10_000
+        self.states.forget()
+        self.assertEqual(self.yard.outliers._records, {})
+        self.assertEqual(self.yard.retries._routes, {})
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, app):
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return "{}:{}".format(*runner.addresses[0])
+
+    async def test_reads_the_list(self):
+        server = HostsServer()
+        server._lists.append((0.0, list_hosts("engine-1")))
+        address = await self.serve(server.app)
+        self.assertEqual(await HttpHostList(address).read(), list_hosts("engine-1"))
+        server.faults.refuse = True
+        with self.assertRaises(HostListError):
+            await HttpHostList(f"http://{address}").read()
+
+    async def test_upstream_says_that_it_leaves(self):
+        async def answer(request):
+            headers = {"Connection": "close", "Retry-After": "7"}
+            return web.Response(status=503, headers=headers)
+
+        app = web.Application()
+        app.router.add_post("/{path}", answer)
+        address = await self.serve(app)
+        upstreams = Upstreams(SimpleNamespace())
+        await upstreams.on_start()
+        self.addAsyncCleanup(upstreams.on_stop)
+        with self.assertRaises(UpstreamLeaving) as raised:
+            await upstreams.call_service(
+                address, "x", "{}", idempotency_key="", repeatable=True
+            )
+        self.assertEqual(raised.exception.seconds, 7.0)
