--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,11 +3,13 @@
 import asyncio
 import unittest
 
+from sapphireyard.assignment import Member, plan_takeover, quota_of
 from sapphireyard.collector import find_needed
-from sapphireyard.exceptions import CallError, JournalSealed, NotOwner
+from sapphireyard.exceptions import CallError, JournalSealed, NotOwner, StoreConflict
 from sapphireyard.generated_records import CallReserved, ProgramOpened
-from sapphireyard.generated_replication import CollectTails
+from sapphireyard.generated_replication import CollectTails, OfferPartitions
 from sapphireyard.journal import name_segment
+from sapphireyard.roster import Roster
 from standins.memory import DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS, run_fleet
 
@@ -30,6 +32,16 @@
     return keys
 
 
+class FixedAssignments:
+    """An assignment that is only read."""
+
+    def __init__(self, assignment):
+        self.assignment = assignment
+
+    async def read(self):
+        return self.assignment
+
+
 class OwnershipTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.store = MemoryStore()
@@ -101,12 +113,42 @@
             await membership.look()
             with self.store.outage():
                 for _ in range(5):
-                    fleet.yards["a"].clock.now += 10
-                    await membership.renew()
+                    await self.renew_all(fleet, seconds=10)
                     self.assertEqual(await membership.look(), [])
                     self.assertTrue(membership.valid(fleet.yards["a"].clock.now))
             self.assertEqual(await membership.look(), [])
 
+    async def renew_all(self, fleet, *, seconds):
+        """Let time pass, each host try to renew, and heartbeats go round."""
+        for yard in fleet.yards.values():
+            yard.clock.now += seconds
+            await yard.ownership.membership.renew()
+        for _ in range(2):
+            for yard in fleet.yards.values():
+                yard.ownership.membership.beat()
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+    async def test_minority_without_the_store_stops(self):
+        cases = [
+            ("a alone", {"a"}, {"a": False, "b": True, "c": True}),
+            ("all apart", {"a", "b", "c"}, {"a": False, "b": False, "c": False}),
+            ("nobody", set(), {"a": True, "b": True, "c": True}),
+        ]
+        for name, cut, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                async with run_fleet(self.store, "abc") as fleet:
+                    with self.store.outage():
+                        await self.renew_all(fleet, seconds=10)
+                        fleet.network.cut |= cut
+                        await self.renew_all(fleet, seconds=10)
+                        valid = {
+                            host: yard.ownership.valid(yard.clock.now)
+                            for host, yard in fleet.yards.items()
+                        }
+                        self.assertEqual(valid, expected)
+
     async def test_stalled_host_is_not_valid_until_renewed(self):
         async with run_fleet(self.store, "ab") as fleet:
             yard = fleet.yards["a"]
@@ -222,6 +264,32 @@
                 self.assertEqual(program.unknown_sequences(), [1])
                 self.assertEqual(program.spent_tokens, 10)
 
+    async def test_offers_under_way_count(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            joined = await fleet.add("c")
+            quota = quota_of(joined.ownership.assignment, "c")
+            owned = fleet.yards["a"].ownership.owned
+            answers = []
+            for partition in owned[: quota + 1]:
+                message = OfferPartitions([partition])
+                peers = fleet.yards["a"].peers
+                answers.append(await peers.ask("c", message, timeout=1))
+            accepted = [answer.accepted for answer in answers]
+            self.assertEqual(accepted, [True] * quota + [False])
+
+    async def test_earlier_process_of_a_member_does_not_join(self):
+        async with run_fleet(self.store, "ab") as fleet:
+            late = await fleet.begin("b")
+            late.incarnation = 1
+            newer = plan_takeover(
+                await late.ownership.assignments.read(),
+                "b",
+                last=0,
+                heir=Member("b", 2, "p", "c", "d"),
+            )
+            with self.assertRaises(StoreConflict):
+                await Roster(late, FixedAssignments(newer)).enter()
+
     async def test_not_owner(self):
         async with run_fleet(self.store, "ab") as fleet:
             partition = fleet.yards["b"].ownership.owned[0]
