--- a/bench/workload.py
+++ b/bench/workload.py
@@ -54,7 +54,7 @@
 
 
 HATUA = Deployment("hatua", 8, 4, 0.0015, 1.0)
-KITAMICHI = Deployment("kitamichi", 7, 5, 0.0005, 0.5)
+KITAMICHI = Deployment("kitamichi", 7, 5, 0.0005, 0.25)
 
 
 @dataclass
