Halve the time without service after a loss

Cause: after a freeze programs of other hosts waited until the lost host was sealed, as homes of slots and rates were silent; after a kill its own programs waited as long. Ruled out: sealing on silence alone (a host with a broken network would seal all).

--- a/sapphireyard/generated_settings.py
+++ b/sapphireyard/generated_settings.py
@@ -56,11 +56,11 @@
     """
     Lowest level that is logged.
     """
-    renewal_seconds: float = Field(2.0, gt=0.0)
+    renewal_seconds: float = Field(1.0, gt=0.0)
     """
     Seconds between renewals of the member object.
     """
-    expiry_seconds: float = Field(6.0, gt=0.0)
+    expiry_seconds: float = Field(3.0, gt=0.0)
     """
     Seconds without renewal after which a host may be sealed.
     """
