Notice model streams that go silent and send the call elsewhere

Cause: liveness.ProgressWatch was not wired. A silent stream was found after 20 s by the socket's limit and always counted against the upstream.

Change: Upstreams.guard watches a model's stream: 10 s and the time to prefill the whole prompt before the first byte (the former limit did not know the prompt), 5 s after it. A fresh connection (GET /healthz, 2 s) is tried first. If it answers, the upstream is not blamed. While nothing was passed on the repeatable call goes to another upstream; after that the caller gets the error at once with executed unknown. Plain services keep 20 s.

The limits are choices, not measurements. A live engine that pauses a stream for more than 5 s loses that stream.

--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -13,7 +13,7 @@
 from sapphireyard.completions import digest_program
 from sapphireyard.exceptions import EXECUTED_NO, CallError
 from sapphireyard.reservations import Reservations
-from sapphireyard.senders import SENDERS
+from sapphireyard.senders import BYTES_A_TOKEN, SENDERS
 from sapphireyard.slots import SlotRequest
 from sapphireyard.tables import PUBLIC_CUSTOMER
 from sapphireyard.upstreams import UpstreamError, UpstreamLeaving
@@ -23,9 +23,6 @@
 ATTEMPTS = 3
 """Most times one call is sent, when it may be repeated or was not received."""
 
-BYTES_A_TOKEN = 4
-"""Usual bytes of text in a token, for estimates of the load only."""
-
 UPSTREAM_RETRY_SECONDS = 1.0
 
 
@@ -276,7 +273,7 @@
             self._yard.upstream_states.note_leaving(
                 grant.upstream.name, seconds=error.seconds
             )
-        else:
+        if error.counts:
             self._report_outcome(grant.upstream, ok=False)
         self._yard.metrics.count("upstream_failures", upstream=grant.upstream.name)
         logger.warning(
--- a/sapphireyard/liveness.py
+++ b/sapphireyard/liveness.py
@@ -3,8 +3,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
-FIRST_BYTE_SECONDS = 30.0
-NEXT_BYTE_SECONDS = 10.0
+FIRST_BYTE_SECONDS = 10.0
+"""Silence before the first byte, beyond the time that the prompt takes."""
+
+NEXT_BYTE_SECONDS = 5.0
+"""Silence between two bytes of an answer."""
+
 PROBE_SECONDS = 2.0
 """Time that a fresh connection has to answer before the upstream is judged."""
 
--- a/sapphireyard/senders.py
+++ b/sapphireyard/senders.py
@@ -12,6 +12,7 @@
     dump_json,
 )
 from sapphireyard.executions import UpstreamAnswer
+from sapphireyard.liveness import FIRST_BYTE_SECONDS, ProgressLimits
 from sapphireyard.upstreams import (
     FIRST_FAILURE_STATUS,
     UpstreamError,
@@ -19,6 +20,9 @@
     parse_chunk,
 )
 
+BYTES_A_TOKEN = 4
+"""Usual bytes of text in a token, for estimates of the load only."""
+
 
 class Sender:
     """Sends calls; a subclass for each kind of upstream.
@@ -87,8 +91,12 @@
         )
         last_chunks = []
         execution.sent = True
-        async with contextlib.aclosing(events):
+        guard = self._yard.upstreams.guard(
+            grant.upstream.address, self._plan_silence(execution)
+        )
+        async with guard as note_progress, contextlib.aclosing(events):
             async for data in events:
+                note_progress()
                 assembler.add(parse_chunk(data))
                 if assembler.finished:
                     last_chunks.append(data)
@@ -96,6 +104,14 @@
                 execution.run.add_chunk(data)
         return last_chunks
 
+    def _plan_silence(self, execution):
+        """Return the silences allowed, with time to prefill the whole prompt."""
+        pool = self._yard.configuration.current.pools[execution.route.pool]
+        tokens = execution.program.context_tokens
+        tokens += len(execution.call.body) // BYTES_A_TOKEN
+        seconds = FIRST_BYTE_SECONDS + tokens / pool.prefill_rate
+        return ProgressLimits(first_byte=seconds)
+
     def _report(self, execution, grant, usage):
         details = usage.get("prompt_tokens_details") or {}
         count = functools.partial(self._yard.metrics.count, pool=execution.route.pool)
--- a/sapphireyard/upstreams.py
+++ b/sapphireyard/upstreams.py
@@ -14,6 +14,7 @@
 
 from sapphireyard.completions import dump_json
 from sapphireyard.exceptions import YardError
+from sapphireyard.liveness import PROBE_SECONDS, ProgressWatch, Step
 
 CONNECT_SECONDS = 1.0
 PROGRESS_SECONDS = 20.0
@@ -27,8 +28,8 @@
 
 UNAVAILABLE = 503
 
-PROBE_SECONDS = 2.0
-"""Time that a fresh connection has to answer before an upstream is judged."""
+GUARDED = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+"""Limits of requests whose silence `Upstreams.guard` watches."""
 
 STREAM_END = "[DONE]"
 
@@ -47,6 +48,8 @@
     """
 
     code = "upstream_failed"
+    counts = True
+    """Whether it counts as a failure of the upstream."""
 
     def __init__(self, detail, *, sent, crashed=False):
         super().__init__(detail)
@@ -111,7 +114,8 @@
         """
         headers = {"Sapphireyard-Program-Digest": program}
         url = f"http://{address}/v1/chat/completions"
-        async with self._post(self._pooled, url, body, headers) as response:
+        post = self._post(self._pooled, url, body, headers, timeout=GUARDED)
+        async with post as response:
             if response.status != 200:
                 text = await _read_text(response)
                 raise UpstreamRefusal(response.status, text)
@@ -153,11 +157,62 @@
             return False
 
     @contextlib.asynccontextmanager
-    async def _post(self, session, url, body, headers):
+    async def guard(self, address, limits):
+        """Give up on the exchange inside when its connection goes silent.
+
+        Parameters
+        ----------
+        address : str
+            IP:PORT of the upstream; tried on a fresh connection first.
+        limits : ProgressLimits
+            Longest silences.
+
+        Yields
+        ------
+        callable
+            To be called for each piece of the answer.
+
+        Raises
+        ------
+        UpstreamSilent
+            The connection made no progress.
+        """
+        clock = self._yard.clock
+        watch = ProgressWatch(clock.monotonic(), limits=limits)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                follower = asyncio.ensure_future(self._follow(address, watch, timeout))
+                try:
+                    yield lambda: watch.note_bytes(clock.monotonic())
+                finally:
+                    follower.cancel()
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            answers = follower.result() is Step.REPLACE
+            detail = f"{address}: silent, fresh connection answers: {answers}"
+            raise UpstreamSilent(detail, answers=answers) from error
+
+    async def _follow(self, address, watch, timeout):
+        """End `timeout` once a connection is given up; return the last step."""
+        while True:
+            now = self._yard.clock.monotonic()
+            step = watch.step(now)
+            if step is Step.PROBE:
+                watch.note_probe(await self.probe(address))
+            elif step is Step.WAIT:
+                await asyncio.sleep(watch.next_step_at() - now)
+            else:
+                timeout.reschedule(asyncio.get_running_loop().time())
+                return step
+
+    @contextlib.asynccontextmanager
+    async def _post(self, session, url, body, headers, **options):
         data = body.encode()
         headers = {"Content-Type": "application/json", **headers}
         try:
-            async with session.post(url, data=data, headers=headers) as response:
+            post = session.post(url, data=data, headers=headers, **options)
+            async with post as response:
                 _check_leaving(url, response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -180,11 +235,27 @@
         Time after which it may be tried again.
     """
 
+    counts = False
+
     def __init__(self, detail, *, seconds):
         super().__init__(detail, sent=True)
         self.seconds = seconds
 
 
+class UpstreamSilent(UpstreamError):
+    """A connection went silent while the upstream ran a request.
+
+    Parameters
+    ----------
+    answers : bool
+        Whether the upstream answers on a fresh connection.
+    """
+
+    def __init__(self, detail, *, answers):
+        super().__init__(detail, sent=True)
+        self.counts = not answers
+
+
 class UpstreamRefusal(YardError):
     """An upstream answered with an error status; the answer is whole."""
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -20,7 +20,7 @@
 from sapphireyard.programs import Program
 from sapphireyard.runs import Run
 from sapphireyard.tables import Route
-from sapphireyard.upstreams import UpstreamError
+from sapphireyard.upstreams import UpstreamError, UpstreamLeaving, UpstreamSilent
 from standins.memory import MemoryStore
 from tests.fleet import run_fleet
 
@@ -116,6 +116,40 @@
                 self.assertEqual(raised.exception.code, "quarantined")
                 self.assertEqual(raised.exception.executed, executed)
 
+    async def test_only_failures_of_the_upstream_count_against_it(self):
+        table = [
+            (SENT, 1),
+            (UpstreamSilent("silent", answers=False), 1),
+            (UpstreamSilent("silent", answers=True), 0),
+            (UpstreamLeaving("it leaves", seconds=7.0), 0),
+        ]
+        for error, failures in table:
+            with self.subTest(error=error):
+                executor = build_executor([error, UpstreamAnswer(200, "{}", tokens=0)])
+                executor._reservations.complete = mock.AsyncMock()
+                await executor.execute(build_execution())
+                yard = executor._yard
+                reports = [c.kwargs["ok"] for c in yard.outliers.report.mock_calls]
+                self.assertEqual(reports.count(False), failures)
+                told = yard.upstream_states.note_leaving.called
+                self.assertEqual(told, isinstance(error, UpstreamLeaving))
+
+    async def test_silent_stream_is_not_repeated_once_chunks_were_passed_on(self):
+        for has_chunks in (False, True):
+            with self.subTest(has_chunks=has_chunks):
+                silent = UpstreamSilent("silent", answers=True)
+                answer = UpstreamAnswer(200, "{}", tokens=0)
+                executor = build_executor([silent, answer])
+                executor._reservations.complete = mock.AsyncMock()
+                execution = build_execution()
+                if not has_chunks:
+                    await executor.execute(execution)
+                    continue
+                execution.run.add_chunk("{}")
+                with self.assertRaises(CallError) as raised:
+                    await executor.execute(execution)
+                self.assertEqual(raised.exception.executed, "unknown")
+
     async def test_stop_waits_for_the_record_of_an_answer(self):
         executor = build_executor([UpstreamAnswer(200, "{}", tokens=0)])
         began, allowed = asyncio.Event(), asyncio.Event()
--- a/tests/test_process_upstreams.py
+++ b/tests/test_process_upstreams.py
@@ -1,4 +1,4 @@
-"""Upstreams that leave, on a site of real processes."""
+"""Upstreams that leave or go silent, on a site of real processes."""
 
 import socket
 
@@ -45,3 +45,20 @@
             await self.chat(client, text)
         self.assertEqual(await self.count_calls(used), before)
         self.assertEqual(await self.count_calls(other), 3)
+
+
+class SilentUpstreamTest(ProcessTestCase):
+    site_options = {"entries": 1}
+
+    async def test_turn_on_a_silent_connection_goes_to_another_engine(self):
+        client = self.site.client("patient")
+        await self.chat(client, "first")
+        totals = [
+            (await self.cluster.fetch(name, "/executions"))["total"]
+            for name in self.site.engines
+        ]
+        used = self.site.engines[totals.index(1)]
+        await self.cluster.set_faults(used, silent_after_tokens=0)
+        await self.chat(client, "second")
+        self.assertEqual(await self.site.count_model_calls(), 3)
+        self.assertIn("silent, fresh connection", self.site.read_log("entry-0"))
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,80 @@
+"""Tests of connections to upstreams that go silent."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from aiohttp import web
+
+from sapphireyard.clocks import Clock
+from sapphireyard.liveness import ProgressLimits
+from sapphireyard.upstreams import Upstreams, UpstreamSilent
+
+LIMITS = ProgressLimits(first_byte=1.0, next_byte=0.5)
+PATIENCE_SECONDS = 10.0
+
+
+class SilentEngine:
+    """Sends some events, then nothing; may answer fresh connections."""
+
+    def __init__(self, *, events, answers):
+        self.events = events
+        self.answers = answers
+        self.cut = asyncio.Event()
+        self.app = web.Application()
+        self.app.router.add_post("/v1/chat/completions", self.complete)
+        self.app.router.add_get("/healthz", self.show_health)
+
+    async def complete(self, request):
+        response = web.StreamResponse()
+        try:
+            if self.events:
+                await response.prepare(request)
+            for _ in range(self.events):
+                await response.write(b"data: {}\n\n")
+            await asyncio.Event().wait()
+        finally:
+            self.cut.set()
+
+    async def show_health(self, request):
+        return web.Response(status=200 if self.answers else 503)
+
+
+class GuardTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, engine):
+        runner = web.AppRunner(engine.app, handler_cancellation=True)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return "{}:{}".format(*runner.addresses[0])
+
+    async def read(self, upstreams, address, received):
+        events = upstreams.stream_completion(address, "{}", program="")
+        async with upstreams.guard(address, LIMITS) as note_progress:
+            async for data in events:
+                note_progress()
+                received.append(data)
+
+    async def test_silent_stream_is_given_up(self):
+        upstreams = Upstreams(SimpleNamespace(clock=Clock()))
+        await upstreams.on_start()
+        self.addAsyncCleanup(upstreams.on_stop)
+        for events, answers in ((0, True), (0, False), (2, True), (2, False)):
+            with self.subTest(events=events, answers=answers):
+                engine = SilentEngine(events=events, answers=answers)
+                address = await self.serve(engine)
+                received = []
+                with self.assertRaises(UpstreamSilent) as raised:
+                    async with asyncio.timeout(PATIENCE_SECONDS):
+                        await self.read(upstreams, address, received)
+                self.assertEqual(len(received), events)
+                self.assertTrue(raised.exception.sent)
+                self.assertEqual(raised.exception.counts, not answers)
+                await engine.cut.wait()
+
+    async def test_deadline_of_the_caller_stays_a_deadline(self):
+        upstreams = Upstreams(SimpleNamespace(clock=Clock()))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0):
+                async with upstreams.guard("127.0.0.1:1", LIMITS):
+                    await asyncio.Event().wait()
