--- a/sapphireyard/calls.py
+++ b/sapphireyard/calls.py
@@ -19,7 +19,7 @@
 TAIL_RETRY_SECONDS = 5.0
 
 
-@dataclass
+@dataclass(slots=True)
 class Call:
     """One call of a program, as far as it is durable.
 
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -145,7 +145,7 @@
         wait = self.expected_wait(request.customer)
         late = now + wait - request.deadline
         if self._options.refuse and request.deadline and late > 0:
-            return [Refuse(request, late)]
+            return [Refuse(request, max(late, self._duration.seconds))]
         self._enqueue(request, now)
         return self._decide(now)
 
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,98 @@
+"""Tests of the callers' interface without other services."""
+
+import unittest
+from types import SimpleNamespace
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from sapphireyard.clocks import Clock
+from sapphireyard.exceptions import CallError
+from sapphireyard.gateway import Gateway
+from sapphireyard.generated_messages import AnswerEnd, AnswerStart
+from sapphireyard.tables import Route
+
+ROUTES = {
+    "open": Route("open", "service", "p", repeatable=True, open=True),
+    "closed": Route("closed", "service", "p", repeatable=True),
+}
+
+
+class FakeConfiguration:
+    current = SimpleNamespace(routes=ROUTES)
+
+    def check_fresh(self):
+        pass
+
+    def authenticate(self, key):
+        if key != "good":
+            raise CallError("key_unknown", "the key is not known")
+        return SimpleNamespace(customer="c", key_digest="d", operator=False)
+
+
+class FakePeers:
+    """Answers every call with the customer it runs for."""
+
+    async def stream(self, host, call, *, timeout):
+        yield AnswerStart(200, program=call.program, sequence=1)
+        yield AnswerEnd(body=f'{{"customer":"{call.customer}"}}')
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        yard = SimpleNamespace(
+            host="a",
+            clock=Clock(),
+            settings=SimpleNamespace(body_bytes=4096),
+            configuration=FakeConfiguration(),
+            peers=FakePeers(),
+            ownership=SimpleNamespace(locate=lambda key: SimpleNamespace(host="a")),
+            metrics=SimpleNamespace(
+                count=lambda *args, **attributes: None,
+                record=lambda *args, **attributes: None,
+            ),
+        )
+        self.gateway = Gateway(yard)
+        self.server = TestServer(self.gateway.build_application())
+        await self.server.start_server()
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.server.close()
+
+    async def call(self, route, **headers):
+        url = self.server.make_url(f"/v1/call/{route}")
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        async with self.session.post(url, json={}, headers=headers) as response:
+            return response, await response.json(content_type=None)
+
+    async def test_who_may_call(self):
+        program = {"Sapphireyard_Program": "p"}
+        good = {"Authorization": "Bearer good"}
+        bad = {"Authorization": "Bearer bad"}
+        cases = [
+            ("open route, no key", "open", {}, 200, "public"),
+            ("open route, key", "open", good, 200, "c"),
+            ("open route, bad key", "open", bad, 401, "key_unknown"),
+            ("open route, no key, a program", "open", program, 401, "key_unknown"),
+            ("open route, key, a program", "open", good | program, 200, "c"),
+            ("closed route, no key", "closed", {}, 401, "key_unknown"),
+            ("closed route, key", "closed", good, 200, "c"),
+            ("unknown route", "none", good, 404, "route_unknown"),
+        ]
+        for name, route, headers, status, expected in cases:
+            with self.subTest(name):
+                response, body = await self.call(route, **headers)
+                self.assertEqual(response.status, status)
+                self.assertIn(expected, (body.get("code"), body.get("customer")))
+
+    async def test_leaving_host_lets_connections_end(self):
+        for draining, expected in ((False, None), (True, "close")):
+            for key in ("good", "bad"):
+                with self.subTest(draining=draining, key=key):
+                    self.gateway.draining = draining
+                    response, _ = await self.call(
+                        "closed", Authorization=f"Bearer {key}"
+                    )
+                    self.assertEqual(response.headers.get("Connection"), expected)
