Cut off no caller when a leaving host closes its socket

Cause: closing the listening socket resets connections that the kernel has taken and the process has not; closing idle connections resets requests that are on their way. The planned stop then cut a call (ServerDisconnectedError). Change: what waits to be accepted is taken in the step in which the socket closes; open connections are left to end with their next answer, and the host goes only after half a second without a request.

--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -32,7 +32,9 @@
 logger = logging.getLogger(__name__)
 
 PROGRAM = "sapphireyard-entry"
-DRAIN_CHECK_SECONDS = 0.1
+DRAIN_CHECK_SECONDS = 0.05
+QUIET_SECONDS = 0.5
+"""Time without a request after which no caller is on an open connection."""
 
 
 class EntryService(mode.Service):
@@ -85,10 +87,13 @@
         left = await yard.ownership.leave(timeout=yard.settings.stop_seconds)
         logger.info("partitions handed over" if left else "partitions are left")
         forward_until = started + yard.settings.address_ttl_seconds
+        busy_at = started
         while loop.time() < deadline:
+            if yard.gateway.open_requests or yard.dispatcher.running_calls:
+                busy_at = loop.time()
             if loop.time() >= forward_until or not self._has_others():
                 await yard.gateway.close_listener()
-                if not (yard.gateway.open_requests or yard.dispatcher.running_calls):
+                if loop.time() - busy_at >= QUIET_SECONDS:
                     return
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         logger.warning("%s requests are cut off", yard.gateway.open_requests)
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/gateway.py
@@ -8,7 +8,9 @@
 import asyncio
 import contextlib
 import logging
+import os
 import secrets
+import socket
 
 import mode
 from aiohttp import web
@@ -117,12 +119,21 @@
         self._address = f"{ip}:{port}"
 
     async def close_listener(self):
-        """Take no new connections; end the open ones after their requests."""
+        """Take no new connections; the open ones end with their next answer.
+
+        Connections that wait to be accepted are taken in the same step in
+        which the socket closes, since the kernel resets those that are left.
+        """
         if self._closed:
             return
         self._closed = True
-        await self._site.stop()
-        self._runner.server.pre_shutdown()
+        waiting = []
+        for listener in self._site._server.sockets:
+            waiting += _accept_waiting(listener)
+        self._site._server.close()
+        loop = asyncio.get_running_loop()
+        for connection in waiting:
+            await loop.connect_accepted_socket(self._runner.server, connection)
 
     async def on_start(self):
         if self._site is None:
@@ -341,3 +352,17 @@
         deadline = self._yard.clock.monotonic() + QUERY_SECONDS
         view = await self._forwarder.query(query, deadline)
         return web.Response(text=view.body, content_type="application/json")
+
+
+def _accept_waiting(listener):
+    """Return the connections that wait at a listening socket."""
+    with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+        duplicate.setblocking(False)
+        connections = []
+        while True:
+            try:
+                connection, _ = duplicate.accept()
+            except BlockingIOError:
+                return connections
+            connection.setblocking(False)
+            connections.append(connection)
