Write a program's opening in one place; drop four unused members

Cause: the opening of a program was put before a record, and cleared after it, in both commits of a call; four members were called by nobody. Change: both commits share it in Reservations._write. The opening is cleared right after the commit, as before.

--- a/sapphireyard/fairness.py
+++ b/sapphireyard/fairness.py
@@ -21,11 +21,6 @@
         self._tags = {}
         self._virtual_time = 0.0
 
-    @property
-    def virtual_time(self):
-        """float: Least tag of those with a backlog; never goes back."""
-        return self._virtual_time
-
     def set_weight(self, customer, weight):
         """Set the weight of a customer; it applies to later service."""
         if weight <= 0:
--- a/sapphireyard/freshness.py
+++ b/sapphireyard/freshness.py
@@ -34,11 +34,6 @@
         """int: Version in force; 0 before the first."""
         return self._version
 
-    @property
-    def newest_heard(self):
-        """int: Newest version that any source has named."""
-        return self._newest_heard
-
     def hear(self, version):
         """Note that `version` exists; return whether it is newer than ours."""
         self._newest_heard = max(self._newest_heard, version)
--- a/sapphireyard/reservations.py
+++ b/sapphireyard/reservations.py
@@ -78,18 +78,14 @@
             return
         if record.repeatable and not any(payer.has_budget for payer in payers):
             return
-        program = execution.program
-        records = [program.opening, record] if program.opening else [record]
-        execution.journalled = True
         try:
-            await self._write(records, execution, needs_store=not record.repeatable)
+            await self._write(record, execution, needs_store=not record.repeatable)
         except StoreUnavailable as error:
             raise CallError(
                 "store_unavailable",
                 "the call cannot be recorded now",
                 retry_after=STORE_RETRY_SECONDS,
             ) from error
-        program.opening = None
 
     async def complete(self, execution, answer, reserved_tokens):
         """Make an answer durable and end the run with it.
@@ -143,21 +139,23 @@
             is_model=is_model,
         )
 
-    async def _write(self, records, execution, *, needs_store=False):
+    async def _write(self, record, execution, *, needs_store=False):
+        """Commit a record, behind the program's opening if that is not durable."""
+        program = execution.program
+        records = [program.opening, record] if program.opening else [record]
+        execution.journalled = True
         clock = self._yard.clock
         started = clock.monotonic()
         position = await self._yard.journal.commit(
             records, partition=execution.partition, needs_store=needs_store
         )
         self._yard.metrics.record("commit_duration", clock.monotonic() - started)
+        program.opening = None
         return position
 
     async def _commit_answer(self, execution, record):
-        program = execution.program
-        records = [program.opening, record] if program.opening else [record]
-        execution.journalled = True
         try:
-            position = await self._write(records, execution)
+            return await self._write(record, execution)
         except StoreUnavailable as error:
             await self.abandon(execution, error)
             raise CallError(
@@ -166,5 +164,3 @@
                 executed=EXECUTED_YES,
                 retry_after=STORE_RETRY_SECONDS,
             ) from error
-        program.opening = None
-        return position
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -86,10 +86,6 @@
         """int: Requests that hold a slot."""
         return len(self._running)
 
-    def running_on(self, name):
-        """Return how many requests hold a slot of an upstream."""
-        return len(self._slots[name].running)
-
     def held_by(self, holder):
         """Return the ids of the requests that hold a slot for a host."""
         return frozenset(self._held.get(holder, ()))
@@ -127,11 +123,6 @@
         del self._slots[name]
         return actions
 
-    def upstream_of(self, request_id):
-        """Return the upstream whose slot a request holds, or None."""
-        running = self._running.get(request_id)
-        return running.upstream if running else None
-
     def submit(self, request, now):
         """Queue a request.
 
