Look at the end of every task that may outlive its asker

Cause: Peers._connect shares one connect among askers behind a shield; when the last asker ran out of time first, the connect's PeerUnavailable was retrieved by nobody and asyncio reported it on the log. A connect that timed out while it waited for the greeting also left its socket open. Ruled out: the test (test_process_limits only saw the log line). Change: start_task starts such tasks, keeps them and logs their errors; a failed connect closes its connection.

--- a/sapphireyard/archive.py
+++ b/sapphireyard/archive.py
@@ -20,6 +20,7 @@
 from sapphireyard.generated_control import SegmentAnswer, SegmentQuery
 from sapphireyard.objects import ObjectStore
 from sapphireyard.peers import Peers
+from sapphireyard.tasks import start_task
 from sapphireyard.yard import Yard
 
 logger = logging.getLogger(__name__)
@@ -77,7 +78,7 @@
         """Read an object from the store, once for all that wait for it."""
         task = self._fetches.get(name)
         if task is None:
-            task = asyncio.ensure_future(self._fetch(name))
+            task = start_task(self._fetch(name), name="fetch")
             self._fetches[name] = task
             task.add_done_callback(lambda _: self._fetches.pop(name, None))
         return await asyncio.shield(task)
--- a/sapphireyard/connections.py
+++ b/sapphireyard/connections.py
@@ -12,6 +12,7 @@
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
 from sapphireyard.frames import FrameError, FrameKind, FrameReader, encode_frame
 from sapphireyard.generated_messages import Failure
+from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
 
@@ -68,7 +69,7 @@
         self._heard_at = self._used_at = asyncio.get_running_loop().time()
         name, fields = self._peers.codec.dump(self._peers.describe())
         self._send(FrameKind.HELLO, 0, name, fields)
-        self._watch = asyncio.ensure_future(self._watch_silence())
+        self._watch = start_task(self._watch_silence(), name="watch of a peer")
 
     def data_received(self, data):
         self._heard_at = asyncio.get_running_loop().time()
@@ -177,7 +178,7 @@
 
     def _receive_request(self, request_id, name, fields, timeout):
         responder = _Responder(self, request_id)
-        task = asyncio.ensure_future(responder.run(name, fields, timeout))
+        task = start_task(responder.run(name, fields, timeout), name="answer")
         task.responder = responder
         self._incoming[request_id] = task
         task.add_done_callback(lambda _: self._incoming.pop(request_id, None))
--- a/sapphireyard/dispatcher.py
+++ b/sapphireyard/dispatcher.py
@@ -42,6 +42,7 @@
 from sapphireyard.reservations import STORE_RETRY_SECONDS
 from sapphireyard.runs import Run
 from sapphireyard.tables import Route
+from sapphireyard.tasks import start_task
 from sapphireyard.views import describe, describe_history
 
 logger = logging.getLogger(__name__)
@@ -339,7 +340,7 @@
         assert program.running is None, f"{program.key} runs a call already"
         program.running = run
         run.execution = execution
-        run.task = asyncio.ensure_future(self._run(execution))
+        run.task = start_task(self._run(execution), name="call")
         self._runs.add(run)
         return run
 
--- a/sapphireyard/executor.py
+++ b/sapphireyard/executor.py
@@ -16,6 +16,7 @@
 from sapphireyard.senders import BYTES_A_TOKEN, SENDERS
 from sapphireyard.slots import SlotRequest
 from sapphireyard.tables import PUBLIC_CUSTOMER
+from sapphireyard.tasks import start_task
 from sapphireyard.upstreams import UpstreamError, UpstreamLeaving
 
 logger = logging.getLogger(__name__)
@@ -66,8 +67,8 @@
 
     async def _complete(self, execution, answer, tokens):
         """Record an answer; a stop waits, as the record may be durable already."""
-        completion = asyncio.ensure_future(
-            self._reservations.complete(execution, answer, tokens)
+        completion = start_task(
+            self._reservations.complete(execution, answer, tokens), name="completion"
         )
         try:
             await asyncio.shield(completion)
@@ -124,8 +125,9 @@
 
     async def _attempt(self, execution, record, answer_tokens):
         """Send the call until an answer came; return the answer."""
-        commit = asyncio.ensure_future(
-            self._reservations.commit(execution, record, self._payers(execution))
+        commit = start_task(
+            self._reservations.commit(execution, record, self._payers(execution)),
+            name="reservation",
         )
         failed = []
         self._yard.retries.note_request(execution.route.name, self._now())
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal.py
@@ -18,6 +18,7 @@
 from sapphireyard.journal_writer import Commit, JournalWriter
 from sapphireyard.records import pack_record, split_record, unpack_segment
 from sapphireyard.tails import TailSender
+from sapphireyard.tasks import start_task
 
 ANSWER_SECONDS = 0.5
 """Time without an answer after which the store counts as out."""
@@ -316,7 +317,7 @@
             self.yard.ownership.note_sealed()
 
     async def _store_bounded(self, name, value, writer):
-        attempt = asyncio.ensure_future(self._store(name, value))
+        attempt = start_task(self._store(name, value), name="segment")
         try:
             await asyncio.wait({attempt}, timeout=self._answer_seconds)
             if not attempt.done():
--- a/sapphireyard/peers.py
+++ b/sapphireyard/peers.py
@@ -17,6 +17,7 @@
 from sapphireyard.exceptions import PeerError, PeerUnavailable
 from sapphireyard.frames import MessageCodec
 from sapphireyard.generated_messages import Hello
+from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
 
@@ -248,7 +249,7 @@
             return connection
         pending = self._connecting.get(host)
         if pending is None:
-            pending = asyncio.ensure_future(self._open(host))
+            pending = start_task(self._open(host), name=f"connect to {host}")
             self._connecting[host] = pending
             pending.add_done_callback(lambda _: self._connecting.pop(host, None))
         return await asyncio.shield(pending)
@@ -256,14 +257,14 @@
     async def _open(self, host):
         ip, port = self._find_address(host).rsplit(":", 1)
         loop = asyncio.get_running_loop()
+        connection = Connection(self)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(self), ip, int(port)
-                )
+                await loop.create_connection(lambda: connection, ip, int(port))
                 hello = await connection.hello
         except (OSError, TimeoutError) as error:
-            raise PeerUnavailable(f"{host}: {error}", sent=False) from error
+            connection.close()
+            raise PeerUnavailable(f"{host}: {error!r}", sent=False) from error
         if hello.host != host:
             connection.close()
             raise PeerUnavailable(f"{ip}:{port} is {hello.host}", sent=False)
--- a/sapphireyard/shares.py
+++ b/sapphireyard/shares.py
@@ -19,6 +19,7 @@
 from sapphireyard.holders import ShareHolder
 from sapphireyard.homes import HomeTracker, View
 from sapphireyard.limits import LEASE_SECONDS, RateHome
+from sapphireyard.tasks import start_task
 
 ASK_TIMEOUT_SECONDS = 0.5
 HAND_OVER_TIMEOUT_SECONDS = 0.2
@@ -213,7 +214,9 @@
             return
         task = self._adoptions.get(customer)
         if task is None:
-            task = asyncio.ensure_future(self._fetch_bucket(earlier, customer, rule))
+            task = start_task(
+                self._fetch_bucket(earlier, customer, rule), name="adoption"
+            )
             self._adoptions[customer] = task
             task.add_done_callback(lambda _: self._adoptions.pop(customer, None))
         await asyncio.shield(task)
--- a/sapphireyard/upstreams.py
+++ b/sapphireyard/upstreams.py
@@ -15,6 +15,7 @@
 from sapphireyard.completions import dump_json
 from sapphireyard.exceptions import YardError
 from sapphireyard.liveness import PROBE_SECONDS, ProgressWatch, Step
+from sapphireyard.tasks import start_task
 
 CONNECT_SECONDS = 1.0
 PROGRESS_SECONDS = 20.0
@@ -181,7 +182,9 @@
         watch = ProgressWatch(clock.monotonic(), limits=limits)
         try:
             async with asyncio.timeout(None) as timeout:
-                follower = asyncio.ensure_future(self._follow(address, watch, timeout))
+                follower = start_task(
+                    self._follow(address, watch, timeout), name="progress watch"
+                )
                 try:
                     yield lambda: watch.note_bytes(clock.monotonic())
                 finally:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import gc
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+from sapphireyard import peers as peers_module
 from sapphireyard.exceptions import CallError, PeerUnavailable
 from sapphireyard.generated_messages import (
     AnswerChunk,
@@ -115,6 +118,39 @@
         self.assertFalse(caught.exception.sent)
 
 
+class LeftConnectTest(unittest.IsolatedAsyncioTestCase):
+    async def test_late_connect_failure_is_not_lost(self):
+        """The connect runs out of time after its only asker has left."""
+        complaints = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: complaints.append(context))
+        accepted = asyncio.Event()
+        ended = asyncio.Event()
+
+        async def never_greet(reader, writer):
+            accepted.set()
+            await reader.read()
+            while await reader.read(65536):
+                pass
+            ended.set()
+            writer.close()
+
+        server = await asyncio.start_server(never_greet, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        peers = build_peers("a")
+        peers.static_addresses["b"] = f"127.0.0.1:{port}"
+        with mock.patch.object(peers_module, "CONNECT_SECONDS", 0.05):
+            with self.assertRaises(PeerUnavailable):
+                await peers.ask("b", Done(), timeout=0.01)
+            await asyncio.wait_for(accepted.wait(), WAIT_SECONDS)
+            await asyncio.wait_for(ended.wait(), WAIT_SECONDS)
+        gc.collect()
+        await asyncio.sleep(0)
+        await peers.on_stop()
+        server.close()
+        self.assertEqual(complaints, [])
+
+
 class SilentPeerTest(unittest.IsolatedAsyncioTestCase):
     async def test_silent_connection_is_given_up(self):
         """The other end greets and then says nothing more."""
