--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-CODE := sapphireyard standins bench scripts tests
+CODE := sapphireyard platform standins bench scripts tests
 
 SEED ?= 1
 SECONDS ?= 60
--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -117,6 +117,27 @@
         self.sent = sent
 
 
+class UpstreamFailed(YardError):
+    """An upstream gave no usable answer.
+
+    Parameters
+    ----------
+    detail : str
+        What was seen.
+    sent : bool
+        False when no byte of the request can have reached the upstream.
+    crashed : bool
+        The connection broke while the request was running.
+    """
+
+    code = "upstream_failed"
+
+    def __init__(self, detail, *, sent=True, crashed=False):
+        super().__init__(detail)
+        self.sent = sent
+        self.crashed = crashed
+
+
 class CallError(YardError):
     """An error answer to a caller.
 
@@ -188,6 +209,7 @@
     "not_allowed": 403,
     "route_unknown": 404,
     "program_unknown": 404,
+    "turn_unknown": 404,
     "method_not_allowed": 405,
     "sequence_gap": 409,
     "sequence_conflict": 409,
@@ -195,11 +217,13 @@
     "program_ended": 409,
     "request_too_large": 413,
     "quarantined": 422,
+    "headers_too_large": 431,
     "rate_exceeded": 429,
     "internal_error": 500,
     "upstream_failed": 502,
     "overloaded": 503,
     "history_unavailable": 503,
+    "copies_changed": 503,
     "store_unavailable": 503,
     "draining": 503,
     "not_owner": 503,
--- /dev/null
+++ b/sapphireyard/exchange/configuration.py
@@ -0,0 +1,114 @@
+"""The configuration in force on this host and how sure it is.
+
+A key that was withdrawn must stop working within a bound on every host, also on
+one that cannot hear of it. So the age of a confirmation counts from when the
+read was sent: what the store answered then was in force at that time or later.
+"""
+
+import logging
+
+from sapphireyard.exceptions import CallError
+from sapphireyard.exchange.routes import RouteTable
+
+logger = logging.getLogger(__name__)
+
+WITHDRAWAL_MARGIN_SECONDS = 0.6
+"""Kept free of the bound for the time from the check to the upstream's start."""
+DOUBT_SECONDS = 2.6
+"""Age of the last confirmation from which "there is no such route" may be wrong:
+one watch of the store, its answer, and a margin."""
+RETRY_SECONDS = 0.5
+
+
+class Configuration:
+    """The newest `RouteTable` and when it was last confirmed.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    withdrawal_seconds : float
+        Time after which a withdrawn key may be used no more.
+    """
+
+    def __init__(self, clock, *, withdrawal_seconds):
+        self._clock = clock
+        self._bound = withdrawal_seconds - WITHDRAWAL_MARGIN_SECONDS
+        self._table = RouteTable()
+        self._confirmed_at = float("-inf")
+        self._listeners = []
+
+    @property
+    def table(self):
+        """RouteTable: What is in force."""
+        return self._table
+
+    @property
+    def known(self):
+        """bool: Whether any configuration has been read."""
+        return self._table.version > 0
+
+    @property
+    def age(self):
+        """float: Seconds since the newest confirmed read was sent."""
+        return self._clock.monotonic() - self._confirmed_at
+
+    @property
+    def fresh(self):
+        """bool: Whether keys may be accepted."""
+        return self.known and self.age < self._bound
+
+    def on_change(self, listener):
+        """Call ``listener(table)`` whenever a newer version is taken."""
+        self._listeners.append(listener)
+
+    def take(self, table):
+        """Put a newer version in force; older ones are left out."""
+        if table.version <= self._table.version:
+            return
+        logger.info(
+            "configuration in force",
+            extra={
+                "decision": "configuration",
+                "version": table.version,
+                "before": self._table.version,
+                "routes": len(table.routes),
+                "customers": len(table.customers),
+            },
+        )
+        self._table = table
+        for listener in self._listeners:
+            listener(table)
+
+    def confirm(self, sent_at):
+        """Note that the version at hand was the newest at `sent_at` or later."""
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
+    def check(self):
+        """Raise `CallError` unless requests with keys may be served."""
+        if not self.known:
+            raise CallError(
+                "configuration_stale",
+                "no configuration has been read yet",
+                retry_after=RETRY_SECONDS,
+            )
+        if not self.fresh:
+            raise CallError(
+                "configuration_stale",
+                f"the configuration was last confirmed {self.age:.1f} s ago",
+                retry_after=RETRY_SECONDS,
+            )
+
+    def refuse(self, code, detail):
+        """Return the error for something that is not in the configuration.
+
+        While a newer version may exist that allows it, the caller is told to
+        come back instead.
+        """
+        if self.age < DOUBT_SECONDS:
+            return CallError(code, detail)
+        return CallError(
+            "configuration_stale",
+            f"{detail} in version {self._table.version}, {self.age:.1f} s old",
+            retry_after=RETRY_SECONDS,
+        )
--- /dev/null
+++ b/sapphireyard/exchange/exchange.py
@@ -0,0 +1,326 @@
+"""Carries one request from its arrival to its answer."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exchange.calls import Dispatch
+from sapphireyard.exchange.routes import Customer, Route
+from sapphireyard.scheduling import SlotRequest
+from sapphireyard.tasks import start_task
+
+logger = logging.getLogger(__name__)
+
+UNSENT_RETRIES = 3
+"""Upstreams tried that could not even be reached, beside the route's attempts."""
+PATIENCE_SHARE = 0.4
+"""Share of the time left that a request may wait for a slot."""
+ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest answer of a plain service that is held back until it is whole."""
+PUBLIC = Customer("")
+"""Who calls on routes that need no key."""
+
+
+@dataclass
+class Admitted:
+    """A request that may run.
+
+    Parameters
+    ----------
+    call : ProgramCall
+        What the caller sent.
+    route : Route
+        What is allowed.
+    customer : Customer
+        Who calls.
+    service : str
+        Where it goes.
+    deadline : float
+        Monotonic seconds at which it must be answered.
+    sends : int
+        Times it was sent to an upstream.
+    upstream : str
+        Upstream that got it last.
+    """
+
+    call: object
+    route: Route
+    customer: Customer
+    service: str
+    deadline: float
+    sends: int = 0
+    upstream: str = ""
+
+
+class Exchange:
+    """The path of requests: checked, admitted, placed, sent, answered.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives configuration, quotas, pools, history and clock.
+    sender : UpstreamSender
+        Sends in the site's form.
+    turns : TurnService
+        Serves routes that keep histories.
+    """
+
+    def __init__(self, yard, sender, turns):
+        self._yard = yard
+        self._sender = sender
+        self._turns = turns
+        self.open_requests = 0
+
+    async def serve(self, call, reply):
+        """Answer a request; never raises but for a cancel."""
+        self.open_requests += 1
+        outcome = {"code": "served"}
+        try:
+            await self._serve(call, reply, outcome)
+        except CallError as error:
+            outcome["code"] = error.code
+            outcome["detail"] = error.detail
+            await self._refuse(reply, error)
+        except ConnectionError as error:
+            outcome["code"] = "caller_gone"
+            outcome["detail"] = str(error)
+        except asyncio.CancelledError:
+            outcome["code"] = "caller_gone"
+            raise
+        except Exception:
+            outcome["code"] = "internal_error"
+            logger.exception("request failed", extra={"request_id": call.request_id})
+            await self._refuse(
+                reply,
+                CallError("internal_error", "internal error", executed="unknown"),
+            )
+        finally:
+            self.open_requests -= 1
+            self._note_end(call, outcome)
+
+    async def _serve(self, call, reply, outcome):
+        admitted = self._admit(call)
+        outcome["admitted"] = admitted
+        body = await call.read_body(self._yard.configuration.table.limits.body_bytes)
+        try:
+            async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
+                if admitted.route.retention is not None and admitted.route.streaming:
+                    await self._turns.serve(admitted, body, reply)
+                elif admitted.route.streaming:
+                    await self.stream(admitted, body, reply)
+                elif admitted.route.repeatable:
+                    await self._serve_whole(admitted, body, reply)
+                else:
+                    await asyncio.shield(
+                        start_task(
+                            self._serve_whole(admitted, body, reply), name="call"
+                        )
+                    )
+        except TimeoutError as error:
+            if not admitted.sends:
+                raise CallError("overloaded", "no slot in time") from error
+            raise CallError(
+                "deadline_exceeded",
+                f"no answer from {admitted.upstream} in time",
+                executed=EXECUTED_UNKNOWN,
+            ) from error
+        finally:
+            if not admitted.sends:
+                self._refund(admitted)
+
+    def _admit(self, call):
+        """Return the `Admitted` request, or raise the `CallError` against it."""
+        configuration = self._yard.configuration
+        configuration.check()
+        table = configuration.table
+        route = table.find_route(call.host, call.path)
+        customer = PUBLIC
+        if route is None or not route.public:
+            customer = self._authenticate(call, table)
+        if route is None:
+            raise configuration.refuse("route_unknown", f"no route for {call.path}")
+        self._take_quota(customer)
+        now = self._yard.clock.monotonic()
+        seconds = route.timeout if call.seconds is None else call.seconds
+        deadline = call.arrived_at + min(seconds, route.timeout)
+        if deadline <= now:
+            raise CallError("overloaded", "the caller's time is over")
+        key = call.program or call.request_id
+        return Admitted(call, route, customer, route.choose_service(key), deadline)
+
+    def _authenticate(self, call, table):
+        customer = table.find_customer(call.key)
+        if customer is None:
+            raise self._yard.configuration.refuse("key_unknown", "no such key")
+        return customer
+
+    def _take_quota(self, customer):
+        if not customer.name:
+            return
+        now = self._yard.clock.monotonic()
+        wait = self._yard.quotas.admit(customer.name, customer.quota, now)
+        if wait > 0:
+            raise CallError(
+                "rate_exceeded",
+                f"customer {customer.name!r} is above its rate",
+                retry_after=wait,
+            )
+
+    def _refund(self, admitted):
+        customer = admitted.customer
+        if customer.name:
+            now = self._yard.clock.monotonic()
+            self._yard.quotas.refund(customer.name, customer.quota, now)
+
+    async def _serve_whole(self, admitted, body, reply):
+        """Send a request to a plain service; pass its answer on when it is whole."""
+        excluded = []
+        error = None
+        unsent = 0
+        while admitted.sends < max(1, admitted.route.attempts):
+            try:
+                status, headers, answer = await self._ask(admitted, body, excluded)
+            except UpstreamFailed as failure:
+                error = failure
+                if not failure.sent:
+                    unsent += 1
+                    if unsent > UNSENT_RETRIES:
+                        break
+                    continue
+                if not admitted.route.repeatable:
+                    break
+                continue
+            if answer is None:
+                error = None
+                continue
+            await reply.send_whole(status, headers, answer)
+            return
+        self.raise_failed(admitted, error)
+
+    @staticmethod
+    def raise_failed(admitted, error):
+        """Raise the `CallError` for a request that no upstream answered.
+
+        Parameters
+        ----------
+        admitted : Admitted
+            The request.
+        error : UpstreamFailed or None
+            How the last upstream failed; None when it refused.
+        """
+        if error is None or not error.sent:
+            raise CallError(
+                "overloaded",
+                f"{admitted.upstream or admitted.service} did not take the request",
+                retry_after=0.1,
+            )
+        raise CallError(
+            "upstream_failed",
+            f"{admitted.upstream}: {error}",
+            executed=EXECUTED_UNKNOWN,
+        )
+
+    async def _ask(self, admitted, body, excluded):
+        """Return status, headers and body; the body is None after a refusal."""
+        request = self.slot_request(admitted, excluded)
+        async with self._yard.pools.lease(request) as upstream:
+            excluded.append(upstream.name)
+            dispatch = self.dispatch(admitted, upstream, body)
+            admitted.sends += 1
+            try:
+                async with self._sender.send(dispatch) as answer:
+                    if answer.refused:
+                        self._yard.pools.report(upstream, ok=True)
+                        return answer.status, (), None
+                    data = await read_whole(answer.chunks, ANSWER_BYTES)
+            except UpstreamFailed as error:
+                admitted.sends -= not error.sent
+                self._yard.pools.report(upstream, ok=False)
+                raise
+            check_signed(answer)
+            self._yard.pools.report(upstream, ok=True)
+            return answer.status, answer.headers, data
+
+    async def stream(self, admitted, body, reply):
+        """Pass a stream on as it comes, without keeping it."""
+        raise CallError("route_unknown", "streams that are not kept are not served")
+
+    def slot_request(self, admitted, excluded, *, prefix_tokens=0, patience=None):
+        """Return the `SlotRequest` of an admitted request."""
+        call = admitted.call
+        now = self._yard.clock.monotonic()
+        if patience is None:
+            patience = (admitted.deadline - now) * PATIENCE_SHARE
+        name = call.session or call.program or call.request_id
+        return SlotRequest(
+            program=f"{admitted.customer.name}/{name}",
+            root=f"{admitted.customer.name}/{call.program or call.request_id}",
+            customer=admitted.customer.name,
+            pool=admitted.service,
+            prefix_tokens=prefix_tokens,
+            new_tokens=max(0, call.prompt_tokens - prefix_tokens),
+            output_tokens=max(1, call.output_tokens),
+            deadline=now + patience,
+            excluded=tuple(excluded),
+        )
+
+    def dispatch(self, admitted, upstream, body):
+        """Return the `Dispatch` to an upstream."""
+        admitted.upstream = upstream.name
+        left = admitted.deadline - self._yard.clock.monotonic()
+        return Dispatch(
+            admitted.call, upstream, admitted.customer.name, body, max(0.0, left)
+        )
+
+    async def _refuse(self, reply, error):
+        if reply.started:
+            reply.abort()
+            return
+        await reply.refuse(error)
+
+    def _loop_time(self, monotonic):
+        loop = asyncio.get_running_loop()
+        return loop.time() + monotonic - self._yard.clock.monotonic()
+
+    def _note_end(self, call, outcome):
+        now = self._yard.clock.monotonic()
+        admitted = outcome.pop("admitted", None)
+        route = admitted.route.name if admitted else ""
+        seconds = now - call.arrived_at
+        self._yard.metrics.count("calls", route=route, code=outcome["code"])
+        self._yard.metrics.record("call_duration", seconds, route=route)
+        logger.info(
+            "request ended",
+            extra={
+                "decision": "request",
+                "request_id": call.request_id,
+                "program": call.program,
+                "route": route,
+                "customer": admitted.customer.name if admitted else "",
+                "upstream": admitted.upstream if admitted else "",
+                "sends": admitted.sends if admitted else 0,
+                "ms": round(seconds * 1000, 1),
+                "version": self._yard.configuration.table.version,
+                "version_age": round(self._yard.configuration.age, 2),
+                **outcome,
+            },
+        )
+
+
+async def read_whole(chunks, limit):
+    """Return a body; raises `UpstreamFailed` when it is larger than `limit`."""
+    parts = []
+    size = 0
+    async for chunk in chunks:
+        size += len(chunk)
+        if size > limit:
+            raise UpstreamFailed(f"answer of more than {limit} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+def check_signed(answer):
+    """Raise `UpstreamFailed` for a success that does not bear its signature."""
+    if 200 <= answer.status < 300 and not answer.signed:
+        raise UpstreamFailed("answer without a signature")
--- /dev/null
+++ b/sapphireyard/exchange/pools.py
@@ -0,0 +1,280 @@
+"""The upstreams of each service, and which of them gets the next request.
+
+Every entry host schedules its own requests. It counts what it has in flight
+itself, and adds what the other hosts said they have in their last heartbeats.
+"""
+
+import asyncio
+import itertools
+import logging
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+
+import mode
+
+from sapphireyard.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.exceptions import CallError
+from sapphireyard.fleet.membership import ENTRY
+from sapphireyard.outliers import OutlierDetector
+from sapphireyard.scheduler import Scheduler
+from sapphireyard.scheduling import Grant, Refuse, SchedulerOptions, SlotRequest
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.1
+"""Time between two looks at deadlines, silent hosts and failing upstreams."""
+PREFILL_RATE = 200_000.0
+"""Prompt tokens a second, the order that the sites' engines read."""
+DECODE_SECONDS = 0.0025
+"""A decode step of the sites' engines."""
+MOST_UPSTREAMS = 6000
+"""Above the 5,200 upstreams of the target."""
+FAILURES_TO_EJECT = 2
+"""Failures in a row after which an upstream rests."""
+NO_UPSTREAM_RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 2.0
+"""A caller that waits longer than this for a slot has no time left."""
+
+
+@dataclass
+class _Waiter:
+    """A request in the queue and its future."""
+
+    request: SlotRequest
+    future: asyncio.Future
+
+
+class _Pool:
+    """One service: its scheduler and its upstreams."""
+
+    def __init__(self, host):
+        options = SchedulerOptions(hold_new=False, tie_seed=host)
+        self.scheduler = Scheduler([], options=options, most=MOST_UPSTREAMS)
+        self.upstreams = {}
+        self.foreign = {}
+
+
+class UpstreamPools(mode.Service):
+    """Gives requests a slot on an upstream of their service.
+
+    Answers two load patterns: a surge, in which requests wait here rather than
+    in the upstreams, which know no order and slow down; and several hosts that
+    place onto the same upstreams without a common queue.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives the host's name, gossip and clock.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._pools = {}
+        self._waiting = {}
+        self._numbers = itertools.count(1)
+        self._outliers = OutlierDetector(consecutive=FAILURES_TO_EJECT)
+        self._engines = {}
+        self._running = {}
+
+    @property
+    def running(self):
+        """dict of str to int: Requests that this host has on each upstream."""
+        return dict(self._running)
+
+    def set_services(self, services):
+        """Take the services of a configuration."""
+        self._engines = {name: service.engine for name, service in services.items()}
+        for pool in self._pools.values():
+            for upstream in pool.upstreams.values():
+                pool.scheduler.add_upstream(self._limits(upstream))
+
+    def take_upstreams(self, upstreams):
+        """Take the list of all upstreams; those that lack are gone."""
+        by_service = {}
+        for upstream in upstreams:
+            by_service.setdefault(upstream.service, {})[upstream.name] = upstream
+        for service in by_service.keys() | self._pools.keys():
+            pool = self._pools.setdefault(service, _Pool(self._yard.host))
+            self._update(service, pool, by_service.get(service, {}))
+
+    @asynccontextmanager
+    async def lease(self, request, *, upstream_hint=""):
+        """Hold a slot while the context lasts.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            What is to be sent; its pool is the service.
+        upstream_hint : str, optional
+            Upstream that served the program's last turn.
+
+        Yields
+        ------
+        Upstream
+            Where to send it.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: no slot in time. Nothing was sent.
+        """
+        pool = self._pools.get(request.pool)
+        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
+            raise CallError(
+                "overloaded",
+                f"service {request.pool!r} has no upstream",
+                retry_after=NO_UPSTREAM_RETRY_SECONDS,
+            )
+        request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
+        now = self._now()
+        if upstream_hint and request.prefix_tokens:
+            pool.scheduler.learn_prefix(
+                upstream_hint, request.program, request.prefix_tokens, now
+            )
+        name = await self._acquire(pool, request)
+        upstream = pool.upstreams[name]
+        self._running[name] = self._running.get(name, 0) + 1
+        self._outliers.probe(name, now)
+        try:
+            yield upstream
+        finally:
+            self._running[name] -= 1
+            if not self._running[name]:
+                del self._running[name]
+            actions = pool.scheduler.finish(
+                request.request_id, request.output_tokens, None, self._now()
+            )
+            self._carry_out(actions)
+
+    def report(self, upstream, *, ok):
+        """Note whether an upstream answered as it should."""
+        now = self._now()
+        self._outliers.report(upstream.name, ok=ok, now=now)
+        if not ok:
+            self._apply_states(upstream.service, now)
+
+    def hear(self, member, now):
+        """Take in what another entry host has in flight."""
+        if member.heartbeat.role == ENTRY:
+            self._count_foreign(now)
+
+    @mode.Service.task
+    async def _watch(self):
+        while not self.should_stop:
+            now = self._now()
+            self._count_foreign(now)
+            for service, pool in self._pools.items():
+                self._apply_states(service, now)
+                self._carry_out(pool.scheduler.tick(now))
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _acquire(self, pool, request):
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request.request_id] = _Waiter(request, future)
+        try:
+            self._carry_out(pool.scheduler.submit(request, self._now()))
+            return await future
+        except asyncio.CancelledError:
+            self._carry_out(pool.scheduler.cancel(request.request_id, self._now()))
+            raise
+        finally:
+            self._waiting.pop(request.request_id, None)
+
+    def _carry_out(self, actions):
+        for action in actions:
+            if not isinstance(action, (Grant, Refuse)):
+                continue
+            waiter = self._waiting.get(action.request.request_id)
+            if waiter is None or waiter.future.done():
+                continue
+            if isinstance(action, Grant):
+                waiter.future.set_result(action.upstream)
+                continue
+            retry_after = min(max(action.retry_after, 0.05), LONGEST_RETRY_SECONDS)
+            waiter.future.set_exception(
+                CallError(
+                    "overloaded",
+                    f"no slot of {action.request.pool!r} in time",
+                    retry_after=retry_after,
+                )
+            )
+
+    def _update(self, service, pool, upstreams):
+        now = self._now()
+        for name in pool.upstreams.keys() - upstreams.keys():
+            self._log_upstream(pool.upstreams.pop(name), "gone")
+            pool.foreign.pop(name, None)
+            self._carry_out(pool.scheduler.remove_upstream(name, now))
+        for name, upstream in upstreams.items():
+            known = pool.upstreams.get(name)
+            if known == upstream:
+                continue
+            if known is not None and known.started_at != upstream.started_at:
+                self._carry_out(pool.scheduler.remove_upstream(name, now))
+            pool.upstreams[name] = upstream
+            pool.scheduler.add_upstream(self._limits(upstream))
+            self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
+        self._apply_states(service, now)
+
+    def _apply_states(self, service, now):
+        pool = self._pools[service]
+        staying = [name for name, u in pool.upstreams.items() if not u.leaving]
+        usable = set(self._outliers.usable(staying, now))
+        for name, upstream in pool.upstreams.items():
+            state = UpstreamState.UP
+            if upstream.leaving:
+                state = UpstreamState.LEAVING
+            elif name not in usable:
+                state = UpstreamState.DOWN
+            if pool.scheduler.state(name) is not state:
+                logger.info(
+                    "upstream state",
+                    extra={
+                        "decision": "upstream",
+                        "upstream": name,
+                        "state": state.value,
+                    },
+                )
+                self._carry_out(pool.scheduler.set_state(name, state, now))
+
+    def _count_foreign(self, now):
+        totals = {}
+        for member in self._yard.gossip.membership.live(ENTRY, now):
+            for name, count in member.heartbeat.running.items():
+                totals[name] = totals.get(name, 0) + count
+        for pool in self._pools.values():
+            for name in pool.upstreams:
+                count = totals.get(name, 0)
+                if pool.foreign.get(name, 0) == count:
+                    continue
+                pool.foreign[name] = count
+                self._carry_out(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+
+    def _limits(self, upstream):
+        engine = self._engines.get(upstream.service)
+        if engine is None:
+            return UpstreamLimits(upstream.name, upstream.slots)
+        return UpstreamLimits(
+            upstream.name,
+            min(upstream.slots, engine.slots) or engine.slots,
+            kv_tokens=engine.kv_tokens,
+            prefill_rate=PREFILL_RATE,
+            decode_seconds=DECODE_SECONDS,
+        )
+
+    @staticmethod
+    def _log_upstream(upstream, state):
+        logger.info(
+            "upstream listed",
+            extra={
+                "decision": "upstream",
+                "upstream": upstream.name,
+                "service": upstream.service,
+                "address": upstream.address,
+                "state": state,
+            },
+        )
+
+    def _now(self):
+        return self._yard.clock.monotonic()
--- /dev/null
+++ b/sapphireyard/exchange/turns.py
@@ -0,0 +1,205 @@
+"""Turns of programs: history before them, budget around them, record after."""
+
+import asyncio
+import logging
+
+from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exchange.events import EventReader
+from sapphireyard.exchange.exchange import ANSWER_BYTES, check_signed, read_whole
+from sapphireyard.generated_history import Turn
+from sapphireyard.history.client import ChainText
+
+logger = logging.getLogger(__name__)
+
+KEEP_MARGIN_SECONDS = 15.0
+"""Kept beyond the retention, for clocks that differ and turns under way."""
+COMMIT_SECONDS = 2.0
+"""Longest time by which the end of a whole answer is held back."""
+
+
+class TurnService:
+    """Serves turns of programs.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives history, pools, configuration and clock.
+    sender : UpstreamSender
+        Sends in the site's form.
+    """
+
+    def __init__(self, yard, sender):
+        self._yard = yard
+        self._sender = sender
+        self.exchange = None
+
+    async def serve(self, admitted, body, reply):
+        """Run one turn and answer it."""
+        expires_at = (
+            self._yard.clock.wall() + admitted.route.retention + KEEP_MARGIN_SECONDS
+        )
+        chain, synced = await self._prepare(admitted, expires_at)
+        reader = EventReader()
+        kept = False
+        try:
+            kept = await self._run(admitted, chain, synced, body, reply, reader)
+        finally:
+            if synced is not None and not kept:
+                tokens = reader.events * self._tokens_per_event(admitted)
+                self._yard.history.settle(
+                    self._program(admitted),
+                    admitted.call.request_id,
+                    tokens,
+                    expires_at=expires_at,
+                )
+
+    async def _prepare(self, admitted, expires_at):
+        """Return the chain before a turn and the task of its reservation."""
+        call = admitted.call
+        reserving = None
+        if call.token_budget is not None:
+            reserving = self._yard.history.reserve(
+                self._program(admitted),
+                call.request_id,
+                call.output_tokens,
+                call.token_budget,
+                expires_at=expires_at,
+            )
+        reading = self._read_chain(admitted)
+        if reserving is None:
+            return await reading, None
+        chain, synced = await asyncio.gather(reading, reserving, return_exceptions=True)
+        if isinstance(synced, BaseException):
+            raise synced
+        if isinstance(chain, BaseException):
+            self._yard.history.settle(
+                self._program(admitted), call.request_id, 0, expires_at=expires_at
+            )
+            raise chain
+        return chain, synced
+
+    async def _read_chain(self, admitted):
+        turn = admitted.call.previous_turn
+        if not turn:
+            return ChainText(admitted.customer.name)
+        chain = await self._yard.history.read_chain(turn)
+        if chain.customer != admitted.customer.name:
+            raise CallError("turn_unknown", f"there is no turn {turn!r}")
+        return chain
+
+    async def _run(self, admitted, chain, synced, body, reply, reader):
+        """Send the turn until an engine runs it; return whether it is kept."""
+        excluded = []
+        error = None
+        unsent = 0
+        while admitted.sends < max(1, admitted.route.attempts) and unsent <= 2:
+            try:
+                ran = await self._attempt(
+                    admitted, chain, synced, body, reply, reader, excluded
+                )
+            except UpstreamFailed as failure:
+                if reply.started or failure.sent:
+                    raise CallError(
+                        "upstream_failed",
+                        f"{admitted.upstream}: {failure}",
+                        executed=EXECUTED_UNKNOWN,
+                    ) from failure
+                error = failure
+                unsent += 1
+                continue
+            if ran is not None:
+                return ran
+        self.exchange.raise_failed(admitted, error)
+
+    async def _attempt(self, admitted, chain, synced, body, reply, reader, excluded):
+        """Send the turn to one engine.
+
+        Returns
+        -------
+        bool or None
+            Whether the turn is kept; None when the engine refused it.
+        """
+        request = self.exchange.slot_request(
+            admitted, excluded, prefix_tokens=chain.tokens
+        )
+        pools = self._yard.pools
+        async with pools.lease(request, upstream_hint=chain.upstream) as upstream:
+            excluded.append(upstream.name)
+            dispatch = self.exchange.dispatch(admitted, upstream, chain.text + body)
+            admitted.sends += 1
+            try:
+                async with self._sender.send(dispatch) as answer:
+                    if answer.refused:
+                        pools.report(upstream, ok=True)
+                        return None
+                    if answer.status != 200:
+                        data = await read_whole(answer.chunks, ANSWER_BYTES)
+                        await reply.send_whole(answer.status, answer.headers, data)
+                        pools.report(upstream, ok=answer.status < 500)
+                        return False
+                    check_signed(answer)
+                    await self._pass_on(answer, synced, reply, reader)
+            except UpstreamFailed as error:
+                admitted.sends -= not error.sent
+                pools.report(upstream, ok=False)
+                raise
+            pools.report(upstream, ok=True)
+        await self._keep(admitted, chain, body, reader)
+        await reply.finish()
+        return True
+
+    async def _pass_on(self, answer, synced, reply, reader):
+        """Pass events on as they come, the first once its tokens are reserved."""
+        waiting = True
+        async for chunk in answer.chunks:
+            if waiting:
+                waiting = False
+                if synced is not None:
+                    await synced
+                await reply.start(answer.status, answer.headers)
+            reader.feed(chunk)
+            await reply.write(chunk)
+        if waiting:
+            raise UpstreamFailed("stream without an event")
+        if reader.partial:
+            raise UpstreamFailed("stream ended inside an event")
+
+    async def _keep(self, admitted, chain, body, reader):
+        """Make the turn durable before the caller sees its end."""
+        call = admitted.call
+        expires_at = (
+            self._yard.clock.wall() + admitted.route.retention + KEEP_MARGIN_SECONDS
+        )
+        output = bytes(reader.output)
+        tokens = reader.events * self._tokens_per_event(admitted)
+        turn = Turn(
+            call.request_id,
+            call.previous_turn,
+            admitted.customer.name,
+            self._program(admitted),
+            tokens,
+            body,
+            output,
+            expires_at,
+            admitted.upstream,
+            call.prompt_tokens + tokens,
+        )
+        async with asyncio.timeout(COMMIT_SECONDS):
+            await self._yard.history.commit(turn)
+        text = ChainText(
+            admitted.customer.name,
+            chain.text + body + output,
+            admitted.upstream,
+            call.prompt_tokens + tokens,
+        )
+        self._yard.history.cache(call.request_id, text)
+
+    def _tokens_per_event(self, admitted):
+        service = self._yard.configuration.table.services.get(admitted.service)
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.tokens_per_event
+
+    @staticmethod
+    def _program(admitted):
+        return f"{admitted.customer.name}/{admitted.call.program}"
--- /dev/null
+++ b/sapphireyard/fleet/gossip.py
@@ -0,0 +1,147 @@
+"""Heartbeats between all hosts of a deployment, as datagrams.
+
+A datagram lost is made up for by the next one: every heartbeat carries totals.
+"""
+
+import asyncio
+import logging
+
+import mode
+import msgpack
+
+from sapphireyard import generated_fleet
+from sapphireyard.exceptions import PeerError
+from sapphireyard.fleet.membership import (
+    ENTRY,
+    HISTORY,
+    SILENCE_SECONDS,
+    Membership,
+)
+from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_fleet import Heartbeat
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_SECONDS = 0.1
+"""Bounds how old the others' load is; six 0.3 kB datagrams a beat at 7 hosts."""
+INTRODUCTION_BEATS = 10
+"""Every tenth heartbeat names the other hosts."""
+RECENT_SECONDS = 1.0
+"""Counts that changed within this time are repeated, against lost datagrams."""
+DATAGRAM_BYTES = 60_000
+"""Below the largest UDP payload."""
+
+
+class Gossip(mode.Service):
+    """Sends this host's heartbeat to all others and takes in theirs.
+
+    Parameters
+    ----------
+    yard : Yard
+        The process this belongs to.
+    describe : callable
+        ``describe(now)`` returns the fields of a heartbeat that this process
+        sets, as a dict.
+    """
+
+    def __init__(self, yard, *, describe):
+        super().__init__()
+        self._yard = yard
+        self._describe = describe
+        self._codec = MessageCodec()
+        self._codec.register_module(generated_fleet)
+        self._transport = None
+        self._number = 0
+        self._listeners = []
+        self._out_of_touch = set()
+        self.membership = Membership(yard.host)
+
+    def on_heartbeat(self, listener):
+        """Call ``listener(member, now)`` for each new heartbeat."""
+        self._listeners.append(listener)
+
+    def introduce(self, host, address):
+        """Note a host to send heartbeats to."""
+        self.membership.learn(host, address, self._now())
+
+    async def on_start(self):
+        ip, port = self._yard.settings.peer_address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self._receive), local_addr=(ip, int(port))
+        )
+
+    async def on_stop(self):
+        if self._transport is not None:
+            self._transport.close()
+
+    @mode.Service.task
+    async def _beat(self):
+        while not self.should_stop:
+            self.send()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def send(self):
+        """Send one heartbeat to every host known."""
+        now = self._now()
+        self._note_silence(now)
+        self._number += 1
+        heartbeat = Heartbeat(
+            host=self._yard.host,
+            incarnation=self._yard.incarnation,
+            number=self._number,
+            address=self._yard.settings.peer_address,
+            role=self._yard.settings.role,
+            failure_domain=self._yard.settings.failure_domain,
+            **self._describe(now),
+        )
+        if self._number % INTRODUCTION_BEATS == 1:
+            heartbeat.known = self.membership.list_addresses()
+        payload = msgpack.packb(self._codec.dump(heartbeat))
+        for address in set(self.membership.addresses.values()):
+            ip, port = address.rsplit(":", 1)
+            self._transport.sendto(payload, (ip, int(port)))
+
+    def _receive(self, payload):
+        try:
+            heartbeat = self._codec.load(*msgpack.unpackb(payload))
+        except (ValueError, TypeError, msgpack.UnpackException, PeerError) as error:
+            logger.warning("datagram not understood: %s", error)
+            return
+        now = self._now()
+        for known in heartbeat.known:
+            self.membership.learn(known.host, known.address, now)
+        member = self.membership.hear(heartbeat, now)
+        if member is None:
+            return
+        if heartbeat.host in self._out_of_touch:
+            self._out_of_touch.discard(heartbeat.host)
+            logger.info("host is back in touch", extra={"peer": heartbeat.host})
+        for listener in self._listeners:
+            listener(member, now)
+
+    def _note_silence(self, now):
+        for host in self.membership.forget_silent(now):
+            self._out_of_touch.discard(host)
+            logger.info("host is forgotten", extra={"peer": host})
+        for role in (ENTRY, HISTORY):
+            for member in self.membership.known(role):
+                host = member.heartbeat.host
+                if host in self._out_of_touch:
+                    continue
+                if now - member.heard_at > SILENCE_SECONDS:
+                    self._out_of_touch.add(host)
+                    logger.info("host is out of touch", extra={"peer": host})
+
+    def _now(self):
+        return self._yard.clock.monotonic()
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Passes datagrams on; errors of single sends show as silence."""
+
+    def __init__(self, receive):
+        self._receive = receive
+
+    def datagram_received(self, data, address):
+        self._receive(data)
--- /dev/null
+++ b/sapphireyard/fleet/membership.py
@@ -0,0 +1,138 @@
+"""Which hosts there are, and which of them can be heard."""
+
+from dataclasses import dataclass
+
+from sapphireyard.generated_fleet import Heartbeat, HostAddress
+
+ENTRY = "entry"
+"""Role of hosts that serve callers."""
+HISTORY = "history"
+"""Role of hosts that keep copies of histories."""
+SILENCE_SECONDS = 0.7
+"""Seven heartbeats of 0.1 s: silence after which a host counts as out of touch."""
+FORGET_SECONDS = 20.0
+"""Longer than a restart and a network partition of some seconds."""
+
+
+@dataclass
+class Member:
+    """One host as last heard.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+        What it said last.
+    heard_at : float
+        Monotonic seconds of this host when that arrived.
+    silence : float
+        Length in seconds of the silence before the last heartbeat.
+    """
+
+    heartbeat: Heartbeat
+    heard_at: float
+    silence: float = 0.0
+
+
+class Membership:
+    """The hosts heard so far.
+
+    Answers the load pattern of a fleet of some tens of hosts whose members die,
+    pause and are replaced at any time: a host is judged only by the time since
+    its last heartbeat, on the clock of the observer.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    """
+
+    def __init__(self, host):
+        self._host = host
+        self._members = {}
+        self._addresses = {}
+
+    @property
+    def addresses(self):
+        """dict of str to str: IP:PORT of every host that may be alive."""
+        return dict(self._addresses)
+
+    def learn(self, host, address, now):
+        """Note the address of a host that was not heard itself."""
+        if host != self._host and host not in self._members:
+            self._addresses.setdefault(host, address)
+
+    def hear(self, heartbeat, now):
+        """Take in a heartbeat.
+
+        Returns
+        -------
+        Member or None
+            None for an old or repeated heartbeat.
+        """
+        if heartbeat.host == self._host:
+            return None
+        known = self._members.get(heartbeat.host)
+        silence = now - known.heard_at if known else 0.0
+        if known is not None and self._is_old(heartbeat, known.heartbeat, silence):
+            return None
+        member = Member(heartbeat, now, silence)
+        self._members[heartbeat.host] = member
+        self._addresses[heartbeat.host] = heartbeat.address
+        return member
+
+    def find(self, host):
+        """Return the `Member` called `host`, or None."""
+        return self._members.get(host)
+
+    def silent_for(self, host, now):
+        """Return the seconds since a host was heard; infinity if it never was."""
+        member = self._members.get(host)
+        return now - member.heard_at if member else float("inf")
+
+    def known(self, role):
+        """Return the members of a role that are not forgotten, by name."""
+        members = self._members.values()
+        return sorted(
+            (member for member in members if member.heartbeat.role == role),
+            key=lambda member: member.heartbeat.host,
+        )
+
+    def live(self, role, now):
+        """Return the members of a role that were heard lately, by name."""
+        return [
+            member
+            for member in self.known(role)
+            if now - member.heard_at <= SILENCE_SECONDS
+        ]
+
+    def forget_silent(self, now):
+        """Drop hosts that have been silent for long; return their names."""
+        gone = [
+            host
+            for host, member in self._members.items()
+            if now - member.heard_at > FORGET_SECONDS
+        ]
+        for host in gone:
+            del self._members[host]
+            self._addresses.pop(host, None)
+        return gone
+
+    def list_addresses(self):
+        """Return the `HostAddress` of each member, for hosts that are new."""
+        return [
+            HostAddress(host, member.heartbeat.address, member.heartbeat.role)
+            for host, member in self._members.items()
+        ]
+
+    @staticmethod
+    def _is_old(heartbeat, known, silence):
+        """Return whether a heartbeat was overtaken by another.
+
+        Incarnations come from the time of day, which may have been set back
+        while the host was down: after a silence a lower one is a new run.
+        """
+        if heartbeat.incarnation < known.incarnation:
+            return silence <= SILENCE_SECONDS
+        if heartbeat.incarnation > known.incarnation:
+            return False
+        return heartbeat.number <= known.number
--- /dev/null
+++ b/sapphireyard/fleet/quotas.py
@@ -0,0 +1,164 @@
+"""Customers' rate and burst across all entry hosts, without a home.
+
+Each host tells the others several times a second how many requests of each
+customer it has admitted since it started, and every host keeps the bucket of
+the whole fleet from these counts.
+"""
+
+from dataclasses import dataclass, field
+
+SCARCE_SHARE = 0.25
+"""Share of the burst below which hosts keep to their own part of the rate, so
+that they do not all take the tokens that come back between two heartbeats."""
+
+
+@dataclass(frozen=True)
+class QuotaRule:
+    """Requests a second, and the requests that may come at once."""
+
+    rate: float
+    burst: float
+
+
+@dataclass
+class _Bucket:
+    """One customer's tokens: of the whole fleet, and of this host's own part."""
+
+    fleet: float
+    own: float
+    refilled_at: float
+    admitted: int = 0
+    changed_at: float = float("-inf")
+    counts: dict = field(default_factory=dict)
+
+
+class FleetQuotas:
+    """Admits requests within the rates of their customers.
+
+    Answers the load pattern of one customer that sends many times its rate
+    through all hosts at once, also while some hosts cannot hear each other: a
+    host which hears `k` of `n` hosts, itself included, works with that share of
+    rate and burst, so that the parts of a divided fleet never add up to more
+    than the whole.
+
+    Parameters
+    ----------
+    started_at : float
+        When this process started, in monotonic seconds. Buckets fill from
+        then, as an earlier run of this host may have used all tokens.
+    """
+
+    def __init__(self, *, started_at):
+        self._started_at = started_at
+        self._buckets = {}
+        self._hosts = 1
+        self._heard = 1
+
+    def set_fleet(self, hosts, heard):
+        """Set the number of entry hosts, and how many of them are in touch."""
+        self._hosts = max(1, hosts)
+        self._heard = max(1, min(heard, self._hosts))
+
+    def admit(self, customer, rule, now):
+        """Take a token for one request.
+
+        Parameters
+        ----------
+        customer : str
+            Who calls.
+        rule : QuotaRule or None
+            The limit; None when there is none.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        float
+            0 when the request is admitted, else the seconds after which a
+            repeat may succeed.
+        """
+        bucket = self._refill(customer, rule, now)
+        if rule is None:
+            self._count(bucket, 1, now)
+            return 0.0
+        share = self._heard / self._hosts
+        scarce = bucket.fleet < 1.0 + SCARCE_SHARE * rule.burst * share
+        if bucket.fleet < 1.0 or (scarce and bucket.own < 1.0):
+            return self._retry_after(bucket, rule)
+        if scarce:
+            bucket.own -= 1.0
+        bucket.fleet -= 1.0
+        self._count(bucket, 1, now)
+        return 0.0
+
+    def refund(self, customer, rule, now):
+        """Give back the token of a request that was sent to no upstream."""
+        bucket = self._refill(customer, rule, now)
+        bucket.fleet += 1.0
+        self._count(bucket, -1, now)
+
+    def hear(self, host, incarnation, admitted, silence, rules, now):
+        """Take in what another host has admitted since it started.
+
+        Parameters
+        ----------
+        host : str
+            The other host.
+        incarnation : int
+            Its run; counts begin anew with each.
+        admitted : dict of str to int
+            Requests admitted, for customers with recent ones.
+        silence : float
+            Seconds for which the host had not been heard. What its own part of
+            the rate allowed in that time was never in this host's bucket.
+        rules : callable
+            Returns the `QuotaRule` of a customer or None.
+        now : float
+            Monotonic seconds.
+        """
+        for customer, count in admitted.items():
+            rule = rules(customer)
+            bucket = self._refill(customer, rule, now)
+            known_run, known = bucket.counts.get(host, (incarnation, 0))
+            if known_run != incarnation:
+                known = 0
+            bucket.counts[host] = (incarnation, count)
+            if rule is None:
+                continue
+            own_part = rule.rate / self._hosts * silence
+            bucket.fleet -= max(0.0, count - known - own_part)
+
+    def recent_counts(self, now, *, seconds):
+        """Return the requests admitted, for customers whose count changed lately."""
+        return {
+            customer: bucket.admitted
+            for customer, bucket in self._buckets.items()
+            if now - bucket.changed_at <= seconds
+        }
+
+    def _refill(self, customer, rule, now):
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            bucket = _Bucket(0.0, 0.0, self._started_at)
+            self._buckets[customer] = bucket
+        if rule is None:
+            return bucket
+        passed = max(0.0, now - bucket.refilled_at)
+        bucket.refilled_at = now
+        share = self._heard / self._hosts
+        most = max(1.0, rule.burst * share)
+        bucket.fleet = min(most, bucket.fleet + rule.rate * share * passed)
+        own_most = max(1.0, SCARCE_SHARE * rule.burst / self._hosts)
+        bucket.own = min(own_most, bucket.own + rule.rate / self._hosts * passed)
+        return bucket
+
+    def _retry_after(self, bucket, rule):
+        share = self._heard / self._hosts
+        fleet_wait = (1.0 - bucket.fleet) / (rule.rate * share)
+        own_wait = (1.0 - bucket.own) / (rule.rate / self._hosts)
+        return max(0.05, fleet_wait, min(own_wait, 1.0))
+
+    @staticmethod
+    def _count(bucket, number, now):
+        bucket.admitted += number
+        bucket.changed_at = now
--- /dev/null
+++ b/sapphireyard/history/service.py
@@ -0,0 +1,392 @@
+"""A host that keeps a copy of histories and of what programs spent."""
+
+import asyncio
+import contextlib
+import json
+import logging
+import os
+import secrets
+from dataclasses import asdict
+from pathlib import Path
+
+import mode
+import msgpack
+
+from sapphireyard import generated_fleet, generated_history
+from sapphireyard.exceptions import (
+    CallError,
+    PeerError,
+    StoreConflict,
+    StoreError,
+    YardError,
+)
+from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_fleet import CopySet
+from sapphireyard.generated_history import (
+    Chain,
+    ChainQuery,
+    RecordBatch,
+    RecordsKept,
+    RecordsQuery,
+    Reservation,
+    ReservationCounted,
+    ReservationSynced,
+    Settlement,
+    TurnCommit,
+    TurnSynced,
+)
+from sapphireyard.history.copies import fence_quorum, majority, plan_join, plan_leave
+from sapphireyard.history.log import RecordLog, sync_folder
+from sapphireyard.history.state import HistoryState
+
+logger = logging.getLogger(__name__)
+
+COPIES_OBJECT = "copies/main"
+"""Name in the platform's store of the set of copies."""
+IDENTITY_FILE = "identity"
+MAINTAIN_SECONDS = 0.25
+"""Time between two looks at whether to join."""
+STORE_RETRY_SECONDS = 1.0
+"""Time between two looks at the set in the store while this host is no member."""
+GONE_SECONDS = 1.0
+"""Silence after which a newcomer may take a member's place: longer than a missed
+heartbeat, shorter than the time in which lost copies have to be made up for."""
+BATCH_BYTES = 512 * 1024
+"""Size of a batch of records; well below the largest frame."""
+BATCH_SECONDS = 5.0
+"""Longest wait for a batch of records."""
+TIDY_SECONDS = 5.0
+REPAIR_OVERLAP_SECONDS = 15.0
+"""Records this much older than the newest one here are compared at a restart."""
+
+
+class HistoryService(mode.Service):
+    """Keeps records in a log and answers entry hosts from the folded state.
+
+    Parameters
+    ----------
+    yard : Yard
+        Gives settings, peers, store, gossip and clock.
+    """
+
+    def __init__(self, yard):
+        super().__init__()
+        self._yard = yard
+        self._codec = MessageCodec()
+        self._codec.register_module(generated_history)
+        self._codec.register_module(generated_fleet)
+        self._log = RecordLog(Path(yard.settings.data_folder) / "records")
+        self._state = HistoryState()
+        self._copies = CopySet()
+        self._disk = ""
+        self._settled = False
+        self._retiring = False
+        self._newest = 0.0
+        self._store_asked_at = float("-inf")
+        yard.peers.codec.register_module(generated_history)
+        yard.peers.register_stream(Reservation, self._serve_reservation)
+        yard.peers.register(Settlement, self._serve_settlement)
+        yard.peers.register(TurnCommit, self._serve_commit)
+        yard.peers.register(ChainQuery, self._serve_chain)
+        yard.peers.register(RecordsQuery, self._serve_records)
+        yard.peers.register(RecordBatch, self._serve_batch)
+
+    @property
+    def copies(self):
+        """CopySet: The set that this host acts by."""
+        return self._copies
+
+    @property
+    def settled(self):
+        """bool: Whether this host answers as a member of the set."""
+        return self._settled
+
+    async def on_start(self):
+        self._disk = self._read_identity()
+        for position, payload in self._log.open():
+            self._fold(payload, position)
+        self._settled = self._copies.members.get(self._yard.host) == self._disk
+        logger.info(
+            "history opened",
+            extra={
+                "decision": "open",
+                "records": self._log.end,
+                "set_version": self._copies.version,
+                "settled": self._settled,
+            },
+        )
+        if self._settled:
+            self.add_future(self._repair())
+
+    async def on_stop(self):
+        with contextlib.suppress(YardError):
+            await self._log.sync()
+        self._log.close()
+
+    @mode.Service.task
+    async def _maintain(self):
+        while not self.should_stop:
+            if not self._settled and not self._retiring:
+                try:
+                    await self._try_join()
+                except (StoreError, PeerError, CallError) as error:
+                    logger.info("not a member yet: %s", error)
+            await self.sleep(MAINTAIN_SECONDS)
+
+    @mode.Service.timer(TIDY_SECONDS)
+    async def _tidy(self):
+        needed = self._state.expire(self._yard.clock.wall())
+        self._log.drop_before(self._log.end if needed is None else needed)
+
+    async def retire(self):
+        """Leave the set and hand all records to the members that stay.
+
+        Returns once the host's disk is needed no more.
+        """
+        self._retiring = True
+        copies = await self._leave_set()
+        others = [name for name in copies.members if name != self._yard.host]
+        kept = await asyncio.gather(*map(self._hand_over, others))
+        if sum(kept) < majority(len(others)):
+            raise CallError(
+                "history_unavailable",
+                f"{sum(kept)} of {len(others)} copies have taken the records",
+            )
+
+    async def _leave_set(self):
+        stored, copies = await self._read_copies()
+        changed = plan_leave(copies, self._yard.host)
+        if changed is not None:
+            await self._write_copies(stored, changed)
+            copies = changed
+        await self._adopt(copies)
+        return copies
+
+    async def _hand_over(self, host):
+        """Send all records here to a member; return whether it has them."""
+        position = 0
+        try:
+            while position < self._log.end:
+                batch = self._read_batch(position, 0.0)
+                await self._yard.peers.ask(host, batch, timeout=BATCH_SECONDS)
+                position = batch.position
+        except (PeerError, CallError) as error:
+            logger.warning("records not handed to %s: %s", host, error)
+            return False
+        return True
+
+    async def _try_join(self):
+        now = self._yard.clock.monotonic()
+        if now - self._store_asked_at < STORE_RETRY_SECONDS:
+            return
+        self._store_asked_at = now
+        stored, copies = await self._read_copies()
+        if stored is None and not self._yard.settings.bootstrap:
+            logger.error("the store has no set of copies and this is no first start")
+            return
+        is_member = copies.members.get(self._yard.host) == self._disk
+        changed = plan_join(
+            copies,
+            self._yard.host,
+            self._disk,
+            silent=self._is_gone,
+            tolerated=self._yard.settings.tolerated_losses,
+        )
+        if changed is None and not is_member:
+            return
+        others = [name for name in copies.members if name != self._yard.host]
+        positions = await self._fetch_all(others, CopySet(), {})
+        if changed is not None:
+            await self._write_copies(stored, changed)
+            copies = changed
+        await self._settle(copies, positions)
+
+    async def _settle(self, copies, positions):
+        """Fence enough members of the earlier set, then serve."""
+        others = [name for name in copies.members if name != self._yard.host]
+        needed = min(fence_quorum(len(copies.members)), len(others))
+        fenced = await self._fetch_all(others, copies, positions)
+        if len(fenced) < needed:
+            logger.info("%d of %d members are fenced", len(fenced), needed)
+            return
+        await self._adopt(copies)
+        logger.info(
+            "joined the copies",
+            extra={
+                "decision": "join",
+                "set_version": copies.version,
+                "members": sorted(copies.members),
+                "fenced": sorted(fenced),
+            },
+        )
+
+    async def _fetch_all(self, hosts, copies, positions):
+        """Copy records from hosts; return the position reached at each."""
+        reached = await asyncio.gather(
+            *(self._fetch(host, copies, positions.get(host, 0)) for host in hosts)
+        )
+        return {h: p for h, p in zip(hosts, reached) if p is not None}
+
+    async def _fetch(self, host, copies, position, expires_after=0.0):
+        try:
+            while True:
+                query = RecordsQuery(
+                    position, expires_after, copies.version, copies.members
+                )
+                batch = await self._yard.peers.ask(host, query, timeout=BATCH_SECONDS)
+                self._take_batch(batch)
+                if batch.position <= position:
+                    return position
+                position = batch.position
+        except (PeerError, CallError) as error:
+            logger.info("no records from %s: %s", host, error)
+            return None
+
+    async def _repair(self):
+        """Copy what other members took while this host was down."""
+        others = [name for name in self._copies.members if name != self._yard.host]
+        since = self._newest - REPAIR_OVERLAP_SECONDS
+        for host in others[: fence_quorum(len(self._copies.members))]:
+            await self._fetch(host, CopySet(), 0, expires_after=since)
+
+    async def _adopt(self, copies):
+        """Act by a newer set from now on, also after a restart."""
+        if copies.version < self._copies.version:
+            return
+        self._copies = copies
+        self._append(copies)
+        await self._log.sync()
+        self._settled = copies.members.get(self._yard.host) == self._disk
+
+    async def _read_copies(self):
+        stored = await self._yard.store.get(COPIES_OBJECT)
+        if stored is None:
+            return None, CopySet()
+        return stored, CopySet(**json.loads(stored.value))
+
+    async def _write_copies(self, stored, copies):
+        """Write the set if nobody else has changed it since it was read."""
+        value = json.dumps(asdict(copies)).encode()
+        try:
+            if stored is None:
+                await self._yard.store.create(COPIES_OBJECT, value)
+            else:
+                await self._yard.store.update(
+                    COPIES_OBJECT, value, expected_version=stored.version
+                )
+        except StoreConflict:
+            logger.info("another host changed the set of copies first")
+            raise
+
+    def _is_gone(self, host):
+        now = self._yard.clock.monotonic()
+        return self._yard.gossip.membership.silent_for(host, now) > GONE_SECONDS
+
+    async def _serve_reservation(self, message, context):
+        self._check(message.set_version)
+        position = self._append(message)
+        self._state.apply(message, position)
+        yield ReservationCounted(self._state.spendings(message.program))
+        await self._log.sync()
+        yield ReservationSynced()
+
+    async def _serve_settlement(self, message, context):
+        self._state.apply(message, self._append(message))
+        await self._log.sync()
+        return TurnSynced()
+
+    async def _serve_commit(self, message, context):
+        self._check(message.set_version)
+        if self._state.find_turn(message.turn.turn) is None:
+            self._state.apply(message.turn, self._append(message.turn))
+        await self._log.sync()
+        return TurnSynced()
+
+    async def _serve_chain(self, message, context):
+        self._check(message.set_version)
+        kept = self._state.find_chain(message.turn)
+        if kept is None:
+            return Chain(absent=self._state.find_turn(message.turn) is None)
+        text = b"".join(self._read_turn_text(turn.position) for turn in kept)
+        last = kept[-1]
+        return Chain(True, False, last.customer, last.upstream, last.tokens, text)
+
+    async def _serve_records(self, message, context):
+        if not self._settled:
+            raise CallError("history_unavailable", "this copy is no member")
+        if message.set_version > self._copies.version:
+            await self._adopt(CopySet(message.set_version, message.members))
+        return self._read_batch(message.after, message.expires_after)
+
+    async def _serve_batch(self, message, context):
+        self._take_batch(message)
+        await self._log.sync()
+        return RecordsKept()
+
+    def _check(self, set_version):
+        """Refuse requests made under an older set, and all before joining."""
+        if not self._settled:
+            raise CallError("history_unavailable", "this copy is no member")
+        if set_version < self._copies.version:
+            raise CallError(
+                "copies_changed", f"the set of copies is at {self._copies.version}"
+            )
+
+    def _append(self, record):
+        expires_at = getattr(record, "expires_at", 0.0)
+        self._newest = max(self._newest, expires_at)
+        return self._log.append(msgpack.packb(self._codec.dump(record)))
+
+    def _fold(self, payload, position):
+        record = self._unpack(payload)
+        if isinstance(record, CopySet):
+            self._copies = record
+            return
+        self._newest = max(self._newest, record.expires_at)
+        self._state.apply(record, position)
+
+    def _take_batch(self, batch):
+        for payload in batch.records:
+            record = self._unpack(payload)
+            if isinstance(record, CopySet):
+                continue
+            if self._state.apply(record, self._log.end):
+                self._append(record)
+
+    def _read_batch(self, after, expires_after):
+        records = []
+        size = 0
+        position = after
+        while position < self._log.end and size < BATCH_BYTES:
+            payload = self._log.read(position)
+            position += 1
+            if payload is None:
+                continue
+            record = self._unpack(payload)
+            if isinstance(record, CopySet) or record.expires_at < expires_after:
+                continue
+            records.append(payload)
+            size += len(payload)
+        return RecordBatch(position, records)
+
+    def _read_turn_text(self, position):
+        turn = self._unpack(self._log.read(position))
+        return turn.input + turn.output
+
+    def _unpack(self, payload):
+        return self._codec.load(*msgpack.unpackb(payload))
+
+    def _read_identity(self):
+        """Return the name of this disk, drawn at its first use."""
+        folder = Path(self._yard.settings.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / IDENTITY_FILE
+        if path.exists() and path.read_text():
+            return path.read_text()
+        identity = secrets.token_hex(8)
+        with open(path, "w") as file:
+            file.write(identity)
+            file.flush()
+            os.fsync(file.fileno())
+        sync_folder(folder)
+        return identity
--- /dev/null
+++ b/sapphireyard/history/state.py
@@ -0,0 +1,136 @@
+"""Turns and spent tokens, folded from records in any order.
+
+A fold takes each record as often and in whatever order it comes, so that copies
+which have the same records have the same state.
+"""
+
+from dataclasses import dataclass
+
+from sapphireyard.generated_history import Reservation, Settlement, Spending, Turn
+
+
+@dataclass
+class KeptTurn:
+    """What is in memory of a turn; its texts stay in the log.
+
+    Parameters
+    ----------
+    position : int
+        Where its record lies.
+    previous, customer, upstream : str
+        As in `Turn`.
+    tokens : int
+        Tokens of the prompt and the answer together.
+    expires_at : float
+        Wall-clock time until which it is kept.
+    """
+
+    position: int
+    previous: str
+    customer: str
+    upstream: str
+    tokens: int
+    expires_at: float
+
+
+class HistoryState:
+    """All turns and the spending of all programs that a copy knows."""
+
+    def __init__(self):
+        self._turns = {}
+        self._programs = {}
+        self._expiries = {}
+
+    def apply(self, record, position):
+        """Fold a record; return whether it was new."""
+        if isinstance(record, Turn):
+            return self._add_turn(record, position)
+        if isinstance(record, Settlement):
+            return self._spend(record, position, settled=True)
+        if isinstance(record, Reservation):
+            return self._spend(record, position, settled=False)
+        raise TypeError(f"no fold for {type(record).__name__}")
+
+    def find_turn(self, turn):
+        """Return the `KeptTurn`, or None."""
+        return self._turns.get(turn)
+
+    def find_chain(self, turn):
+        """Return the kept turns of a chain, oldest first, or None if one lacks."""
+        chain = []
+        while turn:
+            kept = self._turns.get(turn)
+            if kept is None:
+                return None
+            chain.append(kept)
+            turn = kept.previous
+        chain.reverse()
+        return chain
+
+    def spendings(self, program):
+        """Return the `Spending` of each turn of a program."""
+        known = self._programs.get(program, {})
+        return [
+            Spending(turn, tokens, final) for turn, (tokens, final) in known.items()
+        ]
+
+    def expire(self, now):
+        """Forget what need not be kept; return the first position still needed.
+
+        Parameters
+        ----------
+        now : float
+            Wall-clock seconds.
+
+        Returns
+        -------
+        int or None
+            None when nothing is kept.
+        """
+        for turn in [t for t, kept in self._turns.items() if kept.expires_at < now]:
+            del self._turns[turn]
+        for program in [p for p, kept in self._expiries.items() if kept[0] < now]:
+            del self._expiries[program]
+            self._programs.pop(program, None)
+        positions = [kept.position for kept in self._turns.values()]
+        positions += [position for _, position in self._expiries.values()]
+        return min(positions, default=None)
+
+    def _add_turn(self, turn, position):
+        is_new = self._keep_turn(turn, position)
+        return self._spend(turn, position, settled=True) or is_new
+
+    def _keep_turn(self, turn, position):
+        known = self._turns.get(turn.turn)
+        if known is not None:
+            known.expires_at = max(known.expires_at, turn.expires_at)
+            return False
+        self._turns[turn.turn] = KeptTurn(
+            position,
+            turn.previous,
+            turn.customer,
+            turn.upstream,
+            turn.context_tokens,
+            turn.expires_at,
+        )
+        self._extend_chain(turn.previous, turn.expires_at)
+        return True
+
+    def _extend_chain(self, turn, expires_at):
+        """Keep the turns before one at least as long as itself."""
+        while turn:
+            kept = self._turns.get(turn)
+            if kept is None or kept.expires_at >= expires_at:
+                return
+            kept.expires_at = expires_at
+            turn = kept.previous
+
+    def _spend(self, record, position, *, settled):
+        known = self._programs.setdefault(record.program, {})
+        until, first = self._expiries.get(record.program, (0.0, position))
+        self._expiries[record.program] = max(until, record.expires_at), first
+        before = known.get(record.turn)
+        if before is not None and (before[1] or not settled):
+            return False
+        known[record.turn] = (record.tokens, settled)
+        return True
--- a/sapphireyard/logs.py
+++ b/sapphireyard/logs.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import os
 import re
 import time
 from collections import deque
@@ -27,6 +28,13 @@
 STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 """Attributes of each log record; all others were given with ``extra``."""
 
+LINES_PER_SECOND = 500
+"""Lines below the level of a warning that one process writes in a second: some
+three for each request at the highest load of a host."""
+
+REST_BYTES = 64 * 1024
+"""What may wait for a descriptor that takes nothing: the size of a pipe."""
+
 KEPT_DECISIONS = 2000
 """Log records that name a program which a host keeps in memory."""
 
@@ -145,3 +153,69 @@
 def _format_time(seconds):
     whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
     return f"{whole}.{int(seconds % 1 * 1000):03d}Z"
+
+
+class BoundedStream(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for it.
+
+    Lines above a rate, and those that the descriptor does not take at once, are
+    dropped and counted; the count is written with the next line.
+
+    Parameters
+    ----------
+    descriptor : int
+        File descriptor, set to non-blocking.
+    most : int, optional
+        Lines a second.
+    """
+
+    def __init__(self, descriptor, *, most=LINES_PER_SECOND):
+        super().__init__()
+        self._descriptor = descriptor
+        self._most = most
+        self._second = 0
+        self._written = 0
+        self._rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record):
+        """Write a record, or count it as dropped."""
+        second = int(record.created)
+        if second != self._second:
+            self._second, self._written = second, 0
+        self._written += 1
+        if self._written > self._most and record.levelno < logging.WARNING:
+            self.dropped += 1
+            return
+        line = self.format(record)
+        if self.dropped:
+            line = f'{{"dropped_lines": {self.dropped}}}\n{line}'
+        self._write(line.encode() + b"\n")
+
+    def _write(self, data):
+        data = self._rest + data
+        if len(data) > REST_BYTES:
+            self.dropped += 1
+            return
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            self.dropped += 1
+            return
+        self._rest = data[written:]
+        if not self._rest:
+            self.dropped = 0
+
+
+def configure_line_logging(*, host, level=logging.INFO, descriptor=1):
+    """Send JSON lines to standard output, bounded and without blocking."""
+    handler = BoundedStream(descriptor)
+    handler.setFormatter(JsonFormatter(host=host))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    for name in (PACKAGE, MAIN_MODULE, "adapter"):
+        logging.getLogger(name).setLevel(level)
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduler.py
@@ -45,12 +45,15 @@
     Parameters
     ----------
     upstreams : sequence of UpstreamLimits
-        The group, at most `MAX_GROUP`.
+        The group, at most `most`.
     options : SchedulerOptions, optional
         Switches and weights.
+    most : int, optional
+        Most upstreams in the group.
     """
 
-    def __init__(self, upstreams, *, options=None):
+    def __init__(self, upstreams, *, options=None, most=MAX_GROUP):
+        self._most = most
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
@@ -105,8 +108,8 @@
         if limits.name in self._slots:
             self._slots[limits.name].limits = limits
             return
-        if len(self._slots) >= MAX_GROUP:
-            raise ValueError(f"a group has at most {MAX_GROUP} upstreams")
+        if len(self._slots) >= self._most:
+            raise ValueError(f"a group has at most {self._most} upstreams")
         self._slots[limits.name] = UpstreamSlots(limits)
         self._placement.add(limits)
         self._output_cost = limits.output_cost
@@ -211,6 +214,10 @@
             self._selection.unblock(name)
         return [Release(name, program) for name in names] + self._decide(now)
 
+    def state(self, name):
+        """Return the `UpstreamState` of an upstream."""
+        return self._slots[name].state
+
     def set_state(self, name, state, now):
         """Mark an upstream up, leaving or down."""
         slots = self._slots[name]
@@ -235,6 +242,14 @@
         self._selection.unblock(name)
         return self._decide(now)
 
+    def learn_prefix(self, name, program, tokens, now):
+        """Note that an upstream holds a prefix which another host left there."""
+        if name not in self._slots:
+            return
+        record = self._placement.record(name)
+        if not record.tokens(program):
+            record.keep(program, tokens, now)
+
     def cache_event(self, name, program, tokens, observed_at):
         """Take in a cache event: `name` holds `tokens` of a program."""
         self._placement.record(name).correct(program, tokens, observed_at)
--- a/sapphireyard/scheduling.py
+++ b/sapphireyard/scheduling.py
@@ -128,6 +128,9 @@
         Whether requests may leave the holder of their prefix while it is full.
     refuse : bool, optional
         Whether requests that cannot make their deadline are refused at once.
+    tie_seed : str, optional
+        Name by which this scheduler orders upstreams that are equally loaded;
+        empty for their own order.
     """
 
     fair: bool = True
@@ -141,3 +144,4 @@
     keep_seconds: float = 72.0
     move: bool = True
     refuse: bool = True
+    tie_seed: str = ""
--- a/sapphireyard/selection.py
+++ b/sapphireyard/selection.py
@@ -4,6 +4,7 @@
 from functools import partial
 from itertools import islice
 
+from sapphireyard.homes import score_host
 from sapphireyard.queues import ANY, WaitingRequest
 from sapphireyard.scheduling import (
     REASON_CACHED,
@@ -97,13 +98,24 @@
             for name, slots in self._slots.items()
             if name not in self._blocked and slots.has_slot()
         ]
-        for slots in sorted(free, key=lambda s: (s.fill, s.limits.name)):
+        for slots in sorted(free, key=self._preference):
             choice = self._best(slots, now)
             if choice:
                 return choice
             self._blocked.add(slots.limits.name)
         return None
 
+    def _preference(self, slots):
+        """Return the sort key of an upstream with a free slot.
+
+        Hosts that choose apart from each other break ties differently, so that
+        they do not all send to the same upstream between two load reports.
+        """
+        name = slots.limits.name
+        if not self.options.tie_seed:
+            return slots.fill, 0, name
+        return slots.fill, score_host(self.options.tie_seed, name), name
+
     def _best(self, slots, now):
         self._placement.record(slots.limits.name).age(now)
         self._users = None
--- a/sapphireyard/yard.py
+++ b/sapphireyard/yard.py
@@ -58,6 +58,14 @@
         Instruments of the running path.
     gateway : Gateway
         The callers' HTTP interface.
+    gossip : Gossip
+        Heartbeats of all hosts, on the platform.
+    quotas : FleetQuotas
+        Customers' rates without a home, on the platform.
+    pools : UpstreamPools
+        Upstreams as this host schedules them, on the platform.
+    history : HistoryClient
+        Chains of turns on hosts with disks, on the platform.
     """
 
     def __init__(self, settings, store, *, clock=None):
@@ -83,6 +91,10 @@
         self.collector = None
         self.metrics = None
         self.gateway = None
+        self.gossip = None
+        self.quotas = None
+        self.pools = None
+        self.history = None
 
     @property
     def host(self):
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -1,4 +1,4 @@
-"""Generates ``sapphireyard/generated_*.py`` from the files in ``schema``.
+"""Generates ``generated_*.py`` from the files in ``schema`` and ``platform/schema``.
 
 ``--check`` compares the committed code with the schema and writes nothing.
 """
@@ -12,6 +12,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 PACKAGE = ROOT / "sapphireyard"
+PLATFORM_SCHEMA = ROOT / "platform" / "schema"
+PLATFORM_PACKAGE = ROOT / "platform" / "adapter"
 BORDER_SCHEMAS = {"settings", "tables", "api", "control_settings", "archive_settings"}
 """Schemas of data that comes from people or callers: validated models."""
 
@@ -19,9 +21,22 @@
 """Border schemas whose data may have further fields, which are passed on."""
 
 
+def list_modules():
+    """Return the path of each schema and of the module generated from it."""
+    pairs = []
+    for schema, package in ((SCHEMA, PACKAGE), (PLATFORM_SCHEMA, PLATFORM_PACKAGE)):
+        for source in sorted(schema.glob("*.yaml")):
+            pairs.append((source, package / f"generated_{source.stem}.py"))
+    return pairs
+
+
 def generate_module(source, target):
-    """Write the module generated from `source` to `target`."""
-    border = source.stem in BORDER_SCHEMAS
+    """Write the module generated from `source` to `target`.
+
+    All of what the platform sends is border data, to which fields may be added.
+    """
+    foreign = source.parent == PLATFORM_SCHEMA
+    border = foreign or source.stem in BORDER_SCHEMAS
     model_type = "pydantic_v2.BaseModel" if border else "dataclasses.dataclass"
     command = [
         sys.executable,
@@ -51,7 +66,7 @@
         "isort",
     ]
     if border:
-        extra = "ignore" if source.stem in OPEN_SCHEMAS else "forbid"
+        extra = "ignore" if foreign or source.stem in OPEN_SCHEMAS else "forbid"
         command += ["--extra-fields", extra, "--field-constraints"]
     subprocess.run(command, check=True, cwd=ROOT)
 
@@ -59,10 +74,9 @@
 def find_stale(directory):
     """Return the names of committed modules that differ from the schema."""
     stale = []
-    for source in sorted(SCHEMA.glob("*.yaml")):
-        fresh = Path(directory) / f"generated_{source.stem}.py"
+    for source, committed in list_modules():
+        fresh = Path(directory) / committed.name
         generate_module(source, fresh)
-        committed = PACKAGE / fresh.name
         if not committed.exists() or committed.read_text() != fresh.read_text():
             stale.append(committed.name)
     return stale
@@ -74,8 +88,8 @@
     parser.add_argument("--check", action="store_true")
     options = parser.parse_args()
     if not options.check:
-        for source in sorted(SCHEMA.glob("*.yaml")):
-            generate_module(source, PACKAGE / f"generated_{source.stem}.py")
+        for source, target in list_modules():
+            generate_module(source, target)
         return 0
     with tempfile.TemporaryDirectory() as directory:
         stale = find_stale(directory)
