Test the deployed processes before stand-ins of the platform

Store, upstreams and callers in the platform's form; chains on any host, budgets, loss of all processes, a replaced and a retired copy, faulty answers, withdrawn keys, planned stop. Found and mended: a retired copy told nobody of the set without it before it reported to be done, so entry hosts went on asking the earlier set; the members that stay now hear of it first.

--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -163,9 +163,16 @@
         return copies
 
     async def _hand_over(self, host):
-        """Send all records here to a member; return whether it has them."""
+        """Send the set and all records here to a member; return whether it has them.
+
+        Nobody else may know of the set yet, and this host is gone soon.
+        """
         position = 0
+        news = RecordsQuery(
+            self._log.end, 0.0, self._copies.version, self._copies.members
+        )
         try:
+            await self._yard.peers.ask(host, news, timeout=BATCH_SECONDS)
             while position < self._log.end:
                 batch = self._read_batch(position, 0.0)
                 await self._yard.peers.ask(host, batch, timeout=BATCH_SECONDS)
--- /dev/null
+++ b/standins/site_store.py
@@ -0,0 +1,207 @@
+"""The users' platform's store: objects by kind, conditions, watches, outages."""
+
+import asyncio
+import itertools
+from typing import Literal
+
+from aiohttp import web
+
+from standins._serving import Faults, StandIn, drop_connection, hang
+
+PAGE_ITEMS = 500
+
+
+class SiteStoreFaults(Faults):
+    """Faults of the store.
+
+    Attributes
+    ----------
+    outage : {'none', 'refuse', 'hang', 'drop'}
+        What meets each call: status 503, no answer, or a cut connection.
+    delay_seconds : float
+        Time that each call waits first.
+    lose_answers : int
+        How many coming writes take effect and lose their answer.
+    history_from : int
+        Watches from below this revision get status 410.
+    """
+
+    outage: Literal["none", "refuse", "hang", "drop"] = "none"
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+    history_from: int = 0
+
+
+class SiteStore(StandIn):
+    """The store in memory; `calls` counts them by method."""
+
+    faults_class = SiteStoreFaults
+
+    def __init__(self):
+        self._objects = {}
+        self._events = []
+        self._revisions = itertools.count(2)
+        self._revision = 1
+        self._changed = asyncio.Event()
+        self.calls = 0
+        super().__init__()
+
+    def add_routes(self, router):
+        router.add_get("/v1/objects/{kind}", self._list)
+        router.add_post("/v1/objects/{kind}", self._create)
+        router.add_get("/v1/objects/{kind}/{name}", self._get)
+        router.add_put("/v1/objects/{kind}/{name}", self._put)
+        router.add_put("/v1/objects/{kind}/{name}/status", self._put_status)
+        router.add_delete("/v1/objects/{kind}/{name}", self._delete)
+
+    def faults_changed(self):
+        self._wake()
+
+    async def strike(self, request):
+        self.calls += 1
+        if self.faults.delay_seconds:
+            await asyncio.sleep(self.faults.delay_seconds)
+        return await self._meet_outage(request)
+
+    async def _meet_outage(self, request):
+        if self.faults.outage == "refuse":
+            return web.Response(status=503)
+        if self.faults.outage == "drop":
+            return drop_connection(request)
+        if self.faults.outage == "hang":
+            await hang()
+        return None
+
+    def put(self, kind, name, spec):
+        """Write an object as an operator or an upstream would."""
+        return self._store(kind, name, spec=spec)
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        item = self._objects.pop((kind, name))
+        self._note(kind, item, deleted=True)
+
+    def read(self, kind, name):
+        """Return the object, or None."""
+        return self._objects.get((kind, name))
+
+    def _store(self, kind, name, **fields):
+        old = self._objects.get((kind, name))
+        item = dict(old or {"spec": None, "status": None})
+        item.update(fields)
+        if old is not None and all(old[key] == item[key] for key in fields):
+            return old
+        revision = next(self._revisions)
+        created = old["metadata"]["create-revision"] if old else revision
+        item["metadata"] = {
+            "name": name,
+            "revision": revision,
+            "create-revision": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        self._objects[kind, name] = item
+        self._note(kind, item, deleted=False)
+        return item
+
+    def _note(self, kind, item, *, deleted):
+        self._revision = item["metadata"]["revision"]
+        if deleted:
+            self._revision = next(self._revisions)
+        self._events.append((self._revision, kind, item, deleted))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _list(self, request):
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get("after", "")
+        names = sorted(n for k, n in self._objects if k == kind and n > after)
+        items = [self._objects[kind, name] for name in names[:PAGE_ITEMS]]
+        return web.json_response(
+            {
+                "items": items,
+                "more-pages": len(names) > PAGE_ITEMS,
+                "current-rev": self._revision,
+            }
+        )
+
+    async def _watch(self, request, kind):
+        after = int(request.query["watch"])
+        if after < self.faults.history_from:
+            return web.Response(status=410)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(request.query["wait-ms"]) / 1000
+        while True:
+            events = [
+                {"object": item, "deleted": deleted}
+                for revision, each, item, deleted in self._events
+                if each == kind and revision > after
+            ]
+            left = deadline - loop.time()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "current-rev": self._revision}
+                )
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+            struck = await self._meet_outage(request)
+            if struck is not None:
+                return struck
+
+    async def _get(self, request):
+        item = self._objects.get(self._key(request))
+        if item is None:
+            return web.Response(status=404)
+        return web.json_response(item)
+
+    async def _create(self, request):
+        body = await request.json()
+        key = request.match_info["kind"], body["metadata"]["name"]
+        if key in self._objects:
+            return web.json_response(self._objects[key], status=409)
+        return self._answer(request, self._store(*key, spec=body.get("spec")))
+
+    async def _put(self, request):
+        return await self._replace(request, "spec")
+
+    async def _put_status(self, request):
+        return await self._replace(request, "status")
+
+    async def _replace(self, request, field):
+        body = await request.json()
+        key = self._key(request)
+        item = self._objects.get(key)
+        if item is None:
+            return web.Response(status=404)
+        expected = body.get("metadata", {}).get("revision")
+        if expected is not None and expected != item["metadata"]["revision"]:
+            return web.json_response(item, status=409)
+        return self._answer(request, self._store(*key, **{field: body.get(field)}))
+
+    async def _delete(self, request):
+        key = self._key(request)
+        item = self._objects.get(key)
+        if item is None:
+            return web.Response(status=404)
+        expected = request.query.get("revision")
+        if expected is not None and int(expected) != item["metadata"]["revision"]:
+            return web.json_response(item, status=409)
+        self.remove(*key)
+        return self._answer(request, item)
+
+    def _answer(self, request, item):
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return drop_connection(request)
+        return web.json_response(item)
+
+    @staticmethod
+    def _key(request):
+        return request.match_info["kind"], request.match_info["name"]
--- /dev/null
+++ b/standins/site_upstream.py
@@ -0,0 +1,230 @@
+"""An upstream as on the users' platform, with answers that may be faulty."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass, field
+
+WHOLE = "whole"
+CUT = "cut"
+"""The body ends before its length."""
+UNFRAMED = "unframed"
+"""No length; the body ends with the connection."""
+UNFRAMED_RESET = "unframed_reset"
+"""No length, and a reset in the middle."""
+EXTRA = "extra"
+"""A second answer, with the same id, behind the whole one."""
+FOREIGN = "foreign"
+"""The answer bears another request's id."""
+GARBAGE = "garbage"
+UNSIGNED = "unsigned"
+ENCODED = "encoded"
+FULL = "full"
+"""Status 503 that says the request was not run."""
+RESET = "reset"
+"""The request runs; then the connection is reset without an answer."""
+
+
+READ_SECONDS = 0.05
+"""Time for the other end to read before a reset drops what it has not read."""
+
+
+def reset(writer):
+    """Close a connection so that the other end sees a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@dataclass
+class SeenRequest:
+    """A request as it reached the upstream."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    reader: asyncio.StreamReader = field(repr=False, default=None)
+    cancelled: bool = False
+
+
+@dataclass
+class SiteUpstream:
+    """One upstream.
+
+    Parameters
+    ----------
+    name : str
+        Its identity, compared with what the request expects.
+    events : sequence of str, optional
+        Data of the events of a stream; empty for a plain service.
+    answers : list of str, optional
+        How the coming requests are answered; the last one stays.
+    delay_seconds : float, optional
+        Time before the first byte.
+    gap_seconds : float, optional
+        Time before each event.
+    """
+
+    name: str
+    events: tuple = ()
+    answers: list = field(default_factory=lambda: [WHOLE])
+    delay_seconds: float = 0.0
+    gap_seconds: float = 0.0
+    seen: list = field(default_factory=list)
+    ran: list = field(default_factory=list)
+    connections: int = 0
+    address: str = ""
+    _server: object = None
+
+    async def start(self, *, ip="127.0.0.1", port=0):
+        """Listen; return the address."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{ip}:{port}"
+        return self.address
+
+    async def stop(self):
+        """Close the listening socket."""
+        self._server.close()
+
+    def describe(self, service, *, state="ready", slots=8, born=1):
+        """Return the entry that it writes of itself."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": born,
+        }
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        request = await self._read(reader)
+        if request is None:
+            return False
+        self.seen.append(request)
+        if request.headers.get("expect-instance") != self.name:
+            self._write_head(writer, request, 421, 0, signed=False)
+            return True
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer == FULL:
+            head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            writer.write(head.encode())
+            return True
+        self.ran.append(request)
+        await asyncio.sleep(self.delay_seconds)
+        return await self._answer(answer, request, writer)
+
+    async def _answer(self, answer, request, writer):
+        if answer == RESET:
+            reset(writer)
+            return False
+        if answer == GARBAGE:
+            writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+            return False
+        if self.events:
+            return await self._stream(answer, request, writer)
+        body = f"answer of {self.name} to {request.target}".encode()
+        if answer in (UNFRAMED, UNFRAMED_RESET):
+            self._write_head(writer, request, 200, None)
+            writer.write(body)
+            await writer.drain()
+            if answer == UNFRAMED_RESET:
+                await asyncio.sleep(READ_SECONDS)
+                reset(writer)
+            return False
+        self._write_head(
+            writer,
+            request,
+            200,
+            len(body),
+            signed=answer != UNSIGNED,
+            foreign=answer == FOREIGN,
+            encoded=answer == ENCODED,
+        )
+        if answer == CUT:
+            writer.write(body[:-3])
+            await writer.drain()
+            return False
+        writer.write(body)
+        if answer == EXTRA:
+            self._write_head(writer, request, 200, len(body))
+            writer.write(body)
+        await writer.drain()
+        return True
+
+    async def _stream(self, answer, request, writer):
+        self._write_head(writer, request, 200, "chunked")
+        for number, data in enumerate(self.events, 1):
+            await asyncio.sleep(self.gap_seconds)
+            if writer.is_closing() or request.reader.at_eof():
+                request.cancelled = True
+                return False
+            event = f"id: {number}\ndata: {data}\n\n".encode()
+            if answer == CUT and number == len(self.events):
+                writer.write(b"%x\r\n%s" % (len(event), event[: len(event) // 2]))
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def _write_head(
+        self,
+        writer,
+        request,
+        status,
+        length,
+        *,
+        signed=True,
+        foreign=False,
+        encoded=False,
+    ):
+        request_id = request.headers.get("request-id", "")
+        lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}"]
+        if foreign:
+            lines[1] = "Request-Id: another"
+        if signed:
+            lines.append(f"Response-Signature: signed-by-{self.name}")
+        if encoded:
+            lines.append("Content-Encoding: gzip")
+        if length == "chunked":
+            lines.append("Transfer-Encoding: chunked")
+            lines.append("Content-Type: text/event-stream")
+        elif length is not None:
+            lines.append(f"Content-Length: {length}")
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+
+    @staticmethod
+    async def _read(reader):
+        """Return the next request, or None at the end of the connection."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        first, *lines = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+        method, target, _ = first.split(" ", 2)
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", 0))
+        body = await reader.readexactly(length)
+        return SeenRequest(method, target, headers, body, reader)
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,314 @@
+"""The deployed processes against stand-ins of the platform, over real sockets."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import unittest
+
+from standins import site_upstream
+from standins.site_upstream import SiteUpstream
+from tests.platform_site import (
+    KEY,
+    ROOT,
+    SECOND_KEY,
+    PlatformSite,
+    build_configuration,
+)
+
+ENTRIES = ("127.0.1.1", "127.0.1.2")
+COPIES = ("127.0.2.1", "127.0.2.2", "127.0.2.3", "127.0.2.4")
+EVENTS = ("one", "two", "three")
+
+
+class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
+    """Two entry hosts and four copies before an engine and a plain service."""
+
+    async def asyncSetUp(self):
+        self.site = PlatformSite()
+        await self.site.start()
+        self.addAsyncCleanup(self.site.stop)
+        self.engine = SiteUpstream("i-engine", events=EVENTS)
+        self.plain = SiteUpstream("i-plain")
+        for upstream, service in ((self.engine, "engine"), (self.plain, "plain")):
+            await upstream.start()
+            self.site.store.put("servers", upstream.name, upstream.describe(service))
+        self.site.store.put("config", "main", build_configuration())
+        for number, ip in enumerate(ENTRIES, 1):
+            self.site.start_process(f"entry-{number}", "entry", ip, domain=f"d{number}")
+        for number, ip in enumerate(COPIES, 1):
+            self.site.start_process(
+                f"copy-{number}", "history", ip, domain=f"d{number}"
+            )
+        await self.site.wait_ready(*ENTRIES)
+        await self.site.wait_until(lambda: self.copies() == 4)
+        await self.site.wait_until(self.serves_turns)
+        self.engine.seen.clear()
+        self.engine.ran.clear()
+
+    def copies(self):
+        """Return the size of the set of copies in the store."""
+        item = self.site.store.read("copies", "main")
+        return item["spec"].count("copy-") if item else 0
+
+    async def serves_turns(self):
+        """Return whether both entry hosts know enough copies."""
+        for ip in ENTRIES:
+            _, answer = await self.site.send_turn(ip, b"warm", program="warm")
+            if answer.status != 200 or not answer.whole:
+                return False
+        return True
+
+
+class PathTest(PlatformTestCase):
+    async def test_turns_continue_on_any_host_with_the_whole_chain(self):
+        first, answer = await self.site.send_turn(ENTRIES[0], b"A")
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.headers["Response-Signature"], "signed-by-i-engine")
+        second, _ = await self.site.send_turn(ENTRIES[1], b"B", previous=first)
+        third, _ = await self.site.send_turn(ENTRIES[0], b"C", previous=second)
+        other, _ = await self.site.send_turn(ENTRIES[1], b"D", previous=first)
+        said = b"one\ntwo\nthree\n"
+        bodies = [request.body for request in self.engine.ran]
+        self.assertEqual(
+            bodies,
+            [
+                b"A",
+                b"A" + said + b"B",
+                b"A" + said + b"B" + said + b"C",
+                b"A" + said + b"D",
+            ],
+        )
+        for key, previous, status in (
+            (SECOND_KEY, third, 404),
+            (KEY, "00000000deadbeef", 404),
+        ):
+            with self.subTest(previous):
+                _, answer = await self.site.send_turn(
+                    ENTRIES[0], b"E", previous=previous, key=key
+                )
+                self.assertEqual(answer.status, status)
+        self.assertEqual(len(self.engine.ran), 4)
+
+    async def test_upstream_sees_the_request_and_no_key(self):
+        await self.site.send(
+            ENTRIES[0],
+            "POST",
+            "/book/a%2Fb/../c?x=%20y&z",
+            body=b"lorry",
+            headers={"Tenant": "forged", "Hold": "h", "X-Own": "kept", "Pin-Ms": "9"},
+        )
+        (request,) = self.plain.ran
+        self.assertEqual(
+            (request.method, request.target, request.body),
+            ("POST", "/book/a%2Fb/../c?x=%20y&z", b"lorry"),
+        )
+        self.assertEqual(request.headers["tenant"], "first")
+        self.assertEqual(request.headers["x-own"], "kept")
+        self.assertLessEqual(int(request.headers["deadline-ms"]), 3000)
+        for absent in ("credential", "hold", "pin-ms"):
+            self.assertNotIn(absent, request.headers)
+        self.assertNotIn(KEY, str(request.headers))
+
+    async def test_refusals(self):
+        cases = [
+            ("no key", "GET", "/view/1", {"key": ""}, 401),
+            ("wrong key", "GET", "/view/1", {"key": "none"}, 401),
+            ("no route", "GET", "/other/1", {}, 404),
+            ("wrong key, no route", "GET", "/other/1", {"key": "none"}, 401),
+            ("large body", "POST", "/book/1", {"body": b"x" * 100_001}, 413),
+            (
+                "wrong key, large body",
+                "POST",
+                "/book/1",
+                {"key": "-", "body": b"x" * 100_001},
+                401,
+            ),
+            ("large headers", "GET", "/view/1", {"headers": {"X": "y" * 17000}}, 431),
+            ("no id", "GET", "/view/1", {"headers": {"Request-Id": ""}}, 400),
+            ("bad number", "GET", "/view/1", {"headers": {"Token-Budget": "z"}}, 400),
+        ]
+        for name, method, target, options, status in cases:
+            with self.subTest(name):
+                answer = await self.site.send(ENTRIES[0], method, target, **options)
+                self.assertEqual(answer.status, status)
+        self.assertEqual(self.plain.seen, [])
+
+    async def test_budget_ends_a_program(self):
+        statuses = []
+        for number in range(9):
+            _, answer = await self.site.send_turn(
+                ENTRIES[number % 2], b"A", program="loop", budget=400
+            )
+            statuses.append(answer.status)
+        # Each turn reserves 280 tokens and takes 3 x 14 = 42.
+        self.assertEqual(statuses, [200] * 3 + [402] * 6)
+
+    async def test_spending_and_turns_survive_the_loss_of_all_processes(self):
+        turn = ""
+        for number in range(3):
+            turn, _ = await self.site.send_turn(
+                ENTRIES[0], b"A", previous=turn, program="loop", budget=400
+            )
+        for number in range(1, 5):
+            self.site.kill(f"copy-{number}")
+        for number in (1, 2):
+            self.site.kill(f"entry-{number}")
+        for number, ip in enumerate(ENTRIES, 1):
+            self.site.start_process(
+                f"entry-{number}", "entry", ip, domain=f"d{number}", bootstrap=False
+            )
+        for number, ip in enumerate(COPIES, 1):
+            self.site.start_process(
+                f"copy-{number}", "history", ip, domain=f"d{number}", bootstrap=False
+            )
+        await self.site.wait_ready(*ENTRIES)
+        await self.site.wait_until(self.serves_turns)
+        _, answer = await self.site.send_turn(
+            ENTRIES[1], b"A", previous=turn, program="loop", budget=400
+        )
+        self.assertEqual(answer.status, 402)
+        _, answer = await self.site.send_turn(ENTRIES[1], b"B", previous=turn)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.engine.ran[-1].body.count(b"one\ntwo\nthree\n"), 3)
+
+    async def test_lost_copy_is_replaced_by_a_host_with_an_empty_disk(self):
+        turn, _ = await self.site.send_turn(ENTRIES[0], b"A")
+        self.site.kill("copy-1")
+        self.site.start_process(
+            "copy-5", "history", "127.0.2.5", domain="d1", bootstrap=False
+        )
+        await self.site.wait_until(
+            lambda: "copy-5" in self.site.store.read("copies", "main")["spec"]
+        )
+        await self.site.wait_until(lambda: "joined" in self.site.read_log("copy-5"))
+        self.site.kill("copy-2")
+        await self.site.wait_until(self.serves_turns)
+        _, answer = await self.site.send_turn(ENTRIES[1], b"B", previous=turn)
+        self.assertEqual(answer.status, 200)
+        self.assertNotIn("copy-1", self.site.store.read("copies", "main")["spec"])
+
+    async def test_retired_copy_hands_its_records_over(self):
+        turn, _ = await self.site.send_turn(ENTRIES[0], b"A")
+        self.site.store.put("retirements", "copy-3", {"duration-s": 5})
+        await self.site.wait_until(
+            lambda: self.site.store.read("retirements", "copy-3")["status"]
+            == {"state": "completed"}
+        )
+        self.assertEqual(self.copies(), 3)
+        self.site.kill("copy-3")
+        self.site.kill("copy-1")
+        await self.site.wait_until(self.serves_turns)
+        _, answer = await self.site.send_turn(ENTRIES[1], b"B", previous=turn)
+        self.assertEqual(answer.status, 200)
+
+    async def test_withdrawn_key_stops(self):
+        self.assertEqual(
+            (await self.site.send(ENTRIES[0], "GET", "/view/1")).status, 200
+        )
+        tenants = [{"name": "first", "api-keys": ["new"]}]
+        self.site.store.put("config", "main", build_configuration(2, tenants=tenants))
+        for ip in ENTRIES:
+            await self.site.wait_until(lambda ip=ip: self.gives(ip, 401))
+
+    async def gives(self, ip, status):
+        """Return whether a request is answered with `status`."""
+        return (await self.site.send(ip, "GET", "/view/1")).status == status
+
+    async def test_host_without_the_store_stops_serving_keys(self):
+        self.site.store.faults = self.site.store.faults.merge({"outage": "hang"})
+        self.site.store.faults_changed()
+        await self.site.wait_until(lambda: self.gives(ENTRIES[0], 503))
+        answer = await self.site.send(ENTRIES[0], "GET", "/view/1")
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.site.store.faults = self.site.store.faults.merge({"outage": "none"})
+        await self.site.wait_until(lambda: self.gives(ENTRIES[0], 200))
+
+    async def test_planned_stop_cuts_no_request(self):
+        self.plain.delay_seconds = 0.5
+        running = asyncio.ensure_future(self.site.send(ENTRIES[0], "POST", "/book/1"))
+        await self.site.wait_until(lambda: self.plain.ran)
+        self.site.signal("entry-1", signal.SIGTERM)
+        await self.site.wait_until(lambda: self.lists_only(ENTRIES[1]))
+        self.assertEqual((await running).status, 200)
+        late = await self.site.send(ENTRIES[0], "GET", "/view/1")
+        self.assertEqual(late.status, 200)
+        self.assertEqual(late.headers["Connection"], "close")
+        await self.site.wait_until(
+            lambda: self.site.process("entry-1").poll() is not None
+        )
+        self.assertEqual(self.site.process("entry-1").returncode, 0)
+
+    async def lists_only(self, ip):
+        """Return whether the directory names just one host."""
+        _, addresses = await self.site.resolve(ENTRIES[1])
+        return [address.rsplit(":", 1)[0] for address in addresses] == [ip]
+
+    async def test_standard_module_is_found_beside_the_folder(self):
+        """The folder ``platform`` does not hide Python's module of that name."""
+        code = "import platform; print(platform.python_version())"
+        for place in (ROOT, ROOT / "platform"):
+            with self.subTest(place.name):
+                done = subprocess.run(
+                    [sys.executable, "-c", code], cwd=place, capture_output=True
+                )
+                self.assertRegex(done.stdout.decode(), r"^3\.11")
+
+
+class FaultyUpstreamTest(PlatformTestCase):
+    async def test_faulty_answers_of_plain_services(self):
+        """What may be repeated is sent once more, all else gets an honest status."""
+        cases = [
+            (site_upstream.WHOLE, "GET", "/view/1", 200, 1),
+            (site_upstream.CUT, "GET", "/view/1", 200, 2),
+            (site_upstream.CUT, "POST", "/book/1", 502, 1),
+            (site_upstream.UNFRAMED, "POST", "/book/1", 200, 1),
+            (site_upstream.UNFRAMED_RESET, "GET", "/view/1", 200, 2),
+            (site_upstream.UNFRAMED_RESET, "POST", "/book/1", 502, 1),
+            (site_upstream.EXTRA, "POST", "/book/1", 200, 1),
+            (site_upstream.FOREIGN, "GET", "/view/1", 200, 2),
+            (site_upstream.FOREIGN, "POST", "/book/1", 502, 1),
+            (site_upstream.GARBAGE, "GET", "/view/1", 200, 2),
+            (site_upstream.GARBAGE, "POST", "/book/1", 502, 1),
+            (site_upstream.UNSIGNED, "POST", "/book/1", 502, 1),
+            (site_upstream.ENCODED, "POST", "/book/1", 502, 1),
+            (site_upstream.RESET, "GET", "/view/1", 200, 2),
+            (site_upstream.RESET, "POST", "/book/1", 502, 1),
+            (site_upstream.FULL, "POST", "/book/1", 200, 1),
+        ]
+        second = SiteUpstream("i-plain-2")
+        await second.start()
+        self.site.store.put("servers", second.name, second.describe("plain"))
+        await self.site.wait_until(lambda: "i-plain-2" in self.site.read_log("entry-1"))
+        both = (self.plain, second)
+        for answer, method, target, status, runs in cases:
+            with self.subTest(f"{answer} {method}"):
+                # The first of the two to be asked is faulty.
+                faults = [answer, site_upstream.WHOLE]
+                self.plain.answers = second.answers = faults
+                before = sum(len(each.ran) for each in both)
+                got = await self.site.send(ENTRIES[0], method, target)
+                self.assertEqual(got.status, status)
+                self.assertEqual(sum(len(each.ran) for each in both) - before, runs)
+                if status == 200:
+                    self.assertIn("Response-Signature", got.headers)
+                    self.assertTrue(got.body.endswith(target.encode()))
+
+    async def test_cut_stream_does_not_look_complete(self):
+        self.engine.answers = [site_upstream.CUT, site_upstream.WHOLE]
+        _, answer = await self.site.send_turn(ENTRIES[0], b"A")
+        self.assertFalse(answer.whole)
+        self.assertEqual(len(self.engine.ran), 1)
+
+    async def test_other_upstream_at_the_address_runs_nothing(self):
+        self.plain.name = "i-someone-else"
+        answer = await self.site.send(ENTRIES[0], "POST", "/book/1")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.plain.ran, [])
+
+    async def test_leaving_caller_ends_the_run(self):
+        self.engine.gap_seconds = 0.3
+        turn = asyncio.ensure_future(self.site.send_turn(ENTRIES[0], b"A"))
+        await self.site.wait_until(lambda: self.engine.ran)
+        turn.cancel()
+        await self.site.wait_until(lambda: self.engine.ran[0].cancelled)
