--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -26,8 +26,9 @@
 """Bounds how old the others' load is; six 0.3 kB datagrams a beat at 7 hosts."""
 INTRODUCTION_BEATS = 10
 """Every tenth heartbeat names the other hosts."""
-RECENT_SECONDS = 1.0
-"""Counts that changed within this time are repeated, against lost datagrams."""
+RECENT_SECONDS = 10.0
+"""Counts that changed within this time are repeated, against lost datagrams and
+network partitions of some seconds."""
 DATAGRAM_BYTES = 60_000
 """Below the largest UDP payload."""
 
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -24,13 +24,13 @@
         What it said last.
     heard_at : float
         Monotonic seconds of this host when that arrived.
-    silence : float
-        Length in seconds of the silence before the last heartbeat.
+    absence : float
+        Seconds for which the host counted as out of touch before that.
     """
 
     heartbeat: Heartbeat
     heard_at: float
-    silence: float = 0.0
+    absence: float = 0.0
 
 
 class Membership:
@@ -75,7 +75,7 @@
         silence = now - known.heard_at if known else 0.0
         if known is not None and self._is_old(heartbeat, known.heartbeat, silence):
             return None
-        member = Member(heartbeat, now, silence)
+        member = Member(heartbeat, now, max(0.0, silence - SILENCE_SECONDS))
         self._members[heartbeat.host] = member
         self._addresses[heartbeat.host] = heartbeat.address
         return member
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -97,7 +97,7 @@
         bucket.fleet += 1.0
         self._count(bucket, -1, now)
 
-    def hear(self, host, incarnation, admitted, silence, rules, now):
+    def hear(self, host, incarnation, admitted, absence, rules, now):
         """Take in what another host has admitted since it started.
 
         Parameters
@@ -108,9 +108,9 @@
             Its run; counts begin anew with each.
         admitted : dict of str to int
             Requests admitted, for customers with recent ones.
-        silence : float
-            Seconds for which the host had not been heard. What its own part of
-            the rate allowed in that time was never in this host's bucket.
+        absence : float
+            Seconds for which the host counted as out of touch. What its own part
+            of the rate allowed in that time was never in this host's bucket.
         rules : callable
             Returns the `QuotaRule` of a customer or None.
         now : float
@@ -125,7 +125,7 @@
             bucket.counts[host] = (incarnation, count)
             if rule is None:
                 continue
-            own_part = rule.rate / self._hosts * silence
+            own_part = rule.rate / self._hosts * absence
             bucket.fleet -= max(0.0, count - known - own_part)
 
     def recent_counts(self, now, *, seconds):
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,119 @@
+"""Customers' rates across hosts that exchange counts."""
+
+import random
+import unittest
+
+from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
+
+HEARTBEAT_SECONDS = 0.1
+RULE = QuotaRule(70.0, 70.0)
+WINDOW_SECONDS = 5.0
+SLACK_SHARE = 0.1
+SLACK_REQUESTS = 20
+
+
+class Fleet:
+    """Entry hosts in virtual time, which hear each other as `hears` says."""
+
+    def __init__(self, hosts, *, hears=lambda a, b, now: True):
+        self.hosts = [FleetQuotas(started_at=0.0) for _ in range(hosts)]
+        self.admitted = []
+        self._hears = hears
+        self._heard_at = {}
+
+    def beat(self, now):
+        """Exchange counts among hosts that hear each other."""
+        count = len(self.hosts)
+        for a, receiver in enumerate(self.hosts):
+            heard = [b for b in range(count) if b != a and self._hears(a, b, now)]
+            receiver.set_fleet(count, len(heard) + 1)
+            for b in heard:
+                sender = self.hosts[b]
+                last = self._heard_at.get((a, b), now)
+                self._heard_at[a, b] = now
+                absence = max(0.0, now - last - 7 * HEARTBEAT_SECONDS)
+                counts = sender.recent_counts(now, seconds=10.0)
+                receiver.hear(f"h{b}", 1, counts, absence, lambda _: RULE, now)
+
+    def run(self, per_second, *, start, end, seed=1):
+        """Send requests at random hosts; note when each was admitted."""
+        draw = random.Random(seed)
+        now = start
+        next_beat = start
+        while now < end:
+            now += draw.expovariate(per_second)
+            while next_beat <= now:
+                self.beat(next_beat)
+                next_beat += HEARTBEAT_SECONDS
+            host = draw.choice(self.hosts)
+            if not host.admit("c", RULE, now):
+                self.admitted.append(now)
+
+    def most_in_window(self):
+        """Return the most requests admitted in any window."""
+        most = 0
+        first = 0
+        for last, at in enumerate(self.admitted):
+            while self.admitted[first] < at - WINDOW_SECONDS:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+def split(start, end):
+    """Return which hosts hear each other while two halves are apart."""
+    return lambda a, b, now: not start <= now < end or a % 2 == b % 2
+
+
+class FleetQuotasTest(unittest.TestCase):
+    allowed = (RULE.rate * WINDOW_SECONDS + RULE.burst) * (
+        1 + SLACK_SHARE
+    ) + SLACK_REQUESTS
+
+    def test_no_window_exceeds_the_rule(self):
+        """A customer sends several times its rate, also through a divided fleet."""
+        cases = [
+            ("in touch", 7, split(0, 0), 330.0),
+            ("twice the hosts", 14, split(0, 0), 330.0),
+            ("divided for 6 s", 8, split(20.0, 26.0), 330.0),
+            ("divided for long", 8, split(15.0, 45.0), 330.0),
+            ("divided again and again", 8, lambda a, b, t: t % 4 < 2 or a % 2 == b % 2, 330.0),
+        ]
+        for name, hosts, hears, demand in cases:
+            with self.subTest(name):
+                fleet = Fleet(hosts, hears=hears)
+                fleet.run(demand, start=10.0, end=40.0)
+                self.assertLessEqual(fleet.most_in_window(), self.allowed)
+
+    def test_customer_within_its_rate_is_not_refused(self):
+        """Load of 0.8 times the rate, spread at random over the hosts."""
+        fleet = Fleet(7)
+        fleet.run(0.8 * RULE.rate, start=10.0, end=40.0)
+        sent = 0.8 * RULE.rate * 30
+        self.assertGreater(len(fleet.admitted), 0.97 * sent)
+
+    def test_most_of_the_rate_can_be_used(self):
+        fleet = Fleet(7)
+        fleet.run(4 * RULE.rate, start=10.0, end=40.0)
+        self.assertGreater(len(fleet.admitted), 0.9 * RULE.rate * 30)
+
+    def test_new_host_starts_with_nothing(self):
+        quotas = FleetQuotas(started_at=10.0)
+        self.assertGreater(quotas.admit("c", RULE, 10.0), 0)
+        self.assertEqual(quotas.admit("c", RULE, 10.1), 0)
+
+    def test_refusal_tells_when_to_come_back(self):
+        quotas = FleetQuotas(started_at=0.0)
+        rule = QuotaRule(2.0, 2.0)
+        while not quotas.admit("c", rule, 50.0):
+            pass
+        wait = quotas.admit("c", rule, 50.0)
+        self.assertEqual(quotas.admit("c", rule, 50.0 + wait + 0.01), 0)
+
+    def test_customer_without_a_limit(self):
+        quotas = FleetQuotas(started_at=0.0)
+        self.assertEqual([quotas.admit("c", None, 0.0) for _ in range(500)], [0.0] * 500)
+
+
+if __name__ == "__main__":
+    unittest.main()
