--- a/sapphireyard/clocks.py
+++ b/sapphireyard/clocks.py
@@ -13,3 +13,14 @@
     def wall(self):
         """Return seconds since the epoch; for records and logs, not decisions."""
         return time.time()
+
+
+class SuspendClock(Clock):
+    """A clock whose monotonic time also counts while the host is suspended.
+
+    What was known before a suspend is as old as it is for everybody else.
+    """
+
+    def monotonic(self):
+        """Return seconds from an arbitrary start, suspends included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/sapphireyard/exchange/configuration.py
+++ b/sapphireyard/exchange/configuration.py
@@ -12,8 +12,10 @@
 
 logger = logging.getLogger(__name__)
 
-WITHDRAWAL_MARGIN_SECONDS = 0.6
-"""Kept free of the bound for the time from the check to the upstream's start."""
+WITHDRAWAL_MARGIN_SECONDS = 0.1
+"""Kept free of the bound for clocks that run at other speeds. No more is needed:
+a read that lacks a withdrawal was answered before it, and a request that is
+checked now was sent before now."""
 DOUBT_SECONDS = 2.6
 """Age of the last confirmation from which "there is no such route" may be wrong:
 one watch of the store, its answer, and a margin."""
@@ -84,6 +86,23 @@
         """Note that the version at hand was the newest at `sent_at` or later."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
+    def confirm_by_peer(self, version, age, answered_at):
+        """Take in another host's confirmation.
+
+        Parameters
+        ----------
+        version : int
+            Version that was the newest at the other host's last read.
+        age : float
+            Age in seconds of that read when the other host said so; negative
+            when there was none.
+        answered_at : float or None
+            Time before which it cannot have said so, by this host's clock.
+        """
+        if age < 0 or answered_at is None or version != self._table.version:
+            return
+        self.confirm(answered_at - age)
+
     def check(self):
         """Raise `CallError` unless requests with keys may be served."""
         if not self.known:
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 
 import mode
 import msgpack
@@ -29,8 +30,9 @@
 RECENT_SECONDS = 10.0
 """Counts that changed within this time are repeated, against lost datagrams and
 network partitions of some seconds."""
-DATAGRAM_BYTES = 60_000
-"""Below the largest UDP payload."""
+REMEMBERED_BEATS = 100
+"""Heartbeats whose sending is remembered: ten seconds, more than any bound on
+what they prove."""
 
 
 class Gossip(mode.Service):
@@ -55,6 +57,7 @@
         self._number = 0
         self._listeners = []
         self._out_of_touch = set()
+        self._sent_at = OrderedDict()
         self.membership = Membership(yard.host)
 
     def on_heartbeat(self, listener):
@@ -65,6 +68,22 @@
         """Note a host to send heartbeats to."""
         self.membership.learn(host, address, self._now())
 
+    def answered_since(self, member):
+        """Return a time before which a member cannot have written its heartbeat.
+
+        The member had received one of this host's heartbeats by then; however
+        late its own arrives, it was written after that one was sent.
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds of this host; None when there is no such proof.
+        """
+        incarnation, number = member.heartbeat.heard.get(self._yard.host, (0, 0))
+        if incarnation != self._yard.incarnation:
+            return None
+        return self._sent_at.get(number)
+
     async def on_start(self):
         ip, port = self._yard.settings.peer_address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
@@ -87,6 +106,9 @@
         now = self._now()
         self._note_silence(now)
         self._number += 1
+        self._sent_at[self._number] = now
+        if len(self._sent_at) > REMEMBERED_BEATS:
+            self._sent_at.popitem(last=False)
         heartbeat = Heartbeat(
             host=self._yard.host,
             incarnation=self._yard.incarnation,
@@ -94,6 +116,7 @@
             address=self._yard.settings.peer_address,
             role=self._yard.settings.role,
             failure_domain=self._yard.settings.failure_domain,
+            heard=self.membership.heard_numbers(ENTRY),
             **self._describe(now),
         )
         if self._number % INTRODUCTION_BEATS == 1:
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -117,6 +117,16 @@
             self._addresses.pop(host, None)
         return gone
 
+    def heard_numbers(self, role):
+        """Return incarnation and number of each host's newest heartbeat."""
+        return {
+            member.heartbeat.host: [
+                member.heartbeat.incarnation,
+                member.heartbeat.number,
+            ]
+            for member in self.known(role)
+        }
+
     def list_addresses(self):
         """Return the `HostAddress` of each member, for hosts that are new."""
         return [
--- a/sapphireyard/generated_fleet.py
+++ b/sapphireyard/generated_fleet.py
@@ -76,14 +76,23 @@
     """
     Requests that the host has in flight on each upstream.
     """
-    heard: dict[str, int] = field(default_factory=dict)
+    heard: dict[str, list[int]] = field(default_factory=dict)
     """
-    Numbers of the newest heartbeats received from other entry hosts.
+    Incarnation and number of the newest heartbeat received from other entry hosts.
     """
     copies: CopySet | None = None
-    crashed: dict[str, int] = field(default_factory=dict)
+    leaving: bool = False
     """
-    Upstreams crashed by each request digest, as seen by this host.
+    The host is about to stop.
+    """
+    store_age: float = -1
+    """
+    Seconds since the host's own last answer from the store; -1 for none.
+    """
+    configuration_version: int = 0
+    configuration_age: float = -1
+    """
+    Seconds since that version was known to be the newest; -1 for never.
     """
     known: list[HostAddress] = field(default_factory=list)
     """
--- /dev/null
+++ b/tests/test_freshness_proof.py
@@ -0,0 +1,165 @@
+"""How sure a host is of its configuration, and which hosts callers are sent to."""
+
+import unittest
+from types import SimpleNamespace
+
+from sapphireyard.exceptions import CallError
+from sapphireyard.exchange.configuration import Configuration
+from sapphireyard.exchange.routes import RouteTable
+from sapphireyard.fleet.directory import Candidate, choose_addresses
+from sapphireyard.fleet.gossip import Gossip
+from sapphireyard.fleet.membership import ENTRY, Membership
+from sapphireyard.generated_fleet import Heartbeat
+
+
+class VirtualClock:
+    """Time set by the test."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+def build_heartbeat(**fields):
+    """Return a heartbeat of host ``b``."""
+    values = {
+        "host": "b",
+        "incarnation": 1,
+        "number": 1,
+        "address": "127.0.0.1:1",
+        "role": ENTRY,
+        "failure_domain": "a",
+    }
+    return Heartbeat(**{**values, **fields})
+
+
+class ConfigurationTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.configuration = Configuration(self.clock, withdrawal_seconds=5.0)
+
+    def test_keys_are_refused_without_a_confirmation_in_time(self):
+        self.configuration.take(RouteTable(version=3))
+        self.configuration.confirm(sent_at=100.0)
+        for now, fresh in ((100.0, True), (104.8, True), (104.95, False), (130, False)):
+            with self.subTest(now):
+                self.clock.now = now
+                self.assertEqual(self.configuration.fresh, fresh)
+
+    def test_nothing_is_served_before_the_first_version(self):
+        with self.assertRaises(CallError) as caught:
+            self.configuration.check()
+        self.assertEqual(caught.exception.status, 503)
+
+    def test_older_version_is_not_taken(self):
+        self.configuration.take(RouteTable(version=3))
+        self.configuration.take(RouteTable(version=2))
+        self.assertEqual(self.configuration.table.version, 3)
+
+    def test_unknown_things_are_refused_for_good_only_while_sure(self):
+        self.configuration.take(RouteTable(version=3))
+        self.configuration.confirm(sent_at=100.0)
+        for now, status in ((101.0, 401), (103.0, 503)):
+            with self.subTest(now):
+                self.clock.now = now
+                error = self.configuration.refuse("key_unknown", "no such key")
+                self.assertEqual(error.status, status)
+
+    def test_confirmations_of_other_hosts(self):
+        cases = [
+            ("the same version", 3, 0.5, 103.0, 102.5),
+            ("no read there", 3, -1.0, 103.0, 100.0),
+            ("no proof of its time", 3, 0.5, None, 100.0),
+            ("newer than here", 4, 0.1, 103.0, 100.0),
+            ("older than here", 2, 0.1, 103.0, 100.0),
+            ("older read than ours", 3, 4.0, 103.0, 100.0),
+        ]
+        for name, version, age, answered_at, confirmed_at in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.configuration.take(RouteTable(version=3))
+                self.configuration.confirm(sent_at=100.0)
+                self.clock.now = 104.0
+                self.configuration.confirm_by_peer(version, age, answered_at)
+                self.assertAlmostEqual(self.configuration.age, 104.0 - confirmed_at)
+
+
+class GossipProofTest(unittest.TestCase):
+    def test_heartbeat_was_written_after_the_one_that_it_names(self):
+        clock = VirtualClock()
+        sent = []
+        settings = SimpleNamespace(
+            peer_address="127.0.0.1:1", role=ENTRY, failure_domain="a"
+        )
+        yard = SimpleNamespace(host="a", incarnation=7, settings=settings, clock=clock)
+        gossip = Gossip(yard, describe=lambda now: {})
+        gossip._transport = SimpleNamespace(sendto=lambda *parts: sent.append(parts))
+        for _ in range(150):
+            gossip.send()
+            clock.now += 0.1
+        cases = [
+            ("heard the 120th", {"a": [7, 120]}, 111.9),
+            ("heard an earlier run", {"a": [6, 120]}, None),
+            ("heard one that is forgotten", {"a": [7, 2]}, None),
+            ("heard nothing", {}, None),
+        ]
+        for number, (name, heard, expected) in enumerate(cases, 1):
+            with self.subTest(name):
+                heartbeat = build_heartbeat(number=number, heard=heard)
+                member = gossip.membership.hear(heartbeat, clock.now)
+                answered_at = gossip.answered_since(member)
+                if expected is None:
+                    self.assertIsNone(answered_at)
+                else:
+                    self.assertAlmostEqual(answered_at, expected)
+
+
+class MembershipTest(unittest.TestCase):
+    def test_which_heartbeats_count(self):
+        cases = [
+            ("next", (1, 2), 0.1, True),
+            ("repeated", (1, 1), 0.1, False),
+            ("overtaken", (1, 0), 0.1, False),
+            ("new run", (2, 1), 0.1, True),
+            ("late one of an earlier run", (0, 9), 0.1, False),
+            ("new run after the time of day was set back", (0, 1), 3.0, True),
+        ]
+        for name, (incarnation, number), later, counts in cases:
+            with self.subTest(name):
+                membership = Membership("a")
+                membership.hear(build_heartbeat(), 10.0)
+                heartbeat = build_heartbeat(incarnation=incarnation, number=number)
+                member = membership.hear(heartbeat, 10.0 + later)
+                self.assertEqual(member is not None, counts)
+
+    def test_absence_begins_once_a_host_counts_as_out_of_touch(self):
+        for later, absence in ((0.1, 0.0), (0.7, 0.0), (2.7, 2.0)):
+            with self.subTest(later):
+                membership = Membership("a")
+                membership.hear(build_heartbeat(), 10.0)
+                member = membership.hear(build_heartbeat(number=2), 10.0 + later)
+                self.assertAlmostEqual(member.absence, absence)
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_best_kind_of_host(self):
+        good = Candidate("good", True, False, 0.5)
+        alone = Candidate("alone", True, False, 4.0)
+        stale = Candidate("stale", False, False, 9.0)
+        fresh_start = Candidate("new", False, False, -1.0)
+        leaving = Candidate("leaving", True, True, 0.5)
+        cases = [
+            ([good, alone, stale, leaving], ["good"]),
+            ([alone, stale, leaving], ["alone"]),
+            ([stale, fresh_start, leaving], ["stale", "new"]),
+            ([leaving], []),
+        ]
+        for candidates, expected in cases:
+            with self.subTest(expected):
+                self.assertEqual(choose_addresses(candidates), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -77,7 +77,12 @@
             ("twice the hosts", 14, split(0, 0), 330.0),
             ("divided for 6 s", 8, split(20.0, 26.0), 330.0),
             ("divided for long", 8, split(15.0, 45.0), 330.0),
-            ("divided again and again", 8, lambda a, b, t: t % 4 < 2 or a % 2 == b % 2, 330.0),
+            (
+                "divided again and again",
+                8,
+                lambda a, b, t: t % 4 < 2 or a % 2 == b % 2,
+                330.0,
+            ),
         ]
         for name, hosts, hears, demand in cases:
             with self.subTest(name):
@@ -112,7 +117,9 @@
 
     def test_customer_without_a_limit(self):
         quotas = FleetQuotas(started_at=0.0)
-        self.assertEqual([quotas.admit("c", None, 0.0) for _ in range(500)], [0.0] * 500)
+        self.assertEqual(
+            [quotas.admit("c", None, 0.0) for _ in range(500)], [0.0] * 500
+        )
 
 
 if __name__ == "__main__":
