--- a/sapphireyard/exchange/configuration.py
+++ b/sapphireyard/exchange/configuration.py
@@ -39,6 +39,12 @@
         self._table = RouteTable()
         self._confirmed_at = float("-inf")
         self._listeners = []
+        self._newest_heard = 0
+
+    @property
+    def outdated(self):
+        """bool: Whether another host has a newer version."""
+        return self._newest_heard > self._table.version
 
     @property
     def table(self):
@@ -99,6 +105,7 @@
         answered_at : float or None
             Time before which it cannot have said so, by this host's clock.
         """
+        self._newest_heard = max(self._newest_heard, version)
         if age < 0 or answered_at is None or version != self._table.version:
             return
         self.confirm(answered_at - age)
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -86,6 +86,16 @@
                 self.assertAlmostEqual(self.configuration.age, 104.0 - confirmed_at)
 
 
+    def test_newer_version_elsewhere_is_noticed(self):
+        self.configuration.take(RouteTable(version=3))
+        for version, outdated in ((2, False), (3, False), (4, True)):
+            with self.subTest(version):
+                self.configuration.confirm_by_peer(version, 0.1, 99.0)
+                self.assertEqual(self.configuration.outdated, outdated)
+        self.configuration.take(RouteTable(version=4))
+        self.assertFalse(self.configuration.outdated)
+
+
 class GossipProofTest(unittest.TestCase):
     def test_heartbeat_was_written_after_the_one_that_it_names(self):
         clock = VirtualClock()
