--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -119,10 +119,8 @@
         body = await call.read_body(self._yard.configuration.table.limits.body_bytes)
         try:
             async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
-                if admitted.route.retention is not None and admitted.route.streaming:
+                if admitted.route.streaming:
                     await self._turns.serve(admitted, body, reply)
-                elif admitted.route.streaming:
-                    await self.stream(admitted, body, reply)
                 elif admitted.route.repeatable:
                     await self._serve_whole(admitted, body, reply)
                 else:
@@ -272,10 +270,6 @@
             self._yard.pools.report(upstream, ok=True)
             return answer.status, answer.headers, data
 
-    async def stream(self, admitted, body, reply):
-        """Pass a stream on as it comes, without keeping it."""
-        raise CallError("route_unknown", "streams that are not kept are not served")
-
     def slot_request(self, admitted, excluded, *, prefix_tokens=0, patience=None):
         """Return the `SlotRequest` of an admitted request."""
         call = admitted.call
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -1,4 +1,7 @@
-"""Turns of programs: history before them, budget around them, record after."""
+"""Streamed turns: history before them, budget around them, record after.
+
+On a route that keeps nothing a turn is a stream and no more.
+"""
 
 import asyncio
 import logging
@@ -35,9 +38,7 @@
 
     async def serve(self, admitted, body, reply):
         """Run one turn and answer it."""
-        expires_at = (
-            self._yard.clock.wall() + admitted.route.retention + KEEP_MARGIN_SECONDS
-        )
+        expires_at = self._expire_at(admitted)
         chain, synced = await self._prepare(admitted, expires_at)
         reader = EventReader()
         kept = False
@@ -80,7 +81,7 @@
 
     async def _read_chain(self, admitted):
         turn = admitted.call.previous_turn
-        if not turn:
+        if not turn or admitted.route.retention is None:
             return ChainText(admitted.customer.name)
         chain = await self._yard.history.read_chain(turn)
         if chain.customer != admitted.customer.name:
@@ -144,7 +145,8 @@
                 pools.report(upstream, ok=False)
                 raise
             pools.report(upstream, ok=True)
-        await self._keep(admitted, chain, body, reader)
+        if admitted.route.retention is not None:
+            await self._keep(admitted, chain, body, reader)
         await reply.finish()
         return True
 
@@ -167,9 +169,6 @@
     async def _keep(self, admitted, chain, body, reader):
         """Make the turn durable before the caller sees its end."""
         call = admitted.call
-        expires_at = (
-            self._yard.clock.wall() + admitted.route.retention + KEEP_MARGIN_SECONDS
-        )
         output = bytes(reader.output)
         tokens = reader.events * self._tokens_per_event(admitted)
         turn = Turn(
@@ -180,7 +179,7 @@
             tokens,
             body,
             output,
-            expires_at,
+            self._expire_at(admitted),
             admitted.upstream,
             call.prompt_tokens + tokens,
         )
@@ -194,6 +193,11 @@
         )
         self._yard.history.cache(call.request_id, text)
 
+    def _expire_at(self, admitted):
+        """Return the wall-clock time until which records of a turn are kept."""
+        retention = admitted.route.retention or 0.0
+        return self._yard.clock.wall() + retention + KEEP_MARGIN_SECONDS
+
     def _tokens_per_event(self, admitted):
         service = self._yard.configuration.table.services.get(admitted.service)
         if service is None or service.engine is None:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -50,6 +50,16 @@
                 "retain": True,
                 "retention-s": 60.0,
             },
+            {
+                **common,
+                "name": "live",
+                "path-prefix": "/live/",
+                "kind": "streaming",
+                "timeout-ms": 3000,
+                "target-latency-ms": 250,
+                "service": "engine",
+                "max-attempts": 2,
+            },
             {
                 **common,
                 "name": "view",
--- /dev/null
+++ b/tests/test_platform_border.py
@@ -0,0 +1,251 @@
+"""The border of ``platform/``: names, settings, tables, and what is deployed."""
+
+import re
+import sys
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from sapphireyard.exceptions import SettingsError
+from sapphireyard.exchange.routes import RouteTable
+from tests.platform_site import KEY, SECOND_KEY, build_configuration
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter import names  # noqa: E402
+from adapter.settings import load_settings, parse_lines  # noqa: E402
+from adapter.tables import decode_configuration, decode_upstream  # noqa: E402
+
+SETTINGS = """\
+node=front-a-1
+role=entry
+ip=10.1.0.11
+zone=zone-a
+zones.zone-a=region
+listen.front=10.1.0.11:8368
+listen.ready=10.1.0.11:8369
+listen.directory=10.1.0.11:8360
+port-range=7780,7795
+seeds=10.1.0.12:8367,10.2.0.34:8367
+bootstrap=true
+fault-tolerance.machines=2
+bounds.revoke-ms=5000
+bounds.grace-s=8
+provider.address=10.200.1.7:8362
+unknown.field=1
+"""
+ENTRY = {
+    "service": "engine",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+FIELDS = (
+    "path-prefix",
+    "traffic-split",
+    "max-attempts",
+    "retention-s",
+    "api-keys",
+    "rate-per-s",
+    "kv-capacity-tokens",
+    "tokens-per-event",
+    "current-rev",
+    "more-pages",
+    "wait-ms",
+    "ttl-s",
+)
+"""Fields of the platform's bodies that no other part may name."""
+
+
+class NamesTest(unittest.TestCase):
+    def test_wire_names_stay_in_the_folder(self):
+        headers = [
+            value
+            for name, value in vars(names).items()
+            if name.isupper() and isinstance(value, str) and name != "HOST"
+        ]
+        headers.remove(names.RETRY_AFTER)  # a standard header of HTTP
+        wire = [
+            re.escape(text)
+            for text in (*headers, *FIELDS)
+            if "-" in text or "/" in text
+        ]
+        pattern = re.compile("|".join(f'"{text}"' for text in wire), re.IGNORECASE)
+        for path in sorted((ROOT / "sapphireyard").rglob("*.py")):
+            with self.subTest(path.name):
+                self.assertIsNone(pattern.search(path.read_text()))
+
+    def test_core_does_not_import_the_adapter(self):
+        pattern = re.compile(r"^\s*(from|import) adapter\b", re.MULTILINE)
+        for path in sorted((ROOT / "sapphireyard").rglob("*.py")):
+            with self.subTest(path.name):
+                self.assertIsNone(pattern.search(path.read_text()))
+
+    def test_packages_import_one_way(self):
+        """fleet knows neither history nor exchange; history knows not exchange."""
+        forbidden = {"fleet": ("history", "exchange"), "history": ("exchange",)}
+        for package, others in forbidden.items():
+            for path in sorted((ROOT / "sapphireyard" / package).glob("*.py")):
+                for other in others:
+                    with self.subTest(f"{package}/{path.name} {other}"):
+                        self.assertNotIn(f"sapphireyard.{other}", path.read_text())
+
+
+class DeployTest(unittest.TestCase):
+    def test_requirements_are_those_of_the_project(self):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+        pinned = (ROOT / "requirements.txt").read_text().split()
+        self.assertEqual(pinned, project["dependencies"])
+
+    def test_roles_run_what_is_there(self):
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        self.assertIn("requirements.txt", deploy["build"])
+        for role, entry in deploy["roles"].items():
+            with self.subTest(role):
+                program, path, name = entry["run"].split()
+                self.assertEqual((program, name), ("python3", role))
+                self.assertTrue((ROOT / path).exists())
+
+    def test_folder_does_not_hide_the_standard_module(self):
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.conf"
+            path.write_text(text)
+            return load_settings(path, role="entry")
+
+    def test_settings_are_decoded(self):
+        settings = self.load(SETTINGS)
+        expected = {
+            "host": "front-a-1",
+            "failure_domain": "zone-a",
+            "peer_address": "10.1.0.11:7780",
+            "caller_address": "10.1.0.11:8368",
+            "seeds": ("10.1.0.12:7780", "10.2.0.34:7780"),
+            "bootstrap": True,
+            "tolerated_losses": 2,
+            "withdrawal_seconds": 5.0,
+            "store_address": "10.200.1.7:8362",
+            "data_folder": "",
+        }
+        for name, value in expected.items():
+            with self.subTest(name):
+                self.assertEqual(getattr(settings, name), value)
+
+    def test_all_findings_are_reported_together(self):
+        faulty = SETTINGS.replace("node=front-a-1\n", "").replace(
+            "machines=2", "machines=many"
+        )
+        with self.assertRaises(SettingsError) as caught:
+            self.load(faulty)
+        places = [finding.place for finding in caught.exception.findings]
+        self.assertEqual(sorted(places), ["fault-tolerance.machines", "node"])
+
+    def test_lines(self):
+        cases = [
+            ("a.b=1=2", {"a": {"b": "1=2"}}),
+            ("seeds=", {"seeds": []}),
+            ("seeds=x,y", {"seeds": ["x", "y"]}),
+            ("# a=b", {}),
+            ("nothing", {}),
+        ]
+        for text, expected in cases:
+            with self.subTest(text):
+                self.assertEqual(parse_lines(text), expected)
+
+
+class TablesTest(unittest.TestCase):
+    def setUp(self):
+        self.table = decode_configuration(build_configuration(7))
+
+    def test_keys(self):
+        cases = [(KEY, "first"), (SECOND_KEY, "second"), ("none", None), ("", None)]
+        for key, name in cases:
+            with self.subTest(name):
+                customer = self.table.find_customer(key)
+                self.assertEqual(customer.name if customer else None, name)
+        self.assertNotIn(KEY, repr(self.table))
+
+    def test_longest_prefix_wins(self):
+        configuration = build_configuration()
+        longer = {
+            **configuration["routes"][0],
+            "name": "deep",
+            "path-prefix": "/chat/d/",
+        }
+        configuration["routes"].append(longer)
+        table = decode_configuration(configuration)
+        cases = [
+            ("site.example", "/chat/x", "chat"),
+            ("site.example", "/chat/d/x", "deep"),
+            ("site.example", "/chat", None),
+            ("site.example", "/chatter/", None),
+            ("other.example", "/chat/x", None),
+        ]
+        for host, path, expected in cases:
+            with self.subTest(path):
+                route = table.find_route(host, path)
+                self.assertEqual(route.name if route else None, expected)
+
+    def test_split_traffic_follows_the_weights(self):
+        configuration = build_configuration()
+        route = configuration["routes"][2]
+        del route["service"]
+        route["traffic-split"] = [
+            {"service": "x", "weight": 90},
+            {"service": "y", "weight": 10},
+        ]
+        route = decode_configuration(configuration).find_route(
+            "site.example", "/view/1"
+        )
+        chosen = [route.choose_service(f"k{n}") for n in range(2000)]
+        self.assertAlmostEqual(chosen.count("y") / 2000, 0.1, delta=0.03)
+        self.assertEqual(chosen[0], route.choose_service("k0"))
+
+    def test_limits_and_kinds(self):
+        by_name = {route.name: route for route in self.table.routes}
+        self.assertEqual(
+            [(r.repeatable, r.streaming, r.retention) for r in by_name.values()],
+            [
+                (False, True, 60.0),
+                (False, True, None),
+                (True, False, None),
+                (False, False, None),
+            ],
+        )
+        self.assertIsNone(self.table.find_quota("second"))
+        self.assertEqual(self.table.find_quota("first").rate, 100)
+        self.assertEqual(RouteTable().find_route("h", "/"), None)
+
+    def test_entries_of_other_writers_name_no_upstream(self):
+        cases = [
+            ("whole", {}, True),
+            ("leaving", {"state": "draining"}, True),
+            ("unknown state", {"state": "resting"}, False),
+            ("slots as text", {"slots": "8"}, False),
+            ("no address", {"address": None}, False),
+            ("host name", {"address": "server:80"}, False),
+            ("port out of range", {"address": "10.0.0.1:99999"}, False),
+            ("no slots", {"slots": 0}, False),
+        ]
+        for name, changes, usable in cases:
+            with self.subTest(name):
+                upstream = decode_upstream("i-1", {**ENTRY, **changes})
+                self.assertEqual(upstream is not None, usable)
+        for spec in (None, "text", 5, {"service": "engine"}):
+            with self.subTest(spec=spec):
+                self.assertIsNone(decode_upstream("i-1", spec))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -90,6 +90,15 @@
                 self.assertEqual(answer.status, status)
         self.assertEqual(len(self.engine.ran), 4)
 
+    async def test_stream_that_is_not_kept(self):
+        answer = await self.site.send(ENTRIES[0], "POST", "/live/x", body=b"A")
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body.count(b"data:"), 3)
+        _, after = await self.site.send_turn(
+            ENTRIES[0], b"B", previous=f"{self.site.number:016x}"
+        )
+        self.assertEqual(after.status, 404)
+
     async def test_upstream_sees_the_request_and_no_key(self):
         await self.site.send(
             ENTRIES[0],
