--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.calls import Dispatch
@@ -49,6 +49,8 @@
         Times it was sent to an upstream.
     upstream : str
         Upstream that got it last.
+    marks : dict of str to float
+        Milliseconds from the arrival to the end of each step, for the log.
     """
 
     call: object
@@ -58,6 +60,11 @@
     deadline: float
     sends: int = 0
     upstream: str = ""
+    marks: dict = field(default_factory=dict)
+
+    def mark(self, step, now):
+        """Note that a step of the request ended."""
+        self.marks[f"{step}_ms"] = round((now - self.call.arrived_at) * 1000, 1)
 
     @property
     def opens_program(self):
@@ -116,6 +123,7 @@
         admitted = self._admit(call)
         outcome["admitted"] = admitted
         await self._take_quota(admitted)
+        admitted.mark("rate", self._now())
         body = await call.read_body(self._yard.configuration.table.limits.body_bytes)
         try:
             async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
@@ -292,6 +300,7 @@
     def dispatch(self, admitted, upstream, body):
         """Return the `Dispatch` to an upstream."""
         admitted.upstream = upstream.name
+        admitted.mark("slot", self._now())
         left = admitted.deadline - self._now()
         return Dispatch(
             admitted.call, upstream, admitted.customer.name, body, max(0.0, left)
@@ -328,6 +337,7 @@
                 "upstream": admitted.upstream if admitted else "",
                 "sends": admitted.sends if admitted else 0,
                 "ms": round(seconds * 1000, 1),
+                **(admitted.marks if admitted else {}),
                 "version": self._yard.configuration.table.version,
                 "version_age": round(self._yard.configuration.age, 2),
                 **outcome,
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -40,6 +40,7 @@
         """Run one turn and answer it."""
         expires_at = self._expire_at(admitted)
         chain, synced = await self._prepare(admitted, expires_at)
+        admitted.mark("history", self._yard.clock.monotonic())
         reader = EventReader()
         kept = False
         try:
@@ -139,18 +140,19 @@
                         pools.report(upstream, ok=answer.status < 500)
                         return False
                     check_signed(answer)
-                    await self._pass_on(answer, synced, reply, reader)
+                    await self._pass_on(admitted, answer, synced, reply, reader)
             except UpstreamFailed as error:
                 admitted.sends -= not error.sent
                 pools.report(upstream, ok=False)
                 raise
             pools.report(upstream, ok=True)
         if admitted.route.retention is not None:
+            admitted.mark("last", self._yard.clock.monotonic())
             await self._keep(admitted, chain, body, reader)
         await reply.finish()
         return True
 
-    async def _pass_on(self, answer, synced, reply, reader):
+    async def _pass_on(self, admitted, answer, synced, reply, reader):
         """Pass events on as they come, the first once its tokens are reserved."""
         waiting = True
         async for chunk in answer.chunks:
@@ -159,6 +161,7 @@
                 if synced is not None:
                     await synced
                 await reply.start(answer.status, answer.headers)
+                admitted.mark("first", self._yard.clock.monotonic())
             reader.feed(chunk)
             await reply.write(chunk)
         if waiting:
