--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -25,6 +25,9 @@
 
 HEARTBEAT_SECONDS = 0.1
 """Bounds how old the others' load is; six 0.3 kB datagrams a beat at 7 hosts."""
+HISTORY_BEATS = 3
+"""Copies send and get every third heartbeat: they share no load, and their
+silence counts from one second on."""
 INTRODUCTION_BEATS = 10
 """Every tenth heartbeat names the other hosts."""
 RECENT_SECONDS = 10.0
@@ -55,6 +58,8 @@
         self._codec.register_module(generated_fleet)
         self._transport = None
         self._number = 0
+        beats = HISTORY_BEATS if yard.settings.role == HISTORY else 1
+        self._interval = beats * HEARTBEAT_SECONDS
         self._listeners = []
         self._out_of_touch = set()
         self._sent_at = OrderedDict()
@@ -99,7 +104,7 @@
     async def _beat(self):
         while not self.should_stop:
             self.send()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(self._interval)
 
     def send(self):
         """Send one heartbeat to every host known."""
@@ -122,10 +127,19 @@
         if self._number % INTRODUCTION_BEATS == 1:
             heartbeat.known = self.membership.list_addresses()
         payload = msgpack.packb(self._codec.dump(heartbeat))
-        for address in set(self.membership.addresses.values()):
+        for address in self._choose_addresses():
             ip, port = address.rsplit(":", 1)
             self._transport.sendto(payload, (ip, int(port)))
 
+    def _choose_addresses(self):
+        """Return where to send this heartbeat."""
+        addresses = set(self.membership.addresses.values())
+        rare = self._yard.settings.role == HISTORY
+        if not rare and self._number % HISTORY_BEATS != 1:
+            copies = self.membership.known(HISTORY)
+            addresses -= {member.heartbeat.address for member in copies}
+        return addresses
+
     def _receive(self, payload):
         try:
             heartbeat = self._codec.load(*msgpack.unpackb(payload))
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -8,6 +8,7 @@
 
 from sapphireyard import generated_history
 from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.fleet.membership import SILENCE_SECONDS
 from sapphireyard.generated_fleet import CopySet
 from sapphireyard.generated_history import (
     ChainQuery,
@@ -281,7 +282,7 @@
         def distance(host):
             member = membership.find(host)
             near = member is not None and member.heartbeat.failure_domain == domain
-            return membership.silent_for(host, now) > READ_SECONDS, not near, host
+            return membership.silent_for(host, now) > SILENCE_SECONDS, not near, host
 
         return sorted(copies.members, key=distance)
 
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -8,7 +8,7 @@
 from sapphireyard.exchange.routes import RouteTable
 from sapphireyard.fleet.directory import Candidate, choose_addresses
 from sapphireyard.fleet.gossip import Gossip
-from sapphireyard.fleet.membership import ENTRY, Membership
+from sapphireyard.fleet.membership import ENTRY, HISTORY, Membership
 from sapphireyard.generated_fleet import Heartbeat
 
 
@@ -125,6 +125,35 @@
                     self.assertAlmostEqual(answered_at, expected)
 
 
+class HeartbeatTest(unittest.TestCase):
+    def test_who_gets_which_heartbeats(self):
+        """Entry hosts hear each other every beat, copies every third."""
+        for role, beats in (
+            (ENTRY, {"entry": 12, "copy": 4}),
+            (HISTORY, {"entry": 12, "copy": 12}),
+        ):
+            with self.subTest(role):
+                sent = []
+                settings = SimpleNamespace(
+                    peer_address="127.0.0.1:1", role=role, failure_domain="a"
+                )
+                yard = SimpleNamespace(
+                    host="a", incarnation=1, settings=settings, clock=VirtualClock()
+                )
+                gossip = Gossip(yard, describe=lambda now: {})
+                gossip._transport = SimpleNamespace(
+                    sendto=lambda data, address: sent.append(address[0])
+                )
+                for name, kind in (("entry", ENTRY), ("copy", HISTORY)):
+                    heartbeat = build_heartbeat(
+                        host=name, role=kind, address=f"{name}:1"
+                    )
+                    gossip.membership.hear(heartbeat, yard.clock.now)
+                for _ in range(12):
+                    gossip.send()
+                self.assertEqual({n: sent.count(n) for n in beats}, beats)
+
+
 class MembershipTest(unittest.TestCase):
     def test_which_heartbeats_count(self):
         cases = [
