--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -66,6 +66,13 @@
         """Note that a step of the request ended."""
         self.marks[f"{step}_ms"] = round((now - self.call.arrived_at) * 1000, 1)
 
+    @property
+    def priority(self):
+        """int: Rank of the request; 0 goes first."""
+        if self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
     @property
     def opens_program(self):
         """bool: Whether no earlier request of the program has run."""
@@ -189,7 +196,11 @@
         self._rate_waits[customer.name] += 1
         try:
             while wait := self._yard.quotas.admit(
-                customer.name, customer.quota, self._now(), opening=opening
+                customer.name,
+                customer.quota,
+                self._now(),
+                opening=opening,
+                urgent=admitted.priority == 0,
             ):
                 line = self._rate_waits[customer.name] - 1
                 ahead = self._yard.quotas.expect_wait(customer.quota, line)
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -18,9 +18,11 @@
 would wait long for the tokens of one host's part."""
 SHORTEST_RETRY_SECONDS = 0.02
 """Two tokens' time at the rate of a large customer."""
-OPENING_SHARE = 0.35
+OPENING_SHARE = 0.3
 """Share of the burst that is kept for programs under way: a program that is
 refused in its middle has used its earlier requests in vain."""
+LESS_URGENT_SHARE = 0.15
+"""Further share that is kept from programs which are not of the first rank."""
 
 
 @dataclass(frozen=True)
@@ -48,7 +50,8 @@
 
     Answers the load pattern of one customer that sends many times its rate
     through all hosts at once. Programs under way go before new ones, so that
-    those which start can end. While some hosts cannot hear each other, a
+    those which start can end, and
+    urgent new ones before others. While some hosts cannot hear each other, a
     host which hears `k` of `n` hosts, itself included, works with that share of
     rate and burst, so that the parts of a divided fleet never add up to more
     than the whole.
@@ -71,7 +74,7 @@
         self._hosts = max(1, hosts)
         self._heard = max(1, min(heard, self._hosts))
 
-    def admit(self, customer, rule, now, *, opening=False):
+    def admit(self, customer, rule, now, *, opening=False, urgent=True):
         """Take a token for one request.
 
         Parameters
@@ -84,6 +87,8 @@
             Monotonic seconds.
         opening : bool, optional
             The request begins a program.
+        urgent : bool, optional
+            The program is of the first rank.
 
         Returns
         -------
@@ -100,7 +105,10 @@
             bucket.fleet < 1.0 + SCARCE_SHARE * rule.burst * share
             and rule.rate * (self._heard - 1) * COUNT_SECONDS > FREE_OVERSHOOT
         )
-        kept = OPENING_SHARE * rule.burst * share if opening else 0.0
+        kept = 0.0
+        if opening:
+            part = OPENING_SHARE if urgent else OPENING_SHARE + LESS_URGENT_SHARE
+            kept = part * rule.burst * share
         if bucket.fleet < 1.0 + kept or (scarce and bucket.own < 1.0):
             return self._retry_after(bucket, rule, kept, scarce)
         if scarce:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -145,6 +145,23 @@
                 heapq.heappush(events, (now + 0.3, number, done + 1, 0))
         self.assertGreater(6 * completed, 0.95 * used)
 
+    def test_urgent_programs_go_before_others(self):
+        """Half of the programs are urgent; together they ask for 1.5 times the rate."""
+        draw = random.Random(5)
+        quotas = FleetQuotas(started_at=0.0)
+        begun = {True: [0, 0], False: [0, 0]}
+        now = 10.0
+        while now < 60.0:
+            now += draw.expovariate(1.5 * RULE.rate)
+            urgent = draw.random() < 0.5
+            begun[urgent][0] += 1
+            begun[urgent][1] += not quotas.admit(
+                "c", RULE, now, opening=True, urgent=urgent
+            )
+        shares = {urgent: done / asked for urgent, (asked, done) in begun.items()}
+        self.assertGreater(shares[True], 0.95)
+        self.assertLess(shares[False], 0.5)
+
     def test_new_host_starts_with_nothing(self):
         quotas = FleetQuotas(started_at=10.0)
         self.assertGreater(quotas.admit("c", RULE, 10.0), 0)
