Take the counts of a running host as its baseline when this host is new

Counts of customers idle for 10 s were also left out of heartbeats and came back as new ones. Ruled out: hosts that drain (they hold parts of scarce rates, but the rest of the burst goes to the others). Change: the first counts of a run that has been going on are a baseline; heartbeats carry all counts.

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -30,9 +30,6 @@
 silence counts from one second on."""
 INTRODUCTION_BEATS = 10
 """Every tenth heartbeat names the other hosts."""
-RECENT_SECONDS = 10.0
-"""Counts that changed within this time are repeated, against lost datagrams and
-network partitions of some seconds."""
 REMEMBERED_BEATS = 100
 """Heartbeats whose sending is remembered: ten seconds, more than any bound on
 what they prove."""
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -5,7 +5,7 @@
 the whole fleet from these counts.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 SCARCE_SHARE = 0.25
 """Share of the burst below which hosts keep to their own part of the rate, so
@@ -41,8 +41,6 @@
     own: float
     refilled_at: float
     admitted: int = 0
-    changed_at: float = float("-inf")
-    counts: dict = field(default_factory=dict)
 
 
 class FleetQuotas:
@@ -66,6 +64,7 @@
     def __init__(self, *, started_at):
         self._started_at = started_at
         self._buckets = {}
+        self._counts = {}
         self._hosts = 1
         self._heard = 1
 
@@ -98,7 +97,7 @@
         """
         bucket = self._refill(customer, rule, now)
         if rule is None:
-            self._count(bucket, 1, now)
+            bucket.admitted += 1
             return 0.0
         share = self._heard / self._hosts
         scarce = (
@@ -114,7 +113,7 @@
         if scarce:
             bucket.own -= 1.0
         bucket.fleet -= 1.0
-        self._count(bucket, 1, now)
+        bucket.admitted += 1
         return 0.0
 
     def expect_wait(self, rule, waiting):
@@ -125,9 +124,9 @@
         """Give back the token of a request that was sent to no upstream."""
         bucket = self._refill(customer, rule, now)
         bucket.fleet += 1.0
-        self._count(bucket, -1, now)
+        bucket.admitted -= 1
 
-    def hear(self, host, incarnation, admitted, absence, rules, now):
+    def hear(self, host, incarnation, admitted, rules, now, *, absence=0.0, new=True):
         """Take in what another host has admitted since it started.
 
         Parameters
@@ -137,33 +136,37 @@
         incarnation : int
             Its run; counts begin anew with each.
         admitted : dict of str to int
-            Requests admitted, for customers with recent ones.
-        absence : float
-            Seconds for which the host counted as out of touch. What its own part
-            of the rate allowed in that time was never in this host's bucket.
+            Requests admitted for each customer.
         rules : callable
             Returns the `QuotaRule` of a customer or None.
         now : float
             Monotonic seconds.
+        absence : float, optional
+            Seconds for which the host counted as out of touch. What its own part
+            of the rate allowed in that time was never in this host's bucket.
+        new : bool, optional
+            The run has only begun. What a run admitted before this host heard of
+            it, because this host itself is new, is not in its buckets either.
         """
+        run, known = self._counts.get(host, (None, {}))
+        if run != incarnation:
+            known = {} if new else admitted
+        self._counts[host] = (incarnation, admitted)
         for customer, count in admitted.items():
+            before = known.get(customer, 0)
             rule = rules(customer)
-            bucket = self._refill(customer, rule, now)
-            known_run, known = bucket.counts.get(host, (incarnation, 0))
-            if known_run != incarnation:
-                known = 0
-            bucket.counts[host] = (incarnation, count)
-            if rule is None:
+            if rule is None or count <= before:
                 continue
+            bucket = self._refill(customer, rule, now)
             own_part = rule.rate / self._hosts * absence
-            bucket.fleet -= max(0.0, count - known - own_part)
+            bucket.fleet -= max(0.0, count - before - own_part)
 
-    def recent_counts(self, now, *, seconds):
-        """Return the requests admitted, for customers whose count changed lately."""
+    def counts(self):
+        """Return the requests admitted for each customer."""
         return {
             customer: bucket.admitted
             for customer, bucket in self._buckets.items()
-            if now - bucket.changed_at <= seconds
+            if bucket.admitted
         }
 
     def _refill(self, customer, rule, now):
@@ -189,8 +192,3 @@
             own_wait = (1.0 - bucket.own) / (rule.rate / self._hosts)
             wait = max(wait, own_wait)
         return max(SHORTEST_RETRY_SECONDS, wait)
-
-    @staticmethod
-    def _count(bucket, number, now):
-        bucket.admitted += number
-        bucket.changed_at = now
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -270,10 +270,10 @@
         rule = QuotaRule(10.0, 10.0)
         before = self.yard.quotas.admit("c", rule, self.yard.clock.monotonic())
         self.assertEqual(before, 0)
-        counts = self.yard.quotas.recent_counts(self.yard.clock.monotonic(), seconds=10)
+        counts = self.yard.quotas.counts()
         self.sender.script = ["unreachable"] * 9
         self.assertEqual(await self.serve("/book/1"), 503)
-        after = self.yard.quotas.recent_counts(self.yard.clock.monotonic(), seconds=10)
+        after = self.yard.quotas.counts()
         self.assertEqual(after, counts)
 
     async def test_unrepeatable_call_ends_though_its_caller_has_gone(self):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -34,8 +34,15 @@
                 last = self._heard_at.get((a, b), now)
                 self._heard_at[a, b] = now
                 absence = max(0.0, now - last - 7 * HEARTBEAT_SECONDS)
-                counts = sender.recent_counts(now, seconds=10.0)
-                receiver.hear(f"h{b}", 1, counts, absence, lambda _: self.rule, now)
+                receiver.hear(
+                    f"h{b}",
+                    1,
+                    sender.counts(),
+                    lambda _: self.rule,
+                    now,
+                    absence=absence,
+                    new=False,
+                )
 
     def run(self, per_second, *, start, end, seed=1):
         """Send requests at random hosts; note when each was admitted."""
@@ -167,6 +174,25 @@
         self.assertGreater(quotas.admit("c", RULE, 10.0), 0)
         self.assertEqual(quotas.admit("c", RULE, 10.1), 0)
 
+    def test_restarted_host_serves_as_the_others_do(self):
+        """A host joins a fleet that has admitted thousands of requests."""
+        fleet = Fleet(7)
+        fleet.run(0.5 * RULE.rate, start=10.0, end=40.0)
+        fleet.hosts[3] = FleetQuotas(started_at=40.0)
+        before = len(fleet.admitted)
+        fleet.run(0.5 * RULE.rate, start=40.5, end=45.5)
+        self.assertGreater(len(fleet.admitted) - before, 0.95 * 0.5 * RULE.rate * 5)
+
+    def test_new_run_of_another_host_counts_from_its_start(self):
+        quotas = FleetQuotas(started_at=0.0)
+        now = 100.0
+        quotas.set_fleet(2, 2)
+        quotas.admit("c", RULE, now)
+        quotas.hear("b", 1, {"c": 500}, lambda _: RULE, now, new=False)
+        quotas.hear("b", 2, {"c": 60}, lambda _: RULE, now, new=True)
+        admitted = sum(not quotas.admit("c", RULE, now) for _ in range(100))
+        self.assertLessEqual(admitted, RULE.burst - 61)
+
     def test_refusal_tells_when_to_come_back(self):
         quotas = FleetQuotas(started_at=0.0)
         rule = QuotaRule(2.0, 2.0)
