--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -47,8 +47,10 @@
 IDENTITY_FILE = "identity"
 MAINTAIN_SECONDS = 0.25
 """Time between two looks at whether to join."""
-STORE_RETRY_SECONDS = 1.0
-"""Time between two looks at the set in the store while this host is no member."""
+JOIN_RETRY_SECONDS = 0.4
+"""Time between two tries to join, for example until members have started."""
+SPARE_SECONDS = 2.0
+"""Time between two looks at the set while it needs no further member."""
 GONE_SECONDS = 1.0
 """Silence after which a newcomer may take a member's place: longer than a missed
 heartbeat, shorter than the time in which lost copies have to be made up for."""
@@ -83,7 +85,7 @@
         self._settled = False
         self._retiring = False
         self._newest = 0.0
-        self._store_asked_at = float("-inf")
+        self._join_at = float("-inf")
         yard.peers.codec.register_module(generated_history)
         yard.peers.register_stream(Reservation, self._serve_reservation)
         yard.peers.register(Settlement, self._serve_settlement)
@@ -192,9 +194,9 @@
 
     async def _try_join(self):
         now = self._yard.clock.monotonic()
-        if now - self._store_asked_at < STORE_RETRY_SECONDS:
+        if now < self._join_at:
             return
-        self._store_asked_at = now
+        self._join_at = now + JOIN_RETRY_SECONDS
         stored, copies = await self._read_copies()
         if stored is None and not self._yard.settings.bootstrap:
             logger.error("the store has no set of copies and this is no first start")
@@ -208,6 +210,7 @@
             tolerated=self._yard.settings.tolerated_losses,
         )
         if changed is None and not is_member:
+            self._join_at = now + SPARE_SECONDS
             return
         others = [name for name in copies.members if name != self._yard.host]
         positions = await self._fetch_all(others, CopySet(), {})
