--- /dev/null
+++ b/bench/heartbeats.py
@@ -0,0 +1,73 @@
+"""What one heartbeat costs: bytes, and processor time to write and to read.
+
+Run ``python -m bench.heartbeats``.
+"""
+
+import json
+import time
+
+import msgpack
+
+from sapphireyard import generated_fleet
+from sapphireyard.fleet.membership import ENTRY
+from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
+from sapphireyard.frames import MessageCodec
+from sapphireyard.generated_fleet import CopySet, Heartbeat
+
+ROUNDS = 2000
+SIZES = {"hatua": (7, 8, 10), "hatua grown": (65, 79, 40), "target": (410, 1300, 5200)}
+"""Entry hosts, customers and upstreams of a deployment."""
+
+
+def build_heartbeat(hosts, customers, upstreams):
+    """Return a heartbeat of a host that all customers use."""
+    return Heartbeat(
+        "front-nbo-west-1",
+        1_796_000_000_000,
+        1000,
+        "10.1.0.11:7780",
+        ENTRY,
+        "nbo-west",
+        caller_address="10.1.0.11:8368",
+        ready=True,
+        store_age=0.5,
+        configuration_version=40,
+        configuration_age=0.4,
+        admitted={f"hule{n}": 1000 + n for n in range(customers)},
+        running={f"i-{n:010x}": 2 for n in range(min(upstreams, 40))},
+        heard={f"front-{n}": [1_796_000_000_000, 1000 + n] for n in range(hosts - 1)},
+        copies=CopySet(4, {f"store-{n}": "0" * 16 for n in range(4)}),
+    )
+
+
+def measure(hosts, customers, upstreams):
+    """Return bytes, and microseconds to write and to read one heartbeat."""
+    codec = MessageCodec()
+    codec.register_module(generated_fleet)
+    heartbeat = build_heartbeat(hosts, customers, upstreams)
+    payload = msgpack.packb(codec.dump(heartbeat))
+    started = time.process_time()
+    for _ in range(ROUNDS):
+        msgpack.packb(codec.dump(heartbeat))
+    written = time.process_time()
+    quotas = FleetQuotas(started_at=0.0)
+    rule = QuotaRule(70.0, 70.0)
+    for number in range(ROUNDS):
+        heard = codec.load(*msgpack.unpackb(payload))
+        quotas.hear("b", 1, heard.admitted, lambda _: rule, number * 0.1, new=False)
+    read = time.process_time()
+    return {
+        "bytes": len(payload),
+        "write_us": round((written - started) / ROUNDS * 1e6, 1),
+        "read_us": round((read - written) / ROUNDS * 1e6, 1),
+    }
+
+
+def main():
+    """Print one line for each size."""
+    for name, size in SIZES.items():
+        print(json.dumps({"deployment": name, "hosts": size[0], **measure(*size)}))
+
+
+if __name__ == "__main__":
+    main()
