--- a/sapphireyard/fleet/directory.py
+++ b/sapphireyard/fleet/directory.py
@@ -1,10 +1,14 @@
 """Which entry hosts callers are sent to."""
 
 from dataclasses import dataclass
+from statistics import median
 
 PREFERRED_STORE_SECONDS = 2.8
 """Age of a host's own last answer from the store from which callers are sent to
 other hosts first: beyond it the host may soon have to refuse them."""
+SLOW_RATIO = 2.5
+"""Effort against the median from which a host counts as slow: machines that are
+disturbed run several times slower, while the same work varies by a half."""
 
 
 @dataclass(frozen=True)
@@ -21,12 +25,15 @@
         It is about to stop.
     store_age : float
         Seconds since its own last answer from the store; negative for none.
+    effort : float, optional
+        Seconds that the host takes for a piece of work that is the same on all.
     """
 
     address: str
     ready: bool
     leaving: bool
     store_age: float
+    effort: float = 0.0
 
     @property
     def in_touch(self):
@@ -37,11 +44,20 @@
 def choose_addresses(candidates):
     """Return the addresses to give to callers, of the best kind there is.
 
-    Answers the load pattern of callers that all ask again while the store is
-    out: with no host ready, the ones that are alive are named, so that a
-    caller gets an honest refusal with a time to come back rather than none.
+    Answers two load patterns. Callers that all ask again while the store is out:
+    with no host ready, the ones that are alive are named, so that a caller gets an
+    honest refusal with a time to come back rather than none. And one machine that
+    runs several times slower than the others: callers are kept off it.
     """
     staying = [each for each in candidates if not each.leaving and each.address]
     ready = [each for each in staying if each.ready]
-    preferred = [each for each in ready if each.in_touch]
-    return [each.address for each in preferred or ready or staying]
+    in_touch = [each for each in ready if each.in_touch]
+    return [each.address for each in _drop_slow(in_touch or ready or staying)]
+
+
+def _drop_slow(candidates):
+    """Return the hosts that are not slow, as long as they are the most."""
+    if not candidates:
+        return []
+    limit = SLOW_RATIO * median(each.effort for each in candidates)
+    return [each for each in candidates if each.effort <= limit]
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -30,6 +30,8 @@
 silence counts from one second on."""
 INTRODUCTION_BEATS = 10
 """Every tenth heartbeat names the other hosts."""
+EFFORT_SMOOTHING = 0.15
+"""Weight of the newest heartbeat in the effort: most of it is 1 s old."""
 REMEMBERED_BEATS = 100
 """Heartbeats whose sending is remembered: ten seconds, more than any bound on
 what they prove."""
@@ -60,6 +62,7 @@
         self._listeners = []
         self._out_of_touch = set()
         self._sent_at = OrderedDict()
+        self._effort = 0.0
         self.membership = Membership(yard.host)
 
     def on_heartbeat(self, listener):
@@ -119,6 +122,7 @@
             role=self._yard.settings.role,
             failure_domain=self._yard.settings.failure_domain,
             heard=self.membership.heard_numbers(ENTRY),
+            effort=self._effort,
             **self._describe(now),
         )
         if self._number % INTRODUCTION_BEATS == 1:
@@ -127,6 +131,16 @@
         for address in self._choose_addresses():
             ip, port = address.rsplit(":", 1)
             self._transport.sendto(payload, (ip, int(port)))
+        self._note_effort(self._now() - now)
+
+    @property
+    def effort(self):
+        """float: Smoothed seconds that a heartbeat takes to write."""
+        return self._effort
+
+    def _note_effort(self, seconds):
+        weight = EFFORT_SMOOTHING if self._number > 1 else 1.0
+        self._effort += weight * (seconds - self._effort)
 
     def _choose_addresses(self):
         """Return where to send this heartbeat."""
--- a/sapphireyard/generated_fleet.py
+++ b/sapphireyard/generated_fleet.py
@@ -85,6 +85,10 @@
     """
     The host is about to stop.
     """
+    effort: float = 0
+    """
+    Smoothed time in seconds that the host takes to write its heartbeats; the same work on all.
+    """
     store_age: float = -1
     """
     Seconds since the host's own last answer from the store; -1 for none.
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -1,6 +1,7 @@
 """How sure a host is of its configuration, and which hosts callers are sent to."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from sapphireyard.exceptions import CallError
@@ -198,6 +199,26 @@
             with self.subTest(expected):
                 self.assertEqual(choose_addresses(candidates), expected)
 
+    def test_slow_hosts_are_left_out(self):
+        cases = [
+            ([1.0, 1.2, 0.8, 5.0], [0, 1, 2]),
+            ([1.0, 1.2, 0.8, 2.0], [0, 1, 2, 3]),
+            ([1.0, 5.0, 5.0, 5.0], [0, 1, 2, 3]),
+            ([5.0], [0]),
+            ([0.0, 0.0, 0.0], [0, 1, 2]),
+        ]
+        for efforts, expected in cases:
+            with self.subTest(efforts):
+                candidates = [
+                    Candidate(number, True, False, 0.5, effort / 1000)
+                    for number, effort in enumerate(efforts)
+                ]
+                candidates = [
+                    replace(each, address=f"host-{each.address}") for each in candidates
+                ]
+                names = [f"host-{number}" for number in expected]
+                self.assertEqual(choose_addresses(candidates), names)
+
 
 if __name__ == "__main__":
     unittest.main()
