Promise 'not run' only when no upstream may have run the request

Found by reading: a repeatable request whose first upstream failed and whose second refused, or was out of reach, or had no slot, was answered 503; an upstream's 503 without its word that the request was not run was passed on as one. Both get 502 now. Three cases of test_exchange fail before and pass after.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -1,6 +1,7 @@
 """Carries one request from its arrival to its answer."""
 
 import asyncio
+import contextlib
 import logging
 from collections import Counter
 from dataclasses import dataclass, field
@@ -17,6 +18,8 @@
 """Upstreams tried that could not even be reached, beside the route's attempts."""
 PATIENCE_SHARE = 0.4
 """Share of the time left that a request may wait for a slot."""
+REFUSED_RETRY_SECONDS = 0.1
+"""When to come back after upstreams refused: about one run of a plain call."""
 QUOTA_WAIT_SECONDS = 1.0
 """Longest wait of a program under way for its customer's rate: a third of the
 time that callers give a turn, so that its run still fits."""
@@ -25,6 +28,8 @@
 within which a refusal still leaves time to come back."""
 ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer of a plain service that is held back until it is whole."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise callers that a request has not run and never will."""
 PUBLIC = Customer("")
 """Who calls on routes that need no key."""
 
@@ -49,6 +54,8 @@
         Times it was sent to an upstream.
     upstream : str
         Upstream that got it last.
+    may_have_run : bool
+        An upstream may have run it, whatever comes later.
     marks : dict of str to float
         Milliseconds from the arrival to the end of each step, for the log.
     """
@@ -60,6 +67,7 @@
     deadline: float
     sends: int = 0
     upstream: str = ""
+    may_have_run: bool = False
     marks: dict = field(default_factory=dict)
 
     def mark(self, step, now):
@@ -131,8 +139,9 @@
         outcome["admitted"] = admitted
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
-        body = await call.read_body(self._yard.configuration.table.limits.body_bytes)
+        limits = self._yard.configuration.table.limits
         try:
+            body = await call.read_body(limits.body_bytes)
             async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
                 if admitted.route.streaming:
                     await self._turns.serve(admitted, body, reply)
@@ -230,19 +239,20 @@
                 status, headers, answer = await self._ask(admitted, body, excluded)
             except UpstreamFailed as failure:
                 error = failure
-                if not failure.sent:
-                    unsent += 1
-                    if unsent > UNSENT_RETRIES:
-                        break
-                    continue
-                if not admitted.route.repeatable:
+                unsent += not failure.sent
+                if unsent > UNSENT_RETRIES:
+                    break
+                if failure.sent and not admitted.route.repeatable:
                     break
                 continue
-            if answer is None:
-                error = None
-                continue
-            await reply.send_whole(status, headers, answer)
-            return
+            except CallError as refusal:
+                if not admitted.may_have_run:
+                    raise
+                error = error or refusal
+                break
+            if answer is not None:
+                await reply.send_whole(status, headers, answer)
+                return
         self.raise_failed(admitted, error)
 
     @staticmethod
@@ -253,18 +263,18 @@
         ----------
         admitted : Admitted
             The request.
-        error : UpstreamFailed or None
+        error : YardError or None
             How the last upstream failed; None when it refused.
         """
-        if error is None or not error.sent:
+        if not admitted.may_have_run:
             raise CallError(
                 "overloaded",
                 f"{admitted.upstream or admitted.service} did not take the request",
-                retry_after=0.1,
+                retry_after=REFUSED_RETRY_SECONDS,
             )
         raise CallError(
             "upstream_failed",
-            f"{admitted.upstream}: {error}",
+            f"{admitted.upstream}: {error or 'refused after an earlier failure'}",
             executed=EXECUTED_UNKNOWN,
         )
 
@@ -283,9 +293,11 @@
                     data = await read_whole(answer.chunks, ANSWER_BYTES)
             except UpstreamFailed as error:
                 admitted.sends -= not error.sent
+                admitted.may_have_run |= error.sent
                 self._yard.pools.report(upstream, ok=False)
                 raise
-            check_signed(answer)
+            admitted.may_have_run = True
+            check_answer(answer)
             self._yard.pools.report(upstream, ok=True)
             return answer.status, answer.headers, data
 
@@ -321,7 +333,8 @@
         if reply.started:
             reply.abort()
             return
-        await reply.refuse(error)
+        with contextlib.suppress(ConnectionError):  # the caller has gone
+            await reply.refuse(error)
 
     def _now(self):
         return self._yard.clock.monotonic()
@@ -368,7 +381,13 @@
     return b"".join(parts)
 
 
-def check_signed(answer):
-    """Raise `UpstreamFailed` for a success that does not bear its signature."""
+def check_answer(answer):
+    """Raise `UpstreamFailed` for an answer that must not be passed on.
+
+    A success has to bear the upstream's signature. A status by which callers
+    take a request for not run has to come with the upstream's word for it.
+    """
     if 200 <= answer.status < 300 and not answer.signed:
         raise UpstreamFailed("answer without a signature")
+    if answer.status in NOT_RUN_STATUSES:
+        raise UpstreamFailed(f"status {answer.status} from a run")
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -8,7 +8,7 @@
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
-from sapphireyard.exchange.exchange import ANSWER_BYTES, check_signed, read_whole
+from sapphireyard.exchange.exchange import ANSWER_BYTES, check_answer, read_whole
 from sapphireyard.generated_history import Turn
 from sapphireyard.history.client import ChainText
 
@@ -134,15 +134,16 @@
                     if answer.refused:
                         pools.report(upstream, ok=True)
                         return None
+                    check_answer(answer)
                     if answer.status != 200:
                         data = await read_whole(answer.chunks, ANSWER_BYTES)
                         await reply.send_whole(answer.status, answer.headers, data)
                         pools.report(upstream, ok=answer.status < 500)
                         return False
-                    check_signed(answer)
                     await self._pass_on(admitted, answer, synced, reply, reader)
             except UpstreamFailed as error:
                 admitted.sends -= not error.sent
+                admitted.may_have_run |= error.sent
                 pools.report(upstream, ok=False)
                 raise
             pools.report(upstream, ok=True)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -95,6 +95,9 @@
         if step == "full":
             yield UpstreamAnswer(503, refused=True, chunks=self.give([]))
             return
+        if step == "busy":
+            yield UpstreamAnswer(503, signed=True, chunks=self.give([b"busy"]))
+            return
         if step == "unsigned":
             yield UpstreamAnswer(200, chunks=self.give([b"x"]))
             return
@@ -242,6 +245,9 @@
             ("/view/1", ["whole"], 200, 1),
             ("/view/1", ["lost", "whole"], 200, 2),
             ("/view/1", ["lost", "lost", "whole"], 502, 2),
+            ("/view/1", ["lost", "full"], 502, 2),
+            ("/view/1", ["full", "lost"], 502, 2),
+            ("/view/1", ["lost"] + ["unreachable"] * 4, 502, 1),
             ("/view/1", ["cut", "whole"], 200, 2),
             ("/view/1", ["unsigned", "whole"], 200, 2),
             ("/view/1", ["full", "whole"], 200, 2),
@@ -251,6 +257,8 @@
             ("/book/1", ["cut", "whole"], 502, 1),
             ("/book/1", ["unsigned", "whole"], 502, 1),
             ("/book/1", ["full", "whole"], 200, 2),
+            ("/book/1", ["busy", "whole"], 502, 1),
+            ("/view/1", ["busy", "whole"], 200, 2),
             ("/book/1", ["unreachable", "whole"], 200, 1),
             ("/book/1", ["unreachable", "lost", "whole"], 502, 1),
             ("/short/1", ["hang"], 504, 1),
@@ -264,6 +272,24 @@
                 names = [each.upstream.name for each in self.sender.sent]
                 self.assertEqual(len(set(names)), len(names))
 
+    async def test_no_slot_after_a_run_is_no_promise(self):
+        """The first upstream may have run the request; none is left for another."""
+        for path, script, status in (("/view/1", ["lost"], 502), ("/view/1", [], 503)):
+            with self.subTest(script):
+                await self.asyncSetUp()
+                if script:
+                    self.sender.script = script
+                    take = self.yard.pools.report
+
+                    def report(upstream, *, ok, take=take):
+                        take(upstream, ok=ok)
+                        self.yard.pools.take_upstreams([])
+
+                    self.yard.pools.report = report
+                else:
+                    self.yard.pools.take_upstreams([])
+                self.assertEqual(await self.serve(path), status)
+
     async def test_refusal_gives_the_token_back(self):
         """A request that no upstream got does not count against the rate."""
         self.take_table(replace(build_table(rate=10.0, burst=10.0), version=2))
@@ -337,6 +363,7 @@
             (["unreachable", "whole"], 200, 1, []),
             (["lost", "whole"], 502, 1, [("r1", 0)]),
             (["unsigned", "whole"], 502, 1, [("r1", 0)]),
+            (["busy", "whole"], 502, 1, [("r1", 0)]),
             (["cut"], 200, 1, [("r1", 28)]),
         ]
         for script, status, sends, settled in cases:
