--- a/sapphireyard/frames.py
+++ b/sapphireyard/frames.py
@@ -49,6 +49,7 @@
     """
 
     def __init__(self):
+        self._classes = {}
         self._adapters = {}
         self._fields = {}
 
@@ -60,7 +61,7 @@
 
     def _register(self, message_class):
         name = message_class.__name__
-        self._adapters[name] = TypeAdapter(message_class)
+        self._classes[name] = message_class
         fields = dataclasses.fields(message_class)
         self._fields[message_class] = tuple(field.name for field in fields)
 
@@ -78,14 +79,20 @@
         FrameError
             The class is unknown or the fields don't fit it.
         """
-        adapter = self._adapters.get(name)
-        if adapter is None:
-            raise FrameError(f"unknown message {name!r}")
+        adapter = self._adapters.get(name) or self._build_adapter(name)
         try:
             return adapter.validate_python(values)
         except ValidationError as error:
             raise FrameError(f"bad {name}: {error.error_count()} findings") from error
 
+    def _build_adapter(self, name):
+        """Return the validator of a class; built at its first use, as it is slow."""
+        message_class = self._classes.get(name)
+        if message_class is None:
+            raise FrameError(f"unknown message {name!r}")
+        adapter = self._adapters[name] = TypeAdapter(message_class)
+        return adapter
+
 
 def _plain(value):
     if dataclasses.is_dataclass(value):
--- a/sapphireyard/metrics.py
+++ b/sapphireyard/metrics.py
@@ -6,12 +6,8 @@
 
 from dataclasses import dataclass
 
-import prometheus_client
 from aiohttp import web
 from opentelemetry import metrics
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 COUNTER = "counter"
 HISTOGRAM = "histogram"
@@ -76,7 +72,14 @@
 
 
 def configure_metrics():
-    """Let all instruments of this process report to Prometheus."""
+    """Let all instruments of this process report to Prometheus.
+
+    Instruments made before count from here on. The libraries are imported here,
+    as they take a seventh of a process's start.
+    """
+    from opentelemetry.exporter.prometheus import PrometheusMetricReader
+    from opentelemetry.sdk.metrics import MeterProvider
+
     reader = PrometheusMetricReader()
     metrics.set_meter_provider(MeterProvider(metric_readers=[reader]))
 
@@ -99,6 +102,9 @@
 
 def build_metrics_page():
     """Return the response of a Prometheus scrape."""
+    import prometheus_client
+    from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
     return web.Response(
         body=prometheus_client.generate_latest(),
         headers={"Content-Type": CONTENT_TYPE_LATEST},
