Refuse turns at once on a host that is cut off from the copies, and send callers elsewhere

It knows from heartbeats; now it refuses at once, and the directory names other hosts first. A failed reservation no longer waits for the chain.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -11,6 +11,7 @@
 from sapphireyard.exchange.exchange import ANSWER_BYTES, check_answer, read_whole
 from sapphireyard.generated_history import Turn
 from sapphireyard.history.client import ChainText
+from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
 
@@ -58,27 +59,27 @@
     async def _prepare(self, admitted, expires_at):
         """Return the chain before a turn and the task of its reservation."""
         call = admitted.call
-        reserving = None
-        if call.token_budget is not None:
-            reserving = self._yard.history.reserve(
+        if call.token_budget is None:
+            return await self._read_chain(admitted), None
+        reading = start_task(self._read_chain(admitted), name="chain")
+        try:
+            synced = await self._yard.history.reserve(
                 self._program(admitted),
                 call.request_id,
                 call.output_tokens,
                 call.token_budget,
                 expires_at=expires_at,
             )
-        reading = self._read_chain(admitted)
-        if reserving is None:
-            return await reading, None
-        chain, synced = await asyncio.gather(reading, reserving, return_exceptions=True)
-        if isinstance(synced, BaseException):
-            raise synced
-        if isinstance(chain, BaseException):
+        except BaseException:
+            reading.cancel()
+            raise
+        try:
+            return await reading, synced
+        except BaseException:
             self._yard.history.settle(
                 self._program(admitted), call.request_id, 0, expires_at=expires_at
             )
-            raise chain
-        return chain, synced
+            raise
 
     async def _read_chain(self, admitted):
         turn = admitted.call.previous_turn
--- a/sapphireyard/fleet/directory.py
+++ b/sapphireyard/fleet/directory.py
@@ -25,6 +25,8 @@
         It is about to stop.
     store_age : float
         Seconds since its own last answer from the store; negative for none.
+    keeps_turns : bool, optional
+        It hears enough copies of histories to serve turns.
     effort : float, optional
         Seconds that the host takes for a piece of work that is the same on all.
     """
@@ -33,12 +35,13 @@
     ready: bool
     leaving: bool
     store_age: float
+    keeps_turns: bool = True
     effort: float = 0.0
 
     @property
     def in_touch(self):
-        """bool: Whether it had an answer from the store lately."""
-        return 0 <= self.store_age < PREFERRED_STORE_SECONDS
+        """bool: Whether it had an answer from the store lately, and hears copies."""
+        return self.keeps_turns and 0 <= self.store_age < PREFERRED_STORE_SECONDS
 
 
 def choose_addresses(candidates):
@@ -46,8 +49,9 @@
 
     Answers two load patterns. Callers that all ask again while the store is out:
     with no host ready, the ones that are alive are named, so that a caller gets an
-    honest refusal with a time to come back rather than none. And one machine that
-    runs several times slower than the others: callers are kept off it.
+    honest refusal with a time to come back rather than none. And single machines
+    that are cut off from the store or from the copies, or run several times slower
+    than the others: callers are kept off them.
     """
     staying = [each for each in candidates if not each.leaving and each.address]
     ready = [each for each in staying if each.ready]
--- a/sapphireyard/generated_fleet.py
+++ b/sapphireyard/generated_fleet.py
@@ -85,6 +85,10 @@
     """
     The host is about to stop.
     """
+    keeps_turns: bool = True
+    """
+    The host hears enough copies to serve turns.
+    """
     effort: float = 0
     """
     Smoothed time in seconds that the host takes to write its heartbeats; the same work on all.
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -31,6 +31,9 @@
 CHANGE_SECONDS = 0.3
 """Longest wait to hear of a set that copies already act by: three heartbeats."""
 CHANGED = "copies_changed"
+REACHABLE_SECONDS = 1.0
+"""Silence of a copy, which sends three heartbeats a second, from which it is not
+waited for."""
 CACHE_BYTES = 12 * 1024 * 1024
 """Texts of recent chains kept in memory; a twelfth of the smallest host."""
 
@@ -79,6 +82,11 @@
         """CopySet: The newest set heard of."""
         return self._copies
 
+    @property
+    def keeps_turns(self):
+        """bool: Whether enough copies are heard to serve turns."""
+        return self._count_heard(self._copies) >= self._quorum(self._copies)
+
     def hear_copies(self, copies):
         """Take in a set that some host acts by."""
         if copies is None or copies.version <= self._copies.version:
@@ -136,7 +144,8 @@
         ------
         CallError
             ``budget_exceeded``, or ``history_unavailable`` when too few copies
-            answer. Nothing may be sent to an engine then.
+            answer, at once when too few are heard. Nothing may be sent to an
+            engine then.
         """
         return await self._follow_change(
             lambda copies: self._reserve(
@@ -146,6 +155,9 @@
 
     async def _reserve(self, copies, program, turn, tokens, budget, expires_at):
         needed = self._quorum(copies)
+        heard = self._count_heard(copies)
+        if heard < needed:
+            raise _build_shortage(f"{heard} of {needed} copies are heard", ())
         message = Reservation(copies.version, program, turn, tokens, expires_at)
         counted = [asyncio.get_running_loop().create_future() for _ in copies.members]
         synced = [
@@ -286,6 +298,14 @@
 
         return sorted(copies.members, key=distance)
 
+    def _count_heard(self, copies):
+        membership = self._yard.gossip.membership
+        now = self._yard.clock.monotonic()
+        return sum(
+            membership.silent_for(host, now) < REACHABLE_SECONDS
+            for host in copies.members
+        )
+
     def _quorum(self, copies):
         return write_quorum(
             len(copies.members), tolerated=self._yard.settings.tolerated_losses
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -383,6 +383,18 @@
         await self.turn()
         self.assertEqual(self.reply.log[-1], ("abort",))
 
+    async def test_failed_reservation_does_not_wait_for_the_chain(self):
+        async def never(turn):
+            await asyncio.Event().wait()
+
+        self.yard.history.read_chain = never
+        self.yard.history.refuse = "history_unavailable"
+        self.assertEqual(await self.turn(previous_turn="t0"), 503)
+
+    async def test_chain_that_is_not_found_gives_the_tokens_back(self):
+        await self.turn(previous_turn="foreign")
+        self.assertEqual(self.yard.history.settled, [("r1", 0)])
+
     async def test_refused_before_any_engine_has_it(self):
         cases = [
             ({"previous_turn": "foreign"}, None, 404),
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -189,7 +189,10 @@
         stale = Candidate("stale", False, False, 9.0)
         fresh_start = Candidate("new", False, False, -1.0)
         leaving = Candidate("leaving", True, True, 0.5)
+        cut = Candidate("cut", True, False, 0.5, False)
         cases = [
+            ([good, cut], ["good"]),
+            ([cut, alone], ["cut", "alone"]),
             ([good, alone, stale, leaving], ["good"]),
             ([alone, stale, leaving], ["alone"]),
             ([stale, fresh_start, leaving], ["stale", "new"]),
@@ -210,7 +213,7 @@
         for efforts, expected in cases:
             with self.subTest(efforts):
                 candidates = [
-                    Candidate(number, True, False, 0.5, effort / 1000)
+                    Candidate(number, True, False, 0.5, True, effort / 1000)
                     for number, effort in enumerate(efforts)
                 ]
                 candidates = [
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -301,6 +301,19 @@
             await self.client.commit(build_turn("two"))
         self.assertEqual(caught.exception.code, "history_unavailable")
 
+    async def test_turn_is_refused_at_once_when_too_few_copies_are_heard(self):
+        """An entry host that is cut off from the copies makes no caller wait."""
+        membership = self.hosts["entry"].gossip.membership
+        for silent, served in (("a", True), ("b", False)):
+            membership._members[silent].heard_at -= 5.0
+            with self.subTest(silent):
+                self.assertEqual(self.client.keeps_turns, served)
+        started = asyncio.get_running_loop().time()
+        with self.assertRaises(CallError) as caught:
+            await self.client.reserve("c/p", "t", 1, 10, expires_at=FAR)
+        self.assertEqual(caught.exception.code, "history_unavailable")
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.2)
+
     async def test_reservations_in_parallel_never_exceed_the_budget(self):
         async def reserve(number):
             try:
