Settle a reservation whose asker left before it was counted

A caller that leaves, or a chain that is not found, left the most tokens of a turn reserved for good.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -70,12 +70,9 @@
                 call.token_budget,
                 expires_at=expires_at,
             )
-        except BaseException:
-            reading.cancel()
-            raise
-        try:
             return await reading, synced
         except BaseException:
+            reading.cancel()
             self._yard.history.settle(
                 self._program(admitted), call.request_id, 0, expires_at=expires_at
             )
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -407,6 +407,7 @@
                 self.yard.history.refuse = refuse
                 self.assertEqual(await self.turn(**fields), status)
                 self.assertEqual(self.sender.sent, [])
+                self.assertEqual(self.yard.history.settled, [("r1", 0)])
 
 
 class EventReaderTest(unittest.TestCase):
