--- a/sapphireyard/generated_history.py
+++ b/sapphireyard/generated_history.py
@@ -54,6 +54,16 @@
     spendings: list[Spending] = field(default_factory=list)
 
 
+@dataclass
+class SpendingQuery:
+    """
+    Asks again for all that a copy knows of a program.
+    """
+
+    set_version: int
+    program: str
+
+
 @dataclass
 class ReservationSynced:
     """
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -15,6 +15,7 @@
     Reservation,
     ReservationSynced,
     Settlement,
+    SpendingQuery,
     TurnCommit,
 )
 from sapphireyard.history.copies import majority, write_quorum
@@ -166,6 +167,8 @@
         ]
         answers = await gather_quorum(counted, needed, ANSWER_SECONDS)
         spent = _sum_others(answers, turn)
+        if spent + tokens <= budget:
+            spent = _sum_others(await self._ask_spending(copies, program), turn)
         if spent + tokens > budget:
             raise CallError(
                 "budget_exceeded",
@@ -175,6 +178,22 @@
             gather_quorum(synced, needed, ANSWER_SECONDS), name="reservation"
         )
 
+    async def _ask_spending(self, copies, program):
+        """Ask a majority once more what a program has spent.
+
+        Of several reservations at once each may see only some of the others while
+        it is being written. After that, the one that was written last sees all.
+        """
+        message = SpendingQuery(copies.version, program)
+        tasks = [
+            start_task(
+                self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS),
+                name="spending",
+            )
+            for host in copies.members
+        ]
+        return await gather_quorum(tasks, self._quorum(copies), ANSWER_SECONDS)
+
     def settle(self, program, turn, tokens, *, expires_at):
         """Replace a reservation by what the turn took, without waiting."""
         message = Settlement(program, turn, tokens, expires_at)
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -32,6 +32,7 @@
     ReservationCounted,
     ReservationSynced,
     Settlement,
+    SpendingQuery,
     TurnCommit,
     TurnSynced,
 )
@@ -88,6 +89,7 @@
         self._join_at = float("-inf")
         yard.peers.codec.register_module(generated_history)
         yard.peers.register_stream(Reservation, self._serve_reservation)
+        yard.peers.register(SpendingQuery, self._serve_spending)
         yard.peers.register(Settlement, self._serve_settlement)
         yard.peers.register(TurnCommit, self._serve_commit)
         yard.peers.register(ChainQuery, self._serve_chain)
@@ -308,6 +310,10 @@
         await self._log.sync()
         yield ReservationSynced()
 
+    async def _serve_spending(self, message, context):
+        self._check(message.set_version)
+        return ReservationCounted(self._state.spendings(message.program))
+
     async def _serve_settlement(self, message, context):
         self._state.apply(message, self._append(message))
         await self._log.sync()
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,13 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.fleet.membership import HISTORY, Membership
 from sapphireyard.generated_fleet import CopySet, Heartbeat
-from sapphireyard.generated_history import Reservation, Settlement, Turn
+from sapphireyard.generated_history import (
+    Reservation,
+    ReservationCounted,
+    ReservationSynced,
+    Settlement,
+    Turn,
+)
 from sapphireyard.history.client import HistoryClient
 from sapphireyard.history.copies import (
     fence_quorum,
@@ -187,6 +193,68 @@
         self.assertEqual(log.read(35), b"record 35")
 
 
+class CyclicPeers:
+    """Four copies that five reservations reach in orders which go in a circle.
+
+    Each reservation arrives before the next one at the three copies that answer
+    it in time, so none of the five sees all others while it is written.
+    """
+
+    ORDERS = {"a": "12345", "b": "23451", "c": "34512", "d": "45123"}
+    LATE = {("5", "a"), ("1", "b"), ("2", "c"), ("3", "d")}
+
+    def __init__(self):
+        self._states = {name: HistoryState() for name in self.ORDERS}
+        self._messages = {}
+        self._answers = {}
+        self._all_arrived = asyncio.Event()
+        self.codec = SimpleNamespace(register_module=lambda module: None)
+
+    async def stream(self, host, message, *, timeout):
+        self._messages[message.turn, host] = message
+        if len(self._messages) == 20:
+            self._apply_all()
+        await self._all_arrived.wait()
+        if (message.turn, host) in self.LATE:
+            await asyncio.sleep(timeout)
+        yield self._answers[message.turn, host]
+        yield ReservationSynced()
+
+    def _apply_all(self):
+        for host, order in self.ORDERS.items():
+            for position, turn in enumerate(order):
+                self._states[host].apply(self._messages[turn, host], position)
+                spendings = self._states[host].spendings("c/p")
+                self._answers[turn, host] = ReservationCounted(spendings)
+        self._all_arrived.set()
+
+    async def ask(self, host, message, *, timeout):
+        return ReservationCounted(self._states[host].spendings("c/p"))
+
+
+class CyclicReservationsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reservations_that_miss_each_other_stay_within_the_budget(self):
+        """Five turns reserve 100 of 450 tokens at the same time."""
+        membership = SimpleNamespace(silent_for=lambda host, now: 0.0)
+        yard = SimpleNamespace(
+            peers=CyclicPeers(),
+            clock=Clock(),
+            settings=SimpleNamespace(tolerated_losses=1),
+            gossip=SimpleNamespace(membership=membership),
+        )
+        client = HistoryClient(yard)
+        client.hear_copies(CopySet(1, {name: name for name in "abcd"}))
+        results = await asyncio.gather(
+            *(
+                client.reserve("c/p", turn, 100, 450, expires_at=FAR)
+                for turn in "12345"
+            ),
+            return_exceptions=True,
+        )
+        refused = [result for result in results if isinstance(result, CallError)]
+        self.assertGreaterEqual(len(refused), 1)
+
+
 class Host:
     """One process in the test's loop: peers, and a copy or a client."""
 
