Answer 502, not 503, when a running turn's reservation is not made durable

Found by reading: the engine may run the turn while the copies sync its reservation; if they failed, the caller got history_unavailable with status 503, which promises that the turn has not run. Every refusal is now checked against what was sent.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -116,7 +116,7 @@
         except CallError as error:
             outcome["code"] = error.code
             outcome["detail"] = error.detail
-            await self._refuse(reply, error)
+            await self._refuse(reply, keep_honest(error, outcome.get("admitted")))
         except ConnectionError as error:
             outcome["code"] = "caller_gone"
             outcome["detail"] = str(error)
@@ -369,6 +369,15 @@
         )
 
 
+def keep_honest(error, admitted):
+    """Return `error`, or one without a promise if the request may have run."""
+    if admitted is None or not admitted.may_have_run:
+        return error
+    if error.status not in NOT_RUN_STATUSES:
+        return error
+    return CallError("upstream_failed", error.detail, executed=EXECUTED_UNKNOWN)
+
+
 async def read_whole(chunks, limit):
     """Return a body; raises `UpstreamFailed` when it is larger than `limit`."""
     parts = []
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -132,6 +132,7 @@
                     if answer.refused:
                         pools.report(upstream, ok=True)
                         return None
+                    admitted.may_have_run = True
                     check_answer(answer)
                     if answer.status != 200:
                         data = await read_whole(answer.chunks, ANSWER_BYTES)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -375,6 +375,19 @@
                 self.assertEqual(self.yard.history.settled, settled)
         self.assertEqual(self.reply.log[-1], ("abort",))
 
+    async def test_run_whose_reservation_is_not_durable_is_no_refusal(self):
+        """The engine runs the turn already when the copies fail."""
+
+        async def fail():
+            raise CallError("history_unavailable", "too few copies")
+
+        async def reserve(*args, **options):
+            return asyncio.ensure_future(fail())
+
+        self.yard.history.reserve = reserve
+        self.assertEqual(await self.turn(), 502)
+        self.assertEqual(self.reply.log, [("refuse", "upstream_failed")])
+
     async def test_turn_that_is_not_durable_does_not_look_complete(self):
         async def fail(turn):
             raise CallError("history_unavailable", "too few copies")
