--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -57,6 +57,8 @@
 heartbeat, shorter than the time in which lost copies have to be made up for."""
 BATCH_BYTES = 512 * 1024
 """Size of a batch of records; well below the largest frame."""
+BATCH_RECORDS = 200
+"""Records looked at for one batch: some 6 ms, in which a copy answers nobody."""
 BATCH_SECONDS = 5.0
 """Longest wait for a batch of records."""
 TIDY_SECONDS = 5.0
@@ -381,7 +383,8 @@
         records = []
         size = 0
         position = after
-        while position < self._log.end and size < BATCH_BYTES:
+        end = min(self._log.end, after + BATCH_RECORDS)
+        while position < end and size < BATCH_BYTES:
             payload = self._log.read(position)
             position += 1
             if payload is None:
