--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -58,7 +58,7 @@
 BATCH_BYTES = 512 * 1024
 """Size of a batch of records; well below the largest frame."""
 BATCH_RECORDS = 200
-"""Records looked at for one batch: some 6 ms, in which a copy answers nobody."""
+"""Records looked at for one batch; a copy answers nobody meanwhile."""
 BATCH_SECONDS = 5.0
 """Longest wait for a batch of records."""
 TIDY_SECONDS = 5.0
