Drop what the path decodes or carries and nobody reads

The wire name stays in adapter/names.py, where the border test takes it from. Checked: exchange, border, quotas and nine process tests, 47 in all.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -30,8 +30,6 @@
         Size of the prompt and most tokens generated.
     previous_turn : str
         Turn that this one continues; empty at the start of a chain.
-    prefix : tuple of (str, int)
-        Parts of the prompt in order, with their tokens.
     headers : tuple of (bytes, bytes)
         Headers to pass on to an upstream.
     read_body : callable
@@ -52,7 +50,6 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     previous_turn: str = ""
-    prefix: tuple = ()
     headers: tuple = ()
     read_body: object = None
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -301,12 +301,11 @@
             self._yard.pools.report(upstream, ok=True)
             return answer.status, answer.headers, data
 
-    def slot_request(self, admitted, excluded, *, prefix_tokens=0, patience=None):
+    def slot_request(self, admitted, excluded, *, prefix_tokens=0):
         """Return the `SlotRequest` of an admitted request."""
         call = admitted.call
         now = self._now()
-        if patience is None:
-            patience = (admitted.deadline - now) * PATIENCE_SHARE
+        patience = (admitted.deadline - now) * PATIENCE_SHARE
         name = call.session or call.program or call.request_id
         return SlotRequest(
             program=f"{admitted.customer.name}/{name}",
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
@@ -13,8 +12,6 @@
 from sapphireyard.history.client import ChainText
 from sapphireyard.tasks import start_task
 
-logger = logging.getLogger(__name__)
-
 KEEP_MARGIN_SECONDS = 15.0
 """Kept beyond the retention, for clocks that differ and turns under way."""
 COMMIT_SECONDS = 2.0
