Keep requests that crash upstreams from running again on the platform

Cause: an entry host on the platform did not know that a request had crashed the upstream that ran it, nor what other hosts had seen; callers that repeat it could take down one upstream after another.

Change: CrashLedger counts a crash when the connection broke and the upstream then refuses connections (silence is no refusal: the network may be at fault). Heartbeats pass the crashes on, each with a number of its own, so that hosts add up and a restarted host hears of them. From the third crash on the request is refused with 503 and the time to come back: 60 s, then four times as long with each further crash. A run to the end clears it. A body that does not come ends with 408 at the caller's deadline.

Ruled out: the quarantine of the product's own interface (two crashes, lone runs, an object in its store) - it needs a lone run to convict, and a list that all agree on. A fixed bar of 600 s: three upstreams that fail by chance would bar an innocent request for as long.

tests/test_crashes.py: without the check a request was sent 8 of 8 times (seen while the test's tasks did not get to run), with it 3 times.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -153,6 +153,13 @@
             No answer; ``sent`` tells whether it may have run.
         """
 
+    @abstractmethod
+    async def is_listening(self, upstream):
+        """Return False when an upstream refuses connections.
+
+        Silence is no refusal: the network may be at fault.
+        """
+
 
 class Reply(ABC):
     """The way back to a caller."""
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 from collections import Counter
 from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.routes import Customer, Route
+from sapphireyard.fleet.crashes import CRASHES_TO_BAR, digest_request
 from sapphireyard.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
 
@@ -30,6 +32,8 @@
 """Largest answer of a plain service that is held back until it is whole."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise callers that a request has not run and never will."""
+CRASH_BITS = 48
+"""Two crashes of one request never draw the same number."""
 PUBLIC = Customer("")
 """Who calls on routes that need no key."""
 
@@ -56,6 +60,8 @@
         Upstream that got it last.
     may_have_run : bool
         An upstream may have run it, whatever comes later.
+    body : bytes
+        What the caller sent.
     marks : dict of str to float
         Milliseconds from the arrival to the end of each step, for the log.
     """
@@ -68,6 +74,7 @@
     sends: int = 0
     upstream: str = ""
     may_have_run: bool = False
+    body: bytes = b""
     marks: dict = field(default_factory=dict)
 
     def mark(self, step, now):
@@ -81,6 +88,11 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def digest(self):
+        """str: The same for each repeat of the request by its customer."""
+        return digest_request(self.customer.name, self.call.path, self.body)
+
     @property
     def opens_program(self):
         """bool: Whether no earlier request of the program has run."""
@@ -139,9 +151,9 @@
         outcome["admitted"] = admitted
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
-        limits = self._yard.configuration.table.limits
         try:
-            body = await call.read_body(limits.body_bytes)
+            body = admitted.body = await self._read_body(admitted)
+            self._check_crashes(admitted)
             async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
                 if admitted.route.streaming:
                     await self._turns.serve(admitted, body, reply)
@@ -165,6 +177,14 @@
             if not admitted.sends:
                 self._refund(admitted)
 
+    async def _read_body(self, admitted):
+        limit = self._yard.configuration.table.limits.body_bytes
+        try:
+            async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
+                return await admitted.call.read_body(limit)
+        except TimeoutError as error:
+            raise CallError("body_late", "the body did not arrive in time") from error
+
     def _admit(self, call):
         """Return the `Admitted` request, or raise the `CallError` against it."""
         configuration = self._yard.configuration
@@ -292,15 +312,58 @@
                         return answer.status, (), None
                     data = await read_whole(answer.chunks, ANSWER_BYTES)
             except UpstreamFailed as error:
-                admitted.sends -= not error.sent
-                admitted.may_have_run |= error.sent
-                self._yard.pools.report(upstream, ok=False)
+                self.note_failure(admitted, upstream, error)
                 raise
             admitted.may_have_run = True
             check_answer(answer)
-            self._yard.pools.report(upstream, ok=True)
+            self.note_success(admitted, upstream)
             return answer.status, answer.headers, data
 
+    def note_success(self, admitted, upstream):
+        """Note that an upstream ran a request to its end."""
+        self._yard.pools.report(upstream, ok=True)
+        if self._yard.crashes:
+            self._yard.crashes.clear(admitted.digest, self._now())
+
+    def note_failure(self, admitted, upstream, error):
+        """Note how an upstream failed a request."""
+        admitted.sends -= not error.sent
+        admitted.may_have_run |= error.sent
+        self._yard.pools.report(upstream, ok=False)
+        if error.crashed:
+            start_task(self._note_crash(admitted, upstream), name="crash")
+
+    async def _note_crash(self, admitted, upstream):
+        """Count a broken connection as a crash if the upstream is down after it."""
+        if await self._sender.is_listening(upstream):
+            return
+        digest = admitted.digest
+        crash = secrets.randbits(CRASH_BITS)
+        crashes = self._yard.crashes.note(digest, crash, self._now())
+        logger.info(
+            "upstream down after a request",
+            extra={
+                "decision": "crash",
+                "request_id": admitted.call.request_id,
+                "upstream": upstream.name,
+                "digest": digest,
+                "crashes": crashes,
+                "barred": crashes >= CRASHES_TO_BAR,
+            },
+        )
+
+    def _check_crashes(self, admitted):
+        """Raise `CallError` for a request that has crashed too many upstreams."""
+        if not self._yard.crashes:
+            return
+        seconds = self._yard.crashes.barred_for(admitted.digest, self._now())
+        if seconds:
+            raise CallError(
+                "crashes_upstreams",
+                f"upstreams crashed while they ran this request ({admitted.digest})",
+                retry_after=seconds,
+            )
+
     def slot_request(self, admitted, excluded, *, prefix_tokens=0):
         """Return the `SlotRequest` of an admitted request."""
         call = admitted.call
@@ -321,6 +384,7 @@
 
     def dispatch(self, admitted, upstream, body):
         """Return the `Dispatch` to an upstream."""
+        self._check_crashes(admitted)
         admitted.upstream = upstream.name
         admitted.mark("slot", self._now())
         left = admitted.deadline - self._now()
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -138,11 +138,9 @@
                         return False
                     await self._pass_on(admitted, answer, synced, reply, reader)
             except UpstreamFailed as error:
-                admitted.sends -= not error.sent
-                admitted.may_have_run |= error.sent
-                pools.report(upstream, ok=False)
+                self.exchange.note_failure(admitted, upstream, error)
                 raise
-            pools.report(upstream, ok=True)
+            self.exchange.note_success(admitted, upstream)
         if admitted.route.retention is not None:
             admitted.mark("last", self._yard.clock.monotonic())
             await self._keep(admitted, chain, body, reader)
--- /dev/null
+++ b/sapphireyard/fleet/crashes.py
@@ -0,0 +1,152 @@
+"""Requests that crash the upstreams which run them, as all entry hosts know them.
+
+Each crash that a host sees gets a number of its own. Heartbeats pass the numbers
+on, so that all hosts count the same crashes, and one that restarts hears of them
+from the others.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from hashlib import blake2b
+
+DIGEST_BYTES = 8
+CRASHES_TO_BAR = 3
+"""Crashes after which a request is barred: one or two may be upstreams that failed
+for another reason while they ran it."""
+FIRST_BAR_SECONDS = 60.0
+"""Time for which the third crash bars a request. It is short, as a request may
+have been there by chance when three upstreams failed."""
+BAR_GROWTH = 4.0
+"""Each further crash bars four times as long: the tenth upstream is lost after a
+week."""
+MOST_CRASHES = 8
+"""Crashes of one request that are counted: the bar is 17 h then."""
+REMEMBERED_SECONDS = 120.0
+"""Time for which a request that is not barred is remembered after a crash."""
+MOST_REQUESTS = 1000
+"""Requests remembered; the ones whose last crash is oldest go first."""
+MOST_TOLD = 32
+"""Requests in one heartbeat, the newest: some 1 kB."""
+
+
+def digest_request(customer, path, body):
+    """Return the digest by which repeats of a request are known, as hex text."""
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (customer.encode(), path.encode()):
+        digest.update(part)
+        digest.update(b"\0")
+    digest.update(body)
+    return digest.hexdigest()
+
+
+@dataclass
+class _Record:
+    """The crashes of one request, and when the last of them was."""
+
+    crashes: frozenset
+    last_at: float
+
+    @property
+    def bar_seconds(self):
+        """float: Time after the last crash for which the request must not run."""
+        further = len(self.crashes) - CRASHES_TO_BAR
+        return FIRST_BAR_SECONDS * BAR_GROWTH**further if further >= 0 else 0.0
+
+    def is_over(self, now):
+        """Return whether the crashes are too long ago to count."""
+        return now >= self.last_at + self.bar_seconds + REMEMBERED_SECONDS
+
+
+class CrashLedger:
+    """Decides which requests have crashed too many upstreams to run again.
+
+    Answers the load pattern of one request that callers repeat at all hosts
+    while each run takes an upstream, and all that runs there, down for seconds.
+    """
+
+    def __init__(self):
+        self._records = OrderedDict()
+        self._cleared = OrderedDict()
+
+    def __bool__(self):
+        return bool(self._records)
+
+    def note(self, digest, crash, now):
+        """Note a crash.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request that was running.
+        crash : int
+            Drawn for this crash alone.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+            Crashes of the request that are known.
+        """
+        self._merge(digest, {crash}, now, now)
+        return len(self._records[digest].crashes)
+
+    def clear(self, digest, now):
+        """Forget the crashes of a request that has run to its end."""
+        record = self._records.pop(digest, None)
+        if record is None:
+            return
+        known = self._cleared.pop(digest, _Record(frozenset(), now))
+        self._cleared[digest] = _Record(known.crashes | record.crashes, now)
+
+    def barred_for(self, digest, now):
+        """Return the seconds for which a request must not run; 0 if it may."""
+        record = self._records.get(digest)
+        if record is None:
+            return 0.0
+        return max(0.0, record.last_at + record.bar_seconds - now)
+
+    def describe(self, now):
+        """Return age in seconds and crashes of each request, for a heartbeat.
+
+        Returns
+        -------
+        dict of str to list of int
+            By digest: seconds since the last crash, then the crashes.
+        """
+        self._forget_old(now)
+        newest = sorted(self._records.items(), key=lambda item: -item[1].last_at)
+        return {
+            digest: [int(now - record.last_at), *sorted(record.crashes)]
+            for digest, record in newest[:MOST_TOLD]
+        }
+
+    def hear(self, described, now):
+        """Take in what another host describes."""
+        for digest, (age, *crashes) in described.items():
+            self._merge(digest, crashes, now - age, now)
+
+    def _merge(self, digest, crashes, last_at, now):
+        cleared = self._cleared.get(digest)
+        new = set(crashes) - (cleared.crashes if cleared else frozenset())
+        known = self._records.get(digest)
+        if known is not None:
+            if new <= known.crashes:
+                return
+            last_at = max(last_at, known.last_at)
+            new |= known.crashes
+        if not new:
+            return
+        record = _Record(frozenset(sorted(new)[:MOST_CRASHES]), last_at)
+        if record.is_over(now):
+            return
+        self._records[digest] = record
+        self._records.move_to_end(digest)
+        while len(self._records) > MOST_REQUESTS:
+            self._records.popitem(last=False)
+
+    def _forget_old(self, now):
+        for records in (self._records, self._cleared):
+            for digest, record in list(records.items()):
+                if record.is_over(now):
+                    del records[digest]
--- a/sapphireyard/generated_fleet.py
+++ b/sapphireyard/generated_fleet.py
@@ -80,6 +80,10 @@
     """
     Incarnation and number of the newest heartbeat received from other entry hosts.
     """
+    crashes: dict[str, list[int]] = field(default_factory=dict)
+    """
+    Requests that crashed upstreams, by digest: seconds since the last crash, then a number for each crash.
+    """
     copies: CopySet | None = None
     leaving: bool = False
     """
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,151 @@
+"""Requests that crash upstreams: the ledger, and what an entry host does with it."""
+
+import asyncio
+import unittest
+
+from sapphireyard.fleet.crashes import (
+    CRASHES_TO_BAR,
+    MOST_CRASHES,
+    MOST_REQUESTS,
+    MOST_TOLD,
+    REMEMBERED_SECONDS,
+    CrashLedger,
+    digest_request,
+)
+from tests.test_exchange import ExchangeTestCase
+
+DIGEST = digest_request("c", "/view/1", b"body")
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger()
+
+    def crash(self, *moments, digest=DIGEST):
+        for moment in moments:
+            self.ledger.note(digest, int(moment * 1000), moment)
+
+    def test_bar_by_the_crashes(self):
+        """Times of crashes, and the seconds barred just after the last."""
+        cases = [
+            ((), 0.0),
+            ((1.0,), 0.0),
+            ((1.0, 2.0), 0.0),
+            ((1.0, 2.0, 3.0), 60.0),
+            ((1.0, 2.0, 3.0, 64.0), 240.0),
+            ((1.0, 2.0, 3.0, 64.0, 305.0), 960.0),
+            (tuple(float(n) for n in range(40)), 60.0 * 4**5),
+        ]
+        for moments, seconds in cases:
+            with self.subTest(moments):
+                self.setUp()
+                self.crash(*moments)
+                now = moments[-1] if moments else 0.0
+                self.assertAlmostEqual(self.ledger.barred_for(DIGEST, now), seconds)
+
+    def test_two_hosts_count_the_same_crashes(self):
+        """Each saw some; a crash told twice counts once."""
+        other = CrashLedger()
+        self.crash(1.0, 2.0)
+        other.note(DIGEST, 77, 2.5)
+        for _ in range(3):
+            other.hear(self.ledger.describe(3.0), 3.0)
+            self.ledger.hear(other.describe(3.0), 3.0)
+        for ledger in (self.ledger, other):
+            self.assertAlmostEqual(ledger.barred_for(DIGEST, 3.0), 59.5, delta=1.0)
+        restarted = CrashLedger()
+        restarted.hear(other.describe(10.0), 1010.0)
+        self.assertGreater(restarted.barred_for(DIGEST, 1010.0), 0)
+
+    def test_old_crashes_end_everywhere(self):
+        """Hosts that tell each other in turn do not keep a crash alive."""
+        other = CrashLedger()
+        self.crash(1.0)
+        now = 1.0
+        while now < REMEMBERED_SECONDS + 5.0:
+            now += 0.3
+            other.hear(self.ledger.describe(now), now)
+            self.ledger.hear(other.describe(now), now)
+        self.assertFalse(self.ledger)
+        self.assertFalse(other)
+
+    def test_a_run_to_the_end_clears(self):
+        other = CrashLedger()
+        self.crash(1.0, 2.0, 3.0)
+        other.hear(self.ledger.describe(3.0), 3.0)
+        self.ledger.clear(DIGEST, 4.0)
+        self.ledger.hear(other.describe(4.0), 4.0)
+        self.assertEqual(self.ledger.barred_for(DIGEST, 4.0), 0.0)
+        self.crash(5.0, 6.0)
+        self.assertEqual(self.ledger.barred_for(DIGEST, 6.0), 0.0)
+
+    def test_bounds(self):
+        for n in range(MOST_REQUESTS + 50):
+            self.crash(1.0 + n * 1e-6, digest=f"{n}")
+        self.crash(*(2.0 + n for n in range(MOST_CRASHES + 5)))
+        described = self.ledger.describe(20.0)
+        self.assertEqual(len(described), MOST_TOLD)
+        self.assertEqual(len(described[DIGEST]), 1 + MOST_CRASHES)
+
+    def test_digest(self):
+        base = ("c", "/p", b"body")
+        for other in (("d", "/p", b"body"), ("c", "/q", b"body"), ("c", "/p", b"x")):
+            self.assertNotEqual(digest_request(*base), digest_request(*other))
+        self.assertNotEqual(
+            digest_request("c", "/p", b""), digest_request("c/p", "", b"")
+        )
+
+
+class CrashingRequestTest(ExchangeTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.down = True
+
+        async def is_listening(upstream):
+            return not self.down
+
+        self.sender.is_listening = is_listening
+
+    async def repeat(self, path, times, **fields):
+        """Serve a request several times; return the statuses."""
+        statuses = []
+        for n in range(times):
+            for pool in ("plain", "engine"):  # all are back, none rests
+                for name in self.yard.pools._pools[pool].upstreams:
+                    self.yard.pools._outliers.report(name, ok=True, now=n)
+            self.reply.status = None
+            statuses.append(await self.serve(path, request_id=f"r{n}", **fields))
+            await asyncio.sleep(0)  # lets the look at the upstream end
+        return statuses
+
+    async def test_times_sent(self):
+        """Path, whether upstreams are down after it, times sent, last status."""
+        cases = [
+            ("/book/1", True, CRASHES_TO_BAR, 503),
+            ("/chat/1", True, CRASHES_TO_BAR, 503),
+            ("/view/1", True, CRASHES_TO_BAR + 1, 503),  # two at once in each call
+            ("/book/1", False, 8, 502),
+        ]
+        for path, down, sends, status in cases:
+            with self.subTest(f"{path} {down}"):
+                await self.asyncSetUp()
+                self.down = down
+                self.sender.script = ["lost"] * 99
+                statuses = await self.repeat(path, 8)
+                self.assertEqual(len(self.sender.sent), sends)
+                self.assertEqual(statuses[-1], status)
+
+    async def test_a_run_between_crashes_clears(self):
+        self.sender.script = ["lost", "lost", "whole"] * 3
+        statuses = await self.repeat("/book/1", 9)
+        self.assertEqual(statuses, [502, 502, 200] * 3)
+
+    async def test_refusal_says_when_to_come_back(self):
+        self.sender.script = ["lost"] * 99
+        await self.repeat("/book/1", 4)
+        self.assertAlmostEqual(self.reply.retry_after, 60.0, delta=1.0)
+        other = await self.repeat("/book/2", 1)
+        self.assertEqual(other, [502])
+
+
+del ExchangeTestCase  # its tests run where it is defined
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -28,6 +28,7 @@
     digest_key,
 )
 from sapphireyard.exchange.turns import TurnService
+from sapphireyard.fleet.crashes import CrashLedger
 from sapphireyard.fleet.membership import ENTRY, Membership
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
 from sapphireyard.generated_fleet import Heartbeat
@@ -105,6 +106,9 @@
         chunks = self.give(parts, cut=step == "cut")
         yield UpstreamAnswer(200, signed=True, chunks=chunks)
 
+    async def is_listening(self, upstream):
+        return True
+
     async def give(self, parts, *, cut=False):
         for part in parts:
             yield part
@@ -195,6 +199,7 @@
             gossip=SimpleNamespace(membership=Membership("a")),
             metrics=SimpleNamespace(count=lambda *a, **k: 0, record=lambda *a, **k: 0),
             quotas=FleetQuotas(started_at=clock.monotonic() - 60),
+            crashes=CrashLedger(),
         )
         self.yard.configuration = Configuration(clock, withdrawal_seconds=5.0)
         self.take_table(build_table())
