--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -124,10 +124,12 @@
 
 @dataclass(frozen=True)
 class RequestLimits:
-    """What a caller may send; bytes."""
+    """What a caller may send, and how long it may take or stay idle."""
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 5.0
+    idle_seconds: float = 60.0
 
 
 def digest_key(key):
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -252,6 +252,36 @@
                 return Answer(response.status, response.headers, b"".join(parts), False)
             return Answer(response.status, response.headers, b"".join(parts))
 
+    async def send_raw(self, ip, *parts, until=None):
+        """Send bytes as they are; return what comes until the connection ends.
+
+        Parameters
+        ----------
+        ip : str
+            The entry host.
+        *parts : bytes
+            Sent one by one.
+        until : bytes, optional
+            Return as soon as this has come.
+        """
+        reader, writer = await asyncio.open_connection(ip, self._port + 1)
+        got = b""
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                for part in parts:
+                    writer.write(part)
+                    await writer.drain()
+                while until is None or until not in got:
+                    chunk = await reader.read(4096)
+                    if not chunk:
+                        break
+                    got += chunk
+        except ConnectionError:
+            pass  # a reset is one way to end a connection
+        finally:
+            writer.close()
+        return got
+
     async def send_turn(
         self, ip, text, *, previous="", program="p", budget=10_000, **options
     ):
--- /dev/null
+++ b/tests/test_platform_input.py
@@ -0,0 +1,143 @@
+"""Bad input on the callers' interface: framing, slow senders, odd targets."""
+
+import re
+import time
+
+from tests.platform_site import KEY, build_configuration
+from tests.test_platform_processes import ENTRIES, PlatformTestCase
+
+HEAD = (
+    b"Host: site.example\r\nRequest-Id: 00000000000000aa\r\n"
+    b"Deadline-Ms: 3000\r\nCredential: " + KEY.encode() + b"\r\n"
+)
+INNER = b"GET /view/inner HTTP/1.1\r\n" + HEAD + b"\r\n"
+HEADER_SECONDS = 1.0
+IDLE_SECONDS = 3.0
+
+
+def post(*lines, body=b""):
+    """Return the bytes of a request with further header lines."""
+    extra = b"".join(line + b"\r\n" for line in lines)
+    return b"POST /book/outer HTTP/1.1\r\n" + HEAD + extra + b"\r\n" + body
+
+
+CHUNKED = b"Transfer-Encoding: chunked"
+SMUGGLED = b"0\r\n\r\n" + INNER
+"""An inner request behind what a parser of chunks takes for the end."""
+
+
+class PlatformInputTest(PlatformTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        limits = {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100000,
+            "header-timeout-ms": HEADER_SECONDS * 1000,
+            "idle-timeout-ms": IDLE_SECONDS * 1000,
+        }
+        self.site.store.put("config", "main", build_configuration(2, limits=limits))
+        for name in ("entry-1", "entry-2"):
+            await self.site.wait_until(
+                lambda name=name: '"version": 2' in self.site.read_log(name)
+            )
+
+    async def test_ambiguous_framing_runs_nothing(self):
+        """Each gets 400 or a closed connection; no upstream sees any of it."""
+        length = b"Content-Length: %d" % len(SMUGGLED)
+        cases = [
+            ("both framings", post(length, CHUNKED, body=SMUGGLED)),
+            ("both, other order", post(CHUNKED, length, body=SMUGGLED)),
+            ("two lengths", post(b"Content-Length: 0", length, body=SMUGGLED)),
+            ("list of lengths", post(b"Content-Length: 5, 5", body=b"abcde")),
+            ("signed length", post(b"Content-Length: +5", body=b"abcde")),
+            ("negative length", post(b"Content-Length: -5", body=b"abcde")),
+            ("length with a word", post(b"Content-Length: 5x", body=b"abcde")),
+            ("space before colon", post(b"Transfer-Encoding : chunked", body=SMUGGLED)),
+            ("unknown coding", post(b"Transfer-Encoding: xchunked", body=SMUGGLED)),
+            ("chunked not last", post(CHUNKED + b", identity", body=SMUGGLED)),
+            ("chunked twice", post(CHUNKED, CHUNKED, body=SMUGGLED)),
+            ("folded line", post(b"X-A: 1\r\n " + CHUNKED, body=SMUGGLED)),
+            ("line without a colon", post(b"Nonsense", body=b"")),
+            ("bare LF", post(b"X-A: 1\n" + CHUNKED, body=SMUGGLED)),
+            ("bare CR", post(b"X-A: 1\rX-B: 2", body=b"")),
+            ("NUL", post(b"X-A: 1\x00", body=b"")),
+            ("chunk size signed", post(CHUNKED, body=b"+5\r\nabcde\r\n0\r\n\r\n")),
+            ("chunk size hex sign", post(CHUNKED, body=b"0x5\r\nabcde\r\n0\r\n\r\n")),
+            ("chunk too long", post(CHUNKED, body=b"2\r\nabcde\r\n" + SMUGGLED)),
+            ("no version", b"GET /view/outer\r\n\r\n" + INNER),
+            ("version 9", b"GET /view/outer HTTP/9.1\r\n" + HEAD + b"\r\n" + INNER),
+            ("not HTTP", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+        ]
+        for name, data in cases:
+            with self.subTest(name):
+                answer = await self.site.send_raw(ENTRIES[0], data)
+                self.assertIn(answer[:12], (b"", b"HTTP/1.1 400", b"HTTP/1.0 400"))
+                answers = re.findall(rb"HTTP/1\.[01] \d{3}", answer)
+                self.assertEqual(len(answers), int(bool(answer)), answer)
+        self.assertEqual(self.plain.seen, [])
+        answer = await self.site.send(ENTRIES[0], "GET", "/view/1")
+        self.assertEqual(answer.status, 200)
+
+    async def test_body_is_no_request(self):
+        """What stands inside a body reaches the upstream as body."""
+        length = b"Content-Length: %d" % len(INNER)
+        chunk = b"%x\r\n" % len(INNER) + INNER + b"\r\n0\r\n\r\n"
+        for name, data in (
+            ("length", post(length, body=INNER)),
+            ("chunks", post(CHUNKED, body=chunk)),
+        ):
+            with self.subTest(name):
+                self.plain.seen.clear()
+                answer = await self.site.send_raw(ENTRIES[0], data, until=b"/book")
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+                (seen,) = self.plain.seen
+                self.assertEqual((seen.target, seen.body), ("/book/outer", INNER))
+                self.assertNotIn("transfer-encoding", seen.headers)
+
+    async def test_targets(self):
+        """Target, status, and the target that the upstream gets."""
+        cases = [
+            (b"/view/1?a=b&c", 200, "/view/1?a=b&c"),
+            (b"/view/%2e%2e/1", 200, "/view/%2e%2e/1"),
+            (b"http://other.example/view/1", 404, None),
+            (b"*", 404, None),
+            (b"view/1", 404, None),
+            (b"//view/1", 404, None),
+        ]
+        for target, status, passed in cases:
+            with self.subTest(target):
+                self.plain.seen.clear()
+                data = b"GET " + target + b" HTTP/1.1\r\n" + HEAD + b"\r\n"
+                answer = await self.site.send_raw(ENTRIES[0], data, until=b"\r\n\r\n")
+                got = int(answer[9:12])
+                self.assertIn(got, (status, 400) if passed is None else (status,))
+                self.assertEqual(
+                    [each.target for each in self.plain.seen],
+                    [] if passed is None else [passed],
+                )
+
+    async def test_slow_and_idle_connections_are_closed(self):
+        """What is sent, and the least and most seconds until the end."""
+        whole = b"GET /view/1 HTTP/1.1\r\n" + HEAD + b"\r\n"
+        cases = [
+            ("nothing", b"", IDLE_SECONDS, IDLE_SECONDS + 2.0),
+            ("half a head", whole[:40], HEADER_SECONDS, IDLE_SECONDS),
+            ("a whole request", whole, IDLE_SECONDS, IDLE_SECONDS + 2.0),
+        ]
+        for name, data, least, most in cases:
+            with self.subTest(name):
+                begin = time.monotonic()
+                await self.site.send_raw(ENTRIES[0], data)
+                seconds = time.monotonic() - begin
+                self.assertGreaterEqual(seconds, least)
+                self.assertLess(seconds, most)
+
+    async def test_body_that_does_not_come(self):
+        """It ends with the caller's time, and nothing has run."""
+        data = post(b"Content-Length: 5", body=b"ab").replace(b"3000", b"500")
+        answer = await self.site.send_raw(ENTRIES[0], data, until=b"\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+        self.assertEqual(self.plain.seen, [])
+
+
+del PlatformTestCase  # its cases run where it is defined
