--- a/bench/arms.py
+++ b/bench/arms.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from bench.simulation import CALL_SECONDS, Bucket
-from sapphireyard.capacity import UpstreamLimits, UpstreamState
-from sapphireyard.scheduler import Scheduler
-from sapphireyard.scheduling import Grant, Refuse, Release, SlotRequest
-from sapphireyard.weighting import choose_options
+from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.scheduler import Scheduler
+from sapphireyard.scheduling.scheduling import Grant, Refuse, Release, SlotRequest
+from sapphireyard.scheduling.weighting import choose_options
 
 
 class NaiveArm:
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -12,8 +12,8 @@
 
 import cappa
 
-from sapphireyard.keys import create_key, create_salt, digest_key
-from sapphireyard.manifests import (
+from sapphireyard.configuration.keys import create_key, create_salt, digest_key
+from sapphireyard.configuration.manifests import (
     ManifestRepository,
     PartCache,
     diff_manifests,
--- a/bench/growth.py
+++ b/bench/growth.py
@@ -12,10 +12,10 @@
 from dataclasses import asdict, dataclass
 from types import SimpleNamespace
 
-from sapphireyard.capacity import UpstreamLimits
-from sapphireyard.groups import pick_group, split_groups
-from sapphireyard.scheduler import MAX_GROUP, Scheduler
-from sapphireyard.scheduling import Grant, SlotRequest
+from sapphireyard.scheduling.capacity import UpstreamLimits
+from sapphireyard.scheduling.groups import pick_group, split_groups
+from sapphireyard.scheduling.scheduler import MAX_GROUP, Scheduler
+from sapphireyard.scheduling.scheduling import Grant, SlotRequest
 
 DECISIONS = 4_000
 """Finished requests, each followed by a new one, that are timed."""
--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -8,11 +8,11 @@
 
 import msgpack
 
-from sapphireyard import generated_fleet
+from sapphireyard.fleet import generated_fleet
+from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_fleet import CopySet, Heartbeat
+from sapphireyard.streams.frames import MessageCodec
 
 ROUNDS = 2000
 SIZES = {"hatua": (7, 8, 10), "hatua grown": (65, 79, 40), "target": (410, 1300, 5200)}
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -13,7 +13,11 @@
 import statistics
 import time
 
-from sapphireyard.assignment import (
+from sapphireyard.generated_settings import EntrySettings
+from sapphireyard.journal.generated_records import CallCompleted, CallReserved
+from sapphireyard.journal.journal import JournalRange, JournalService
+from sapphireyard.journal.records import pack_record, pack_segment
+from sapphireyard.ownership.assignment import (
     Member,
     PartitionEntry,
     create_assignment,
@@ -21,11 +25,7 @@
     plan_moves,
     plan_takeover,
 )
-from sapphireyard.assignment_codec import decode_assignment, encode_assignment
-from sapphireyard.generated_records import CallCompleted, CallReserved
-from sapphireyard.generated_settings import EntrySettings
-from sapphireyard.journal import JournalRange, JournalService
-from sapphireyard.records import pack_record, pack_segment
+from sapphireyard.ownership.assignment_codec import decode_assignment, encode_assignment
 from sapphireyard.yard import Yard
 from standins.memory import MemoryStore
 
--- a/bench/limit_costs.py
+++ b/bench/limit_costs.py
@@ -4,11 +4,11 @@
 import tracemalloc
 from dataclasses import dataclass
 
-from sapphireyard.buckets import Rule
-from sapphireyard.generated_limits import TokenAsk
-from sapphireyard.holders import ShareHolder
-from sapphireyard.homes import HomeTracker, View, choose_home
-from sapphireyard.limits import RateHome
+from sapphireyard.limits.buckets import Rule
+from sapphireyard.limits.generated_limits import TokenAsk
+from sapphireyard.limits.holders import ShareHolder
+from sapphireyard.limits.homes import HomeTracker, View, choose_home
+from sapphireyard.limits.limits import RateHome
 
 SIZES = ((8, 8), (100, 8), (1300, 8), (8, 100), (8, 410))
 """Customers and holders."""
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -16,10 +16,10 @@
 from dataclasses import asdict, dataclass, field
 
 from bench.limit_costs import measure_slopes
-from sapphireyard.buckets import Rule
-from sapphireyard.holders import ShareHolder
-from sapphireyard.homes import HomeTracker, View, choose_home
-from sapphireyard.limits import RateHome
+from sapphireyard.limits.buckets import Rule
+from sapphireyard.limits.holders import ShareHolder
+from sapphireyard.limits.homes import HomeTracker, View, choose_home
+from sapphireyard.limits.limits import RateHome
 
 HOSTS = tuple(f"entry-{number}" for number in range(1, 9))
 RULES = {
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -9,15 +9,15 @@
 import json
 import tracemalloc
 
-from sapphireyard.assignment import Member, create_assignment, plan_join
-from sapphireyard.assignment_codec import decode_assignment, encode_assignment
-from sapphireyard.generated_records import (
+from sapphireyard.configuration.tables import build_configuration
+from sapphireyard.journal.generated_records import (
     CallCompleted,
     CallSource,
     ProgramOpened,
 )
-from sapphireyard.programs import Programs
-from sapphireyard.tables import build_configuration
+from sapphireyard.ownership.assignment import Member, create_assignment, plan_join
+from sapphireyard.ownership.assignment_codec import decode_assignment, encode_assignment
+from sapphireyard.programs.programs import Programs
 
 HOSTS = 410
 PARTITIONS = 8192
--- a/sapphireyard/__init__.py
+++ b/sapphireyard/__init__.py
@@ -2,7 +2,7 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError, Finding, StoreError, YardError
-from sapphireyard.stores import ObjectChange, Store, StoredObject, WatchResult
+from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 from sapphireyard.yard import Yard
 
 __all__ = [
--- a/sapphireyard/archive.py
+++ b/sapphireyard/archive.py
@@ -11,15 +11,15 @@
 
 import mode
 
-from sapphireyard import generated_control
 from sapphireyard._binaries import run_binary, run_service
-from sapphireyard.archive_files import ArchiveFiles, compute_checksum
-from sapphireyard.archive_reader import ARCHIVE_PREFIX, IMMUTABLE_PREFIXES
 from sapphireyard.exceptions import CallError, StoreConflict, StoreError
 from sapphireyard.generated_archive_settings import ArchiveSettings
-from sapphireyard.generated_control import SegmentAnswer, SegmentQuery
-from sapphireyard.objects import ObjectStore
-from sapphireyard.peers import Peers
+from sapphireyard.journal.archive_files import ArchiveFiles, compute_checksum
+from sapphireyard.journal.archive_reader import ARCHIVE_PREFIX, IMMUTABLE_PREFIXES
+from sapphireyard.storage import generated_control
+from sapphireyard.storage.generated_control import SegmentAnswer, SegmentQuery
+from sapphireyard.storage.objects import ObjectStore
+from sapphireyard.streams.peers import Peers
 from sapphireyard.tasks import start_task
 from sapphireyard.yard import Yard
 
--- /dev/null
+++ b/sapphireyard/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The interfaces of callers and operators on entry hosts."""
--- a/sapphireyard/_problems.py
+++ b/sapphireyard/callers/_problems.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from sapphireyard.completions import dump_json
+from sapphireyard.upstreams.completions import dump_json
 
 CONTENT_TYPE = "application/problem+json"
 
--- a/sapphireyard/_requests.py
+++ b/sapphireyard/callers/_requests.py
@@ -5,8 +5,8 @@
 
 from pydantic import ValidationError
 
+from sapphireyard.callers.generated_api import CallHeaders, ChatBody
 from sapphireyard.exceptions import CallError, Finding
-from sapphireyard.generated_api import CallHeaders, ChatBody
 
 HEADER_PREFIX = "Sapphireyard-"
 PROGRAM_PATTERN = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
--- a/sapphireyard/administration.py
+++ b/sapphireyard/callers/administration.py
@@ -10,21 +10,21 @@
 
 from aiohttp import web
 
-from sapphireyard import generated_administration
-from sapphireyard.completions import dump_json
-from sapphireyard.exceptions import CallError, PeerUnavailable
-from sapphireyard.generated_administration import (
+from sapphireyard.callers import generated_administration
+from sapphireyard.callers.generated_administration import (
     DrainOrder,
     ExplainAnswer,
     ExplainQuery,
     StatusAnswer,
     StatusQuery,
 )
-from sapphireyard.generated_messages import Done
+from sapphireyard.exceptions import CallError, PeerUnavailable
 from sapphireyard.logs import PACKAGE, DecisionBuffer
 from sapphireyard.metrics import build_metrics_page
-from sapphireyard.residency import Residency
-from sapphireyard.views import describe
+from sapphireyard.programs.residency import Residency
+from sapphireyard.programs.views import describe
+from sapphireyard.streams.generated_messages import Done
+from sapphireyard.upstreams.completions import dump_json
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/forwarder.py
+++ b/sapphireyard/callers/forwarder.py
@@ -11,7 +11,7 @@
     CallError,
     PeerUnavailable,
 )
-from sapphireyard.generated_messages import ProgramElsewhere
+from sapphireyard.streams.generated_messages import ProgramElsewhere
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/gateway.py
+++ b/sapphireyard/callers/gateway.py
@@ -15,19 +15,19 @@
 import mode
 from aiohttp import web
 
-from sapphireyard._problems import build_problem_response
-from sapphireyard._requests import (
+from sapphireyard.callers._problems import build_problem_response
+from sapphireyard.callers._requests import (
     check_chat,
     check_program_id,
     read_headers,
     read_json,
 )
-from sapphireyard.completions import digest_text, dump_json
+from sapphireyard.callers.forwarder import Forwarder
+from sapphireyard.callers.replies import KEY_WITHDRAWN, Reply, explain_withdrawal
+from sapphireyard.configuration.tables import PUBLIC_CUSTOMER
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, YardError
-from sapphireyard.forwarder import Forwarder
-from sapphireyard.generated_messages import ForwardCall, InspectProgram
-from sapphireyard.replies import KEY_WITHDRAWN, Reply, explain_withdrawal
-from sapphireyard.tables import PUBLIC_CUSTOMER
+from sapphireyard.streams.generated_messages import ForwardCall, InspectProgram
+from sapphireyard.upstreams.completions import digest_text, dump_json
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/replies.py
+++ b/sapphireyard/callers/replies.py
@@ -4,10 +4,10 @@
 
 from aiohttp import web
 
-from sapphireyard._problems import describe_problem
-from sapphireyard.completions import dump_json
+from sapphireyard.callers._problems import describe_problem
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError
-from sapphireyard.generated_messages import AnswerChunk, AnswerEnd, AnswerStart
+from sapphireyard.streams.generated_messages import AnswerChunk, AnswerEnd, AnswerStart
+from sapphireyard.upstreams.completions import dump_json
 
 WRITE_SECONDS = 30.0
 """Longest time a caller may leave a part of an answer unread."""
--- /dev/null
+++ b/sapphireyard/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tables and keys, and the version in force."""
--- a/sapphireyard/changes.py
+++ b/sapphireyard/configuration/changes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sapphireyard.tables import NAME_FIELDS
+from sapphireyard.configuration.tables import NAME_FIELDS
 
 ADDED = "added"
 REMOVED = "removed"
--- a/sapphireyard/configuration.py
+++ b/sapphireyard/configuration/configuration.py
@@ -12,26 +12,18 @@
 
 import mode
 
-from sapphireyard import generated_configuration
-from sapphireyard.configuration_sources import ConfigurationSources
-from sapphireyard.exceptions import (
-    CallError,
-    PeerError,
-    PeerUnavailable,
-    StoreError,
-    StoreGone,
-)
-from sapphireyard.freshness import Freshness
-from sapphireyard.generated_configuration import (
+from sapphireyard.configuration import generated_configuration
+from sapphireyard.configuration.configuration_sources import ConfigurationSources
+from sapphireyard.configuration.freshness import Freshness
+from sapphireyard.configuration.generated_configuration import (
     ConfigurationAnswer,
     ConfigurationNotice,
     ConfigurationQuery,
     PartAnswer,
     PartQuery,
 )
-from sapphireyard.generated_messages import Done
-from sapphireyard.keys import KeyRing
-from sapphireyard.manifests import (
+from sapphireyard.configuration.keys import KeyRing
+from sapphireyard.configuration.manifests import (
     MANIFEST_NAME,
     ManifestRepository,
     PartCache,
@@ -41,6 +33,14 @@
     encode_manifest,
     patch_manifest,
 )
+from sapphireyard.exceptions import (
+    CallError,
+    PeerError,
+    PeerUnavailable,
+    StoreError,
+    StoreGone,
+)
+from sapphireyard.streams.generated_messages import Done
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/keys.py
+++ b/sapphireyard/configuration/keys.py
@@ -5,11 +5,9 @@
 import secrets
 from dataclasses import dataclass
 
+from sapphireyard.configuration.tables import KEY_ACTIVE, ROLE_OPERATOR, KeyEntry
 from sapphireyard.exceptions import CallError
-from sapphireyard.tables import KEY_ACTIVE, ROLE_OPERATOR, KeyEntry
-
-KEY_PREFIX = "syk_"
-"""Start of each key, so that logs and scanners can tell keys."""
+from sapphireyard.logs import KEY_PREFIX
 
 KEY_BYTES = 24
 SALT_BYTES = 32
--- a/sapphireyard/manifests.py
+++ b/sapphireyard/configuration/manifests.py
@@ -13,10 +13,10 @@
 from dataclasses import asdict
 
 from sapphireyard._hashing import hash_text
+from sapphireyard.configuration.generated_configuration import Manifest
+from sapphireyard.configuration.keys import create_salt
+from sapphireyard.configuration.tables import NAME_FIELDS, Configuration, build_rows
 from sapphireyard.exceptions import StoreConflict, StoreError, StoreUnavailable
-from sapphireyard.generated_configuration import Manifest
-from sapphireyard.keys import create_salt
-from sapphireyard.tables import NAME_FIELDS, Configuration, build_rows
 
 MANIFEST_NAME = "config/manifest"
 PART_PREFIX = "config/part/"
--- a/sapphireyard/tables.py
+++ b/sapphireyard/configuration/tables.py
@@ -7,8 +7,8 @@
 
 from pydantic import ValidationError
 
+from sapphireyard.configuration.generated_tables import CustomerRow, PoolRow, RouteRow
 from sapphireyard.exceptions import Finding
-from sapphireyard.generated_tables import CustomerRow, PoolRow, RouteRow
 
 ROW_MODELS = {"routes": RouteRow, "pools": PoolRow, "customers": CustomerRow}
 """Model of the rows of each table that files may hold."""
--- a/sapphireyard/control.py
+++ b/sapphireyard/control.py
@@ -11,11 +11,8 @@
 
 import mode
 
-from sapphireyard import generated_control
 from sapphireyard._binaries import run_binary, run_service
-from sapphireyard.assignment_store import AssignmentStore
-from sapphireyard.configuration import ConfigurationService
-from sapphireyard.engines import EngineClient, EngineFailure, OldFencing
+from sapphireyard.configuration.configuration import ConfigurationService
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
@@ -23,14 +20,17 @@
     StoreError,
     StoreUnavailable,
 )
-from sapphireyard.generated_control import LiveQuery
 from sapphireyard.generated_control_settings import ControlSettings
-from sapphireyard.lease_store import LeaseStore
-from sapphireyard.leases import LeaseKeeper
-from sapphireyard.objects import ObjectStore
-from sapphireyard.orders import plan_orders
-from sapphireyard.peers import Peers
-from sapphireyard.sweeps import MemorySweep, join_answers
+from sapphireyard.ownership.assignment_store import AssignmentStore
+from sapphireyard.storage import generated_control
+from sapphireyard.storage.generated_control import LiveQuery
+from sapphireyard.storage.lease_store import LeaseStore
+from sapphireyard.storage.leases import LeaseKeeper
+from sapphireyard.storage.objects import ObjectStore
+from sapphireyard.streams.peers import Peers
+from sapphireyard.upstreams.engines import EngineClient, EngineFailure, OldFencing
+from sapphireyard.upstreams.orders import plan_orders
+from sapphireyard.upstreams.sweeps import MemorySweep, join_answers
 from sapphireyard.yard import Yard
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -6,27 +6,27 @@
 import mode
 
 from sapphireyard._binaries import run_binary, run_service
-from sapphireyard.administration import add_routes
-from sapphireyard.collector import CollectorService
-from sapphireyard.configuration import ConfigurationService
-from sapphireyard.dispatcher import Dispatcher
-from sapphireyard.gateway import Gateway
+from sapphireyard.callers.administration import add_routes
+from sapphireyard.callers.gateway import Gateway
+from sapphireyard.configuration.configuration import ConfigurationService
 from sapphireyard.generated_settings import EntrySettings
-from sapphireyard.journal import JournalService
-from sapphireyard.lifetimes import LifetimeService
+from sapphireyard.journal.collector import CollectorService
+from sapphireyard.journal.journal import JournalService
+from sapphireyard.journal.lifetimes import LifetimeService
+from sapphireyard.limits.shares import LimitService
 from sapphireyard.metrics import Metrics, observe_store
-from sapphireyard.objects import ObjectStore
-from sapphireyard.outliers import OutlierDetector
-from sapphireyard.ownership import OwnershipService
-from sapphireyard.peers import Peers
-from sapphireyard.programs import Programs
-from sapphireyard.quarantine import QuarantineService
-from sapphireyard.retries import RetryBudget
-from sapphireyard.shares import LimitService
-from sapphireyard.slots import SlotService
-from sapphireyard.texts import TextService
-from sapphireyard.upstream_states import UpstreamStates
-from sapphireyard.upstreams import Upstreams
+from sapphireyard.ownership.ownership import OwnershipService
+from sapphireyard.programs.dispatcher import Dispatcher
+from sapphireyard.programs.programs import Programs
+from sapphireyard.programs.texts import TextService
+from sapphireyard.scheduling.slots import SlotService
+from sapphireyard.scheduling.upstream_states import UpstreamStates
+from sapphireyard.storage.objects import ObjectStore
+from sapphireyard.streams.peers import Peers
+from sapphireyard.upstreams.outliers import OutlierDetector
+from sapphireyard.upstreams.quarantine import QuarantineService
+from sapphireyard.upstreams.retries import RetryBudget
+from sapphireyard.upstreams.upstreams import Upstreams
 from sapphireyard.yard import Yard
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -11,7 +11,7 @@
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.routes import Customer, Route
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR, digest_request
-from sapphireyard.scheduling import SlotRequest
+from sapphireyard.scheduling.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -12,12 +12,17 @@
 
 import mode
 
-from sapphireyard.capacity import UpstreamLimits, UpstreamState
 from sapphireyard.exceptions import CallError
 from sapphireyard.fleet.membership import ENTRY
-from sapphireyard.outliers import OutlierDetector
-from sapphireyard.scheduler import Scheduler
-from sapphireyard.scheduling import Grant, Refuse, SchedulerOptions, SlotRequest
+from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.scheduler import Scheduler
+from sapphireyard.scheduling.scheduling import (
+    Grant,
+    Refuse,
+    SchedulerOptions,
+    SlotRequest,
+)
+from sapphireyard.upstreams.outliers import OutlierDetector
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -8,8 +8,8 @@
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.exchange import ANSWER_BYTES, check_answer, read_whole
-from sapphireyard.generated_history import Turn
 from sapphireyard.history.client import ChainText
+from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
 
 KEEP_MARGIN_SECONDS = 15.0
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -10,16 +10,16 @@
 import mode
 import msgpack
 
-from sapphireyard import generated_fleet
 from sapphireyard.exceptions import PeerError
+from sapphireyard.fleet import generated_fleet
+from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.membership import (
     ENTRY,
     HISTORY,
     SILENCE_SECONDS,
     Membership,
 )
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_fleet import Heartbeat
+from sapphireyard.streams.frames import MessageCodec
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sapphireyard.generated_fleet import Heartbeat, HostAddress
+from sapphireyard.fleet.generated_fleet import Heartbeat, HostAddress
 
 ENTRY = "entry"
 """Role of hosts that serve callers."""
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -6,11 +6,12 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from sapphireyard import generated_history
 from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.fleet.membership import SILENCE_SECONDS
-from sapphireyard.generated_fleet import CopySet
-from sapphireyard.generated_history import (
+from sapphireyard.history import generated_history
+from sapphireyard.history.copies import majority, write_quorum
+from sapphireyard.history.generated_history import (
     ChainQuery,
     Reservation,
     ReservationSynced,
@@ -18,7 +19,6 @@
     SpendingQuery,
     TurnCommit,
 )
-from sapphireyard.history.copies import majority, write_quorum
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -12,7 +12,6 @@
 import mode
 import msgpack
 
-from sapphireyard import generated_fleet, generated_history
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
@@ -20,9 +19,11 @@
     StoreError,
     YardError,
 )
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_fleet import CopySet
-from sapphireyard.generated_history import (
+from sapphireyard.fleet import generated_fleet
+from sapphireyard.fleet.generated_fleet import CopySet
+from sapphireyard.history import generated_history
+from sapphireyard.history.copies import fence_quorum, majority, plan_join, plan_leave
+from sapphireyard.history.generated_history import (
     Chain,
     ChainQuery,
     RecordBatch,
@@ -36,9 +37,9 @@
     TurnCommit,
     TurnSynced,
 )
-from sapphireyard.history.copies import fence_quorum, majority, plan_join, plan_leave
 from sapphireyard.history.log import RecordLog, sync_folder
 from sapphireyard.history.state import HistoryState
+from sapphireyard.streams.frames import MessageCodec
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -6,7 +6,12 @@
 
 from dataclasses import dataclass
 
-from sapphireyard.generated_history import Reservation, Settlement, Spending, Turn
+from sapphireyard.history.generated_history import (
+    Reservation,
+    Settlement,
+    Spending,
+    Turn,
+)
 
 
 @dataclass
--- /dev/null
+++ b/sapphireyard/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Records of programs, durable on hosts and in the store."""
--- a/sapphireyard/archive_reader.py
+++ b/sapphireyard/journal/archive_reader.py
@@ -3,12 +3,12 @@
 import json
 import logging
 
-from sapphireyard import generated_control
 from sapphireyard._hashing import hash_text
-from sapphireyard.archive_files import compute_checksum
 from sapphireyard.exceptions import CallError, PeerError, StoreError
-from sapphireyard.generated_control import SegmentQuery
-from sapphireyard.stores import StoredObject
+from sapphireyard.journal.archive_files import compute_checksum
+from sapphireyard.storage import generated_control
+from sapphireyard.storage.generated_control import SegmentQuery
+from sapphireyard.storage.stores import StoredObject
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/collector.py
+++ b/sapphireyard/journal/collector.py
@@ -12,8 +12,8 @@
 import mode
 
 from sapphireyard.exceptions import RecordError, StoreConflict, StoreUnavailable
-from sapphireyard.lifetimes import IDLE_SECONDS, TOTAL_SECONDS
-from sapphireyard.records import unpack_segment
+from sapphireyard.journal.lifetimes import IDLE_SECONDS, TOTAL_SECONDS
+from sapphireyard.journal.records import unpack_segment
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/journal.py
+++ b/sapphireyard/journal/journal.py
@@ -15,9 +15,9 @@
     StoreConflict,
     StoreUnavailable,
 )
-from sapphireyard.journal_writer import Commit, JournalWriter
-from sapphireyard.records import pack_record, split_record, unpack_segment
-from sapphireyard.tails import TailSender
+from sapphireyard.journal.journal_writer import Commit, JournalWriter
+from sapphireyard.journal.records import pack_record, split_record, unpack_segment
+from sapphireyard.journal.tails import TailSender
 from sapphireyard.tasks import start_task
 
 ANSWER_SECONDS = 0.5
--- a/sapphireyard/journal_writer.py
+++ b/sapphireyard/journal/journal_writer.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import CommitInDoubt, JournalSealed, StoreUnavailable
-from sapphireyard.records import SEGMENT_BYTES, pack_segment
+from sapphireyard.journal.records import SEGMENT_BYTES, pack_segment
 
 OUTAGE_INTERVAL_SECONDS = 0.2
 """Least seconds between two segments while they pile up."""
--- a/sapphireyard/records.py
+++ b/sapphireyard/journal/records.py
@@ -14,9 +14,9 @@
 import zstandard
 from pydantic import TypeAdapter, ValidationError
 
-from sapphireyard import generated_records
 from sapphireyard.exceptions import RecordError
-from sapphireyard.generated_records import EncodedRecord, RecordPart
+from sapphireyard.journal import generated_records
+from sapphireyard.journal.generated_records import EncodedRecord, RecordPart
 
 COMPRESSION_LEVEL = 3
 """Level of zstd."""
@@ -57,7 +57,7 @@
     epoch : int
         Version of the assignment under which it was written.
     record : object
-        Instance of a class of `sapphireyard.generated_records`.
+        Instance of a class of `sapphireyard.journal.generated_records`.
     first : int
         Number of the segment in which the record begins.
     """
--- a/sapphireyard/tails.py
+++ b/sapphireyard/journal/tails.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from sapphireyard.exceptions import CallError, PeerError
-from sapphireyard.generated_replication import TailFlushed, TailSegment
+from sapphireyard.journal.generated_replication import TailFlushed, TailSegment
 
 TAIL_COPIES = 2
 """Peers that must hold a segment."""
--- /dev/null
+++ b/sapphireyard/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' rates and bursts over all hosts."""
--- a/sapphireyard/buckets.py
+++ b/sapphireyard/limits/buckets.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from sapphireyard.generated_limits import TokenGrant
+from sapphireyard.limits.generated_limits import TokenGrant
 
 ROUNDING = 1e-6
 """Tokens by which sums of floats may be off."""
--- a/sapphireyard/holders.py
+++ b/sapphireyard/limits/holders.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 
-from sapphireyard._shares import REPORT_SECONDS, HeldGrant, Share, Waiter
-from sapphireyard.agendas import Agenda
-from sapphireyard.generated_limits import GrantSettlement, TokenAsk
+from sapphireyard.limits._shares import REPORT_SECONDS, HeldGrant, Share, Waiter
+from sapphireyard.limits.agendas import Agenda
+from sapphireyard.limits.generated_limits import GrantSettlement, TokenAsk
 
 ASK_SECONDS = 0.01
 """Least time between two asks for one customer."""
--- a/sapphireyard/limits.py
+++ b/sapphireyard/limits/limits.py
@@ -4,8 +4,8 @@
 admit calls.
 """
 
-from sapphireyard.buckets import Bucket
-from sapphireyard.generated_limits import BucketState, TokenGrant
+from sapphireyard.limits.buckets import Bucket
+from sapphireyard.limits.generated_limits import BucketState, TokenGrant
 
 LEASE_SECONDS = 1.0
 IDLE_SECONDS = 5.0
--- a/sapphireyard/shares.py
+++ b/sapphireyard/limits/shares.py
@@ -5,10 +5,10 @@
 from mode import Service
 from opentelemetry import metrics
 
-from sapphireyard import generated_limits
-from sapphireyard.buckets import Rule
 from sapphireyard.exceptions import CallError, PeerError
-from sapphireyard.generated_limits import (
+from sapphireyard.limits import generated_limits
+from sapphireyard.limits.buckets import Rule
+from sapphireyard.limits.generated_limits import (
     BucketRequest,
     BucketState,
     TokenAsk,
@@ -16,9 +16,9 @@
     ViewAnnouncement,
     ViewKnown,
 )
-from sapphireyard.holders import ShareHolder
-from sapphireyard.homes import HomeTracker, View
-from sapphireyard.limits import LEASE_SECONDS, RateHome
+from sapphireyard.limits.holders import ShareHolder
+from sapphireyard.limits.homes import HomeTracker, View
+from sapphireyard.limits.limits import LEASE_SECONDS, RateHome
 from sapphireyard.tasks import start_task
 
 ASK_TIMEOUT_SECONDS = 0.5
--- a/sapphireyard/logs.py
+++ b/sapphireyard/logs.py
@@ -11,8 +11,6 @@
 import time
 from collections import deque
 
-from sapphireyard.keys import KEY_PREFIX
-
 PACKAGE = "sapphireyard"
 
 MAIN_MODULE = "__main__"
@@ -20,6 +18,9 @@
 
 REDACTED = "[redacted]"
 
+KEY_PREFIX = "syk_"
+"""Start of each key, so that logs and scanners can tell keys."""
+
 SECRET = re.compile(
     rf"{KEY_PREFIX}[A-Za-z0-9_-]+|(?<=[Bb]earer )[^\s\"',}}]+", re.ASCII
 )
--- /dev/null
+++ b/sapphireyard/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- a/sapphireyard/_commands.py
+++ b/sapphireyard/operators/_commands.py
@@ -5,8 +5,8 @@
 
 import cappa
 
-from sapphireyard._output import JSON, TABLE
-from sapphireyard.manifests import TABLES
+from sapphireyard.configuration.manifests import TABLES
+from sapphireyard.operators._output import JSON, TABLE
 
 HISTORY_LIMIT = 20
 
--- a/sapphireyard/_table_files.py
+++ b/sapphireyard/operators/_table_files.py
@@ -4,8 +4,8 @@
 
 import yaml
 
+from sapphireyard.configuration.tables import ROW_MODELS, TableRow
 from sapphireyard.exceptions import Finding
-from sapphireyard.tables import ROW_MODELS, TableRow
 
 
 def load_files(paths):
--- a/sapphireyard/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -15,7 +15,12 @@
 import aiohttp
 import cappa
 
-from sapphireyard._commands import (
+from sapphireyard.clocks import Clock
+from sapphireyard.configuration.keys import describe_key
+from sapphireyard.configuration.manifests import TABLES
+from sapphireyard.configuration.tables import build_configuration
+from sapphireyard.exceptions import Finding, SettingsError, StoreError, YardError
+from sapphireyard.operators._commands import (
     Apply,
     Diff,
     Drain,
@@ -29,14 +34,15 @@
     Status,
     Withdraw,
 )
-from sapphireyard._output import JSON, TABLE, print_changes, print_json, print_rows
-from sapphireyard.clocks import Clock
-from sapphireyard.exceptions import Finding, SettingsError, StoreError, YardError
-from sapphireyard.keys import describe_key
-from sapphireyard.manifests import TABLES
-from sapphireyard.objects import ObjectStore
-from sapphireyard.site import Site, TableConflict
-from sapphireyard.tables import build_configuration
+from sapphireyard.operators._output import (
+    JSON,
+    TABLE,
+    print_changes,
+    print_json,
+    print_rows,
+)
+from sapphireyard.operators.site import Site, TableConflict
+from sapphireyard.storage.objects import ObjectStore
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
--- a/sapphireyard/site.py
+++ b/sapphireyard/operators/site.py
@@ -2,12 +2,10 @@
 
 import asyncio
 
-from sapphireyard._table_files import load_files
-from sapphireyard.changes import diff_tables
-from sapphireyard.exceptions import Finding, SettingsError, StoreConflict, YardError
-from sapphireyard.keys import create_key, create_salt, digest_key
-from sapphireyard.manifests import TABLES, ManifestRepository
-from sapphireyard.tables import (
+from sapphireyard.configuration.changes import diff_tables
+from sapphireyard.configuration.keys import create_key, create_salt, digest_key
+from sapphireyard.configuration.manifests import TABLES, ManifestRepository
+from sapphireyard.configuration.tables import (
     KEY_ACTIVE,
     KEY_WITHDRAWN,
     ROLE_OPERATOR,
@@ -16,6 +14,8 @@
     check_rows,
     normalise,
 )
+from sapphireyard.exceptions import Finding, SettingsError, StoreConflict, YardError
+from sapphireyard.operators._table_files import load_files
 
 KEY_ATTEMPTS = 8
 """Times a change that commutes with others is tried against conflicts."""
--- /dev/null
+++ b/sapphireyard/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which host owns which programs, and how that changes."""
--- a/sapphireyard/assignment.py
+++ b/sapphireyard/ownership/assignment.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from sapphireyard._hashing import hash_text
-from sapphireyard.journal import JournalRange
+from sapphireyard.journal.journal import JournalRange
 
 ASSIGNMENT_NAME = "assignment"
 """Name of the object in the store."""
--- a/sapphireyard/assignment_codec.py
+++ b/sapphireyard/ownership/assignment_codec.py
@@ -6,9 +6,9 @@
 import msgpack
 import zstandard
 
-from sapphireyard.assignment import Assignment, Member, PartitionEntry
 from sapphireyard.exceptions import RecordError
-from sapphireyard.journal import JournalRange
+from sapphireyard.journal.journal import JournalRange
+from sapphireyard.ownership.assignment import Assignment, Member, PartitionEntry
 
 COMPRESSION_LEVEL = 6
 """Level of zstd."""
--- a/sapphireyard/assignment_store.py
+++ b/sapphireyard/ownership/assignment_store.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from sapphireyard.assignment import (
+from sapphireyard.exceptions import RecordError, StoreConflict, StoreUnavailable
+from sapphireyard.ownership.assignment import (
     ASSIGNMENT_NAME,
     check_assignment,
     check_change,
 )
-from sapphireyard.assignment_codec import decode_assignment, encode_assignment
-from sapphireyard.exceptions import RecordError, StoreConflict, StoreUnavailable
+from sapphireyard.ownership.assignment_codec import decode_assignment, encode_assignment
 
 RETRY_SECONDS = 0.2
 """Wait before an attempt is repeated whose answer was lost."""
--- a/sapphireyard/membership.py
+++ b/sapphireyard/ownership/membership.py
@@ -6,9 +6,9 @@
 from mode import Service
 
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable
-from sapphireyard.failure_detector import FailureDetector
-from sapphireyard.generated_replication import Heartbeat
-from sapphireyard.members import MemberObjects, MemberRecord
+from sapphireyard.journal.generated_replication import Heartbeat
+from sapphireyard.ownership.failure_detector import FailureDetector
+from sapphireyard.ownership.members import MemberObjects, MemberRecord
 
 BEAT_SECONDS = 0.5
 """Time between two heartbeats to a watcher."""
--- a/sapphireyard/moves.py
+++ b/sapphireyard/ownership/moves.py
@@ -3,15 +3,15 @@
 import asyncio
 import logging
 
-from sapphireyard.assignment import plan_move, plan_moves
 from sapphireyard.exceptions import (
     CallError,
     JournalSealed,
     PeerError,
     StoreUnavailable,
 )
-from sapphireyard.generated_replication import OfferAnswer, OfferPartitions
-from sapphireyard.journal import JournalRange
+from sapphireyard.journal.generated_replication import OfferAnswer, OfferPartitions
+from sapphireyard.journal.journal import JournalRange
+from sapphireyard.ownership.assignment import plan_move, plan_moves
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/ownership.py
+++ b/sapphireyard/ownership/ownership.py
@@ -7,9 +7,6 @@
 from mode import Service
 
 from sapphireyard._hashing import hash_text
-from sapphireyard.assignment import rank_holders
-from sapphireyard.assignment_codec import decode_assignment
-from sapphireyard.assignment_store import AssignmentStore
 from sapphireyard.exceptions import (
     CallError,
     JournalSealed,
@@ -20,13 +17,16 @@
     StoreConflict,
     StoreUnavailable,
 )
-from sapphireyard.generated_replication import FetchAssignment
-from sapphireyard.membership import MembershipService
-from sapphireyard.moves import QUIESCE_SECONDS, PartitionMover
-from sapphireyard.ownership_handlers import OwnershipHandlers
-from sapphireyard.recovery import Recovery
-from sapphireyard.roster import Roster
-from sapphireyard.tails import TailHolder
+from sapphireyard.journal.generated_replication import FetchAssignment
+from sapphireyard.journal.tails import TailHolder
+from sapphireyard.ownership.assignment import rank_holders
+from sapphireyard.ownership.assignment_codec import decode_assignment
+from sapphireyard.ownership.assignment_store import AssignmentStore
+from sapphireyard.ownership.membership import MembershipService
+from sapphireyard.ownership.moves import QUIESCE_SECONDS, PartitionMover
+from sapphireyard.ownership.ownership_handlers import OwnershipHandlers
+from sapphireyard.ownership.recovery import Recovery
+from sapphireyard.ownership.roster import Roster
 
 RETRY_SECONDS = 0.5
 """Wait before a step that failed is tried again."""
--- a/sapphireyard/ownership_handlers.py
+++ b/sapphireyard/ownership/ownership_handlers.py
@@ -1,10 +1,7 @@
 """Answers other hosts' messages on ownership and journal tails."""
 
-from sapphireyard import generated_replication
-from sapphireyard.assignment import quota_of
-from sapphireyard.assignment_codec import encode_assignment
-from sapphireyard.generated_messages import Done
-from sapphireyard.generated_replication import (
+from sapphireyard.journal import generated_replication
+from sapphireyard.journal.generated_replication import (
     AssignmentCopy,
     CollectTails,
     FetchAssignment,
@@ -16,6 +13,9 @@
     Tails,
     TailSegment,
 )
+from sapphireyard.ownership.assignment import quota_of
+from sapphireyard.ownership.assignment_codec import encode_assignment
+from sapphireyard.streams.generated_messages import Done
 
 OFFER_SECONDS = 5.0
 """Time for which an accepted offer counts as a partition to come."""
--- a/sapphireyard/recovery.py
+++ b/sapphireyard/ownership/recovery.py
@@ -9,13 +9,18 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from sapphireyard.assignment import plan_takeover
 from sapphireyard.exceptions import CallError, JournalSealed, PeerError, StoreConflict
-from sapphireyard.generated_records import CallSource
-from sapphireyard.generated_replication import CollectTails
-from sapphireyard.journal import NUMBER_DIGITS, JournalRange, name_segment, read_range
-from sapphireyard.members import MemberObjects
-from sapphireyard.records import RecordAssembler, pack_segment, unpack_segment
+from sapphireyard.journal.generated_records import CallSource
+from sapphireyard.journal.generated_replication import CollectTails
+from sapphireyard.journal.journal import (
+    NUMBER_DIGITS,
+    JournalRange,
+    name_segment,
+    read_range,
+)
+from sapphireyard.journal.records import RecordAssembler, pack_segment, unpack_segment
+from sapphireyard.ownership.assignment import plan_takeover
+from sapphireyard.ownership.members import MemberObjects
 
 COLLECT_SECONDS = 3.0
 """Time for a peer to give the tails it holds."""
--- a/sapphireyard/roster.py
+++ b/sapphireyard/ownership/roster.py
@@ -2,14 +2,14 @@
 
 from dataclasses import replace
 
-from sapphireyard.assignment import (
+from sapphireyard.exceptions import StoreConflict
+from sapphireyard.ownership.assignment import (
     LEAVING,
     Member,
     create_assignment,
     plan_join,
     plan_leave,
 )
-from sapphireyard.exceptions import StoreConflict
 
 
 class Roster:
--- a/sapphireyard/calls.py
+++ b/sapphireyard/programs/calls.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError
-from sapphireyard.generated_records import CallSource
+from sapphireyard.journal.generated_records import CallSource
 
 CALL_RESERVED = "reserved"
 CALL_COMPLETED = "completed"
--- a/sapphireyard/dispatcher.py
+++ b/sapphireyard/programs/dispatcher.py
@@ -11,8 +11,7 @@
 
 import mode
 
-from sapphireyard.calls import CALL_COMPLETED, Admission, admit, explain_gap
-from sapphireyard.completions import digest_content, dump_json, restream
+from sapphireyard.configuration.tables import Route
 from sapphireyard.exceptions import (
     EXECUTED_UNKNOWN,
     CallError,
@@ -20,9 +19,19 @@
     NotOwner,
     StoreUnavailable,
 )
-from sapphireyard.executions import Execution
-from sapphireyard.executor import Executor
-from sapphireyard.generated_messages import (
+from sapphireyard.journal.generated_records import (
+    ProgramEnded,
+    ProgramLinked,
+    ProgramOpened,
+)
+from sapphireyard.programs.calls import CALL_COMPLETED, Admission, admit, explain_gap
+from sapphireyard.programs.executions import Execution
+from sapphireyard.programs.executor import Executor
+from sapphireyard.programs.programs import Program
+from sapphireyard.programs.reservations import STORE_RETRY_SECONDS
+from sapphireyard.programs.runs import Run
+from sapphireyard.programs.views import describe, describe_history
+from sapphireyard.streams.generated_messages import (
     AnswerChunk,
     AnswerEnd,
     AnswerStart,
@@ -33,17 +42,8 @@
     ProgramElsewhere,
     ProgramView,
 )
-from sapphireyard.generated_records import (
-    ProgramEnded,
-    ProgramLinked,
-    ProgramOpened,
-)
-from sapphireyard.programs import Program
-from sapphireyard.reservations import STORE_RETRY_SECONDS
-from sapphireyard.runs import Run
-from sapphireyard.tables import Route
 from sapphireyard.tasks import start_task
-from sapphireyard.views import describe, describe_history
+from sapphireyard.upstreams.completions import digest_content, dump_json, restream
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/executions.py
+++ b/sapphireyard/programs/executions.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from sapphireyard.configuration.tables import Route
 from sapphireyard.exceptions import EXECUTED_NO, EXECUTED_UNKNOWN, CallError
-from sapphireyard.generated_messages import ForwardCall
-from sapphireyard.programs import Program
-from sapphireyard.runs import Run
-from sapphireyard.suspicion import digest_chain
-from sapphireyard.tables import Route
+from sapphireyard.programs.programs import Program
+from sapphireyard.programs.runs import Run
+from sapphireyard.streams.generated_messages import ForwardCall
+from sapphireyard.upstreams.suspicion import digest_chain
 
 LOSS_RETRY_SECONDS = 1.0
 
--- a/sapphireyard/executor.py
+++ b/sapphireyard/programs/executor.py
@@ -4,20 +4,20 @@
 import contextlib
 import logging
 
-from sapphireyard.budgets import (
+from sapphireyard.configuration.tables import PUBLIC_CUSTOMER
+from sapphireyard.exceptions import EXECUTED_NO, CallError
+from sapphireyard.programs.budgets import (
     bound_prompt_tokens,
     bound_seconds,
     check_calls,
     fit_answer_tokens,
 )
-from sapphireyard.completions import digest_program
-from sapphireyard.exceptions import EXECUTED_NO, CallError
-from sapphireyard.reservations import Reservations
-from sapphireyard.senders import BYTES_A_TOKEN, SENDERS
-from sapphireyard.slots import SlotRequest
-from sapphireyard.tables import PUBLIC_CUSTOMER
+from sapphireyard.programs.reservations import Reservations
+from sapphireyard.programs.senders import BYTES_A_TOKEN, SENDERS
+from sapphireyard.scheduling.slots import SlotRequest
 from sapphireyard.tasks import start_task
-from sapphireyard.upstreams import UpstreamError, UpstreamLeaving
+from sapphireyard.upstreams.completions import digest_program
+from sapphireyard.upstreams.upstreams import UpstreamError, UpstreamLeaving
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/programs.py
+++ b/sapphireyard/programs/programs.py
@@ -11,9 +11,8 @@
 from collections import defaultdict
 from functools import singledispatchmethod
 
-from sapphireyard.calls import CALL_COMPLETED, CALL_RESERVED, CALL_UNKNOWN, Call
 from sapphireyard.exceptions import EXECUTED_NO
-from sapphireyard.generated_records import (
+from sapphireyard.journal.generated_records import (
     CallAbandoned,
     CallCompleted,
     CallReserved,
@@ -23,6 +22,12 @@
     ProgramSnapshot,
     SnapshotCall,
 )
+from sapphireyard.programs.calls import (
+    CALL_COMPLETED,
+    CALL_RESERVED,
+    CALL_UNKNOWN,
+    Call,
+)
 
 
 class Program:
--- a/sapphireyard/reservations.py
+++ b/sapphireyard/programs/reservations.py
@@ -2,7 +2,6 @@
 
 import contextlib
 
-from sapphireyard.completions import dump_json
 from sapphireyard.exceptions import (
     EXECUTED_NO,
     EXECUTED_YES,
@@ -10,12 +9,13 @@
     JournalSealed,
     StoreUnavailable,
 )
-from sapphireyard.generated_records import (
+from sapphireyard.journal.generated_records import (
     CallAbandoned,
     CallCompleted,
     CallReserved,
     CallSource,
 )
+from sapphireyard.upstreams.completions import dump_json
 
 STORE_RETRY_SECONDS = 2.0
 
--- a/sapphireyard/residency.py
+++ b/sapphireyard/programs/residency.py
@@ -1,8 +1,8 @@
 """Tells control processes which programs live on this host."""
 
-from sapphireyard import generated_control
-from sapphireyard.completions import digest_program
-from sapphireyard.generated_control import LiveAnswer, LiveQuery
+from sapphireyard.storage import generated_control
+from sapphireyard.storage.generated_control import LiveAnswer, LiveQuery
+from sapphireyard.upstreams.completions import digest_program
 
 
 class Residency:
--- a/sapphireyard/runs.py
+++ b/sapphireyard/programs/runs.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sapphireyard.generated_messages import AnswerChunk, AnswerEnd, AnswerStart
+from sapphireyard.streams.generated_messages import AnswerChunk, AnswerEnd, AnswerStart
 
 
 class Run:
--- a/sapphireyard/senders.py
+++ b/sapphireyard/programs/senders.py
@@ -4,16 +4,16 @@
 import functools
 import json
 
-from sapphireyard.completions import (
+from sapphireyard.programs.executions import UpstreamAnswer
+from sapphireyard.upstreams.completions import (
     CompletionAssembler,
     build_prompt,
     count_tokens,
     digest_program,
     dump_json,
 )
-from sapphireyard.executions import UpstreamAnswer
-from sapphireyard.liveness import FIRST_BYTE_SECONDS, ProgressLimits
-from sapphireyard.upstreams import (
+from sapphireyard.upstreams.liveness import FIRST_BYTE_SECONDS, ProgressLimits
+from sapphireyard.upstreams.upstreams import (
     FIRST_FAILURE_STATUS,
     UpstreamError,
     UpstreamRefusal,
--- a/sapphireyard/texts.py
+++ b/sapphireyard/programs/texts.py
@@ -12,21 +12,21 @@
 
 import mode
 
-from sapphireyard.archive_reader import ArchiveReader
 from sapphireyard.exceptions import (
     CallError,
     JournalSealed,
     RecordError,
     StoreUnavailable,
 )
-from sapphireyard.generated_records import (
+from sapphireyard.journal.archive_reader import ArchiveReader
+from sapphireyard.journal.generated_records import (
     CallCompleted,
     CallSource,
     ProgramSnapshot,
 )
-from sapphireyard.journal import JournalRange, read_range
-from sapphireyard.programs import take_snapshot
-from sapphireyard.records import RecordAssembler
+from sapphireyard.journal.journal import JournalRange, read_range
+from sapphireyard.journal.records import RecordAssembler
+from sapphireyard.programs.programs import take_snapshot
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/sapphireyard/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which waiting request gets the next slot of which upstream."""
--- a/sapphireyard/groups.py
+++ b/sapphireyard/scheduling/groups.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from sapphireyard._hashing import hash_text
-from sapphireyard.assignment import ACTIVE
-from sapphireyard.scheduler import MAX_GROUP
+from sapphireyard.ownership.assignment import ACTIVE
+from sapphireyard.scheduling.scheduler import MAX_GROUP
 
 JUMP_MULTIPLIER = 2862933555777941757
 """Factor of the random sequence of jump consistent hashing."""
--- a/sapphireyard/home_registry.py
+++ b/sapphireyard/scheduling/home_registry.py
@@ -2,11 +2,9 @@
 
 import logging
 
-from sapphireyard.capacity import UpstreamState
-from sapphireyard.completions import digest_program
 from sapphireyard.exceptions import NotHome
-from sapphireyard.generated_messages import Done
-from sapphireyard.generated_slots import (
+from sapphireyard.scheduling.capacity import UpstreamState
+from sapphireyard.scheduling.generated_slots import (
     HeartbeatAnswer,
     ProgramGone,
     SlotAsk,
@@ -14,9 +12,11 @@
     SlotHeartbeat,
     SlotReturn,
 )
-from sapphireyard.groups import HomeFinder, split_groups
-from sapphireyard.scheduling import SlotRequest
-from sapphireyard.slot_homes import GroupHome
+from sapphireyard.scheduling.groups import HomeFinder, split_groups
+from sapphireyard.scheduling.scheduling import SlotRequest
+from sapphireyard.scheduling.slot_homes import GroupHome
+from sapphireyard.streams.generated_messages import Done
+from sapphireyard.upstreams.completions import digest_program
 
 SERVICE = "service"
 """Kind of the routes to plain services."""
--- a/sapphireyard/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -1,6 +1,6 @@
 """What the upstreams of a group hold, and what moving a program costs."""
 
-from sapphireyard.prefixes import PrefixRecord
+from sapphireyard.scheduling.prefixes import PrefixRecord
 
 
 class Placement:
--- a/sapphireyard/queues.py
+++ b/sapphireyard/scheduling/queues.py
@@ -5,8 +5,8 @@
 
 from sortedcontainers import SortedList
 
-from sapphireyard.order import OrderKey
-from sapphireyard.scheduling import SlotRequest
+from sapphireyard.scheduling.order import OrderKey
+from sapphireyard.scheduling.scheduling import SlotRequest
 
 ANY = ""
 """Affinity of a request that wants no upstream more than another."""
--- a/sapphireyard/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -2,20 +2,20 @@
 
 import heapq
 
-from sapphireyard.backlog import Backlog
-from sapphireyard.capacity import MeanDuration, UpstreamSlots, UpstreamState
-from sapphireyard.fairness import FairShares
-from sapphireyard.order import ProgramOrder
-from sapphireyard.placement import Placement
-from sapphireyard.queues import ANY, RequestQueues, WaitingRequest
-from sapphireyard.scheduling import (
+from sapphireyard.scheduling.backlog import Backlog
+from sapphireyard.scheduling.capacity import MeanDuration, UpstreamSlots, UpstreamState
+from sapphireyard.scheduling.fairness import FairShares
+from sapphireyard.scheduling.order import ProgramOrder
+from sapphireyard.scheduling.placement import Placement
+from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
+from sapphireyard.scheduling.scheduling import (
     REASON_MOVED,
     Grant,
     Refuse,
     Release,
     SchedulerOptions,
 )
-from sapphireyard.selection import Selection
+from sapphireyard.scheduling.selection import Selection
 
 ALL_CUSTOMERS = "*"
 """Stands for every customer when shares are not fair."""
--- a/sapphireyard/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -4,9 +4,9 @@
 from functools import partial
 from itertools import islice
 
-from sapphireyard.homes import score_host
-from sapphireyard.queues import ANY, WaitingRequest
-from sapphireyard.scheduling import (
+from sapphireyard.limits.homes import score_host
+from sapphireyard.scheduling.queues import ANY, WaitingRequest
+from sapphireyard.scheduling.scheduling import (
     REASON_CACHED,
     REASON_LEAST_LOADED,
     REASON_MOVED,
--- a/sapphireyard/slot_holder.py
+++ b/sapphireyard/scheduling/slot_holder.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.exceptions import CallError
-from sapphireyard.generated_slots import HeldSlot, SlotHeartbeat
+from sapphireyard.scheduling.generated_slots import HeldSlot, SlotHeartbeat
 
 LOCAL_RETRY_SECONDS = 1.0
 """When to come back after the local bound was reached."""
--- a/sapphireyard/slot_homes.py
+++ b/sapphireyard/scheduling/slot_homes.py
@@ -3,11 +3,11 @@
 import asyncio
 import logging
 
-from sapphireyard.capacity import UpstreamLimits, UpstreamState
 from sapphireyard.exceptions import CallError
-from sapphireyard.scheduler import Scheduler
-from sapphireyard.scheduling import Grant, Refuse, Release, SlotRequest
-from sapphireyard.weighting import choose_options
+from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.scheduler import Scheduler
+from sapphireyard.scheduling.scheduling import Grant, Refuse, Release, SlotRequest
+from sapphireyard.scheduling.weighting import choose_options
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/slots.py
+++ b/sapphireyard/scheduling/slots.py
@@ -8,13 +8,13 @@
 
 import mode
 
-from sapphireyard import generated_slots
 from sapphireyard.exceptions import CallError, PeerUnavailable
-from sapphireyard.generated_slots import ProgramGone, SlotAsk, SlotReturn
-from sapphireyard.groups import pick_group
-from sapphireyard.home_registry import HomeRegistry
-from sapphireyard.scheduling import SlotRequest
-from sapphireyard.slot_holder import HeldSlots, LocalGuess
+from sapphireyard.scheduling import generated_slots
+from sapphireyard.scheduling.generated_slots import ProgramGone, SlotAsk, SlotReturn
+from sapphireyard.scheduling.groups import pick_group
+from sapphireyard.scheduling.home_registry import HomeRegistry
+from sapphireyard.scheduling.scheduling import SlotRequest
+from sapphireyard.scheduling.slot_holder import HeldSlots, LocalGuess
 
 __all__ = ["Lease", "SlotRequest", "SlotService", "Upstream"]
 
--- a/sapphireyard/upstream_states.py
+++ b/sapphireyard/scheduling/upstream_states.py
@@ -5,9 +5,9 @@
 
 import mode
 
-from sapphireyard.capacity import UpstreamState
-from sapphireyard.host_lists import HostListError, HttpHostList
-from sapphireyard.slot_homes import LEAVING
+from sapphireyard.scheduling.capacity import UpstreamState
+from sapphireyard.scheduling.host_lists import HostListError, HttpHostList
+from sapphireyard.scheduling.slot_homes import LEAVING
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireyard/weighting.py
+++ b/sapphireyard/scheduling/weighting.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from sapphireyard.scheduling import SchedulerOptions
+from sapphireyard.scheduling.scheduling import SchedulerOptions
 
 FIRST_LEVEL_TOKENS = 4_000.0
 """Bound of the first level of attained service at weight 0."""
--- a/sapphireyard/lease_store.py
+++ b/sapphireyard/storage/lease_store.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict
 
 from sapphireyard.exceptions import StoreConflict
-from sapphireyard.generated_control import LeaseRecord
+from sapphireyard.storage.generated_control import LeaseRecord
 
 LEASE_PREFIX = "control/lease/"
 
--- a/sapphireyard/leases.py
+++ b/sapphireyard/storage/leases.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sapphireyard.generated_control import LeaseRecord
+from sapphireyard.storage.generated_control import LeaseRecord
 
 TAKEOVER_FACTOR = 1.5
 """Leases that a contender waits without seeing a renewal."""
--- a/sapphireyard/objects.py
+++ b/sapphireyard/storage/objects.py
@@ -9,7 +9,7 @@
 from yarl import URL
 
 from sapphireyard.exceptions import StoreConflict, StoreGone, StoreUnavailable
-from sapphireyard.stores import ObjectChange, Store, StoredObject, WatchResult
+from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 
 VERSION_HEADER = "Object-Version"
 
--- /dev/null
+++ b/sapphireyard/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams and messages between the system's own hosts."""
--- a/sapphireyard/connections.py
+++ b/sapphireyard/streams/connections.py
@@ -10,8 +10,8 @@
 import logging
 
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
-from sapphireyard.frames import FrameError, FrameKind, FrameReader, encode_frame
-from sapphireyard.generated_messages import Failure
+from sapphireyard.streams.frames import FrameError, FrameKind, FrameReader, encode_frame
+from sapphireyard.streams.generated_messages import Failure
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
--- a/sapphireyard/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -12,11 +12,11 @@
 import mode
 from opentelemetry import metrics
 
-from sapphireyard import generated_messages
-from sapphireyard.connections import Connection
 from sapphireyard.exceptions import PeerError, PeerUnavailable
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_messages import Hello
+from sapphireyard.streams import generated_messages
+from sapphireyard.streams.connections import Connection
+from sapphireyard.streams.frames import MessageCodec
+from sapphireyard.streams.generated_messages import Hello
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/sapphireyard/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines and plain services: calls, faults and orders."""
--- a/sapphireyard/engines.py
+++ b/sapphireyard/upstreams/engines.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from sapphireyard.exceptions import YardError
-from sapphireyard.orders import EngineState
+from sapphireyard.upstreams.orders import EngineState
 
 ASK_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
--- a/sapphireyard/quarantine.py
+++ b/sapphireyard/upstreams/quarantine.py
@@ -9,15 +9,16 @@
 from mode import Service
 from opentelemetry import metrics
 
-from sapphireyard import generated_quarantine
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
     StoreConflict,
     StoreUnavailable,
 )
-from sapphireyard.generated_messages import Done
-from sapphireyard.generated_quarantine import (
+from sapphireyard.limits.homes import choose_home
+from sapphireyard.streams.generated_messages import Done
+from sapphireyard.upstreams import generated_quarantine
+from sapphireyard.upstreams.generated_quarantine import (
     LoneRunGrant,
     LoneRunRequest,
     QuarantineEntries,
@@ -26,8 +27,7 @@
     QuarantineRequest,
     SuspectNotice,
 )
-from sapphireyard.homes import choose_home
-from sapphireyard.suspicion import Quarantine
+from sapphireyard.upstreams.suspicion import Quarantine
 
 QUARANTINE_PREFIX = "quarantine/"
 REFRESH_SECONDS = 10.0
--- a/sapphireyard/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -12,10 +12,10 @@
 import aiohttp
 import mode
 
-from sapphireyard.completions import dump_json
 from sapphireyard.exceptions import YardError
-from sapphireyard.liveness import PROBE_SECONDS, ProgressWatch, Step
 from sapphireyard.tasks import start_task
+from sapphireyard.upstreams.completions import dump_json
+from sapphireyard.upstreams.liveness import PROBE_SECONDS, ProgressWatch, Step
 
 CONNECT_SECONDS = 1.0
 PROGRESS_SECONDS = 20.0
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -160,7 +160,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "sapphireyard.operator",
+            "sapphireyard.operators.operator",
             *arguments,
             cwd=ROOT,
             env={
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -22,11 +22,16 @@
 
 
 def list_modules():
-    """Return the path of each schema and of the module generated from it."""
+    """Return the path of each schema and of the module generated from it.
+
+    A module stays in the package to which it was moved.
+    """
     pairs = []
     for schema, package in ((SCHEMA, PACKAGE), (PLATFORM_SCHEMA, PLATFORM_PACKAGE)):
         for source in sorted(schema.glob("*.yaml")):
-            pairs.append((source, package / f"generated_{source.stem}.py"))
+            name = f"generated_{source.stem}.py"
+            places = sorted(package.rglob(name))
+            pairs.append((source, places[0] if places else package / name))
     return pairs
 
 
--- a/scripts/sites.py
+++ b/scripts/sites.py
@@ -6,10 +6,10 @@
 
 import aiohttp
 
-from sapphireyard.assignment_store import AssignmentStore
-from sapphireyard.keys import create_key, digest_key
-from sapphireyard.manifests import ManifestRepository
-from sapphireyard.objects import ObjectStore
+from sapphireyard.configuration.keys import create_key, digest_key
+from sapphireyard.configuration.manifests import ManifestRepository
+from sapphireyard.ownership.assignment_store import AssignmentStore
+from sapphireyard.storage.objects import ObjectStore
 from scripts.client import ProgramClient
 
 CUSTOMERS = ("nyumbani", "kitamichi")
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -6,8 +6,8 @@
 import time
 from collections import Counter
 
+from sapphireyard.configuration.keys import create_key
 from sapphireyard.exceptions import StoreError
-from sapphireyard.keys import create_key
 
 PAUSE_SECONDS = (0.3, 2.0)
 LONG_FREEZE_SECONDS = (0.3, 5.0)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sapphireyard.exceptions import StoreConflict, StoreGone, StoreUnavailable
-from sapphireyard.stores import ObjectChange, Store, StoredObject, WatchResult
+from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 
 VALUE_BYTES = 1_000_000
 """Largest value in bytes."""
--- a/tests/broken_entry.py
+++ b/tests/broken_entry.py
@@ -7,14 +7,14 @@
 import sys
 
 from sapphireyard import entry
-from sapphireyard.calls import Admission, Decision
-from sapphireyard.configuration import ConfigurationService
+from sapphireyard.configuration.configuration import ConfigurationService
 from sapphireyard.exceptions import JournalSealed
-from sapphireyard.executor import Executor
-from sapphireyard.journal import JournalService
-from sapphireyard.ownership import OwnershipService
-from sapphireyard.quarantine import QuarantineService
-from sapphireyard.reservations import Reservations
+from sapphireyard.journal.journal import JournalService
+from sapphireyard.ownership.ownership import OwnershipService
+from sapphireyard.programs.calls import Admission, Decision
+from sapphireyard.programs.executor import Executor
+from sapphireyard.programs.reservations import Reservations
+from sapphireyard.upstreams.quarantine import QuarantineService
 
 VARIABLE = "SAPPHIREYARD_BROKEN"
 
@@ -46,7 +46,7 @@
 
 def break_join():
     """Run a repeat beside the call that runs already."""
-    from sapphireyard import dispatcher
+    from sapphireyard.programs import dispatcher
 
     admit = dispatcher.admit
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,13 +8,13 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import PeerUnavailable
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_records import ProgramSnapshot
 from sapphireyard.generated_settings import EntrySettings
-from sapphireyard.journal import JournalService
-from sapphireyard.ownership import OwnershipService
-from sapphireyard.peers import PeerContext
-from sapphireyard.programs import Programs
+from sapphireyard.journal.generated_records import ProgramSnapshot
+from sapphireyard.journal.journal import JournalService
+from sapphireyard.ownership.ownership import OwnershipService
+from sapphireyard.programs.programs import Programs
+from sapphireyard.streams.frames import MessageCodec
+from sapphireyard.streams.peers import PeerContext
 from sapphireyard.yard import Yard
 
 PARTITIONS = 8
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -1,6 +1,6 @@
 """A slow scheduler that states the rule plainly: scan all, take the least."""
 
-from sapphireyard.placement import Placement
+from sapphireyard.scheduling.placement import Placement
 
 
 class NaiveScheduler:
--- a/tests/pausing_entry.py
+++ b/tests/pausing_entry.py
@@ -11,8 +11,8 @@
 import sys
 
 from sapphireyard import entry
-from sapphireyard.executor import Executor
-from sapphireyard.reservations import Reservations
+from sapphireyard.programs.executor import Executor
+from sapphireyard.programs.reservations import Reservations
 from tests.broken_entry import BREAKS, VARIABLE
 
 
--- a/tests/relayed_entry.py
+++ b/tests/relayed_entry.py
@@ -4,7 +4,7 @@
 import sys
 
 from sapphireyard import entry
-from sapphireyard.peers import Peers
+from sapphireyard.streams.peers import Peers
 
 VARIABLE = "SAPPHIREYARD_RELAYED_ADDRESS"
 
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -9,18 +9,18 @@
 import aiohttp
 from aiohttp import web
 
-from sapphireyard._problems import build_problem_response
-from sapphireyard.administration import Administration
-from sapphireyard.assignment import Assignment, Member
+from sapphireyard.callers._problems import build_problem_response
+from sapphireyard.callers.administration import Administration
 from sapphireyard.clocks import Clock
+from sapphireyard.configuration.keys import KeyRing, create_key, create_salt, digest_key
+from sapphireyard.configuration.tables import Configuration, KeyEntry
 from sapphireyard.exceptions import CallError, PeerUnavailable
-from sapphireyard.frames import MessageCodec
-from sapphireyard.keys import KeyRing, create_key, create_salt, digest_key
 from sapphireyard.logs import DecisionBuffer, JsonFormatter, TextFormatter
 from sapphireyard.metrics import INSTRUMENTS, Metrics
-from sapphireyard.outliers import OutlierDetector
-from sapphireyard.programs import Programs
-from sapphireyard.tables import Configuration, KeyEntry
+from sapphireyard.ownership.assignment import Assignment, Member
+from sapphireyard.programs.programs import Programs
+from sapphireyard.streams.frames import MessageCodec
+from sapphireyard.upstreams.outliers import OutlierDetector
 from standins._serving import serving
 
 
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -8,11 +8,15 @@
 from hypothesis import given, settings, strategies as st
 
 from sapphireyard.archive import ArchiveService
-from sapphireyard.archive_files import CHECKSUM_BYTES, ArchiveFiles, ArchiveIndex
-from sapphireyard.archive_reader import ArchiveReader
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError, PeerUnavailable, StoreUnavailable
-from sapphireyard.frames import MessageCodec
+from sapphireyard.journal.archive_files import (
+    CHECKSUM_BYTES,
+    ArchiveFiles,
+    ArchiveIndex,
+)
+from sapphireyard.journal.archive_reader import ArchiveReader
+from sapphireyard.streams.frames import MessageCodec
 from standins.memory import MemoryStore
 
 NAME = "journal/h1/1/0000000001"
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -4,8 +4,10 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard import assignment as module
-from sapphireyard.assignment import (
+from sapphireyard.exceptions import RecordError
+from sapphireyard.journal.journal import JournalRange
+from sapphireyard.ownership import assignment as module
+from sapphireyard.ownership.assignment import (
     LEAVING,
     Member,
     check_assignment,
@@ -18,10 +20,8 @@
     plan_takeover,
     rank_holders,
 )
-from sapphireyard.assignment_codec import decode_assignment, encode_assignment
-from sapphireyard.exceptions import RecordError
-from sapphireyard.failure_detector import FailureDetector
-from sapphireyard.journal import JournalRange
+from sapphireyard.ownership.assignment_codec import decode_assignment, encode_assignment
+from sapphireyard.ownership.failure_detector import FailureDetector
 
 PARTITIONS = 32
 
--- a/tests/test_collector.py
+++ b/tests/test_collector.py
@@ -3,13 +3,13 @@
 import unittest
 from types import SimpleNamespace
 
-from sapphireyard.collector import (
+from sapphireyard.journal.collector import (
     CollectorService,
     choose_candidates,
     find_needed,
     parse_segment,
 )
-from sapphireyard.journal import name_segment
+from sapphireyard.journal.journal import name_segment
 from standins.memory import MemoryStore
 from tests.fleet import run_fleet
 from tests.test_ownership import open_programs
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,19 +9,23 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard._table_files import load_files
 from sapphireyard.clocks import Clock
-from sapphireyard.configuration import ConfigurationService
-from sapphireyard.exceptions import CallError, PeerUnavailable, StoreConflict
-from sapphireyard.frames import MessageCodec
-from sapphireyard.generated_configuration import ConfigurationAnswer, Manifest
-from sapphireyard.keys import KEY_PREFIX, create_key, digest_key
-from sapphireyard.manifests import (
+from sapphireyard.configuration.configuration import ConfigurationService
+from sapphireyard.configuration.generated_configuration import (
+    ConfigurationAnswer,
+    Manifest,
+)
+from sapphireyard.configuration.keys import create_key, digest_key
+from sapphireyard.configuration.manifests import (
     ManifestRepository,
     diff_manifests,
     patch_manifest,
 )
-from sapphireyard.tables import check_rows
+from sapphireyard.configuration.tables import check_rows
+from sapphireyard.exceptions import CallError, PeerUnavailable, StoreConflict
+from sapphireyard.logs import KEY_PREFIX
+from sapphireyard.operators._table_files import load_files
+from sapphireyard.streams.frames import MessageCodec
 from standins.memory import LOSE, MemoryStore
 
 TABLES = {
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,16 +5,16 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard.assignment import Assignment, Member, PartitionEntry
 from sapphireyard.clocks import Clock
+from sapphireyard.configuration.tables import Configuration, Model, Pool, Upstream
 from sapphireyard.control import PoolControl
-from sapphireyard.engines import EngineClient, OldFencing
 from sapphireyard.exceptions import PeerUnavailable, StoreUnavailable
-from sapphireyard.generated_control import LiveAnswer
-from sapphireyard.leases import LeaseKeeper
-from sapphireyard.orders import EngineState, plan_orders
-from sapphireyard.sweeps import MemorySweep, join_answers
-from sapphireyard.tables import Configuration, Model, Pool, Upstream
+from sapphireyard.ownership.assignment import Assignment, Member, PartitionEntry
+from sapphireyard.storage.generated_control import LiveAnswer
+from sapphireyard.storage.leases import LeaseKeeper
+from sapphireyard.upstreams.engines import EngineClient, OldFencing
+from sapphireyard.upstreams.orders import EngineState, plan_orders
+from sapphireyard.upstreams.sweeps import MemorySweep, join_answers
 from standins._serving import serving
 from standins.engine import EngineOptions, EngineServer
 from standins.memory import LOSE, MemoryStore
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,9 +4,9 @@
 import unittest
 from pathlib import Path
 
-from sapphireyard._table_files import load_files
+from sapphireyard.configuration.tables import check_rows
 from sapphireyard.exceptions import STATUSES
-from sapphireyard.tables import check_rows
+from sapphireyard.operators._table_files import load_files
 
 ROOT = Path(__file__).resolve().parent.parent
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -29,11 +29,11 @@
 )
 from sapphireyard.exchange.turns import TurnService
 from sapphireyard.fleet.crashes import CrashLedger
+from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.membership import ENTRY, Membership
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
-from sapphireyard.generated_fleet import Heartbeat
 from sapphireyard.history.client import ChainText
-from sapphireyard.scheduling import SlotRequest
+from sapphireyard.scheduling.scheduling import SlotRequest
 
 EVENTS = [b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n"]
 WAIT_SECONDS = 5.0
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -7,20 +7,24 @@
 from unittest import mock
 
 from sapphireyard.clocks import Clock
-from sapphireyard.dispatcher import Dispatcher
+from sapphireyard.configuration.tables import Route
 from sapphireyard.exceptions import (
     CallError,
     JournalSealed,
     NotOwner,
     PeerUnavailable,
 )
-from sapphireyard.executions import Execution, UpstreamAnswer
-from sapphireyard.executor import Executor
-from sapphireyard.generated_messages import ForwardCall
-from sapphireyard.programs import Program
-from sapphireyard.runs import Run
-from sapphireyard.tables import Route
-from sapphireyard.upstreams import UpstreamError, UpstreamLeaving, UpstreamSilent
+from sapphireyard.programs.dispatcher import Dispatcher
+from sapphireyard.programs.executions import Execution, UpstreamAnswer
+from sapphireyard.programs.executor import Executor
+from sapphireyard.programs.programs import Program
+from sapphireyard.programs.runs import Run
+from sapphireyard.streams.generated_messages import ForwardCall
+from sapphireyard.upstreams.upstreams import (
+    UpstreamError,
+    UpstreamLeaving,
+    UpstreamSilent,
+)
 from standins.memory import MemoryStore
 from tests.fleet import run_fleet
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -4,8 +4,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard import generated_messages
-from sapphireyard.frames import (
+from sapphireyard.streams import generated_messages
+from sapphireyard.streams.frames import (
     FRAME_BYTES,
     HEADER,
     FrameError,
@@ -13,7 +13,7 @@
     MessageCodec,
     encode_frame,
 )
-from sapphireyard.generated_messages import ForwardCall, Hello
+from sapphireyard.streams.generated_messages import ForwardCall, Hello
 
 FIXED = settings(derandomize=True, deadline=None, database=None, max_examples=100)
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard.freshness import Freshness
+from sapphireyard.configuration.freshness import Freshness
 
 BOUND = 8.0
 HOSTS = 2
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -8,9 +8,9 @@
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.routes import RouteTable
 from sapphireyard.fleet.directory import Candidate, choose_addresses
+from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.gossip import Gossip
 from sapphireyard.fleet.membership import ENTRY, HISTORY, Membership
-from sapphireyard.generated_fleet import Heartbeat
 
 
 class VirtualClock:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,11 +6,11 @@
 import aiohttp
 from aiohttp.test_utils import TestServer
 
+from sapphireyard.callers.gateway import Gateway
 from sapphireyard.clocks import Clock
+from sapphireyard.configuration.tables import Route
 from sapphireyard.exceptions import CallError
-from sapphireyard.gateway import Gateway
-from sapphireyard.generated_messages import AnswerEnd, AnswerStart
-from sapphireyard.tables import Route
+from sapphireyard.streams.generated_messages import AnswerEnd, AnswerStart
 
 ROUTES = {
     "open": Route("open", "service", "p", repeatable=True, open=True),
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sapphireyard.failure_detector import WATCHED_HOSTS, FailureDetector
+from sapphireyard.ownership.failure_detector import WATCHED_HOSTS, FailureDetector
 
 BEAT_SECONDS = 0.5
 ROUNDS = 20
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -9,15 +9,8 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError
+from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import HISTORY, Membership
-from sapphireyard.generated_fleet import CopySet, Heartbeat
-from sapphireyard.generated_history import (
-    Reservation,
-    ReservationCounted,
-    ReservationSynced,
-    Settlement,
-    Turn,
-)
 from sapphireyard.history.client import HistoryClient
 from sapphireyard.history.copies import (
     fence_quorum,
@@ -26,10 +19,17 @@
     plan_leave,
     write_quorum,
 )
+from sapphireyard.history.generated_history import (
+    Reservation,
+    ReservationCounted,
+    ReservationSynced,
+    Settlement,
+    Turn,
+)
 from sapphireyard.history.log import RecordLog
 from sapphireyard.history.service import HistoryService
 from sapphireyard.history.state import HistoryState
-from sapphireyard.peers import Peers
+from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
 
 FAR = 4e9
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,16 +9,21 @@
     RecordError,
     StoreUnavailable,
 )
-from sapphireyard.generated_records import (
+from sapphireyard.generated_settings import EntrySettings
+from sapphireyard.journal.generated_records import (
     CallAbandoned,
     CallReserved,
     ProgramOpened,
     ProgramSnapshot,
     SnapshotCall,
 )
-from sapphireyard.generated_settings import EntrySettings
-from sapphireyard.journal import JournalRange, JournalService, name_segment, read_range
-from sapphireyard.records import (
+from sapphireyard.journal.journal import (
+    JournalRange,
+    JournalService,
+    name_segment,
+    read_range,
+)
+from sapphireyard.journal.records import (
     RecordAssembler,
     pack_record,
     pack_segment,
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings, strategies as st
 
 from sapphireyard.exceptions import CommitInDoubt, JournalSealed, StoreUnavailable
-from sapphireyard.generated_records import ProgramEnded
-from sapphireyard.journal_writer import Commit, JournalWriter
-from sapphireyard.records import RecordAssembler, pack_record, unpack_segment
+from sapphireyard.journal.generated_records import ProgramEnded
+from sapphireyard.journal.journal_writer import Commit, JournalWriter
+from sapphireyard.journal.records import RecordAssembler, pack_record, unpack_segment
 
 INTERVAL_SECONDS = 0.05
 
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from sapphireyard.generated_records import ProgramEnded, ProgramOpened
-from sapphireyard.lifetimes import REASON_IDLE, REASON_TOTAL, Lifetimes
-from sapphireyard.programs import Programs
+from sapphireyard.journal.generated_records import ProgramEnded, ProgramOpened
+from sapphireyard.journal.lifetimes import REASON_IDLE, REASON_TOTAL, Lifetimes
+from sapphireyard.programs.programs import Programs
 
 IDLE = 10.0
 TOTAL = 100.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,17 +9,17 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from sapphireyard._shares import HeldGrant, Share
-from sapphireyard.buckets import Bucket, Rule
-from sapphireyard.generated_limits import (
+from sapphireyard.limits._shares import HeldGrant, Share
+from sapphireyard.limits.buckets import Bucket, Rule
+from sapphireyard.limits.generated_limits import (
     BucketState,
     GrantSettlement,
     TokenAsk,
     TokenGrant,
 )
-from sapphireyard.holders import ShareHolder
-from sapphireyard.homes import HomeTracker, View, choose_home, score_host
-from sapphireyard.limits import RateHome
+from sapphireyard.limits.holders import ShareHolder
+from sapphireyard.limits.homes import HomeTracker, View, choose_home, score_host
+from sapphireyard.limits.limits import RateHome
 
 LEASE = 1.0
 EXPIRY = 0.8
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -4,7 +4,7 @@
 import unittest
 
 from sapphireyard.exceptions import StoreConflict, StoreGone, StoreUnavailable
-from sapphireyard.objects import ObjectStore
+from sapphireyard.storage.objects import ObjectStore
 from standins._serving import serving
 from standins.objects import VALUE_BYTES, ObjectServer
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -11,10 +11,10 @@
 
 import yaml
 
-from sapphireyard import operator
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import SettingsError
-from sapphireyard.site import Site, TableConflict
+from sapphireyard.operators import operator
+from sapphireyard.operators.site import Site, TableConflict
 from standins.memory import MemoryStore
 
 POOLS = [{"name": "p", "upstreams": [{"name": "e1", "address": "127.0.0.1:9"}]}]
@@ -82,7 +82,7 @@
                 self.assertIn(text, errors)
         self.assertEqual(self.run_line("get", store="")[0], 2)
         self.store.out = True
-        with mock.patch("sapphireyard.manifests.RETRY_SECONDS", 0):
+        with mock.patch("sapphireyard.configuration.manifests.RETRY_SECONDS", 0):
             self.assertEqual(self.run_line("get")[0], 1)
 
     def test_keys(self):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,13 +3,13 @@
 import asyncio
 import unittest
 
-from sapphireyard.assignment import Member, plan_takeover, quota_of
-from sapphireyard.collector import find_needed
 from sapphireyard.exceptions import CallError, JournalSealed, NotOwner, StoreConflict
-from sapphireyard.generated_records import CallReserved, ProgramOpened
-from sapphireyard.generated_replication import CollectTails, OfferPartitions
-from sapphireyard.journal import name_segment
-from sapphireyard.roster import Roster
+from sapphireyard.journal.collector import find_needed
+from sapphireyard.journal.generated_records import CallReserved, ProgramOpened
+from sapphireyard.journal.generated_replication import CollectTails, OfferPartitions
+from sapphireyard.journal.journal import name_segment
+from sapphireyard.ownership.assignment import Member, plan_takeover, quota_of
+from sapphireyard.ownership.roster import Roster
 from standins.memory import DROP, LOSE, MemoryStore
 from tests.fleet import PARTITIONS, run_fleet
 
--- a/tests/test_ownership_service.py
+++ b/tests/test_ownership_service.py
@@ -6,7 +6,7 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import YardError
-from sapphireyard.generated_records import ProgramOpened
+from sapphireyard.journal.generated_records import ProgramOpened
 from standins.memory import MemoryStore
 from tests.fleet import PARTITIONS, Fleet
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,9 +7,9 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from sapphireyard import peers as peers_module
 from sapphireyard.exceptions import CallError, PeerUnavailable
-from sapphireyard.generated_messages import (
+from sapphireyard.streams import peers as peers_module
+from sapphireyard.streams.generated_messages import (
     AnswerChunk,
     Done,
     Hello,
@@ -17,7 +17,7 @@
     LinkProgram,
     ProgramView,
 )
-from sapphireyard.peers import Peers
+from sapphireyard.streams.peers import Peers
 
 WAIT_SECONDS = 10.0
 
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -63,6 +63,25 @@
 )
 """Fields of the platform's bodies that no other part may name."""
 
+PACKAGES = (
+    "limits",
+    "streams",
+    "storage",
+    "configuration",
+    "journal",
+    "ownership",
+    "upstreams",
+    "scheduling",
+    "programs",
+    "callers",
+    "operators",
+    "fleet",
+    "history",
+    "exchange",
+)
+"""Packages of the core; each may import those before it."""
+BINARIES = ("entry", "control", "archive")
+
 
 class NamesTest(unittest.TestCase):
     def test_wire_names_stay_in_the_folder(self):
@@ -89,13 +108,30 @@
                 self.assertIsNone(pattern.search(path.read_text()))
 
     def test_packages_import_one_way(self):
-        """fleet knows neither history nor exchange; history knows not exchange."""
-        forbidden = {"fleet": ("history", "exchange"), "history": ("exchange",)}
-        for package, others in forbidden.items():
-            for path in sorted((ROOT / "sapphireyard" / package).glob("*.py")):
-                for other in others:
-                    with self.subTest(f"{package}/{path.name} {other}"):
-                        self.assertNotIn(f"sapphireyard.{other}", path.read_text())
+        """A package imports only packages before it, and no binary."""
+        root = ROOT / "sapphireyard"
+        packages = {path.parent.name for path in root.glob("*/__init__.py")}
+        self.assertEqual(packages, set(PACKAGES))
+        for number, package in enumerate(PACKAGES):
+            later = [*PACKAGES[number + 1 :], *BINARIES]
+            pattern = re.compile(
+                rf"^\s*(from|import) sapphireyard\.({'|'.join(later)})\b", re.MULTILINE
+            )
+            for path in sorted((root / package).glob("*.py")):
+                with self.subTest(f"{package}/{path.name}"):
+                    self.assertIsNone(pattern.search(path.read_text()))
+
+    def test_common_modules_import_no_package(self):
+        root = ROOT / "sapphireyard"
+        common = {path.stem for path in root.glob("*.py")} - {*BINARIES, "__init__"}
+        pattern = re.compile(
+            rf"^\s*(from|import) sapphireyard\.({'|'.join((*PACKAGES, *BINARIES))})\b",
+            re.MULTILINE,
+        )
+        for name in sorted(common):
+            with self.subTest(name):
+                text = (root / f"{name}.py").read_text()
+                self.assertIsNone(pattern.search(text))
 
 
 class DeployTest(unittest.TestCase):
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from sapphireyard.homes import choose_home
+from sapphireyard.limits.homes import choose_home
 from tests.process_site import ProcessTestCase, wait_until
 
 RATE = 30.0
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -11,15 +11,15 @@
     run_state_machine_as_test,
 )
 
-from sapphireyard.calls import Admission, admit
 from sapphireyard.exceptions import CallError
-from sapphireyard.generated_records import (
+from sapphireyard.journal.generated_records import (
     CallAbandoned,
     CallCompleted,
     CallReserved,
     ProgramOpened,
 )
-from sapphireyard.programs import Programs
+from sapphireyard.programs.calls import Admission, admit
+from sapphireyard.programs.programs import Programs
 
 PARTITION = 3
 KEY = "c/p"
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -15,12 +15,12 @@
     run_state_machine_as_test,
 )
 
-from sapphireyard.assignment import Assignment, Member
 from sapphireyard.exceptions import CallError
 from sapphireyard.generated_settings import EntrySettings
-from sapphireyard.peers import Peers
-from sapphireyard.quarantine import QuarantineService
-from sapphireyard.suspicion import Quarantine, digest_chain
+from sapphireyard.ownership.assignment import Assignment, Member
+from sapphireyard.streams.peers import Peers
+from sapphireyard.upstreams.quarantine import QuarantineService
+from sapphireyard.upstreams.suspicion import Quarantine, digest_chain
 from sapphireyard.yard import Yard
 from standins.memory import MemoryStore
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,9 +4,9 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireyard.liveness import ProgressLimits, ProgressWatch, Step
-from sapphireyard.outliers import OutlierDetector
-from sapphireyard.retries import RetryBudget, make_retrying
+from sapphireyard.upstreams.liveness import ProgressLimits, ProgressWatch, Step
+from sapphireyard.upstreams.outliers import OutlierDetector
+from sapphireyard.upstreams.retries import RetryBudget, make_retrying
 
 EXACT = {"derandomize": True, "deadline": None, "database": None}
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,11 +5,20 @@
 
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 
-from sapphireyard.capacity import UpstreamLimits, UpstreamSlots, UpstreamState
-from sapphireyard.fairness import FairShares
-from sapphireyard.queues import RequestQueues
-from sapphireyard.scheduler import Scheduler
-from sapphireyard.scheduling import Grant, Refuse, SchedulerOptions, SlotRequest
+from sapphireyard.scheduling.capacity import (
+    UpstreamLimits,
+    UpstreamSlots,
+    UpstreamState,
+)
+from sapphireyard.scheduling.fairness import FairShares
+from sapphireyard.scheduling.queues import RequestQueues
+from sapphireyard.scheduling.scheduler import Scheduler
+from sapphireyard.scheduling.scheduling import (
+    Grant,
+    Refuse,
+    SchedulerOptions,
+    SlotRequest,
+)
 from tests.naive_scheduler import NaiveScheduler
 
 STEADY = settings(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,11 +5,11 @@
 import types
 import unittest
 
-from sapphireyard.assignment import Assignment, Member
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError, PeerUnavailable
-from sapphireyard.homes import choose_home
-from sapphireyard.shares import LimitService
+from sapphireyard.limits.homes import choose_home
+from sapphireyard.limits.shares import LimitService
+from sapphireyard.ownership.assignment import Assignment, Member
 
 HOSTS = ("a", "b", "c")
 CUSTOMER = "acme"
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -5,8 +5,8 @@
 import unittest
 
 from sapphireyard.exceptions import CallError
-from sapphireyard.retries import RetryBudget
-from sapphireyard.shedding import LoadShedder
+from sapphireyard.scheduling.shedding import LoadShedder
+from sapphireyard.upstreams.retries import RetryBudget
 
 CAPACITY = 100
 """Calls that the pool runs each second."""
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -9,8 +9,8 @@
 import aiohttp
 
 from sapphireyard.clocks import Clock
-from sapphireyard.objects import ObjectStore
-from sapphireyard.site import Site
+from sapphireyard.operators.site import Site
+from sapphireyard.storage.objects import ObjectStore
 from scripts.client import ProgramClient
 from scripts.cluster import LocalCluster
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,14 +5,14 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from sapphireyard.assignment import Member
-from sapphireyard.capacity import UpstreamState
+from sapphireyard.configuration.generated_tables import PoolRow
 from sapphireyard.exceptions import CallError
-from sapphireyard.generated_slots import SlotHeartbeat
-from sapphireyard.generated_tables import PoolRow
-from sapphireyard.groups import find_home, pick_group, split_groups
-from sapphireyard.slot_homes import LEARNING_SECONDS, LEASE_SECONDS
-from sapphireyard.slots import UNREACHABLE_SECONDS, SlotRequest, SlotService
+from sapphireyard.ownership.assignment import Member
+from sapphireyard.scheduling.capacity import UpstreamState
+from sapphireyard.scheduling.generated_slots import SlotHeartbeat
+from sapphireyard.scheduling.groups import find_home, pick_group, split_groups
+from sapphireyard.scheduling.slot_homes import LEARNING_SECONDS, LEASE_SECONDS
+from sapphireyard.scheduling.slots import UNREACHABLE_SECONDS, SlotRequest, SlotService
 from tests.fleet import FakePeers, Network, VirtualClock
 
 HOSTS = ("a", "b", "c")
@@ -149,7 +149,7 @@
 
     async def test_grants_up_to_the_batch_then_queues(self):
         hosts = await self.start(batch_size=2)
-        with self.assertLogs("sapphireyard.slot_homes", "INFO") as logs:
+        with self.assertLogs("sapphireyard.scheduling.slot_homes", "INFO") as logs:
             held = [await self.hold(hosts, host, n) for n, host in enumerate(HOSTS)]
         self.assertEqual(sum(h.lease is not None for h in held), 2)
         record = logs.records[0]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,14 +9,14 @@
 import itertools
 import unittest
 
-from sapphireyard import recovery
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable, YardError
-from sapphireyard.generated_records import ProgramEnded
-from sapphireyard.generated_replication import OfferAnswer
-from sapphireyard.journal import JournalService, name_segment
-from sapphireyard.ownership import OwnershipService
-from sapphireyard.recovery import Recovery
-from sapphireyard.tails import TailHolder
+from sapphireyard.journal.generated_records import ProgramEnded
+from sapphireyard.journal.generated_replication import OfferAnswer
+from sapphireyard.journal.journal import JournalService, name_segment
+from sapphireyard.journal.tails import TailHolder
+from sapphireyard.ownership import recovery
+from sapphireyard.ownership.ownership import OwnershipService
+from sapphireyard.ownership.recovery import Recovery
 from standins.memory import HOLD_AFTER, HOLD_BEFORE, LOSE, MemoryStore
 from tests.fleet import Fleet, RecordedPrograms, run_fleet
 
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -3,8 +3,12 @@
 import unittest
 
 from sapphireyard.exceptions import CallError
-from sapphireyard.generated_records import CallCompleted, CallSource, ProgramOpened
-from sapphireyard.texts import SCATTERED_SEGMENTS, TextCache, TextService
+from sapphireyard.journal.generated_records import (
+    CallCompleted,
+    CallSource,
+    ProgramOpened,
+)
+from sapphireyard.programs.texts import SCATTERED_SEGMENTS, TextCache, TextService
 from standins.memory import MemoryStore
 from tests.fleet import run_fleet
 
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -6,12 +6,12 @@
 
 from aiohttp import web
 
-from sapphireyard.capacity import UpstreamState
-from sapphireyard.host_lists import HostListError, HttpHostList, ListedHost
-from sapphireyard.outliers import OutlierDetector
-from sapphireyard.retries import RetryBudget
-from sapphireyard.upstream_states import UpstreamStates
-from sapphireyard.upstreams import UpstreamLeaving, Upstreams
+from sapphireyard.scheduling.capacity import UpstreamState
+from sapphireyard.scheduling.host_lists import HostListError, HttpHostList, ListedHost
+from sapphireyard.scheduling.upstream_states import UpstreamStates
+from sapphireyard.upstreams.outliers import OutlierDetector
+from sapphireyard.upstreams.retries import RetryBudget
+from sapphireyard.upstreams.upstreams import UpstreamLeaving, Upstreams
 from standins.hosts import HostsServer
 from tests.fleet import VirtualClock
 from tests.test_slots import make_pool
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from sapphireyard.clocks import Clock
-from sapphireyard.liveness import ProgressLimits
-from sapphireyard.upstreams import Upstreams, UpstreamSilent
+from sapphireyard.upstreams.liveness import ProgressLimits
+from sapphireyard.upstreams.upstreams import Upstreams, UpstreamSilent
 
 LIMITS = ProgressLimits(first_byte=1.0, next_byte=0.5)
 PATIENCE_SECONDS = 10.0
