Keep turns by the time since they came, not by the time of day

Cause: copies forgot turns and spending by the wall clock, and entry hosts wrote until when. A copy whose time of day jumped an hour ahead forgot all turns at its next tidying, and a majority that did so said 404 for turns that were answered seconds before; a writer that was an hour behind had its turns forgotten at once. Found by reading; shown by a test.

Change: records say for how many seconds they are kept; a copy counts from when it got them, on its monotonic clock. A restart or a new copy counts anew, which keeps longer, never shorter. The wall clock is left in written_at, by which a restarted copy finds what it may have missed; a wrong one costs a spare copy of some records, no majority.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -13,7 +13,7 @@
 from sapphireyard.tasks import start_task
 
 KEEP_MARGIN_SECONDS = 15.0
-"""Kept beyond the retention, for clocks that differ and turns under way."""
+"""Kept beyond the retention: copies get a turn before its caller sees the end."""
 COMMIT_SECONDS = 2.0
 """Longest time by which the end of a whole answer is held back."""
 
@@ -36,8 +36,8 @@
 
     async def serve(self, admitted, body, reply):
         """Run one turn and answer it."""
-        expires_at = self._expire_at(admitted)
-        chain, synced = await self._prepare(admitted, expires_at)
+        keep_seconds = self._keep_seconds(admitted)
+        chain, synced = await self._prepare(admitted, keep_seconds)
         admitted.mark("history", self._yard.clock.monotonic())
         reader = EventReader()
         kept = False
@@ -50,10 +50,10 @@
                     self._program(admitted),
                     admitted.call.request_id,
                     tokens,
-                    expires_at=expires_at,
+                    keep_seconds=keep_seconds,
                 )
 
-    async def _prepare(self, admitted, expires_at):
+    async def _prepare(self, admitted, keep_seconds):
         """Return the chain before a turn and the task of its reservation."""
         call = admitted.call
         if call.token_budget is None:
@@ -65,13 +65,13 @@
                 call.request_id,
                 call.output_tokens,
                 call.token_budget,
-                expires_at=expires_at,
+                keep_seconds=keep_seconds,
             )
             return await reading, synced
         except BaseException:
             reading.cancel()
             self._yard.history.settle(
-                self._program(admitted), call.request_id, 0, expires_at=expires_at
+                self._program(admitted), call.request_id, 0, keep_seconds=keep_seconds
             )
             raise
 
@@ -177,9 +177,9 @@
             tokens,
             body,
             output,
-            self._expire_at(admitted),
-            admitted.upstream,
-            call.prompt_tokens + tokens,
+            self._keep_seconds(admitted),
+            upstream=admitted.upstream,
+            context_tokens=call.prompt_tokens + tokens,
         )
         async with asyncio.timeout(COMMIT_SECONDS):
             await self._yard.history.commit(turn)
@@ -191,10 +191,10 @@
         )
         self._yard.history.cache(call.request_id, text)
 
-    def _expire_at(self, admitted):
-        """Return the wall-clock time until which records of a turn are kept."""
-        retention = admitted.route.retention or 0.0
-        return self._yard.clock.wall() + retention + KEEP_MARGIN_SECONDS
+    @staticmethod
+    def _keep_seconds(admitted):
+        """Return how long records of a turn are kept."""
+        return (admitted.route.retention or 0.0) + KEEP_MARGIN_SECONDS
 
     def _tokens_per_event(self, admitted):
         service = self._yard.configuration.table.services.get(admitted.service)
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -132,7 +132,7 @@
             _, oldest = self._cache.popitem(last=False)
             self._cached_bytes -= len(oldest.text)
 
-    async def reserve(self, program, turn, tokens, budget, *, expires_at):
+    async def reserve(self, program, turn, tokens, budget, *, keep_seconds):
         """Set tokens aside for a turn.
 
         Returns
@@ -150,16 +150,18 @@
         """
         return await self._follow_change(
             lambda copies: self._reserve(
-                copies, program, turn, tokens, budget, expires_at
+                copies, program, turn, tokens, budget, keep_seconds
             )
         )
 
-    async def _reserve(self, copies, program, turn, tokens, budget, expires_at):
+    async def _reserve(self, copies, program, turn, tokens, budget, keep_seconds):
         needed = self._quorum(copies)
         heard = self._count_heard(copies)
         if heard < needed:
             raise _build_shortage(f"{heard} of {needed} copies are heard", ())
-        message = Reservation(copies.version, program, turn, tokens, expires_at)
+        message = Reservation(
+            copies.version, program, turn, tokens, keep_seconds, self._wall()
+        )
         counted = [asyncio.get_running_loop().create_future() for _ in copies.members]
         synced = [
             start_task(self._reserve_at(host, message, future), name="reservation")
@@ -194,9 +196,9 @@
         ]
         return await gather_quorum(tasks, self._quorum(copies), ANSWER_SECONDS)
 
-    def settle(self, program, turn, tokens, *, expires_at):
+    def settle(self, program, turn, tokens, *, keep_seconds):
         """Replace a reservation by what the turn took, without waiting."""
-        message = Settlement(program, turn, tokens, expires_at)
+        message = Settlement(program, turn, tokens, keep_seconds, self._wall())
         for host in self._copies.members:
             start_task(
                 self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS),
@@ -211,6 +213,7 @@
         CallError
             ``history_unavailable``: too few copies have it.
         """
+        turn.written_at = self._wall()
         await self._follow_change(lambda copies: self._commit(copies, turn))
 
     async def _commit(self, copies, turn):
@@ -324,6 +327,9 @@
             for host in copies.members
         )
 
+    def _wall(self):
+        return self._yard.clock.wall()
+
     def _quorum(self, copies):
         return write_quorum(
             len(copies.members), tolerated=self._yard.settings.tolerated_losses
@@ -339,6 +345,8 @@
         ``history_unavailable``: too many failed, or none answered in time.
     """
     waiting = set(futures)
+    for future in waiting:  # an asker that leaves looks at none of them
+        future.add_done_callback(_retrieve)
     results = []
     errors = []
     deadline = asyncio.get_running_loop().time() + timeout
@@ -351,8 +359,6 @@
         )
         errors += [each.exception() for each in done if each.exception()]
         results += [each.result() for each in done if not each.exception()]
-    for future in waiting:
-        future.add_done_callback(_retrieve)
     if len(results) >= needed:
         return results
     raise _build_shortage(f"{len(results)} of {needed} copies have answered", errors)
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -39,9 +39,13 @@
     """
     turn: str
     tokens: int
-    expires_at: float = 0
+    keep_seconds: float = 0
     """
-    Wall-clock time after which it may be forgotten.
+    Time for which a copy keeps it from when it gets it.
+    """
+    written_at: float = 0
+    """
+    Wall-clock time, to find what a copy missed; decides nothing else.
     """
 
 
@@ -80,7 +84,14 @@
     program: str
     turn: str
     tokens: int
-    expires_at: float = 0
+    keep_seconds: float = 0
+    """
+    Time for which a copy keeps it from when it gets it.
+    """
+    written_at: float = 0
+    """
+    Wall-clock time, to find what a copy missed; decides nothing else.
+    """
 
 
 @dataclass
@@ -105,9 +116,13 @@
     """
     input: bytes
     output: bytes
-    expires_at: float
+    keep_seconds: float
+    """
+    Time for which a copy keeps it from when it gets it.
+    """
+    written_at: float = 0
     """
-    Wall-clock time until which it is kept.
+    Wall-clock time, to find what a copy missed; decides nothing else.
     """
     upstream: str = ''
     """
@@ -179,9 +194,9 @@
     """
     Position in the copy's log up to which the asker has its records.
     """
-    expires_after: float = 0
+    written_after: float = 0
     """
-    Wall-clock time; records to be kept no longer are left out.
+    Wall-clock time; records written before are left out.
     """
     set_version: int = 0
     """
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -143,7 +143,11 @@
 
     @mode.Service.timer(TIDY_SECONDS)
     async def _tidy(self):
-        needed = self._state.expire(self._yard.clock.wall())
+        self.tidy()
+
+    def tidy(self):
+        """Forget what need not be kept any longer, and delete its files."""
+        needed = self._state.expire(self._now())
         self._log.drop_before(self._log.end if needed is None else needed)
 
     def hear_copies(self, copies):
@@ -198,7 +202,7 @@
         return True
 
     async def _try_join(self):
-        now = self._yard.clock.monotonic()
+        now = self._now()
         if now < self._join_at:
             return
         self._join_at = now + JOIN_RETRY_SECONDS
@@ -250,11 +254,11 @@
         )
         return {h: p for h, p in zip(hosts, reached) if p is not None}
 
-    async def _fetch(self, host, copies, position, expires_after=0.0):
+    async def _fetch(self, host, copies, position, written_after=0.0):
         try:
             while True:
                 query = RecordsQuery(
-                    position, expires_after, copies.version, copies.members
+                    position, written_after, copies.version, copies.members
                 )
                 batch = await self._yard.peers.ask(host, query, timeout=BATCH_SECONDS)
                 self._take_batch(batch)
@@ -270,7 +274,7 @@
         others = [name for name in self._copies.members if name != self._yard.host]
         since = self._newest - REPAIR_OVERLAP_SECONDS
         for host in others[: fence_quorum(len(self._copies.members))]:
-            await self._fetch(host, CopySet(), 0, expires_after=since)
+            await self._fetch(host, CopySet(), 0, written_after=since)
 
     async def _adopt(self, copies):
         """Act by a newer set from now on, also after a restart."""
@@ -302,13 +306,13 @@
             raise
 
     def _is_gone(self, host):
-        now = self._yard.clock.monotonic()
+        now = self._now()
         return self._yard.gossip.membership.silent_for(host, now) > GONE_SECONDS
 
     async def _serve_reservation(self, message, context):
         self._check(message.set_version)
         position = self._append(message)
-        self._state.apply(message, position)
+        self._state.apply(message, position, self._now())
         yield ReservationCounted(self._state.spendings(message.program))
         await self._log.sync()
         yield ReservationSynced()
@@ -318,14 +322,15 @@
         return ReservationCounted(self._state.spendings(message.program))
 
     async def _serve_settlement(self, message, context):
-        self._state.apply(message, self._append(message))
+        self._state.apply(message, self._append(message), self._now())
         await self._log.sync()
         return TurnSynced()
 
     async def _serve_commit(self, message, context):
         self._check(message.set_version)
         if self._state.find_turn(message.turn.turn) is None:
-            self._state.apply(message.turn, self._append(message.turn))
+            position = self._append(message.turn)
+            self._state.apply(message.turn, position, self._now())
         await self._log.sync()
         return TurnSynced()
 
@@ -343,7 +348,7 @@
             raise CallError("history_unavailable", "this copy is no member")
         if message.set_version > self._copies.version:
             await self._adopt(CopySet(message.set_version, message.members))
-        return self._read_batch(message.after, message.expires_after)
+        return self._read_batch(message.after, message.written_after)
 
     async def _serve_batch(self, message, context):
         self._take_batch(message)
@@ -360,8 +365,7 @@
             )
 
     def _append(self, record):
-        expires_at = getattr(record, "expires_at", 0.0)
-        self._newest = max(self._newest, expires_at)
+        self._newest = max(self._newest, getattr(record, "written_at", 0.0))
         return self._log.append(msgpack.packb(self._codec.dump(record)))
 
     def _fold(self, payload, position):
@@ -369,18 +373,18 @@
         if isinstance(record, CopySet):
             self._copies = record
             return
-        self._newest = max(self._newest, record.expires_at)
-        self._state.apply(record, position)
+        self._newest = max(self._newest, record.written_at)
+        self._state.apply(record, position, self._now())
 
     def _take_batch(self, batch):
         for payload in batch.records:
             record = self._unpack(payload)
             if isinstance(record, CopySet):
                 continue
-            if self._state.apply(record, self._log.end):
+            if self._state.apply(record, self._log.end, self._now()):
                 self._append(record)
 
-    def _read_batch(self, after, expires_after):
+    def _read_batch(self, after, written_after):
         records = []
         size = 0
         position = after
@@ -391,7 +395,7 @@
             if payload is None:
                 continue
             record = self._unpack(payload)
-            if isinstance(record, CopySet) or record.expires_at < expires_after:
+            if isinstance(record, CopySet) or record.written_at < written_after:
                 continue
             records.append(payload)
             size += len(payload)
@@ -401,6 +405,9 @@
         turn = self._unpack(self._log.read(position))
         return turn.input + turn.output
 
+    def _now(self):
+        return self._yard.clock.monotonic()
+
     def _unpack(self, payload):
         return self._codec.load(*msgpack.unpackb(payload))
 
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -26,8 +26,8 @@
         As in `Turn`.
     tokens : int
         Tokens of the prompt and the answer together.
-    expires_at : float
-        Wall-clock time until which it is kept.
+    kept_until : float
+        Monotonic seconds of this host.
     """
 
     position: int
@@ -35,25 +35,29 @@
     customer: str
     upstream: str
     tokens: int
-    expires_at: float
+    kept_until: float
 
 
 class HistoryState:
-    """All turns and the spending of all programs that a copy knows."""
+    """All turns and the spending of all programs that a copy knows.
+
+    Time is that since a record came to this copy, on its monotonic clock: a time
+    of day that jumps, here or where the record was written, ends nothing early.
+    """
 
     def __init__(self):
         self._turns = {}
         self._programs = {}
         self._expiries = {}
 
-    def apply(self, record, position):
-        """Fold a record; return whether it was new."""
+    def apply(self, record, position, now):
+        """Fold a record that has come at `now`; return whether it was new."""
         if isinstance(record, Turn):
-            return self._add_turn(record, position)
+            return self._add_turn(record, position, now)
         if isinstance(record, Settlement):
-            return self._spend(record, position, settled=True)
+            return self._spend(record, position, now, settled=True)
         if isinstance(record, Reservation):
-            return self._spend(record, position, settled=False)
+            return self._spend(record, position, now, settled=False)
         raise TypeError(f"no fold for {type(record).__name__}")
 
     def find_turn(self, turn):
@@ -85,14 +89,14 @@
         Parameters
         ----------
         now : float
-            Wall-clock seconds.
+            Monotonic seconds.
 
         Returns
         -------
         int or None
             None when nothing is kept.
         """
-        for turn in [t for t, kept in self._turns.items() if kept.expires_at < now]:
+        for turn in [t for t, kept in self._turns.items() if kept.kept_until < now]:
             del self._turns[turn]
         for program in [p for p, kept in self._expiries.items() if kept[0] < now]:
             del self._expiries[program]
@@ -101,14 +105,15 @@
         positions += [position for _, position in self._expiries.values()]
         return min(positions, default=None)
 
-    def _add_turn(self, turn, position):
-        is_new = self._keep_turn(turn, position)
-        return self._spend(turn, position, settled=True) or is_new
+    def _add_turn(self, turn, position, now):
+        is_new = self._keep_turn(turn, position, now)
+        return self._spend(turn, position, now, settled=True) or is_new
 
-    def _keep_turn(self, turn, position):
+    def _keep_turn(self, turn, position, now):
+        kept_until = now + turn.keep_seconds
         known = self._turns.get(turn.turn)
         if known is not None:
-            known.expires_at = max(known.expires_at, turn.expires_at)
+            known.kept_until = max(known.kept_until, kept_until)
             return False
         self._turns[turn.turn] = KeptTurn(
             position,
@@ -116,24 +121,24 @@
             turn.customer,
             turn.upstream,
             turn.context_tokens,
-            turn.expires_at,
+            kept_until,
         )
-        self._extend_chain(turn.previous, turn.expires_at)
+        self._extend_chain(turn.previous, kept_until)
         return True
 
-    def _extend_chain(self, turn, expires_at):
+    def _extend_chain(self, turn, kept_until):
         """Keep the turns before one at least as long as itself."""
         while turn:
             kept = self._turns.get(turn)
-            if kept is None or kept.expires_at >= expires_at:
+            if kept is None or kept.kept_until >= kept_until:
                 return
-            kept.expires_at = expires_at
+            kept.kept_until = kept_until
             turn = kept.previous
 
-    def _spend(self, record, position, *, settled):
+    def _spend(self, record, position, now, *, settled):
         known = self._programs.setdefault(record.program, {})
         until, first = self._expiries.get(record.program, (0.0, position))
-        self._expiries[record.program] = max(until, record.expires_at), first
+        self._expiries[record.program] = max(until, now + record.keep_seconds), first
         before = known.get(record.turn)
         if before is not None and (before[1] or not settled):
             return False
--- a/sapphireyard/tasks.py
+++ b/sapphireyard/tasks.py
@@ -42,5 +42,8 @@
     error = task.exception()
     if error is None:
         return
+    if isinstance(error, ConnectionError):  # who asked has gone
+        logger.info("%s ended: %s", name or "task", error)
+        return
     level = logging.DEBUG if isinstance(error, YardError) else logging.ERROR
     logger.log(level, "%s ended: %s", name or "task", error, exc_info=error)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -168,7 +168,7 @@
             return ChainText("other", b"secret")
         return ChainText("c", b"before:", "up-1", 50)
 
-    async def reserve(self, program, turn, tokens, budget, *, expires_at):
+    async def reserve(self, program, turn, tokens, budget, *, keep_seconds):
         if self.refuse:
             raise CallError(self.refuse, "no", retry_after=0.3)
 
@@ -178,7 +178,7 @@
 
         return asyncio.ensure_future(wait())
 
-    def settle(self, program, turn, tokens, *, expires_at):
+    def settle(self, program, turn, tokens, *, keep_seconds):
         self.settled.append((turn, tokens))
 
     async def commit(self, turn):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,6 +1,7 @@
 """Copies of histories: the log, the fold, the set, and reads and writes."""
 
 import asyncio
+import gc
 import os
 import tempfile
 import unittest
@@ -11,7 +12,7 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import HISTORY, Membership
-from sapphireyard.history.client import HistoryClient
+from sapphireyard.history.client import HistoryClient, gather_quorum
 from sapphireyard.history.copies import (
     fence_quorum,
     majority,
@@ -32,16 +33,24 @@
 from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
 
-FAR = 4e9
-"""A wall-clock time that no test reaches."""
+LONG = 4e9
+"""Seconds that no test reaches."""
 WAIT_SECONDS = 10.0
 
 
-def build_turn(name, previous="", *, customer="c", tokens=42, expires_at=FAR):
+def build_turn(name, previous="", *, customer="c", tokens=42, keep_seconds=LONG):
     """Return a turn whose texts tell its name."""
     said = f"<{name}>".encode()
     return Turn(
-        name, previous, customer, f"{customer}/p", tokens, said, said, expires_at, "e"
+        name,
+        previous,
+        customer,
+        f"{customer}/p",
+        tokens,
+        said,
+        said,
+        keep_seconds,
+        upstream="e",
     )
 
 
@@ -102,17 +111,17 @@
 class StateTest(unittest.TestCase):
     def test_fold_does_not_depend_on_order(self):
         records = [
-            Reservation(1, "c/p", "t1", 280, FAR),
-            Settlement("c/p", "t1", 56, FAR),
-            Reservation(1, "c/p", "t2", 280, FAR),
+            Reservation(1, "c/p", "t1", 280, LONG),
+            Settlement("c/p", "t1", 56, LONG),
+            Reservation(1, "c/p", "t2", 280, LONG),
             build_turn("t2", "t1"),
-            Settlement("c/p", "t3", 14, FAR),
+            Settlement("c/p", "t3", 14, LONG),
         ]
         expected = {"t1": (56, True), "t2": (42, True), "t3": (14, True)}
         for order in (records, records[::-1], records + records):
             state = HistoryState()
             for position, record in enumerate(order):
-                state.apply(record, position)
+                state.apply(record, position, 0.0)
             spent = {s.turn: (s.tokens, s.settled) for s in state.spendings("c/p")}
             self.assertEqual(spent, expected)
 
@@ -120,7 +129,7 @@
         state = HistoryState()
         turns = [build_turn("a"), build_turn("b", "a"), build_turn("c", "a")]
         for position, turn in enumerate(turns):
-            state.apply(turn, position)
+            state.apply(turn, position, 0.0)
         for turn, positions in (("b", [0, 1]), ("c", [0, 2]), ("none", None)):
             with self.subTest(turn):
                 chain = state.find_chain(turn)
@@ -129,8 +138,8 @@
 
     def test_chain_is_kept_as_long_as_its_last_turn(self):
         state = HistoryState()
-        state.apply(build_turn("a", expires_at=10.0), 0)
-        state.apply(build_turn("b", "a", expires_at=90.0), 1)
+        state.apply(build_turn("a", keep_seconds=75.0), 0, -65.0)
+        state.apply(build_turn("b", "a", keep_seconds=75.0), 1, 15.0)
         self.assertEqual(state.expire(50.0), 0)
         self.assertIsNotNone(state.find_chain("b"))
         self.assertIsNone(state.expire(91.0))
@@ -223,7 +232,7 @@
     def _apply_all(self):
         for host, order in self.ORDERS.items():
             for position, turn in enumerate(order):
-                self._states[host].apply(self._messages[turn, host], position)
+                self._states[host].apply(self._messages[turn, host], position, 0.0)
                 spendings = self._states[host].spendings("c/p")
                 self._answers[turn, host] = ReservationCounted(spendings)
         self._all_arrived.set()
@@ -246,13 +255,33 @@
         client.hear_copies(CopySet(1, {name: name for name in "abcd"}))
         results = await asyncio.gather(
             *(
-                client.reserve("c/p", turn, 100, 450, expires_at=FAR)
+                client.reserve("c/p", turn, 100, 450, keep_seconds=LONG)
                 for turn in "12345"
             ),
             return_exceptions=True,
         )
         refused = [result for result in results if isinstance(result, CallError)]
         self.assertGreaterEqual(len(refused), 1)
+        self.assertEqual({error.code for error in refused}, {"budget_exceeded"})
+
+
+class QuorumTest(unittest.IsolatedAsyncioTestCase):
+    async def test_errors_after_the_asker_has_left_are_looked_at(self):
+        """The loop reports none of them as never retrieved."""
+        reports = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: reports.append(context))
+        futures = [loop.create_future() for _ in range(3)]
+        asker = asyncio.ensure_future(gather_quorum(futures, 2, WAIT_SECONDS))
+        await asyncio.sleep(0)
+        asker.cancel()
+        await asyncio.wait([asker])
+        for future in futures:
+            future.set_exception(CallError("history_unavailable", "gone"))
+        await asyncio.sleep(0)
+        del futures, future, asker
+        gc.collect()
+        self.assertEqual(reports, [])
 
 
 class SteadyMembership(Membership):
@@ -266,6 +295,19 @@
         return float("inf") if host in self.silent else 0.0
 
 
+class JumpingClock(Clock):
+    """A clock whose time of day jumps, and whose time passes, as a test says."""
+
+    jump = 0.0
+    passed = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.passed
+
+    def wall(self):
+        return super().wall() + self.passed + self.jump
+
+
 class Host:
     """One process in the test's loop: peers, and a copy or a client."""
 
@@ -282,7 +324,7 @@
         self.incarnation = 1
         self.settings = settings
         self.store = store
-        self.clock = Clock()
+        self.clock = JumpingClock()
         self.configuration = self.ownership = None
         self.peers = Peers(self)
         self.gossip = SimpleNamespace(membership=SteadyMembership(name))
@@ -360,6 +402,31 @@
             await self.client.read_chain("three")
         self.assertEqual(caught.exception.code, "turn_unknown")
 
+    async def test_jumps_of_the_time_of_day_lose_no_turn(self):
+        """Seconds by which it jumps where turns are written, and where kept."""
+        cases = [(0, 3600), (0, -3600), (3600, 0), (-3600, 0), (-3600, 3600)]
+        for number, (writer, keepers) in enumerate(cases):
+            with self.subTest((writer, keepers)):
+                self.hosts["entry"].clock.jump = writer
+                turn = build_turn(f"turn-{number}", keep_seconds=75.0)
+                await self.client.commit(turn)
+                for name, copy in self.copies.items():
+                    self.hosts[name].clock.jump = keepers
+                    copy.tidy()
+                chain = await self.client.read_chain(f"turn-{number}")
+                self.assertEqual(chain.text, 2 * f"<turn-{number}>".encode())
+
+    async def test_turns_end_when_their_time_has_passed(self):
+        await self.client.commit(build_turn("short", keep_seconds=75.0))
+        await self.client.commit(build_turn("long", keep_seconds=175.0))
+        for name, copy in self.copies.items():
+            self.hosts[name].clock.passed = 100.0
+            copy.tidy()
+        self.assertTrue((await self.client.read_chain("long")).text)
+        with self.assertRaises(CallError) as caught:
+            await self.client.read_chain("short")
+        self.assertEqual(caught.exception.code, "turn_unknown")
+
     async def test_unknown_turn_is_not_denied_while_copies_are_away(self):
         await self.client.commit(build_turn("one"))
         for name, code in (
@@ -389,7 +456,7 @@
                 self.assertEqual(self.client.keeps_turns, served)
         started = asyncio.get_running_loop().time()
         with self.assertRaises(CallError) as caught:
-            await self.client.reserve("c/p", "t", 1, 10, expires_at=FAR)
+            await self.client.reserve("c/p", "t", 1, 10, keep_seconds=LONG)
         self.assertEqual(caught.exception.code, "history_unavailable")
         self.assertLess(asyncio.get_running_loop().time() - started, 0.2)
 
@@ -397,13 +464,13 @@
         async def reserve(number):
             try:
                 synced = await self.client.reserve(
-                    "c/p", f"t{number}", 100, 450, expires_at=FAR
+                    "c/p", f"t{number}", 100, 450, keep_seconds=LONG
                 )
                 await synced
                 return 1
             except CallError as error:
                 self.assertEqual(error.code, "budget_exceeded")
-                self.client.settle("c/p", f"t{number}", 0, expires_at=FAR)
+                self.client.settle("c/p", f"t{number}", 0, keep_seconds=LONG)
                 return 0
 
         admitted = await asyncio.gather(*map(reserve, range(12)))
@@ -417,7 +484,7 @@
         self.assertEqual([await reserve(n) for n in range(100, 104)], [0] * 4)
 
     async def test_spending_survives_a_lost_disk(self):
-        await (await self.client.reserve("c/p", "t1", 100, 300, expires_at=FAR))
+        await (await self.client.reserve("c/p", "t1", 100, 300, keep_seconds=LONG))
         await self.client.commit(build_turn("one", tokens=150))
         await self.stop_copy("a")
         await self.start_copy("e", bootstrap=False)
@@ -428,7 +495,7 @@
         self.client._cache.clear()
         self.assertEqual((await self.client.read_chain("one")).text, b"<one><one>")
         with self.assertRaises(CallError) as caught:
-            await self.client.reserve("c/p", "t2", 100, 300, expires_at=FAR)
+            await self.client.reserve("c/p", "t2", 100, 300, keep_seconds=LONG)
         self.assertEqual(caught.exception.code, "budget_exceeded")
 
     async def test_old_set_is_refused_and_the_new_one_followed(self):
