--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -283,7 +283,8 @@
         self._copies = copies
         self._append(copies)
         await self._log.sync()
-        self._settled = copies.members.get(self._yard.host) == self._disk
+        # A newer set may have come during the sync.
+        self._settled = self._copies.members.get(self._yard.host) == self._disk
 
     async def _read_copies(self):
         stored = await self._yard.store.get(COPIES_OBJECT)
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -65,16 +65,19 @@
         return self._turns.get(turn)
 
     def find_chain(self, turn):
-        """Return the kept turns of a chain, oldest first, or None if one lacks."""
-        chain = []
+        """Return the kept turns of a chain, oldest first, or None if one lacks.
+
+        A caller that uses an id again may close a chain to a ring; it has no
+        beginning, so one lacks.
+        """
+        chain = {}
         while turn:
             kept = self._turns.get(turn)
-            if kept is None:
+            if kept is None or turn in chain:
                 return None
-            chain.append(kept)
+            chain[turn] = kept
             turn = kept.previous
-        chain.reverse()
-        return chain
+        return list(reversed(chain.values()))
 
     def spendings(self, program):
         """Return the `Spending` of each turn of a program."""
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -9,6 +9,7 @@
 from standins._serving import Faults, StandIn, drop_connection, hang
 
 PAGE_ITEMS = 500
+"""Most objects in one answer."""
 
 
 class SiteStoreFaults(Faults):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError
@@ -136,6 +137,15 @@
                 found = [kept.position for kept in chain] if chain else None
                 self.assertEqual(found, positions)
 
+    def test_ring_of_turns_is_no_chain(self):
+        """A caller used ids again; a copy has the later of two turns."""
+        for turns in (("a", "a"),), (("a", "b"), ("b", "a")):
+            with self.subTest(turns):
+                state = HistoryState()
+                for position, (name, previous) in enumerate(turns):
+                    state.apply(build_turn(name, previous), position, 0.0)
+                self.assertIsNone(state.find_chain("a"))
+
     def test_chain_is_kept_as_long_as_its_last_turn(self):
         state = HistoryState()
         state.apply(build_turn("a", keep_seconds=75.0), 0, -65.0)
@@ -509,6 +519,25 @@
         await writing
         self.assertNotIn("d", self.client.copies.members)
 
+    async def test_newest_of_two_sets_decides_who_serves(self):
+        """Both come at once; the older one is on the disk last."""
+        service = self.copies["a"]
+        members = dict(service.copies.members)
+        rest = {name: disk for name, disk in members.items() if name != "a"}
+        for older, newer, serves in ((members, rest, False), (rest, members, True)):
+            with self.subTest(serves):
+                version = service.copies.version
+                written = asyncio.Event()
+                with mock.patch.object(service._log, "sync", written.wait):
+                    first = asyncio.ensure_future(
+                        service._adopt(CopySet(version + 1, older))
+                    )
+                    await asyncio.sleep(0)
+                await service._adopt(CopySet(version + 2, newer))
+                written.set()
+                await first
+                self.assertEqual(service.settled, serves)
+
     async def test_restarted_copy_takes_what_it_missed(self):
         await self.stop_copy("a")
         await self.client.commit(build_turn("one"))
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,91 @@
+"""The client of the platform's store, against its stand-in over HTTP."""
+
+import sys
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from standins import site_store
+from standins.site_store import SiteStore
+from tests.platform_site import ROOT
+
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter.store import PlatformStore  # noqa: E402
+
+
+class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = SiteStore()
+        runner = web.AppRunner(self.site.app, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.addAsyncCleanup(runner.cleanup)
+        self.store = PlatformStore("127.0.0.1:%d" % runner.addresses[0][1])
+        self.addAsyncCleanup(self.store.close)
+
+    async def watch(self, revision):
+        """Return names changed and names deleted since a revision."""
+        changes = await self.store.watch_objects("k", revision=revision, seconds=0.1)
+        return (
+            sorted((item.name, item.spec) for item in changes.changed),
+            sorted(item.name for item in changes.deleted),
+        )
+
+    async def test_last_change_of_an_object_counts(self):
+        """What happened to an object, oldest first, and what a watch tells."""
+        cases = [
+            (("put",), True),
+            (("put", "put"), True),
+            (("put", "remove"), False),
+            (("remove",), False),
+            (("remove", "put"), True),
+            (("put", "remove", "put"), True),
+            (("remove", "put", "remove"), False),
+        ]
+        for steps, stays in cases:
+            with self.subTest(steps):
+                await self.asyncSetUp()
+                self.site.put("k", "a", "old")
+                _, revision = await self.store.list_objects("k")
+                for number, step in enumerate(steps):
+                    if step == "put":
+                        self.site.put("k", "a", f"new-{number}")
+                    else:
+                        self.site.remove("k", "a")
+                changed, deleted = await self.watch(revision)
+                if stays:
+                    spec = f"new-{len(steps) - 1}"
+                    self.assertEqual((changed, deleted), ([("a", spec)], []))
+                else:
+                    self.assertEqual((changed, deleted), ([], ["a"]))
+
+    async def test_changes_between_pages_are_seen(self):
+        """An object of the first page changes before the second is read."""
+        for step in ("put", "remove"):
+            with self.subTest(step), mock.patch.object(site_store, "PAGE_ITEMS", 2):
+                await self.asyncSetUp()
+                for name in "abc":
+                    self.site.put("k", name, "old")
+                call = self.store._call
+                pages = []
+
+                async def change_between(*args, pages=pages, call=call, **options):
+                    page = await call(*args, **options)
+                    pages.append(page)
+                    if len(pages) == 1:
+                        if step == "put":
+                            self.site.put("k", "a", "new")
+                        else:
+                            self.site.remove("k", "a")
+                    return page
+
+                self.store._call = change_between
+                items, revision = await self.store.list_objects("k")
+                self.assertEqual(len(pages), 2)
+                self.assertEqual([item.name for item in items], ["a", "b", "c"])
+                self.store._call = call
+                changed, deleted = await self.watch(revision)
+                expected = ([("a", "new")], []) if step == "put" else ([], ["a"])
+                self.assertEqual((changed, deleted), expected)
