--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -204,4 +204,5 @@
 
     @staticmethod
     def _program(admitted):
-        return f"{admitted.customer.name}/{admitted.call.program}"
+        program = admitted.call.program or admitted.call.request_id
+        return f"{admitted.customer.name}/{program}"
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -360,6 +360,16 @@
         self.assertEqual(self.sender.sent[0].body, b"before:body")
         self.assertEqual(self.yard.history.settled, [])
 
+    async def test_turns_without_a_program_share_no_budget(self):
+        """Program and id of the request, and the program it is kept under."""
+        cases = [("p", "r1", "c/p"), ("", "r1", "c/r1"), ("", "r2", "c/r2")]
+        for program, request_id, kept_under in cases:
+            with self.subTest((program, request_id)):
+                await self.asyncSetUp()
+                await self.turn(program=program, request_id=request_id)
+                (kept,) = self.yard.history.turns
+                self.assertEqual(kept.program, kept_under)
+
     async def test_ends_of_turns(self):
         """What engines do, the status, how often it was sent, what is settled."""
         cases = [
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -94,6 +94,32 @@
                 self.assertEqual((seen.target, seen.body), ("/book/outer", INNER))
                 self.assertNotIn("transfer-encoding", seen.headers)
 
+    async def test_headers_that_may_stand_once(self):
+        for line in (
+            b"Request-Id: 00000000000000bb",
+            b"Credential: another",
+            b"Host: other.example",
+            b"Deadline-Ms: 9000",
+            b"Previous-Turn: a\r\nPrevious-Turn: b",
+            b"Token-Budget: 1\r\nToken-Budget: 999",
+        ):
+            with self.subTest(line):
+                answer = await self.site.send_raw(
+                    ENTRIES[0], post(line), until=b"\r\n\r\n"
+                )
+                self.assertIn(answer[:12], (b"HTTP/1.1 400", b"HTTP/1.0 400"))
+        self.assertEqual(self.plain.seen, [])
+
+    async def test_caller_that_waits_to_be_asked_for_the_body(self):
+        data = post(b"Content-Length: 4", b"Expect: 100-continue")
+        answer = await self.site.send_raw(ENTRIES[0], data, until=b"\r\n\r\n")
+        self.assertEqual(answer, b"HTTP/1.1 100 Continue\r\n\r\n")
+        whole = data + b"body"
+        answer = await self.site.send_raw(ENTRIES[0], whole, until=b"/book")
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertEqual(self.plain.seen[-1].body, b"body")
+        self.assertNotIn("expect", self.plain.seen[-1].headers)
+
     async def test_targets(self):
         """Target, status, and the target that the upstream gets."""
         cases = [
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -135,7 +135,11 @@
             ),
             ("large headers", "GET", "/view/1", {"headers": {"X": "y" * 17000}}, 431),
             ("no id", "GET", "/view/1", {"headers": {"Request-Id": ""}}, 400),
+            ("long id", "GET", "/view/1", {"headers": {"Request-Id": "a" * 300}}, 400),
             ("bad number", "GET", "/view/1", {"headers": {"Token-Budget": "z"}}, 400),
+            ("negative", "GET", "/view/1", {"headers": {"Token-Count": "9,-9"}}, 400),
+            ("digits", "GET", "/view/1", {"headers": {"Token-Budget": "9" * 99}}, 400),
+            ("separator", "GET", "/view/1", {"headers": {"Token-Budget": "1_0"}}, 400),
         ]
         for name, method, target, options, status in cases:
             with self.subTest(name):
