Send heartbeats to 16 entry hosts in turn, so that large fleets hold

Change: up to 17 entry hosts as before, each beat to all. Above, each beat goes to 16 in turn, every host's turn beginning elsewhere; it names what was heard of these only. Silence is judged by the beats between two heartbeats to the same host, limits take that age of the others' counts into account, one host's read of the configuration has longer to reach all. Copies get every third round. Seeds whose host was heard are no receivers of their own any more.

Ruled out: longer beats for all (copies and small fleets would be judged late); one relay in each failure domain (one more role to fail over).

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -1,10 +1,13 @@
 """Heartbeats between all hosts of a deployment, as datagrams.
 
 A datagram lost is made up for by the next one: every heartbeat carries totals.
+In a small fleet each goes to all hosts, in a large one to some in turn.
 """
 
 import asyncio
 import logging
+import math
+import random
 from collections import OrderedDict
 
 import mode
@@ -13,18 +16,16 @@
 from sapphireyard.exceptions import PeerError
 from sapphireyard.fleet import generated_fleet
 from sapphireyard.fleet.generated_fleet import Heartbeat
-from sapphireyard.fleet.membership import (
-    ENTRY,
-    HISTORY,
-    SILENCE_SECONDS,
-    Membership,
-)
+from sapphireyard.fleet.membership import ENTRY, HISTORY, Membership
 from sapphireyard.streams.frames import MessageCodec
 
 logger = logging.getLogger(__name__)
 
 HEARTBEAT_SECONDS = 0.1
 """Bounds how old the others' load is; six 0.3 kB datagrams a beat at 7 hosts."""
+FANOUT = 16
+"""Most entry hosts that get one heartbeat. A host then gets some 160 a second,
+however large the fleet; the fleets of today are smaller and miss nothing."""
 HISTORY_BEATS = 3
 """Copies send and get every third heartbeat: they share no load, and their
 silence counts from one second on."""
@@ -63,6 +64,7 @@
         self._out_of_touch = set()
         self._sent_at = OrderedDict()
         self._effort = 0.0
+        self._turn = random.random()  # not all hosts begin with the same ones
         self.membership = Membership(yard.host)
 
     def on_heartbeat(self, listener):
@@ -110,6 +112,7 @@
         """Send one heartbeat to every host known."""
         now = self._now()
         self._note_silence(now)
+        receivers = self._choose_receivers()
         self._number += 1
         self._sent_at[self._number] = now
         if len(self._sent_at) > REMEMBERED_BEATS:
@@ -121,18 +124,23 @@
             address=self._yard.settings.peer_address,
             role=self._yard.settings.role,
             failure_domain=self._yard.settings.failure_domain,
-            heard=self.membership.heard_numbers(ENTRY),
+            heard=self._list_heard(receivers),
             effort=self._effort,
             **self._describe(now),
         )
         if self._number % INTRODUCTION_BEATS == 1:
             heartbeat.known = self.membership.list_addresses()
         payload = msgpack.packb(self._codec.dump(heartbeat))
-        for address in self._choose_addresses():
+        for address in set(receivers.values()):
             ip, port = address.rsplit(":", 1)
             self._transport.sendto(payload, (ip, int(port)))
         self._note_effort(self._now() - now)
 
+    @property
+    def spread(self):
+        """int: Beats between two heartbeats of one entry host to another."""
+        return self.membership.spread
+
     @property
     def effort(self):
         """float: Smoothed seconds that a heartbeat takes to write."""
@@ -142,14 +150,33 @@
         weight = EFFORT_SMOOTHING if self._number > 1 else 1.0
         self._effort += weight * (seconds - self._effort)
 
-    def _choose_addresses(self):
-        """Return where to send this heartbeat."""
-        addresses = set(self.membership.addresses.values())
-        rare = self._yard.settings.role == HISTORY
-        if not rare and self._number % HISTORY_BEATS != 1:
-            copies = self.membership.known(HISTORY)
-            addresses -= {member.heartbeat.address for member in copies}
-        return addresses
+    def _choose_receivers(self):
+        """Return the addresses, by host, that get the next heartbeat.
+
+        Answers the load pattern of a fleet in which heartbeats of all to all
+        would take more than the callers do.
+        """
+        addresses = self.membership.list_receivers()
+        copies = {m.heartbeat.host for m in self.membership.known(HISTORY)}
+        others = sorted(addresses.keys() - copies)
+        spread = self.membership.spread = max(1, math.ceil(len(others) / FANOUT))
+        if self._yard.settings.role == HISTORY:
+            return addresses
+        if spread > 1:
+            self._turn = (self._turn + FANOUT / len(others)) % 1
+            first = int(self._turn * len(others))
+            others = (others + others)[first : first + FANOUT]
+        chosen = set(others)
+        if self._number % (HISTORY_BEATS * spread) == 0:
+            chosen |= copies
+        return {host: addresses[host] for host in chosen if host in addresses}
+
+    def _list_heard(self, receivers):
+        """Return what the receivers can prove by; copies confirm nothing."""
+        if self._yard.settings.role == HISTORY:
+            return {}
+        entries = {m.heartbeat.host for m in self.membership.known(ENTRY)}
+        return self.membership.heard_numbers(entries & receivers.keys())
 
     def _receive(self, payload):
         try:
@@ -178,7 +205,7 @@
                 host = member.heartbeat.host
                 if host in self._out_of_touch:
                     continue
-                if now - member.heard_at > SILENCE_SECONDS:
+                if now - member.heard_at > self.membership.silence_limit(role):
                     self._out_of_touch.add(host)
                     logger.info("host is out of touch", extra={"peer": host})
 
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -10,6 +10,9 @@
 """Role of hosts that keep copies of histories."""
 SILENCE_SECONDS = 0.7
 """Seven heartbeats of 0.1 s: silence after which a host counts as out of touch."""
+SPREAD_SILENCE_SECONDS = 0.35
+"""The same for each further beat between two heartbeats of one host to another:
+three and a half of them, as a late one is awaited by few."""
 FORGET_SECONDS = 20.0
 """Longer than a restart and a network partition of some seconds."""
 
@@ -50,11 +53,16 @@
         self._host = host
         self._members = {}
         self._addresses = {}
+        self.spread = 1
 
-    @property
-    def addresses(self):
-        """dict of str to str: IP:PORT of every host that may be alive."""
-        return dict(self._addresses)
+    def silence_limit(self, role):
+        """Return the seconds of silence after which a host is out of touch.
+
+        Entry hosts of a large fleet hear each other only every `spread` beats.
+        """
+        if role != ENTRY:
+            return SILENCE_SECONDS
+        return SILENCE_SECONDS + (self.spread - 1) * SPREAD_SILENCE_SECONDS
 
     def learn(self, host, address, now):
         """Note the address of a host that was not heard itself."""
@@ -75,11 +83,24 @@
         silence = now - known.heard_at if known else 0.0
         if known is not None and self._is_old(heartbeat, known.heartbeat, silence):
             return None
-        member = Member(heartbeat, now, max(0.0, silence - SILENCE_SECONDS))
+        limit = self.silence_limit(heartbeat.role)
+        member = Member(heartbeat, now, max(0.0, silence - limit))
         self._members[heartbeat.host] = member
         self._addresses[heartbeat.host] = heartbeat.address
         return member
 
+    def list_receivers(self):
+        """Return the IP:PORT of every host that may be alive, each once.
+
+        A seed is known by its address alone until the host there was heard.
+        """
+        heard = {member.heartbeat.address for member in self._members.values()}
+        return {
+            host: address
+            for host, address in self._addresses.items()
+            if host in self._members or address not in heard
+        }
+
     def find(self, host):
         """Return the `Member` called `host`, or None."""
         return self._members.get(host)
@@ -99,11 +120,8 @@
 
     def live(self, role, now):
         """Return the members of a role that were heard lately, by name."""
-        return [
-            member
-            for member in self.known(role)
-            if now - member.heard_at <= SILENCE_SECONDS
-        ]
+        limit = self.silence_limit(role)
+        return [member for member in self.known(role) if now - member.heard_at <= limit]
 
     def forget_silent(self, now):
         """Drop hosts that have been silent for long; return their names."""
@@ -117,14 +135,15 @@
             self._addresses.pop(host, None)
         return gone
 
-    def heard_numbers(self, role):
-        """Return incarnation and number of each host's newest heartbeat."""
+    def heard_numbers(self, hosts):
+        """Return incarnation and number of the newest heartbeat of some hosts."""
         return {
-            member.heartbeat.host: [
-                member.heartbeat.incarnation,
-                member.heartbeat.number,
+            host: [
+                self._members[host].heartbeat.incarnation,
+                self._members[host].heartbeat.number,
             ]
-            for member in self.known(role)
+            for host in hosts
+            if host in self._members
         }
 
     def list_addresses(self):
@@ -134,15 +153,14 @@
             for host, member in self._members.items()
         ]
 
-    @staticmethod
-    def _is_old(heartbeat, known, silence):
+    def _is_old(self, heartbeat, known, silence):
         """Return whether a heartbeat was overtaken by another.
 
         Incarnations come from the time of day, which may have been set back
         while the host was down: after a silence a lower one is a new run.
         """
         if heartbeat.incarnation < known.incarnation:
-            return silence <= SILENCE_SECONDS
+            return silence <= self.silence_limit(known.role)
         if heartbeat.incarnation > known.incarnation:
             return False
         return heartbeat.number <= known.number
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -11,7 +11,7 @@
 """Share of the burst below which hosts keep to their own part of the rate, so
 that they do not all take the tokens that come back between two heartbeats."""
 COUNT_SECONDS = 0.1
-"""Age of the other hosts' counts: one heartbeat."""
+"""Age of the other hosts' counts when each heartbeat goes to all."""
 FREE_OVERSHOOT = 12.0
 """Requests by which hosts may exceed a rate between two heartbeats, to be made up
 for afterwards. Operators allow 20; small customers stay below this anyway and
@@ -67,9 +67,19 @@
         self._counts = {}
         self._hosts = 1
         self._heard = 1
+        self._count_seconds = COUNT_SECONDS
 
-    def set_fleet(self, hosts, heard):
-        """Set the number of entry hosts, and how many of them are in touch."""
+    def set_fleet(self, hosts, heard, *, spread=1):
+        """Set the number of entry hosts, and how many of them are in touch.
+
+        Parameters
+        ----------
+        hosts, heard : int
+            All entry hosts, and those in touch, this one included in both.
+        spread : int, optional
+            Beats between two heartbeats of one host to another.
+        """
+        self._count_seconds = spread * COUNT_SECONDS
         self._hosts = max(1, hosts)
         self._heard = max(1, min(heard, self._hosts))
 
@@ -102,7 +112,7 @@
         share = self._heard / self._hosts
         scarce = (
             bucket.fleet < 1.0 + SCARCE_SHARE * rule.burst * share
-            and rule.rate * (self._heard - 1) * COUNT_SECONDS > FREE_OVERSHOOT
+            and rule.rate * (self._heard - 1) * self._count_seconds > FREE_OVERSHOOT
         )
         kept = 0.0
         if opening:
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -4,13 +4,17 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import msgpack
+
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.routes import RouteTable
+from sapphireyard.fleet import generated_fleet
 from sapphireyard.fleet.directory import Candidate, choose_addresses
 from sapphireyard.fleet.generated_fleet import Heartbeat
-from sapphireyard.fleet.gossip import Gossip
+from sapphireyard.fleet.gossip import FANOUT, Gossip
 from sapphireyard.fleet.membership import ENTRY, HISTORY, Membership
+from sapphireyard.streams.frames import MessageCodec
 
 
 class VirtualClock:
@@ -155,6 +159,75 @@
                 self.assertEqual({n: sent.count(n) for n in beats}, beats)
 
 
+class LargeFleetTest(unittest.TestCase):
+    """Entry hosts, of which each heartbeat goes to some."""
+
+    def build(self, entries, copies=4):
+        """Return a `Gossip` that has heard of all hosts, and what it sends."""
+        sent = []
+        settings = SimpleNamespace(
+            peer_address="127.0.0.1:1", role=ENTRY, failure_domain="a"
+        )
+        yard = SimpleNamespace(
+            host="a", incarnation=1, settings=settings, clock=VirtualClock()
+        )
+        gossip = Gossip(yard, describe=lambda now: {})
+        gossip._transport = SimpleNamespace(
+            sendto=lambda data, address: sent.append((address[0], data))
+        )
+        names = [(f"e{n}", ENTRY) for n in range(entries - 1)]
+        names += [(f"c{n}", HISTORY) for n in range(copies)]
+        for name, role in names:
+            gossip.introduce(f"seed {name}:1", f"{name}:1")
+            heartbeat = build_heartbeat(host=name, role=role, address=f"{name}:1")
+            gossip.membership.hear(heartbeat, yard.clock.now)
+        return gossip, sent
+
+    def test_every_host_hears_of_every_other(self):
+        """Entry hosts, and beats until each has got a heartbeat."""
+        for entries, spread in ((2, 1), (8, 1), (17, 1), (18, 2), (65, 4), (410, 26)):
+            with self.subTest(entries):
+                gossip, sent = self.build(entries)
+                heard = {}
+                for beat in range(6 * spread):
+                    begin = len(sent)
+                    gossip.send()
+                    receivers = [host for host, _ in sent[begin:] if host[0] == "e"]
+                    self.assertEqual(len(receivers), len(set(receivers)))
+                    self.assertLessEqual(len(receivers), FANOUT)
+                    for host in receivers:
+                        last = heard.get(host, -1)
+                        self.assertLessEqual(beat - last, spread + 1)
+                        heard[host] = beat
+                self.assertEqual(gossip.spread, spread)
+                self.assertEqual(len(heard), entries - 1)
+                copies = [host for host, _ in sent if host == "c0"]
+                self.assertEqual(len(copies), 2)
+
+    def test_receivers_can_prove_by_it(self):
+        """A heartbeat names what was heard of just those that get it."""
+        gossip, sent = self.build(65, copies=0)
+        gossip.send()
+        codec = MessageCodec()
+        codec.register_module(generated_fleet)
+        heartbeat = codec.load(*msgpack.unpackb(sent[0][1]))
+        self.assertEqual(set(heartbeat.heard), {host for host, _ in sent})
+
+    def test_silence_is_judged_by_the_spread(self):
+        for spread, role, limit in (
+            (1, ENTRY, 0.7),
+            (4, ENTRY, 1.75),
+            (4, HISTORY, 0.7),
+        ):
+            with self.subTest((spread, role)):
+                membership = Membership("a")
+                membership.spread = spread
+                membership.hear(build_heartbeat(role=role), 10.0)
+                for later, lives in ((limit - 0.01, True), (limit + 0.01, False)):
+                    live = membership.live(role, 10.0 + later)
+                    self.assertEqual(bool(live), lives)
+
+
 class MembershipTest(unittest.TestCase):
     def test_which_heartbeats_count(self):
         cases = [
