--- /dev/null
+++ b/tests/test_freshness_machine.py
@@ -0,0 +1,197 @@
+"""Random delays, losses and pauses against the proof of a fresh configuration.
+
+Hosts read a store and tell each other in virtual time. Whatever comes late, no
+host may accept keys by a version longer than the bound after a newer one was
+acknowledged.
+"""
+
+import heapq
+import itertools
+import random
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from sapphireyard.exchange.configuration import Configuration
+from sapphireyard.exchange.routes import RouteTable
+from sapphireyard.fleet.gossip import Gossip
+from sapphireyard.fleet.membership import ENTRY
+from tests.test_freshness_proof import VirtualClock
+
+HOSTS = 4
+BOUND_SECONDS = 5.0
+RUN_SECONDS = 60.0
+BEAT_SECONDS = 0.1
+READ_SECONDS = 0.9
+CHANGE_SECONDS = 4.0
+"""Mean time between two versions."""
+LATE_SECONDS = 9.0
+"""Longest way of a datagram, or of a call to the store."""
+SEEDS = range(25)
+
+
+class World:
+    """Hosts, their store, and all that is on its way."""
+
+    def __init__(self, seed):
+        self.draw = random.Random(seed)
+        self.clock = VirtualClock()
+        self._events = []
+        self._order = itertools.count()
+        self.acknowledged = {1: self.clock.now}
+        self.version = 1
+        self.hosts = {}
+        for number in range(HOSTS):
+            host = Host(f"h{number}", self)
+            self.hosts[host.gossip.address] = host
+
+    def after(self, seconds, action, *arguments):
+        """Do something later."""
+        item = (self.clock.now + seconds, next(self._order), action, arguments)
+        heapq.heappush(self._events, item)
+
+    def way(self):
+        """Return how long a message takes: mostly short."""
+        if self.draw.random() < 0.1:
+            return self.draw.uniform(0.0, LATE_SECONDS)
+        return 0.002
+
+    def run(self):
+        """Play; return how often keys were accepted."""
+        end = self.clock.now + RUN_SECONDS
+        self.after(self.draw.expovariate(1 / CHANGE_SECONDS), self.change)
+        for host in self.hosts.values():
+            self.after(0.0, host.beat)
+            self.after(self.draw.random(), host.read)
+            self.after(self.draw.expovariate(0.1), host.pause)
+        accepted = 0
+        while self._events and self.clock.now < end:
+            at, _, action, arguments = heapq.heappop(self._events)
+            self.clock.now = max(self.clock.now, at)
+            action(*arguments)
+            accepted += sum(self.check(host) for host in self.hosts.values())
+        return accepted
+
+    def change(self):
+        """The operator withdraws keys by a new version."""
+        self.version += 1
+        self.acknowledged[self.version] = self.clock.now
+        self.after(self.draw.expovariate(1 / CHANGE_SECONDS), self.change)
+
+    def check(self, host):
+        """Return whether a host accepts keys; raise if it must not."""
+        if host.paused or not host.configuration.fresh:
+            return False
+        newer = self.acknowledged.get(host.configuration.table.version + 1)
+        if newer is not None and self.clock.now - newer > BOUND_SECONDS:
+            age = self.clock.now - newer
+            raise AssertionError(f"keys accepted {age:.2f} s after a newer version")
+        return True
+
+
+class Host:
+    """One entry host; what comes while it is paused is taken in afterwards."""
+
+    def __init__(self, name, world):
+        self.world = world
+        self.paused = False
+        self._waiting = []
+        address = f"{name}:1"
+        settings = SimpleNamespace(peer_address=address, role=ENTRY, failure_domain="a")
+        yard = SimpleNamespace(
+            host=name, incarnation=1, settings=settings, clock=world.clock
+        )
+        self.configuration = Configuration(
+            world.clock, withdrawal_seconds=BOUND_SECONDS
+        )
+        self.gossip = Gossip(yard, describe=self.describe)
+        self.gossip.address = address
+        self.gossip._transport = SimpleNamespace(sendto=self.send)
+        for number in range(HOSTS):
+            self.gossip.introduce(f"h{number}", f"h{number}:1")
+        self.gossip.on_heartbeat(self.hear)
+
+    def describe(self, now):
+        configuration = self.configuration
+        return {
+            "configuration_version": configuration.table.version,
+            "configuration_age": configuration.age if configuration.known else -1.0,
+        }
+
+    def beat(self):
+        if not self.paused:
+            self.gossip.send()
+        self.world.after(BEAT_SECONDS, self.beat)
+
+    def send(self, payload, address):
+        if self.world.draw.random() < 0.1:
+            return
+        receiver = self.world.hosts[f"{address[0]}:{address[1]}"]
+        action = receiver.gossip._receive
+        self.world.after(self.world.way(), receiver.take, action, payload)
+
+    def hear(self, member, now):
+        self.configuration.confirm_by_peer(
+            member.heartbeat.configuration_version,
+            member.heartbeat.configuration_age,
+            self.gossip.answered_since(member),
+        )
+
+    def read(self):
+        """Ask the store, unless a confirmation is young enough."""
+        if not self.paused and self.configuration.age > READ_SECONDS:
+            sent_at = self.world.clock.now
+            self.world.after(self.world.way(), self.answer, sent_at)
+        self.world.after(self.world.draw.uniform(0.2, 0.6), self.read)
+
+    def answer(self, sent_at):
+        """The store reads; its answer goes back."""
+        version = self.world.version
+        self.world.after(self.world.way(), self.take, self.confirm, version, sent_at)
+
+    def confirm(self, version, sent_at):
+        self.configuration.take(RouteTable(version=version))
+        self.configuration.confirm(sent_at)
+
+    def take(self, action, *arguments):
+        """Take in what arrives."""
+        if self.paused:
+            self._waiting.append((action, arguments))
+        else:
+            action(*arguments)
+
+    def pause(self):
+        self.paused = True
+        self.world.after(self.world.draw.uniform(0.5, 8.0), self.wake)
+
+    def wake(self):
+        self.paused = False
+        waiting, self._waiting = self._waiting, []
+        for action, arguments in waiting:
+            action(*arguments)
+        self.world.after(self.world.draw.expovariate(0.1), self.pause)
+
+
+class FreshnessMachineTest(unittest.TestCase):
+    def test_no_version_is_used_beyond_the_bound(self):
+        for seed in SEEDS:
+            with self.subTest(seed):
+                self.assertGreater(World(seed).run(), 1000)
+
+    def test_broken_proofs_are_found(self):
+        """Ages counted from arrivals rather than from what was sent before."""
+
+        def confirm_now(configuration, sent_at):
+            configuration._confirmed_at = configuration._clock.monotonic()
+
+        def answered_now(gossip, member):
+            return gossip._now()
+
+        for place, broken in (
+            ("sapphireyard.exchange.configuration.Configuration.confirm", confirm_now),
+            ("sapphireyard.fleet.gossip.Gossip.answered_since", answered_now),
+        ):
+            with self.subTest(place), mock.patch(place, broken):
+                with self.assertRaises(AssertionError):
+                    for seed in SEEDS:
+                        World(seed).run()
