Check rates with random cuts and restarts

tests/test_quotas: 20 seeds of up to six cuts, some one-way, and up to six restarts among 4 to 12 hosts; no window exceeds the rule.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -7,6 +7,8 @@
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
 
 HEARTBEAT_SECONDS = 0.1
+NEW_SECONDS = 3.0
+"""Time for which the others take a run as new."""
 RULE = QuotaRule(70.0, 70.0)
 WINDOW_SECONDS = 5.0
 SLACK_SHARE = 0.1
@@ -20,10 +22,18 @@
         self.rule = rule
         self._spread = spread
         self.hosts = [FleetQuotas(started_at=0.0) for _ in range(hosts)]
+        self._runs = [(1, float("-inf"))] * hosts
         self.admitted = []
         self._hears = hears
         self._heard_at = {}
 
+    def restart(self, host, now):
+        """Start a host anew; it has forgotten everything."""
+        self.hosts[host] = FleetQuotas(started_at=now)
+        self._runs[host] = (self._runs[host][0] + 1, now)
+        for other in range(len(self.hosts)):
+            self._heard_at.pop((host, other), None)
+
     def beat(self, now):
         """Exchange counts among hosts that hear each other."""
         count = len(self.hosts)
@@ -32,27 +42,35 @@
             receiver.set_fleet(count, len(heard) + 1, spread=self._spread)
             for b in heard:
                 sender = self.hosts[b]
+                run, started_at = self._runs[b]
                 last = self._heard_at.get((a, b), now)
                 self._heard_at[a, b] = now
                 silence = (7 + 3.5 * (self._spread - 1)) * HEARTBEAT_SECONDS
                 absence = max(0.0, now - last - silence)
                 receiver.hear(
                     f"h{b}",
-                    1,
+                    run,
                     sender.counts(),
                     lambda _: self.rule,
                     now,
                     absence=absence,
-                    new=False,
+                    new=now - started_at < NEW_SECONDS,
                 )
 
-    def run(self, per_second, *, start, end, seed=1):
-        """Send requests at random hosts; note when each was admitted."""
+    def run(self, per_second, *, start, end, seed=1, restarts=()):
+        """Send requests at random hosts; note when each was admitted.
+
+        `restarts` has the time and the host of each restart, in order.
+        """
+        restarts = list(restarts)
         draw = random.Random(seed)
         now = start
         next_beat = start
         while now < end:
             now += draw.expovariate(per_second)
+            while restarts and restarts[0][0] <= now:
+                at, host = restarts.pop(0)
+                self.restart(host, at)
             while next_beat <= now:
                 self.beat(next_beat)
                 next_beat += self._spread * HEARTBEAT_SECONDS
@@ -76,6 +94,21 @@
     return lambda a, b, now: not start <= now < end or a % 2 == b % 2
 
 
+def draw_cut(draw, hosts):
+    """Return a cut of some hosts from the others for a while, at random."""
+    start = draw.uniform(5.0, 40.0)
+    end = start + draw.uniform(0.3, 9.0)
+    group = {host for host in range(hosts) if draw.random() < 0.5}
+    one_way = draw.random() < 0.3
+
+    def cut(a, b, now):
+        if not start <= now < end or (a in group) == (b in group):
+            return False
+        return not one_way or b in group
+
+    return cut
+
+
 class FleetQuotasTest(unittest.TestCase):
     @staticmethod
     def count_allowed(rule):
@@ -104,6 +137,28 @@
                 allowed = self.count_allowed(RULE)
                 self.assertLessEqual(fleet.most_in_window(), allowed)
 
+    def test_random_cuts_and_restarts_exceed_no_window(self):
+        """Up to six cuts, some in one direction only, and up to six restarts."""
+        for seed in range(20):
+            with self.subTest(seed):
+                draw = random.Random(seed)
+                hosts = draw.choice((4, 7, 8, 12))
+                rate = draw.choice((5.0, 20.0, 70.0, 150.0))
+                rule = QuotaRule(rate, rate)
+                cuts = [draw_cut(draw, hosts) for _ in range(draw.randint(0, 6))]
+
+                def hears(a, b, now, cuts=cuts):
+                    return not any(cut(a, b, now) for cut in cuts)
+
+                restarts = sorted(
+                    (draw.uniform(5.0, 42.0), draw.randrange(hosts))
+                    for _ in range(draw.randint(0, 6))
+                )
+                fleet = Fleet(hosts, hears=hears, rule=rule)
+                demand = rate * draw.choice((1.5, 4.0, 10.0))
+                fleet.run(demand, start=10.0, end=45.0, seed=seed, restarts=restarts)
+                self.assertLessEqual(fleet.most_in_window(), self.count_allowed(rule))
+
     def test_rates_of_all_sizes_are_kept_and_used(self):
         for rate in (2.0, 8.0, 13.0, 16.0, 30.0, 200.0):
             with self.subTest(rate):
