--- a/standins/site_upstream.py
+++ b/standins/site_upstream.py
@@ -23,6 +23,8 @@
 """Status 503 that says the request was not run."""
 RESET = "reset"
 """The request runs; then the connection is reset without an answer."""
+CRASH = "crash"
+"""The same, and the upstream takes no further connection."""
 
 
 READ_SECONDS = 0.05
@@ -131,7 +133,9 @@
         return await self._answer(answer, request, writer)
 
     async def _answer(self, answer, request, writer):
-        if answer == RESET:
+        if answer in (RESET, CRASH):
+            if answer == CRASH:
+                self._server.close()
             reset(writer)
             return False
         if answer == GARBAGE:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -307,6 +307,43 @@
                     self.assertIn("Response-Signature", got.headers)
                     self.assertTrue(got.body.endswith(target.encode()))
 
+    async def test_request_that_crashes_upstreams_stops_on_all_hosts(self):
+        upstreams = [self.plain]
+        for number in range(2, 7):
+            upstream = SiteUpstream(f"i-plain-{number}")
+            await upstream.start()
+            self.site.store.put("servers", upstream.name, upstream.describe("plain"))
+            upstreams.append(upstream)
+        for name in ("entry-1", "entry-2"):
+            await self.site.wait_until(
+                lambda name=name: "i-plain-6" in self.site.read_log(name)
+            )
+        for upstream in upstreams:
+            upstream.answers = [site_upstream.CRASH]
+        for crashes in (1, 2, 3):
+            answer = await self.site.send(ENTRIES[0], "POST", "/book/1", body=b"x")
+            self.assertEqual(answer.status, 502)
+            await self.site.wait_until(
+                lambda: f'"crashes": {crashes}' in self.site.read_log("entry-1")
+            )
+        ran = sum(len(each.ran) for each in upstreams)
+        self.assertEqual(ran, 3)
+        answer = await self.site.send(ENTRIES[0], "POST", "/book/1", body=b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 50.0)
+        for upstream in upstreams:
+            upstream.answers = [site_upstream.WHOLE]
+        answer = await self.site.send(ENTRIES[0], "POST", "/book/1", body=b"other")
+        self.assertEqual(answer.status, 200)
+
+        async def is_barred():
+            answer = await self.site.send(ENTRIES[1], "POST", "/book/1", body=b"x")
+            return answer.status == 503 and b"crashes_upstreams" in answer.body
+
+        for upstream in upstreams:  # none is left for it to run on
+            upstream.answers = [site_upstream.FULL]
+        await self.site.wait_until(is_barred)
+
     async def test_cut_stream_does_not_look_complete(self):
         self.engine.answers = [site_upstream.CUT, site_upstream.WHOLE]
         _, answer = await self.site.send_turn(ENTRIES[0], b"A")
