--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -41,6 +41,34 @@
                 names = [each.upstream.name for each in self.sender.sent]
                 self.assertEqual(len(set(names)), len(names))
 
+    async def test_time_handed_on_is_what_is_left(self):
+        """A caller's seconds, those that pass in each send, and what is handed on.
+
+        The route allows 2 s.
+        """
+        cases = [(1.0, 0.6, [1.0, 0.4]), (9.0, 0.5, [2.0, 1.5]), (2.0, 0.0, [2.0, 2.0])]
+        for seconds, passes, expected in cases:
+            with self.subTest((seconds, passes)):
+                await self.asyncSetUp()
+                clock = self.yard.clock
+                now = clock.monotonic()
+                handed = []
+                send = self.sender.send
+
+                def send_late(dispatch, send=send, handed=handed, clock=clock):
+                    handed.append(dispatch.seconds)
+                    now = clock.monotonic() + passes
+                    clock.monotonic = lambda: now
+                    return send(dispatch)
+
+                clock.monotonic = lambda now=now: now
+                self.sender.send = send_late
+                self.sender.script = ["lost", "whole"]
+                await self.serve("/view/1", seconds=seconds)
+                self.assertEqual(len(handed), 2)
+                for got, most in zip(handed, expected):
+                    self.assertAlmostEqual(got, most, places=3)
+
     async def test_no_slot_after_a_run_is_no_promise(self):
         """The first upstream may have run the request; none is left for another."""
         for path, script, status in (("/view/1", ["lost"], 502), ("/view/1", [], 503)):
