Let a copy retire only once the members that are heard have joined

By reading, one state explains it: a copy retired while another member of the set had not joined yet (the set-up waited for the set in the store, not for the joins). Of the three that were left one did not serve; the test kills one more, and a join needs two that serve. So turns were refused until the dead one came back.

Change: a copy that retires waits up to 5 s for members that are heard and not ready. Shown by a test that fails before (it retired at once).

First turns are sent until they are answered whole now, the set-up waits until each copy has joined, and a wait that fails shows the ends of all logs.

--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -63,6 +63,8 @@
 BATCH_SECONDS = 5.0
 """Longest wait for a batch of records."""
 TIDY_SECONDS = 5.0
+RETIRE_PATIENCE_SECONDS = 5.0
+"""Longest wait of a host that retires for others to join: twice what one takes."""
 REPAIR_OVERLAP_SECONDS = 15.0
 """Records this much older than the newest one here are compared at a restart."""
 
@@ -163,6 +165,7 @@
         Returns once the host's disk is needed no more.
         """
         self._retiring = True
+        await self._wait_for_joining()
         copies = await self._leave_set()
         others = [name for name in copies.members if name != self._yard.host]
         kept = await asyncio.gather(*map(self._hand_over, others))
@@ -172,6 +175,31 @@
                 f"{sum(kept)} of {len(others)} copies have taken the records",
             )
 
+    async def _wait_for_joining(self):
+        """Wait for members that are heard and do not serve yet.
+
+        They count in the set that is left. With one more loss too few would serve,
+        and none could join any more.
+        """
+        end = self._now() + RETIRE_PATIENCE_SECONDS
+        while joining := self._list_joining():
+            if self._now() > end:
+                logger.warning("retiring although %s have not joined", joining)
+                return
+            await asyncio.sleep(MAINTAIN_SECONDS)
+
+    def _list_joining(self):
+        """Return the members that are heard and have not joined."""
+        membership = self._yard.gossip.membership
+        joining = []
+        for host in sorted(self._copies.members):
+            member = membership.find(host)
+            if host == self._yard.host or member is None or self._is_gone(host):
+                continue
+            if not member.heartbeat.ready:
+                joining.append(host)
+        return joining
+
     async def _leave_set(self):
         stored, copies = await self._read_copies()
         changed = plan_leave(copies, self._yard.host)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -20,6 +20,8 @@
 sys.path.insert(0, str(ROOT / "platform"))
 STORE_IP = "127.0.0.1"
 WAIT_SECONDS = 20.0
+END_LINES = 8
+END_CHARACTERS = 500
 KEY = "key-of-the-first"
 SECOND_KEY = "key-of-the-second"
 
@@ -209,7 +211,15 @@
             if holds:
                 return
             await asyncio.sleep(0.05)
-        raise TimeoutError("the condition does not hold")
+        raise TimeoutError(f"the condition does not hold; {self._read_ends()}")
+
+    def _read_ends(self):
+        """Return the last lines of all logs, for a test that fails once."""
+        lines = []
+        for folder in sorted(Path(self._folder.name).iterdir()):
+            ends = (folder / "log").read_text().splitlines()[-END_LINES:]
+            lines += [f"{folder.name}: {line[:END_CHARACTERS]}" for line in ends]
+        return "\n".join(["logs end with", *lines])
 
     async def _is_ready(self, ip):
         try:
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -1,6 +1,7 @@
 """Copies of histories and their client, over real streams."""
 
 import asyncio
+import itertools
 import tempfile
 import unittest
 from pathlib import Path
@@ -12,7 +13,7 @@
 from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import HISTORY, Membership
 from sapphireyard.history.client import HistoryClient
-from sapphireyard.history.service import HistoryService
+from sapphireyard.history.service import RETIRE_PATIENCE_SECONDS, HistoryService
 from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
 from tests.test_history import LONG, build_turn
@@ -82,6 +83,7 @@
         self.store = MemoryStore()
         self.copies = {}
         self.hosts = {}
+        self.beats = itertools.count(1)
         entry = Host("entry", self.store, self.folder)
         self.hosts["entry"] = entry
         await entry.listen()
@@ -107,7 +109,16 @@
         for receiver in self.hosts.values():
             for name, host in self.hosts.items():
                 receiver.peers.static_addresses[name] = host.address
-                heartbeat = Heartbeat(name, 1, 1, host.address, HISTORY, "a")
+                copy = self.copies.get(name)
+                heartbeat = Heartbeat(
+                    name,
+                    1,
+                    next(self.beats),
+                    host.address,
+                    HISTORY,
+                    "a",
+                    ready=copy is not None and copy.settled,
+                )
                 receiver.gossip.membership.hear(heartbeat, receiver.clock.monotonic())
 
     async def stop_copy(self, name, service=None):
@@ -245,6 +256,32 @@
         await writing
         self.assertNotIn("d", self.client.copies.members)
 
+    async def test_copy_does_not_retire_while_a_member_has_not_joined(self):
+        """With one more loss too few would serve, for good.
+
+        Whether the member joins in time, and whether it is in touch.
+        """
+        for joins, heard in ((True, True), (False, True), (False, False)):
+            with self.subTest((joins, heard)):
+                await self.asyncSetUp()
+                joining, leaving = self.copies["d"], self.copies["c"]
+                joining._settled = False
+                joining._join_at = float("inf")
+                self.introduce()
+                if not heard:
+                    self.hosts["c"].gossip.membership.silent.add("d")
+                retiring = asyncio.ensure_future(leaving.retire())
+                await asyncio.wait([retiring], timeout=0.6)
+                self.assertEqual(retiring.done(), not heard)
+                self.assertEqual("c" in leaving.copies.members, heard)
+                if joins:
+                    joining._settled = True
+                    self.introduce()
+                elif heard:
+                    self.hosts["c"].clock.passed += RETIRE_PATIENCE_SECONDS
+                await asyncio.wait_for(retiring, WAIT_SECONDS)
+                self.assertNotIn("c", leaving.copies.members)
+
     async def test_newest_of_two_sets_decides_who_serves(self):
         """Both come at once; the older one is on the disk last."""
         service = self.copies["a"]
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -41,11 +41,26 @@
                 f"copy-{number}", "history", ip, domain=f"d{number}"
             )
         await self.site.wait_ready(*ENTRIES)
-        await self.site.wait_until(lambda: self.copies() == 4)
+        await self.site.wait_until(self.all_joined)
         await self.site.wait_until(self.serves_turns)
         self.engine.seen.clear()
         self.engine.ran.clear()
 
+    def all_joined(self):
+        """Return whether the set has four members and each of them serves."""
+        logs = [self.site.read_log(f"copy-{n}") for n in range(1, len(COPIES) + 1)]
+        joined = all("joined the copies" in log for log in logs)
+        return joined and self.copies() == len(COPIES)
+
+    async def keep_turn(self, ip, text):
+        """Send a turn until it is answered whole; return its id."""
+        while True:
+            turn, answer = await self.site.send_turn(ip, text)
+            if answer.status == 200 and answer.whole:
+                return turn
+            self.assertEqual(answer.status, 503)
+            await asyncio.sleep(float(answer.headers["Retry-After"]))
+
     def copies(self):
         """Return the size of the set of copies in the store."""
         item = self.site.store.read("copies", "main")
@@ -186,7 +201,7 @@
         self.assertEqual(self.engine.ran[-1].body.count(b"one\ntwo\nthree\n"), 3)
 
     async def test_lost_copy_is_replaced_by_a_host_with_an_empty_disk(self):
-        turn, _ = await self.site.send_turn(ENTRIES[0], b"A")
+        turn = await self.keep_turn(ENTRIES[0], b"A")
         self.site.kill("copy-1")
         self.site.start_process(
             "copy-5", "history", "127.0.2.5", domain="d1", bootstrap=False
@@ -202,7 +217,7 @@
         self.assertNotIn("copy-1", self.site.store.read("copies", "main")["spec"])
 
     async def test_retired_copy_hands_its_records_over(self):
-        turn, _ = await self.site.send_turn(ENTRIES[0], b"A")
+        turn = await self.keep_turn(ENTRIES[0], b"A")
         self.site.store.put("retirements", "copy-3", {"duration-s": 5})
         await self.site.wait_until(
             lambda: self.site.store.read("retirements", "copy-3")["status"]
