Keep a request's body once, ask all copies in one way, drop what nobody reads

The body stood in Admitted and went beside it through six methods; its digest was computed anew at each check while any crash was known. Three methods of HistoryClient each started the same questions to all members. Behaviour is as before.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -6,6 +6,7 @@
 import secrets
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.calls import Dispatch
@@ -88,9 +89,9 @@
             return self.customer.priority
         return self.route.priority
 
-    @property
+    @cached_property
     def digest(self):
-        """str: The same for each repeat of the request by its customer."""
+        """str: The same for each repeat; asked for once the body is read."""
         return digest_request(self.customer.name, self.call.path, self.body)
 
     @property
@@ -152,18 +153,16 @@
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
         try:
-            body = admitted.body = await self._read_body(admitted)
+            admitted.body = await self._read_body(admitted)
             self._check_crashes(admitted)
             async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
                 if admitted.route.streaming:
-                    await self._turns.serve(admitted, body, reply)
+                    await self._turns.serve(admitted, reply)
                 elif admitted.route.repeatable:
-                    await self._serve_whole(admitted, body, reply)
+                    await self._serve_whole(admitted, reply)
                 else:
                     await asyncio.shield(
-                        start_task(
-                            self._serve_whole(admitted, body, reply), name="call"
-                        )
+                        start_task(self._serve_whole(admitted, reply), name="call")
                     )
         except TimeoutError as error:
             if not admitted.sends:
@@ -249,14 +248,14 @@
             now = self._now()
             self._yard.quotas.refund(customer.name, customer.quota, now)
 
-    async def _serve_whole(self, admitted, body, reply):
+    async def _serve_whole(self, admitted, reply):
         """Send a request to a plain service; pass its answer on when it is whole."""
         excluded = []
         error = None
         unsent = 0
         while admitted.sends < max(1, admitted.route.attempts):
             try:
-                status, headers, answer = await self._ask(admitted, body, excluded)
+                status, headers, answer = await self._ask(admitted, excluded)
             except UpstreamFailed as failure:
                 error = failure
                 unsent += not failure.sent
@@ -298,12 +297,12 @@
             executed=EXECUTED_UNKNOWN,
         )
 
-    async def _ask(self, admitted, body, excluded):
+    async def _ask(self, admitted, excluded):
         """Return status, headers and body; the body is None after a refusal."""
         request = self.slot_request(admitted, excluded)
         async with self._yard.pools.lease(request) as upstream:
             excluded.append(upstream.name)
-            dispatch = self.dispatch(admitted, upstream, body)
+            dispatch = self.dispatch(admitted, upstream)
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
@@ -382,12 +381,13 @@
             excluded=tuple(excluded),
         )
 
-    def dispatch(self, admitted, upstream, body):
-        """Return the `Dispatch` to an upstream."""
+    def dispatch(self, admitted, upstream, *, before=b""):
+        """Return the `Dispatch` to an upstream, with `before` in front of the body."""
         self._check_crashes(admitted)
         admitted.upstream = upstream.name
         admitted.mark("slot", self._now())
         left = admitted.deadline - self._now()
+        body = before + admitted.body
         return Dispatch(
             admitted.call, upstream, admitted.customer.name, body, max(0.0, left)
         )
--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -20,14 +20,11 @@
         Tokens of KV memory.
     tokens_per_event : int
         Tokens generated for each event of a stream.
-    pin_seconds : float, optional
-        Longest time for which memory can be kept for the next turn.
     """
 
     slots: int
     kv_tokens: int
     tokens_per_event: int
-    pin_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -34,7 +34,7 @@
         self._sender = sender
         self.exchange = None
 
-    async def serve(self, admitted, body, reply):
+    async def serve(self, admitted, reply):
         """Run one turn and answer it."""
         keep_seconds = self._keep_seconds(admitted)
         chain, synced = await self._prepare(admitted, keep_seconds)
@@ -42,7 +42,7 @@
         reader = EventReader()
         kept = False
         try:
-            kept = await self._run(admitted, chain, synced, body, reply, reader)
+            kept = await self._run(admitted, chain, synced, reply, reader)
         finally:
             if synced is not None and not kept:
                 tokens = reader.events * self._tokens_per_event(admitted)
@@ -84,7 +84,7 @@
             raise CallError("turn_unknown", f"there is no turn {turn!r}")
         return chain
 
-    async def _run(self, admitted, chain, synced, body, reply, reader):
+    async def _run(self, admitted, chain, synced, reply, reader):
         """Send the turn until an engine runs it; return whether it is kept."""
         excluded = []
         error = None
@@ -92,7 +92,7 @@
         while admitted.sends < max(1, admitted.route.attempts) and unsent <= 2:
             try:
                 ran = await self._attempt(
-                    admitted, chain, synced, body, reply, reader, excluded
+                    admitted, chain, synced, reply, reader, excluded
                 )
             except UpstreamFailed as failure:
                 if reply.started or failure.sent:
@@ -108,7 +108,7 @@
                 return ran
         self.exchange.raise_failed(admitted, error)
 
-    async def _attempt(self, admitted, chain, synced, body, reply, reader, excluded):
+    async def _attempt(self, admitted, chain, synced, reply, reader, excluded):
         """Send the turn to one engine.
 
         Returns
@@ -122,7 +122,7 @@
         pools = self._yard.pools
         async with pools.lease(request, upstream_hint=chain.upstream) as upstream:
             excluded.append(upstream.name)
-            dispatch = self.exchange.dispatch(admitted, upstream, chain.text + body)
+            dispatch = self.exchange.dispatch(admitted, upstream, before=chain.text)
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
@@ -143,7 +143,7 @@
             self.exchange.note_success(admitted, upstream)
         if admitted.route.retention is not None:
             admitted.mark("last", self._yard.clock.monotonic())
-            await self._keep(admitted, chain, body, reader)
+            await self._keep(admitted, chain, reader)
         await reply.finish()
         return True
 
@@ -164,7 +164,7 @@
         if reader.partial:
             raise UpstreamFailed("stream ended inside an event")
 
-    async def _keep(self, admitted, chain, body, reader):
+    async def _keep(self, admitted, chain, reader):
         """Make the turn durable before the caller sees its end."""
         call = admitted.call
         output = bytes(reader.output)
@@ -175,7 +175,7 @@
             admitted.customer.name,
             self._program(admitted),
             tokens,
-            body,
+            admitted.body,
             output,
             self._keep_seconds(admitted),
             upstream=admitted.upstream,
@@ -185,7 +185,7 @@
             await self._yard.history.commit(turn)
         text = ChainText(
             admitted.customer.name,
-            chain.text + body + output,
+            chain.text + admitted.body + output,
             admitted.upstream,
             call.prompt_tokens + tokens,
         )
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -187,23 +187,13 @@
         it is being written. After that, the one that was written last sees all.
         """
         message = SpendingQuery(copies.version, program)
-        tasks = [
-            start_task(
-                self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS),
-                name="spending",
-            )
-            for host in copies.members
-        ]
+        tasks = self._ask_members(copies, message, name="spending")
         return await gather_quorum(tasks, self._quorum(copies), ANSWER_SECONDS)
 
     def settle(self, program, turn, tokens, *, keep_seconds):
         """Replace a reservation by what the turn took, without waiting."""
         message = Settlement(program, turn, tokens, keep_seconds, self._wall())
-        for host in self._copies.members:
-            start_task(
-                self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS),
-                name="settlement",
-            )
+        self._ask_members(self._copies, message, name="settlement")
 
     async def commit(self, turn):
         """Return once a turn is durable.
@@ -218,14 +208,17 @@
 
     async def _commit(self, copies, turn):
         message = TurnCommit(copies.version, turn)
-        tasks = [
+        tasks = self._ask_members(copies, message, name="turn")
+        await gather_quorum(tasks, self._quorum(copies), ANSWER_SECONDS)
+
+    def _ask_members(self, copies, message, *, name):
+        """Start to ask each member of a set; return the tasks."""
+        return [
             start_task(
-                self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS),
-                name="turn",
+                self._yard.peers.ask(host, message, timeout=ANSWER_SECONDS), name=name
             )
             for host in copies.members
         ]
-        await gather_quorum(tasks, self._quorum(copies), ANSWER_SECONDS)
 
     async def _follow_change(self, attempt):
         """Make an attempt with the set at hand, and another if it was an old one."""
