Give both store stand-ins one set of faults

The object API's and the site's stand-in had the same outage, delay and lost answers, with the same code; StoreFaults in _serving has it once. Behaviour is as before.

--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -5,7 +5,7 @@
 import dataclasses
 import os
 import signal
-from typing import Annotated
+from typing import Annotated, Literal
 
 import cappa
 from aiohttp import web
@@ -111,6 +111,46 @@
     await asyncio.Event().wait()
 
 
+class StoreFaults(Faults):
+    """Faults of a store, whatever its interface.
+
+    Attributes
+    ----------
+    outage : {'none', 'refuse', 'hang', 'drop'}
+        What meets each call: status 503, no answer, or a cut connection.
+    delay_seconds : float
+        Time that each call waits first.
+    lose_answers : int
+        How many coming writes take effect and lose their answer.
+    """
+
+    outage: Literal["none", "refuse", "hang", "drop"] = "none"
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+
+    async def delay(self):
+        """Wait as long as each call does."""
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
+
+    def takes_answer(self):
+        """Return whether the answer of this write is to be lost; counts it."""
+        if self.lose_answers <= 0:
+            return False
+        self.lose_answers -= 1
+        return True
+
+    async def meet_outage(self, request):
+        """Return what meets a call in an outage, or None without one."""
+        if self.outage == "refuse":
+            return web.Response(status=503)
+        if self.outage == "drop":
+            return drop_connection(request)
+        if self.outage == "hang":
+            await hang()
+        return None
+
+
 @contextlib.asynccontextmanager
 async def serving(app, *, port=0):
     """Serve `app` on 127.0.0.1; yield the address as ``IP:PORT``."""
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -4,17 +4,15 @@
 import math
 import time
 from collections import Counter
-from typing import Literal
 
 from aiohttp import web
 
 from sapphireyard.exceptions import StoreConflict, StoreGone
 from standins._serving import (
-    Faults,
     ServerOptions,
     StandIn,
+    StoreFaults,
     drop_connection,
-    hang,
     run_main,
 )
 from standins.memory import MemoryStore
@@ -27,26 +25,17 @@
 WRITES = {"create", "update", "delete"}
 
 
-class ObjectFaults(Faults):
+class ObjectFaults(StoreFaults):
     """Faults of the object API.
 
     Attributes
     ----------
-    outage : {'none', 'refuse', 'hang', 'drop'}
-        What meets each call: status 503, no answer, or a cut connection.
-    delay_seconds : float
-        Time that each call waits first.
-    lose_answers : int
-        How many coming writes take effect and lose their answer.
     lose_every : int
         Every so many writes one loses its answer; 0 for none.
     reads_per_second, writes_per_second : float
         Rates beyond which calls are answered with 429; 0 for no limit.
     """
 
-    outage: Literal["none", "refuse", "hang", "drop"] = "none"
-    delay_seconds: float = 0.0
-    lose_answers: int = 0
     lose_every: int = 0
     reads_per_second: float = 0.0
     writes_per_second: float = 0.0
@@ -103,21 +92,14 @@
             return None
         kind = _name_kind(request)
         self.calls[kind] += 1
-        if self.faults.delay_seconds:
-            await asyncio.sleep(self.faults.delay_seconds)
-        if self.faults.outage != "none":
-            return await self._meet_outage(request)
+        await self.faults.delay()
+        struck = await self.faults.meet_outage(request)
+        if struck is not None:
+            return struck
         if not self._within_rate(kind):
             return web.Response(status=429, headers={"Retry-After": "1"})
         return None
 
-    async def _meet_outage(self, request):
-        if self.faults.outage == "refuse":
-            return web.Response(status=503)
-        if self.faults.outage == "drop":
-            return drop_connection(request)
-        await hang()
-
     def _within_rate(self, kind):
         now = time.monotonic()
         if kind in WRITES:
@@ -168,8 +150,7 @@
     def _answer_write(self, request, response):
         self._writes += 1
         every = self.faults.lose_every
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if self.faults.takes_answer():
             return drop_connection(request)
         if every and self._writes % every == 0:
             return drop_connection(request)
@@ -198,7 +179,7 @@
         try:
             await asyncio.wait({watch, disturbed}, return_when=asyncio.FIRST_COMPLETED)
             if not watch.done() and self.faults.outage != "none":
-                return await self._meet_outage(request)
+                return await self.faults.meet_outage(request)
             return _encode_watch(await watch)
         except StoreGone as error:
             return web.Response(status=410, text=str(error))
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -2,34 +2,24 @@
 
 import asyncio
 import itertools
-from typing import Literal
 
 from aiohttp import web
 
-from standins._serving import Faults, StandIn, drop_connection, hang
+from standins._serving import StandIn, StoreFaults, drop_connection
 
 PAGE_ITEMS = 500
 """Most objects in one answer."""
 
 
-class SiteStoreFaults(Faults):
+class SiteStoreFaults(StoreFaults):
     """Faults of the store.
 
     Attributes
     ----------
-    outage : {'none', 'refuse', 'hang', 'drop'}
-        What meets each call: status 503, no answer, or a cut connection.
-    delay_seconds : float
-        Time that each call waits first.
-    lose_answers : int
-        How many coming writes take effect and lose their answer.
     history_from : int
         Watches from below this revision get status 410.
     """
 
-    outage: Literal["none", "refuse", "hang", "drop"] = "none"
-    delay_seconds: float = 0.0
-    lose_answers: int = 0
     history_from: int = 0
 
 
@@ -60,18 +50,8 @@
 
     async def strike(self, request):
         self.calls += 1
-        if self.faults.delay_seconds:
-            await asyncio.sleep(self.faults.delay_seconds)
-        return await self._meet_outage(request)
-
-    async def _meet_outage(self, request):
-        if self.faults.outage == "refuse":
-            return web.Response(status=503)
-        if self.faults.outage == "drop":
-            return drop_connection(request)
-        if self.faults.outage == "hang":
-            await hang()
-        return None
+        await self.faults.delay()
+        return await self.faults.meet_outage(request)
 
     def put(self, kind, name, spec):
         """Write an object as an operator or an upstream would."""
@@ -152,7 +132,7 @@
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
                 continue
-            struck = await self._meet_outage(request)
+            struck = await self.faults.meet_outage(request)
             if struck is not None:
                 return struck
 
@@ -198,8 +178,7 @@
         return self._answer(request, item)
 
     def _answer(self, request, item):
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if self.faults.takes_answer():
             return drop_connection(request)
         return web.json_response(item)
 
