Let a few entry hosts of each failure domain serve, and register before reading

Cause: every entry host sent ten heartbeats a second of 1.6 kB and more, which each receiver answered by walking all hosts. Hosts that started at the same moment read an empty list before they wrote their own entries, and never read again; addresses of hosts that were silent for 20 s were dropped, so that a longer partition never healed.

A request that reaches one makes it read the store first. Heartbeats are msgpack arrays checked by msgspec, with the totals that changed in the last 1.5 s, and an answer for each receiver instead of a list. Shares of rates count hosts by domain.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -116,18 +116,30 @@
         Sends requests to upstreams.
     turns : TurnService
         Serves routes that keep histories.
+    prepare : callable, optional
+        Called and awaited before each request is checked.
+
+    Attributes
+    ----------
+    open_requests : int
+        Requests that are not answered yet.
+    total_requests : int
+        Requests that have arrived.
     """
 
-    def __init__(self, runtime, sender, turns):
+    def __init__(self, runtime, sender, turns, *, prepare=None):
         self._runtime = runtime
         self._sender = sender
         self._turns = turns
         self._rate_waits = Counter()
+        self._prepare = prepare
         self.open_requests = 0
+        self.total_requests = 0
 
     async def serve(self, call, reply):
         """Answer a request; raises nothing but a cancellation."""
         self.open_requests += 1
+        self.total_requests += 1
         outcome = {"code": "served"}
         try:
             await self._serve(call, reply, outcome)
@@ -155,6 +167,8 @@
             self._log_end(call, outcome)
 
     async def _serve(self, call, reply, outcome):
+        if self._prepare is not None:
+            await self._prepare()
         admitted = self._admit(call)
         outcome["admitted"] = admitted
         await self._take_quota(admitted)
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -50,13 +50,12 @@
 
 
 class _Pool:
-    """One service: its scheduler, its upstreams, and the other hosts' load on them."""
+    """One service: its scheduler and its upstreams."""
 
     def __init__(self, host):
         options = SchedulerOptions(hold_new=False, tie_seed=host)
         self.scheduler = Scheduler([], options=options, max_upstreams=MAX_UPSTREAMS)
         self.upstreams = {}
-        self.remote_load = {}
 
 
 class UpstreamPools(mode.Service):
@@ -81,6 +80,8 @@
         self._outliers = OutlierDetector(consecutive=FAILURES_TO_EJECT)
         self._engines = {}
         self._running = {}
+        self._remote = {}
+        self._remote_load = {}
 
     @property
     def running(self):
@@ -161,15 +162,16 @@
             self._apply_states(upstream.service, now)
 
     def update_remote_load(self, member, now):
-        """Update the other entry hosts' requests in flight after a heartbeat."""
-        if member.heartbeat.role == ENTRY:
-            self._count_remote(now)
+        """Update another entry host's requests in flight after its heartbeat."""
+        heartbeat = member.heartbeat
+        if heartbeat.role == ENTRY:
+            self._replace_remote(heartbeat.host, heartbeat.running, now)
 
     @mode.Service.task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
-            self._count_remote(now)
+            self._drop_silent(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
                 self._execute(pool.scheduler.tick(now))
@@ -210,7 +212,6 @@
         now = self._now()
         for name in pool.upstreams.keys() - upstreams.keys():
             self._log_upstream(pool.upstreams.pop(name), "gone")
-            pool.remote_load.pop(name, None)
             self._execute(pool.scheduler.remove_upstream(name, now))
         for name, upstream in upstreams.items():
             known = pool.upstreams.get(name)
@@ -220,6 +221,7 @@
                 self._execute(pool.scheduler.remove_upstream(name, now))
             pool.upstreams[name] = upstream
             pool.scheduler.add_upstream(self._limits(upstream))
+            self._report_remote(pool, name, now)
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
         self._apply_states(service, now)
 
@@ -244,18 +246,38 @@
                 )
                 self._execute(pool.scheduler.set_state(name, state, now))
 
-    def _count_remote(self, now):
-        totals = {}
-        for member in self._runtime.gossip.membership.list_live(ENTRY, now):
-            for name, count in member.heartbeat.running.items():
-                totals[name] = totals.get(name, 0) + count
-        for pool in self._pools.values():
-            for name in pool.upstreams:
-                count = totals.get(name, 0)
-                if pool.remote_load.get(name, 0) == count:
-                    continue
-                pool.remote_load[name] = count
-                self._execute(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+    def _drop_silent(self, now):
+        """Stop counting the requests of hosts that are out of touch."""
+        membership = self._runtime.gossip.membership
+        for host in list(self._remote):
+            member = membership.find(host)
+            if member is None or not membership.is_live(member, now):
+                self._replace_remote(host, {}, now)
+                del self._remote[host]
+
+    def _replace_remote(self, host, running, now):
+        """Count the requests that another host has in flight now."""
+        before = self._remote.get(host, {})
+        self._remote[host] = running
+        for name in before.keys() | running.keys():
+            change = running.get(name, 0) - before.get(name, 0)
+            if change:
+                self._change_remote(name, change, now)
+
+    def _change_remote(self, name, change, now):
+        self._remote_load[name] = self._remote_load.get(name, 0) + change
+        pool = self._find_pool(name)
+        if pool is not None:
+            self._report_remote(pool, name, now)
+        if not self._remote_load[name]:
+            del self._remote_load[name]
+
+    def _report_remote(self, pool, name, now):
+        count = self._remote_load.get(name, 0)
+        self._execute(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+
+    def _find_pool(self, name):
+        return next((p for p in self._pools.values() if name in p.upstreams), None)
 
     def _limits(self, upstream):
         engine = self._engines.get(upstream.service)
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -29,9 +29,9 @@
 
 
 @dataclass
-class HostAddress:
+class HostProfile:
     """
-    Where a host can be reached.
+    What a host registers in the store when it starts.
     """
 
     host: str
@@ -40,12 +40,21 @@
     IP:PORT of its streams and datagrams.
     """
     role: str
+    failure_domain: str
+    caller_address: str = ''
+    """
+    IP:PORT for callers, on entry hosts.
+    """
+    cores: float = 0
+    """
+    Processor cores that the host may use.
+    """
 
 
 @dataclass
 class Heartbeat:
     """
-    State of a host, sent to the other hosts several times a second.
+    State of a host, sent to other hosts. New fields are appended, as they are encoded by position.
     """
 
     host: str
@@ -64,27 +73,22 @@
     """
     IP:PORT for callers, on entry hosts.
     """
-    ready: bool = False
-    """
-    Callers may be sent to this host.
-    """
-    admitted: dict[str, int] = field(default_factory=dict)
+    cores: float = 0
     """
-    Requests admitted for each customer since the host started.
+    Processor cores that the host may use.
     """
-    running: dict[str, int] = field(default_factory=dict)
+    answer: list[int] = field(default_factory=list)
     """
-    Requests that the host has in flight on each upstream.
+    Incarnation and number of the newest heartbeat that came from the receiver; empty for none.
     """
-    heard: dict[str, list[int]] = field(default_factory=dict)
+    active: bool = True
     """
-    Incarnation and number of the newest heartbeat received from other entry hosts.
+    An entry host that serves callers rather than stands by.
     """
-    crashes: dict[str, list[int]] = field(default_factory=dict)
+    ready: bool = False
     """
-    Requests that crashed upstreams, by digest: seconds since the last crash, then the id of each crash.
+    Callers may be sent to this host.
     """
-    copies: CopySet | None = None
     leaving: bool = False
     """
     The host is about to stop.
@@ -106,7 +110,40 @@
     """
     Seconds since that version was known to be the newest; -1 for never.
     """
-    known: list[HostAddress] = field(default_factory=list)
+    call_rate: float = 0
+    """
+    Requests that the host serves per second.
+    """
+    domain_known: int = 0
+    """
+    Entry hosts of its failure domain that the host knows.
+    """
+    domain_live: int = 0
+    """
+    Entry hosts of its failure domain that the host hears.
+    """
+    rotation: list[str] = field(default_factory=list)
+    """
+    Entry hosts of its failure domain that are to serve callers.
+    """
+    full: bool = True
+    """
+    Whether the counts of all customers are included, rather than those that changed recently.
+    """
+    admitted: dict[str, int] = field(default_factory=dict)
+    """
+    Requests admitted for each customer since the host started.
+    """
+    running: dict[str, int] = field(default_factory=dict)
+    """
+    Requests that the host has in flight on each upstream.
+    """
+    crashes: dict[str, list[int]] = field(default_factory=dict)
+    """
+    Requests that crashed upstreams, by digest: seconds since the last crash, then the id of each crash.
+    """
+    copies: CopySet | None = None
+    directory: list[str] = field(default_factory=list)
     """
-    Other hosts, so that a new host learns of all hosts from one.
+    IP:PORT of the hosts to which callers are to be sent; for hosts that stand by.
     """
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sapphireyard.fleet.generated_fleet import Heartbeat, HostAddress
+from sapphireyard.fleet.generated_fleet import Heartbeat
 
 ENTRY = "entry"
 """Role of hosts that serve callers."""
@@ -10,9 +10,15 @@
 """Role of hosts that keep copies of histories."""
 SILENCE_SECONDS = 0.7
 """Seven heartbeats of 0.1 s: silence after which a host counts as out of touch."""
-EXTRA_ROUND_SILENCE_SECONDS = 0.35
-"""Added for each further beat between two heartbeats to the same host: three and a
-half beats rather than seven, as a late heartbeat is missed by few hosts only."""
+SILENT_HEARTBEATS = 3.5
+"""Heartbeats by which the silence grows in fleets with longer intervals: fewer than
+seven, as a late heartbeat is missed by few hosts only."""
+STANDBY_SILENCE_SECONDS = 3.5
+"""The same between a standby host and the active ones: three heartbeats of 1 s."""
+COUNTED_SILENCE_SECONDS = 1.3
+"""Silence after which a standby host does not count for shares of rates. It is short,
+as two parts of a divided fleet must not count the same host for long; a host that is
+missed for a moment changes the shares little."""
 REMOVAL_SECONDS = 20.0
 """Silence after which a host is removed: longer than a restart, and than a network
 partition of some seconds."""
@@ -38,38 +44,80 @@
 
 
 class Membership:
-    """The hosts from which heartbeats were received.
+    """The hosts that are registered, and those from which heartbeats were received.
 
-    Handles a fleet of some tens of hosts that die, pause and are replaced at any
+    Handles a fleet of some hundreds of hosts that die, pause and are replaced at any
     time: whether a host is live depends only on the time since its last heartbeat,
-    on the clock of the observer.
+    on the clock of the observer. Active entry hosts hear each other and the standby
+    hosts of their failure domain; standby hosts hear the active ones of their domain.
 
     Parameters
     ----------
     host : str
         Name of this host.
+    failure_domain : str, optional
+        Its failure domain.
+
+    Attributes
+    ----------
+    own : HostProfile or None
+        This host, if it is an entry host.
+    active : bool
+        Whether this host itself is active.
+    heartbeat_seconds : float
+        Interval of the active hosts' heartbeats.
     """
 
-    def __init__(self, host):
+    def __init__(self, host, failure_domain=""):
         self._host = host
+        self._failure_domain = failure_domain
         self._members = {}
-        self._addresses = {}
-        self.fanout_rounds = 1
+        self._profiles = {}
+        self._seeds = set()
+        self.own = None
+        self.active = True
+        self.heartbeat_seconds = 0.1
+
+    @property
+    def profiles(self):
+        """dict of str to HostProfile: The other registered hosts by name."""
+        return self._profiles
+
+    def list_registered(self, domain):
+        """Return the `HostProfile` of each entry host of a domain, with this host."""
+        found = [
+            each
+            for each in self._profiles.values()
+            if each.role == ENTRY and each.failure_domain == domain
+        ]
+        if self.own is not None and self.own.failure_domain == domain:
+            found.append(self.own)
+        return found
 
-    def silence_limit(self, role):
+    def silence_limit(self, heartbeat):
         """Return the seconds of silence after which a host is out of touch.
 
-        In a large fleet, entry hosts get each other's heartbeats only every
-        `fanout_rounds` beats.
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            Last heartbeat of the host.
         """
-        if role != ENTRY:
+        if heartbeat.role != ENTRY:
             return SILENCE_SECONDS
-        return SILENCE_SECONDS + (self.fanout_rounds - 1) * EXTRA_ROUND_SILENCE_SECONDS
+        if not (self.active and heartbeat.active):
+            return STANDBY_SILENCE_SECONDS
+        longer = self.heartbeat_seconds - 0.1
+        return SILENCE_SECONDS + SILENT_HEARTBEATS * max(0.0, longer)
+
+    def add_seed(self, address):
+        """Add the IP:PORT of a host whose name is not known."""
+        self._seeds.add(address)
 
-    def add_address(self, host, address, now):
-        """Add the address of a host from which no heartbeat was received yet."""
-        if host != self._host and host not in self._members:
-            self._addresses.setdefault(host, address)
+    def set_profiles(self, profiles):
+        """Replace the registered hosts by a newer list of `HostProfile`."""
+        self._profiles = {
+            profile.host: profile for profile in profiles if profile.host != self._host
+        }
 
     def record_heartbeat(self, heartbeat, now):
         """Record a heartbeat.
@@ -85,23 +133,23 @@
         silence = now - known.heard_at if known else 0.0
         if known is not None and self._is_outdated(heartbeat, known.heartbeat, silence):
             return None
-        limit = self.silence_limit(heartbeat.role)
+        limit = self.silence_limit(known.heartbeat if known else heartbeat)
         member = Member(heartbeat, now, max(0.0, silence - limit))
         self._members[heartbeat.host] = member
-        self._addresses[heartbeat.host] = heartbeat.address
         return member
 
-    def list_receivers(self):
-        """Return the IP:PORT of every host that may be alive, by host, each once.
+    def find_address(self, host):
+        """Return the IP:PORT of a host's datagrams, or None if it is not known."""
+        member = self._members.get(host)
+        if member is not None:
+            return member.heartbeat.address
+        profile = self._profiles.get(host)
+        return profile.address if profile else None
 
-        A seed is known only by its address until a heartbeat of its host arrives.
-        """
-        member_addresses = {m.heartbeat.address for m in self._members.values()}
-        return {
-            host: address
-            for host, address in self._addresses.items()
-            if host in self._members or address not in member_addresses
-        }
+    def list_seeds(self):
+        """Return the IP:PORT of each seed whose host was not heard yet."""
+        heard = {member.heartbeat.address for member in self._members.values()}
+        return self._seeds - heard
 
     def find(self, host):
         """Return the `Member` called `host`, or None."""
@@ -112,23 +160,77 @@
         member = self._members.get(host)
         return now - member.heard_at if member else float("inf")
 
-    def list_known(self, role):
-        """Return the members with a role, sorted by name."""
-        members = self._members.values()
-        return sorted(
-            (member for member in members if member.heartbeat.role == role),
-            key=lambda member: member.heartbeat.host,
-        )
+    def is_live(self, member, now):
+        """Return whether a member is not out of touch."""
+        return now - member.heard_at <= self.silence_limit(member.heartbeat)
+
+    def list_known(self, role, *, domain=None):
+        """Return the members with a role, in one domain or all, sorted by name."""
+        found = [
+            member
+            for member in self._members.values()
+            if member.heartbeat.role == role
+            and (domain is None or member.heartbeat.failure_domain == domain)
+        ]
+        return sorted(found, key=lambda member: member.heartbeat.host)
 
     def list_live(self, role, now):
         """Return the members with a role that are not out of touch, sorted by name."""
-        limit = self.silence_limit(role)
+        return [member for member in self.list_known(role) if self.is_live(member, now)]
+
+    def list_active(self, now):
+        """Return the live entry hosts that serve callers, sorted by name."""
         return [
-            member for member in self.list_known(role) if now - member.heard_at <= limit
+            member for member in self.list_live(ENTRY, now) if member.heartbeat.active
         ]
 
+    def count_entry_hosts(self):
+        """Return how many entry hosts are registered or were heard, with this one."""
+        registered = {p.host for p in self._profiles.values() if p.role == ENTRY}
+        heard = {m.heartbeat.host for m in self.list_known(ENTRY)}
+        return len(registered | heard | {self._host})
+
+    def count_domain(self, now):
+        """Return how many entry hosts of the own domain are known, and how many live.
+
+        Both count this host.
+        """
+        known = self.list_known(ENTRY, domain=self._failure_domain)
+        return len(known) + 1, sum(self._counts(m, now) for m in known) + 1
+
+    def count_fleet(self, now):
+        """Return how many entry hosts are known in the fleet, and how many live.
+
+        Each host counts those of its own domain that it hears. If live hosts of a
+        domain report more than are heard from here, their counts are used.
+        """
+        domains = {}
+        for member in self.list_known(ENTRY):
+            heartbeat = member.heartbeat
+            counts = domains.setdefault(heartbeat.failure_domain, [0, 0, 0, 0])
+            live = self._counts(member, now)
+            counts[0] += 1
+            counts[1] = max(counts[1], heartbeat.domain_known)
+            counts[2] += live
+            counts[3] = max(counts[3], heartbeat.domain_live * live)
+        own = domains.setdefault(self._failure_domain, [0, 0, 0, 0])
+        own[0] += 1
+        own[2] += 1
+        known = sum(max(counts[0], counts[1]) for counts in domains.values())
+        live = sum(max(counts[2], counts[3]) for counts in domains.values())
+        return known, live
+
+    def _counts(self, member, now):
+        """Return whether a member counts as live for shares of rates."""
+        if member.heartbeat.active:
+            return self.is_live(member, now)
+        return now - member.heard_at <= COUNTED_SILENCE_SECONDS
+
     def remove_silent(self, now):
-        """Remove hosts that have been silent for long; return their names."""
+        """Remove hosts that have been silent for long; return their names.
+
+        Their registered addresses are kept, so that a partition that heals is noticed.
+        """
         removed = [
             host
             for host, member in self._members.items()
@@ -136,26 +238,14 @@
         ]
         for host in removed:
             del self._members[host]
-            self._addresses.pop(host, None)
         return removed
 
-    def heard_numbers(self, hosts):
-        """Return incarnation and number of the newest heartbeat of the given hosts."""
-        return {
-            host: [
-                self._members[host].heartbeat.incarnation,
-                self._members[host].heartbeat.number,
-            ]
-            for host in hosts
-            if host in self._members
-        }
-
-    def list_addresses(self):
-        """Return the `HostAddress` of each member, for new hosts."""
-        return [
-            HostAddress(host, member.heartbeat.address, member.heartbeat.role)
-            for host, member in self._members.items()
-        ]
+    def heard_number(self, host):
+        """Return incarnation and number of a host's newest heartbeat, or nothing."""
+        member = self._members.get(host)
+        if member is None:
+            return []
+        return [member.heartbeat.incarnation, member.heartbeat.number]
 
     def _is_outdated(self, heartbeat, known, silence):
         """Return whether a heartbeat is older than the last one received.
@@ -164,7 +254,7 @@
         the host was down: after a silence a lower incarnation is a new run.
         """
         if heartbeat.incarnation < known.incarnation:
-            return silence <= self.silence_limit(known.role)
+            return silence <= self.silence_limit(known)
         if heartbeat.incarnation > known.incarnation:
             return False
         return heartbeat.number <= known.number
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -5,13 +5,14 @@
 bucket of the whole fleet.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 SCARCE_SHARE = 0.25
 """Share of the burst below which each host limits itself to its local part of the
 rate, so that the hosts do not all take the tokens refilled between two heartbeats."""
 COUNT_SECONDS = 0.1
-"""Age of the other hosts' counts if each heartbeat goes to all hosts."""
+"""Age of the other hosts' counts in a small fleet."""
 TOLERATED_OVERSHOOT = 12.0
 """Requests by which the hosts may exceed a rate between two heartbeats, which is made
 up for afterwards. Operators allow 20; small customers stay below this anyway and
@@ -64,23 +65,28 @@
         self._started_at = started_at
         self._buckets = {}
         self._counts = {}
+        self._changed = OrderedDict()
         self._hosts = 1
         self._heard = 1
+        self._admitting = 1
         self._count_seconds = COUNT_SECONDS
 
-    def set_fleet(self, hosts, heard, *, fanout_rounds=1):
+    def set_fleet(self, hosts, heard, *, admitting=None, count_seconds=COUNT_SECONDS):
         """Set the number of entry hosts, and how many of them are in touch.
 
         Parameters
         ----------
         hosts, heard : int
             All entry hosts, and those in touch, this one included in both.
-        fanout_rounds : int, optional
-            Beats from one heartbeat to the same host to the next.
+        admitting : int, optional
+            Hosts in touch that admit requests; all unless some stand by.
+        count_seconds : float, optional
+            Age of the other hosts' counts.
         """
-        self._count_seconds = fanout_rounds * COUNT_SECONDS
+        self._count_seconds = count_seconds
         self._hosts = max(1, hosts)
         self._heard = max(1, min(heard, self._hosts))
+        self._admitting = self._heard if admitting is None else max(1, admitting)
 
     def admit(self, customer, rule, now, *, opening=False, urgent=True):
         """Take a token for one request.
@@ -106,12 +112,12 @@
         """
         bucket = self._refill(customer, rule, now)
         if rule is None:
-            bucket.admitted += 1
+            self._count(customer, bucket, now)
             return 0.0
         share = self._heard / self._hosts
         scarce = (
             bucket.fleet_tokens < 1.0 + SCARCE_SHARE * rule.burst * share
-            and rule.rate * (self._heard - 1) * self._count_seconds
+            and rule.rate * (self._admitting - 1) * self._count_seconds
             > TOLERATED_OVERSHOOT
         )
         reserve = 0.0
@@ -125,21 +131,30 @@
         if scarce:
             bucket.local_tokens -= 1.0
         bucket.fleet_tokens -= 1.0
-        bucket.admitted += 1
+        self._count(customer, bucket, now)
         return 0.0
 
     def estimate_wait(self, rule, waiting):
         """Return the seconds until `waiting` more requests of this host get tokens."""
-        return waiting * self._hosts / rule.rate
+        return waiting / self._local_rate(rule)
 
     def refund(self, customer, rule, now):
         """Return the token of a request that was not sent to any upstream."""
         bucket = self._refill(customer, rule, now)
         bucket.fleet_tokens += 1.0
-        bucket.admitted -= 1
+        self._count(customer, bucket, now, change=-1)
 
     def merge_counts(
-        self, host, incarnation, admitted, rules, now, *, absence=0.0, new=True
+        self,
+        host,
+        incarnation,
+        admitted,
+        rules,
+        now,
+        *,
+        absence=0.0,
+        new=True,
+        full=True,
     ):
         """Merge the number of requests that another host admitted since its start.
 
@@ -162,13 +177,19 @@
         new : bool, optional
             The run has only started. If a run is unknown and not new, this host itself
             is new, and what the run admitted before was never in its buckets either.
+        full : bool, optional
+            All customers with requests are included. Until then, nothing is known of
+            what a run that is not new admitted before.
         """
         run, known = self._counts.get(host, (None, {}))
         if run != incarnation:
-            known = {} if new else admitted
-        self._counts[host] = (incarnation, admitted)
+            if not new and not full:
+                return
+            known = {} if new else dict(admitted)
+            self._counts[host] = (incarnation, known)
         for customer, count in admitted.items():
             before = known.get(customer, 0)
+            known[customer] = count
             rule = rules(customer)
             if rule is None or count <= before:
                 continue
@@ -184,6 +205,20 @@
             if bucket.admitted
         }
 
+    def changed_counts(self, since):
+        """Return those of the `counts` that changed after a time."""
+        changed = {}
+        for customer, changed_at in reversed(self._changed.items()):
+            if changed_at < since:
+                break
+            changed[customer] = self._buckets[customer].admitted
+        return changed
+
+    def _count(self, customer, bucket, now, *, change=1):
+        bucket.admitted += change
+        self._changed[customer] = now
+        self._changed.move_to_end(customer)
+
     def _refill(self, customer, rule, now):
         bucket = self._buckets.get(customer)
         if bucket is None:
@@ -198,16 +233,20 @@
         bucket.fleet_tokens = min(
             fleet_max, bucket.fleet_tokens + rule.rate * share * elapsed
         )
-        local_max = max(1.0, SCARCE_SHARE * rule.burst / self._hosts)
+        local_max = max(1.0, SCARCE_SHARE * rule.burst * share / self._admitting)
         bucket.local_tokens = min(
-            local_max, bucket.local_tokens + rule.rate / self._hosts * elapsed
+            local_max, bucket.local_tokens + self._local_rate(rule) * elapsed
         )
         return bucket
 
+    def _local_rate(self, rule):
+        """Return this host's part of a rate in requests per second."""
+        return rule.rate * self._heard / self._hosts / self._admitting
+
     def _retry_after(self, bucket, rule, reserve, scarce):
         share = self._heard / self._hosts
         wait = (1.0 + reserve - bucket.fleet_tokens) / (rule.rate * share)
         if scarce:
-            local_wait = (1.0 - bucket.local_tokens) / (rule.rate / self._hosts)
+            local_wait = (1.0 - bucket.local_tokens) / self._local_rate(rule)
             wait = max(wait, local_wait)
         return max(MIN_RETRY_SECONDS, wait)
