Check key, route and size of a request before its body

Cause: the gateway read the body, up to its limit, before the key, and answered 400 or 404 to callers without a key, which told them which routes exist.

Change: both handlers check that the configuration is fresh, then key, route, size and body, as the exchange does on the platform. Without a key, a route that needs one and an unknown one are refused alike with 401. Only a chat call without a key has its body read first if some model route needs no key, as the model is in the body.

--- a/sapphireyard/callers/gateway.py
+++ b/sapphireyard/callers/gateway.py
@@ -228,17 +228,26 @@
         )
 
     async def _serve_chat(self, request):
+        self._runtime.configuration.check_fresh()
+        routes = self._runtime.configuration.current.routes.values()
+        key_optional = any(route.kind == "model" and route.open for route in routes)
+        principal = self._authenticate(request, key_optional=key_optional)
         body = await self._read_body(request)
         check_chat_body(body)
-        route = self._find_route(body["model"], kind="model")
+        route = self._find_route(principal, body["model"], kind="model")
         return await self._forward_call(
-            request, route, body, stream=body.get("stream", False)
+            request, principal, route, body, stream=body.get("stream", False)
         )
 
     async def _serve_call(self, request):
+        self._runtime.configuration.check_fresh()
+        name = request.match_info["route"]
+        route = self._runtime.configuration.current.routes.get(name)
+        key_optional = route is not None and route.open
+        principal = self._authenticate(request, key_optional=key_optional)
+        route = self._find_route(principal, name, kind="service")
         body = await self._read_body(request)
-        route = self._find_route(request.match_info["route"], kind="service")
-        return await self._forward_call(request, route, body, stream=False)
+        return await self._forward_call(request, principal, route, body, stream=False)
 
     async def _serve_program(self, request):
         return await self._inspect(request)
@@ -250,6 +259,9 @@
         return await self._inspect(request, end=True)
 
     async def _read_body(self, request):
+        limit = self._runtime.settings.body_bytes
+        if (request.content_length or 0) > limit:
+            raise CallError("request_too_large", f"the limit is {limit} bytes")
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
                 return parse_json_object(await request.read())
@@ -259,9 +271,14 @@
                 f"the body was not received within {BODY_TIMEOUT_SECONDS:g} s",
             ) from error
 
-    def _find_route(self, name, *, kind):
-        self._runtime.configuration.check_fresh()
+    def _find_route(self, principal, name, *, kind):
+        """Return the route called `name` that a principal may see.
+
+        Without a key, routes that need one and unknown ones are refused alike.
+        """
         route = self._runtime.configuration.current.routes.get(name)
+        if principal is None and (route is None or not route.open):
+            raise CallError("key_unknown", "a bearer key is required")
         if route is None or route.kind != kind:
             raise CallError("route_unknown", f"no {kind} route {name!r}")
         return route
@@ -281,8 +298,7 @@
         self._requests[asyncio.current_task()] = principal.key_digest
         return principal
 
-    async def _forward_call(self, request, route, body, *, stream):
-        principal = self._authenticate(request, key_optional=route.open)
+    async def _forward_call(self, request, principal, route, body, *, stream):
         customer = principal.customer if principal else PUBLIC_CUSTOMER
         if not route.open and route.customers and customer not in route.customers:
             raise CallError(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of the callers' interface without other services."""
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
@@ -12,6 +13,7 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.streams.generated_messages import AnswerEnd, AnswerStart
 
+WAIT_SECONDS = 5.0
 ROUTES = {
     "open": Route("open", "service", "p", repeatable=True, open=True),
     "closed": Route("closed", "service", "p", repeatable=True),
@@ -87,6 +89,49 @@
                 self.assertEqual(response.status, status)
                 self.assertIn(expected, (body.get("code"), body.get("customer")))
 
+    async def test_key_route_size_and_body_are_checked_in_this_order(self):
+        """Each request has all faults from one of the steps on."""
+        good = {"Authorization": "Bearer good"}
+        bad = {"Authorization": "Bearer bad"}
+        large = b"{" + b" " * 5000
+        chat = "/v1/chat/completions"
+        model = b'{"model": "none", "messages": [{"role": "user", "content": "x"}]}'
+        cases = [
+            ("no key, empty body", "/v1/call/closed", {}, b"", 401),
+            ("no key, unknown route", "/v1/call/none", {}, large, 401),
+            ("false key, empty body", "/v1/call/closed", bad, b"", 401),
+            ("false key, open route", "/v1/call/open", bad, large, 401),
+            ("key, unknown route", "/v1/call/none", good, large, 404),
+            ("key, too large", "/v1/call/closed", good, large, 413),
+            ("key, empty body", "/v1/call/closed", good, b"", 400),
+            ("chat, no key, empty body", chat, {}, b"", 401),
+            ("chat, no key, unknown model", chat, {}, model, 401),
+            ("chat, false key, too large", chat, bad, large, 401),
+            ("chat, key, too large", chat, good, large, 413),
+            ("chat, key, empty body", chat, good, b"", 400),
+            ("chat, key, unknown model", chat, good, model, 404),
+        ]
+        for name, path, headers, body, status in cases:
+            with self.subTest(name):
+                url = self.server.make_url(path)
+                async with self.session.post(
+                    url, data=body, headers=headers
+                ) as response:
+                    self.assertEqual(response.status, status)
+
+    async def test_key_is_checked_before_the_body_arrives(self):
+        for path in ("/v1/call/closed", "/v1/chat/completions"):
+            with self.subTest(path):
+                reader, writer = await asyncio.open_connection(
+                    self.server.host, self.server.port
+                )
+                head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+                writer.write(head.encode())
+                async with asyncio.timeout(WAIT_SECONDS):
+                    status = await reader.readline()
+                self.assertIn(b" 401 ", status)
+                writer.close()
+
     async def test_draining_host_closes_connections(self):
         for draining, expected in ((False, None), (True, "close")):
             for key in ("good", "bad"):
