--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
@@ -12,6 +13,8 @@
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
 
+logger = logging.getLogger(__name__)
+
 RETENTION_MARGIN_SECONDS = 15.0
 """Added to the retention: copies receive a turn, and start to count its retention,
 before its caller sees the end."""
@@ -87,6 +90,16 @@
             return ChainText(admitted.customer.name)
         chain = await self._runtime.history.read_chain(turn)
         if chain.customer != admitted.customer.name:
+            logger.info(
+                "turn of another customer",
+                extra={
+                    "decision": "chain",
+                    "request_id": admitted.call.request_id,
+                    "turn": turn,
+                    "customer": admitted.customer.name,
+                    "owner": chain.customer,
+                },
+            )
             raise CallError("turn_unknown", f"there is no turn {turn!r}")
         return chain
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -47,6 +47,15 @@
                 (stored,) = self.runtime.history.turns
                 self.assertEqual(stored.program, stored_under)
 
+    async def test_log_names_the_owner_of_a_foreign_turn(self):
+        """The caller only learns that there is no such turn."""
+        with self.assertLogs("sapphireyard.exchange.turns") as logs:
+            await self.turn(previous_turn="foreign")
+        self.assertEqual(self.reply.status, 404)
+        (record,) = logs.records
+        self.assertEqual((record.turn, record.request_id), ("foreign", "r1"))
+        self.assertNotEqual(record.owner, record.customer)
+
     async def test_ends_of_turns(self):
         """Each case has script of the engines, status, sends, and settlements."""
         cases = [
