Start rates anew when a host becomes active; grow the rotation later

At second 12.9 the burst passed 30 requests a second and core, and eight small hosts of each domain became active. Their buckets had filled up since the start of the process, and they had not counted what the others admitted; each newcomer brought another burst.

Change: a host that becomes active starts with empty buckets, like a process, and takes its baseline from the next full counts, which the others send first to a host that became active.

Result: test_hosts_that_become_active_bring_no_tokens replays hosts that join one by one; without the change each of its three loads breaks the bound.

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -34,7 +34,8 @@
 FULL_BEATS = 20
 """Every twentieth heartbeat to a host has all totals."""
 FIRST_FULL_BEATS = 3
-"""So have the first ones to a new run of a host, one of which may be lost."""
+"""So have the first ones to a host that has started or become active, as one of them
+may be lost."""
 EFFORT_SMOOTHING = 0.15
 """Weight of the newest heartbeat in the effort: the average reflects about 1 s."""
 REMEMBERED_BEATS = 100
@@ -182,11 +183,13 @@
     def _is_full(self, host):
         """Return whether the next heartbeat to a host has all totals."""
         member = self.membership.find(host)
-        incarnation = member.heartbeat.incarnation if member else None
+        run = None
+        if member is not None:
+            run = member.heartbeat.incarnation, member.heartbeat.active
         known, count = self._full_counts.get(host, (None, 0))
-        if incarnation != known:
+        if run != known:
             count = 0
-        self._full_counts[host] = incarnation, count + 1
+        self._full_counts[host] = run, count + 1
         return count < FIRST_FULL_BEATS or count % FULL_BEATS == 0
 
     def _note_effort(self, seconds):
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -88,6 +88,17 @@
         self._heard = max(1, min(heard, self._hosts))
         self._admitting = self._heard if admitting is None else max(1, admitting)
 
+    def restart(self, now):
+        """Start with empty buckets, as a process does.
+
+        A host that stood by has not counted what the others admitted.
+        """
+        self._started_at = now
+        self._counts.clear()
+        for bucket in self._buckets.values():
+            bucket.fleet_tokens = bucket.local_tokens = 0.0
+            bucket.refilled_at = now
+
     def admit(self, customer, rule, now, *, opening=False, urgent=True):
         """Take a token for one request.
 
--- a/sapphireyard/fleet/rotation.py
+++ b/sapphireyard/fleet/rotation.py
@@ -24,9 +24,9 @@
 MIN_ACTIVE_CORES = 4.0
 """Processor cores of a domain's active hosts. The peak of the known fleets needs less
 in a domain; the rest is for bursts, until more hosts are active."""
-CALLS_PER_CORE = 30.0
-"""Requests per second and core from which more hosts become active: a third of what a
-core can serve."""
+CALLS_PER_CORE = 80.0
+"""Requests per second and core from which more hosts become active: a third to a half
+of what a core can serve."""
 PEAK_SECONDS = 30.0
 """Time for which the highest load determines the number of active hosts."""
 DEMOTE_SECONDS = 10.0
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -7,6 +7,8 @@
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
 
 HEARTBEAT_SECONDS = 0.1
+GROWTH_SECONDS = 0.15
+"""Time between two hosts that become active."""
 NEW_SECONDS = 3.0
 """Time for which the other hosts treat a run as new."""
 RULE = QuotaRule(70.0, 70.0)
@@ -78,10 +80,14 @@
             while next_beat <= now:
                 self.exchange_counts(next_beat)
                 next_beat += self._rounds * HEARTBEAT_SECONDS
-            host = rng.choice(self.hosts)
+            host = rng.choice(self.list_active(now))
             if not host.admit("c", self.rule, now):
                 self.admitted.append(now)
 
+    def list_active(self, now):
+        """Return the hosts that admit requests."""
+        return self.hosts
+
     def max_in_window(self):
         """Return the maximum number of requests admitted in any window."""
         most = 0
@@ -93,6 +99,44 @@
         return most
 
 
+class GrowingFleet(Fleet):
+    """A fleet whose standby hosts, which hear nothing, become active one by one."""
+
+    def __init__(self, hosts, *, active, grows_at, restart, rule, rounds):
+        super().__init__(hosts, rule=rule, rounds=rounds)
+        self._first = active
+        self._grows_at = grows_at
+        self._restart = restart
+
+    def list_active(self, now):
+        added = max(0.0, now - self._grows_at) / GROWTH_SECONDS
+        return self.hosts[: self._first + int(added)]
+
+    def exchange_counts(self, now):
+        active = self.list_active(now)
+        for number, receiver in enumerate(active):
+            if number >= self._first and number not in self._heard_at:
+                self._heard_at[number] = now
+                if self._restart:
+                    receiver.restart(now)
+            receiver.set_fleet(
+                len(self.hosts),
+                len(self.hosts),
+                admitting=len(active),
+                count_seconds=self._rounds * HEARTBEAT_SECONDS,
+            )
+            for other, sender in enumerate(active):
+                if other != number:
+                    receiver.merge_counts(
+                        f"h{other}",
+                        1,
+                        sender.counts(),
+                        lambda _: self.rule,
+                        now,
+                        new=False,
+                    )
+
+
 def split(start, end):
     """Return a function that tells who hears whom while two halves are partitioned."""
     return lambda a, b, now: not start <= now < end or a % 2 == b % 2
@@ -187,6 +231,24 @@
                 self.assertLessEqual(fleet.max_in_window(), self.count_allowed(rule))
                 self.assertGreater(len(fleet.admitted), 0.8 * rate * 15)
 
+    def test_hosts_that_become_active_bring_no_tokens(self):
+        """A burst makes hosts active that had not counted what the others admitted."""
+        for rate, demand in ((30.0, 240.0), (70.0, 280.0), (70.0, 560.0)):
+            for restart, holds in ((True, True), (False, False)):
+                with self.subTest(rate, restart=restart):
+                    rule = QuotaRule(rate, 2 * rate)
+                    fleet = GrowingFleet(
+                        42,
+                        active=12,
+                        grows_at=20.0,
+                        restart=restart,
+                        rule=rule,
+                        rounds=2,
+                    )
+                    fleet.run(demand, start=10.0, end=30.0)
+                    allowed = self.count_allowed(rule)
+                    self.assertEqual(fleet.max_in_window() <= allowed, holds)
+
     def test_customer_within_its_rate_is_not_refused(self):
         """Load of 0.8 times the rate, spread at random over the hosts."""
         fleet = Fleet(7)
