Serve turns on standby hosts too; a leaving host does not become active again

Cause: found by reading. Copies of histories send heartbeats to active hosts only, so a standby host counted none of them as reachable and refused each turn with 503. A leaving host that was demoted, and is expected by the registered order, would have become active again at once.

Change: a standby host counts the members as reachable and asks them; a leaving host stays as it is. Properties of Gossip come first.

Result: the new table in test_history fails without the change.

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -76,9 +76,21 @@
         self._effort = 0.0
         self._contacts = []
         self.rotation = rotation
-        self.membership = Membership(
-            runtime.host, getattr(runtime.settings, "failure_domain", "")
-        )
+        self.membership = Membership(runtime.host, runtime.settings.failure_domain)
+
+    @property
+    def interval(self):
+        """float: Seconds between this host's heartbeats."""
+        if self._runtime.settings.role == HISTORY:
+            return HISTORY_BEATS * HEARTBEAT_SECONDS
+        if not self.membership.active:
+            return STANDBY_SECONDS
+        return self.membership.heartbeat_seconds
+
+    @property
+    def effort(self):
+        """float: Smoothed seconds that it takes to build a heartbeat."""
+        return self._effort
 
     def on_heartbeat(self, listener):
         """Call ``listener(member, now)`` for each new heartbeat."""
@@ -121,20 +133,6 @@
             self.send()
             await asyncio.sleep(self.interval)
 
-    @property
-    def interval(self):
-        """float: Seconds between this host's heartbeats."""
-        if self._runtime.settings.role == HISTORY:
-            return HISTORY_BEATS * HEARTBEAT_SECONDS
-        if not self.membership.active:
-            return STANDBY_SECONDS
-        return self.membership.heartbeat_seconds
-
-    @property
-    def effort(self):
-        """float: Smoothed seconds that it takes to build a heartbeat."""
-        return self._effort
-
     def send(self):
         """Send one heartbeat to the hosts whose turn it is."""
         now = self._now()
--- a/sapphireyard/fleet/rotation.py
+++ b/sapphireyard/fleet/rotation.py
@@ -165,7 +165,8 @@
         named = self._profile.host in self.names or self.is_named(now)
         if named:
             self._named_at = now
-        if not self.active and self._may_start(others, named, registered, now):
+        may_start = not leaving and self._may_start(others, named, registered, now)
+        if not self.active and may_start:
             self._switch(True, others)
         elif self.active and others and now - self._named_at > DEMOTE_SECONDS:
             self._switch(False, others)
@@ -186,9 +187,8 @@
         """Return whether this host is the first active one of its domain."""
         if not self.active:
             return False
-        return rank_hosts([self._profile, *self._list_active_others(now)])[0] is (
-            self._profile
-        )
+        active = rank_hosts([self._profile, *self._list_active_others(now)])
+        return active[0] == self._profile
 
     def list_contacts(self, now):
         """Return the hosts to which this host sends heartbeats while it stands by."""
@@ -216,9 +216,7 @@
         """
         if not self.active:
             return []
-        members = self._membership.list_known(
-            ENTRY, domain=self._profile.failure_domain
-        )
+        members = self._membership.list_known(ENTRY, domain=self._domain)
         hosts = [
             member.heartbeat
             for member in members
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -325,6 +325,8 @@
 
     def _count_reachable(self, copies):
         membership = self._runtime.gossip.membership
+        if not membership.active:  # copies send nothing to standby hosts
+            return len(copies.members)
         now = self._runtime.clock.monotonic()
         return sum(
             membership.silent_for(host, now) < REACHABLE_SECONDS
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -195,6 +195,7 @@
         self.peers = SimulatedPeers(name, world.network)
         self.gossip = SimpleNamespace(
             membership=SimpleNamespace(
+                active=True,
                 silent_for=lambda other, now: world.network.silent_for(
                     name, other, now
                 ),
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -249,7 +249,7 @@
 class CyclicReservationsTest(unittest.IsolatedAsyncioTestCase):
     async def test_reservations_that_miss_each_other_stay_within_the_budget(self):
         """Five turns reserve 100 of 450 tokens at the same time."""
-        membership = SimpleNamespace(silent_for=lambda host, now: 0.0)
+        membership = SimpleNamespace(active=True, silent_for=lambda host, now: 0.0)
         runtime = SimpleNamespace(
             peers=CyclicPeers(),
             clock=Clock(),
@@ -270,6 +270,29 @@
         self.assertEqual({error.code for error in refused}, {"budget_exceeded"})
 
 
+class ReachableCopiesTest(unittest.TestCase):
+    def test_copies_that_a_standby_host_does_not_hear_count_as_reachable(self):
+        """Copies send heartbeats to active hosts only."""
+        for active, silence, keeps_turns in (
+            (True, 0.1, True),
+            (True, float("inf"), False),
+            (False, float("inf"), True),
+        ):
+            with self.subTest((active, silence)):
+                membership = SimpleNamespace(
+                    active=active, silent_for=lambda host, now, s=silence: s
+                )
+                runtime = SimpleNamespace(
+                    peers=CyclicPeers(),
+                    clock=Clock(),
+                    settings=SimpleNamespace(tolerated_losses=1),
+                    gossip=SimpleNamespace(membership=membership),
+                )
+                client = HistoryClient(runtime)
+                client.update_copies(CopySet(1, {name: name for name in "abcd"}))
+                self.assertEqual(client.keeps_turns, keeps_turns)
+
+
 class QuorumTest(unittest.IsolatedAsyncioTestCase):
     async def test_errors_after_a_cancellation_are_retrieved(self):
         """The loop must not report any of them as never retrieved."""
