Let a restarted host become active as soon as it has read the others

A host starts as a standby host, whose next heartbeat, at which the rotation is decided, comes after a second.

Change: the registry asks for a heartbeat once the hosts are known; a host that becomes active goes on at the interval of active hosts at once.

Result: the new test in test_standby fails without the change (not active after 0.1 s).

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections import OrderedDict
 
@@ -75,8 +76,10 @@
         self._advertised = []
         self._effort = 0.0
         self._contacts = []
+        self._due = asyncio.Event()
         self.rotation = rotation
         self.membership = Membership(runtime.host, runtime.settings.failure_domain)
+        self._was_active = True
 
     @property
     def interval(self):
@@ -130,8 +133,15 @@
     @mode.Service.task
     async def _beat(self):
         while not self.should_stop:
+            self._due.clear()
             self.send()
-            await asyncio.sleep(self.interval)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.interval):
+                    await self._due.wait()
+
+    def beat_now(self):
+        """Send the next heartbeat without waiting for its time."""
+        self._due.set()
 
     def send(self):
         """Send one heartbeat to the hosts whose turn it is."""
@@ -139,6 +149,9 @@
         self._note_silence(now)
         for listener in self._beat_listeners:
             listener(now)
+        if self.membership.active and not self._was_active:
+            self.beat_now()  # from now on at the interval of active hosts
+        self._was_active = self.membership.active
         self._number += 1
         self._sent_at[self._number] = now
         if len(self._sent_at) > REMEMBERED_BEATS:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -114,6 +114,7 @@
             peers=SimpleNamespace(static_addresses={}),
             gossip=SimpleNamespace(
                 membership=membership,
+                beat_now=lambda: None,
                 rotation=SimpleNamespace(leads=lambda now: leads),
             ),
         )
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from sapphireyard.clocks import Clock
-from sapphireyard.exceptions import StoreUnavailable
+from sapphireyard.exceptions import StoreConflict, StoreUnavailable
 from sapphireyard.runtime import Runtime
 from sapphireyard.streams.frames import MessageCodec
 from tests.platform_site import ROOT, build_configuration
@@ -20,6 +20,7 @@
     WAKE_TIMEOUT_SECONDS,
     EntryProcess,
 )
+from adapter.names import HOSTS_KIND  # noqa: E402
 from adapter.settings import HostSettings  # noqa: E402
 
 STORE_SECONDS = 0.004
@@ -40,9 +41,20 @@
         self.calls = []
         self.available = None
         self.silent = False
+        self.entries = []
+
+    async def create_object(self, kind, name, spec):
+        await self._answer(f"create {kind}")
+        raise StoreConflict(name)
+
+    async def put_object(self, kind, name, spec):
+        await self._answer(f"put {kind}")
+        self.entries = [SimpleNamespace(name=name, revision=1, spec=spec)]
 
     async def list_objects(self, kind, *, stale=False):
         await self._answer(f"list {kind}")
+        if kind == HOSTS_KIND:
+            return self.entries, 1
         if kind != "config":
             return [], 1
         item = SimpleNamespace(name="main", revision=1, spec=build_configuration())
@@ -168,6 +180,24 @@
 
         self.run_process(test)
 
+    def test_restarted_host_is_active_as_soon_as_it_has_read_the_others(self):
+        """It does not wait for its next heartbeat, which a standby host sends late."""
+
+        async def test():
+            gossip = self.process._runtime.gossip
+            gossip._transport = SimpleNamespace(
+                sendto=lambda *datagram: None, close=lambda: None
+            )
+            with mock.patch.object(type(gossip), "on_start"):
+                await gossip.start()
+            await self.process._registry.start()
+            await asyncio.sleep(0.1)
+            self.assertTrue(self.process._rotation.active)
+            for service in (gossip, self.process._registry):
+                await service.stop()
+
+        self.run_process(test)
+
     def test_request_is_not_held_while_the_store_is_known_to_be_down(self):
         async def test():
             self.store.silent = True
