Add sapphireyard trace, which merges the logs of hosts around one request

Change: the command reads JSON lines from files or standard input, shows the lines of a request and of its program, and what the hosts that served them say of their state. Clocks are corrected by the lines of the configuration's versions.

--- a/sapphireyard/operators/_commands.py
+++ b/sapphireyard/operators/_commands.py
@@ -9,6 +9,7 @@
 from sapphireyard.operators._output import JSON, TABLE
 
 DEFAULT_HISTORY_LIMIT = 20
+DEFAULT_TRACE_SECONDS = 2.0
 
 
 def _option(field, help_text, *, default="", **options):
@@ -166,6 +167,23 @@
     ] = False
 
 
+@cappa.command(
+    help="Merge the logs of many hosts around one request.",
+    epilog="Example: sapphireyard trace 44c92659f35df209 logs/*.json",
+)
+@dataclass(kw_only=True)
+class Trace(SiteOptions):
+    """Trace a request."""
+
+    request: Annotated[str, cappa.Arg(help="Id of the request.")]
+    files: Annotated[
+        list[str], cappa.Arg(help="Log files of hosts; - for standard input.")
+    ]
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="Time shown before and after the request.")
+    ] = DEFAULT_TRACE_SECONDS
+
+
 @cappa.command(
     name="sapphireyard",
     help="Operate a sapphireyard site.",
@@ -176,5 +194,5 @@
     """The command line."""
 
     command: cappa.Subcommands[
-        Apply | Diff | Get | History | Keys | Status | Explain | Drain
+        Apply | Diff | Get | History | Keys | Status | Explain | Drain | Trace
     ]
--- a/sapphireyard/operators/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -10,7 +10,9 @@
 import sys
 import time
 from contextlib import asynccontextmanager
+from datetime import UTC, datetime
 from functools import singledispatch
+from pathlib import Path
 
 import aiohttp
 import cappa
@@ -37,6 +39,7 @@
     ListKeys,
     Operator,
     Status,
+    Trace,
     Withdraw,
 )
 from sapphireyard.operators._output import (
@@ -47,6 +50,7 @@
     print_rows,
 )
 from sapphireyard.operators.site import Site, TableConflict
+from sapphireyard.operators.traces import parse_line, trace_request
 from sapphireyard.storage.objects import ObjectStore
 
 EXIT_DONE = 0
@@ -54,6 +58,7 @@
 EXIT_INVALID = 2
 EXIT_CONFLICT = 3
 
+STANDARD_INPUT = "-"
 KEY_VARIABLE = "SAPPHIREYARD_KEY"
 """Variable with the operator's key; a flag would be visible to other users."""
 
@@ -230,6 +235,52 @@
     return EXIT_DONE
 
 
+@run_command.register
+async def _(command: Trace):
+    lines = [
+        line
+        for path in command.files
+        for line in map(parse_line, _read_lines(path))
+        if line is not None
+    ]
+    traced = trace_request(lines, command.request, seconds=command.seconds)
+    if not traced:
+        hosts = len({line.host for line in lines})
+        raise SapphireyardError(
+            f"no line has request {command.request!r}; read {len(lines)} lines of"
+            f" {hosts} hosts"
+        )
+    if command.output == JSON:
+        print_json([{"corrected": at, **line.fields} for at, line in traced])
+        return EXIT_DONE
+    hidden = {"time", "level", "host", "logger", "message"}
+    rows = [
+        {
+            "time": datetime.fromtimestamp(at, UTC).strftime("%H:%M:%S.%f")[:-3],
+            "host": line.host,
+            "message": line.fields.get("message"),
+            "fields": " ".join(
+                f"{name}={value}"
+                for name, value in line.fields.items()
+                if name not in hidden
+            ),
+        }
+        for at, line in traced
+    ]
+    print_rows(rows, ["time", "host", "message", "fields"], output=TABLE)
+    return EXIT_DONE
+
+
+def _read_lines(path):
+    """Return the lines of a log file, or of the standard input."""
+    if path == STANDARD_INPUT:
+        return sys.stdin.read().splitlines()
+    try:
+        return Path(path).read_text(errors="replace").splitlines()
+    except OSError as error:
+        raise SettingsError([Finding(path, error.strerror)]) from error
+
+
 def _format_time(seconds):
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
 
