--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -1,5 +1,6 @@
 """The known hosts, and which of them are live."""
 
+from collections import defaultdict
 from dataclasses import dataclass
 
 from sapphireyard.fleet.generated_fleet import Heartbeat
@@ -43,6 +44,16 @@
     absence: float = 0.0
 
 
+@dataclass
+class _DomainCount:
+    """Entry hosts of a failure domain: heard here, and as its hosts report."""
+
+    known: int = 0
+    live: int = 0
+    reported_known: int = 0
+    reported_live: int = 0
+
+
 class Membership:
     """The hosts that are registered, and those from which heartbeats were received.
 
@@ -204,20 +215,19 @@
         Each host counts those of its own domain that it hears. If live hosts of a
         domain report more than are heard from here, their counts are used.
         """
-        domains = {}
+        domains = defaultdict(_DomainCount)
+        own = domains[self._failure_domain]
+        own.known = own.live = 1
         for member in self.list_known(ENTRY):
             heartbeat = member.heartbeat
-            counts = domains.setdefault(heartbeat.failure_domain, [0, 0, 0, 0])
-            live = self._counts(member, now)
-            counts[0] += 1
-            counts[1] = max(counts[1], heartbeat.domain_known)
-            counts[2] += live
-            counts[3] = max(counts[3], heartbeat.domain_live * live)
-        own = domains.setdefault(self._failure_domain, [0, 0, 0, 0])
-        own[0] += 1
-        own[2] += 1
-        known = sum(max(counts[0], counts[1]) for counts in domains.values())
-        live = sum(max(counts[2], counts[3]) for counts in domains.values())
+            domain = domains[heartbeat.failure_domain]
+            domain.known += 1
+            domain.reported_known = max(domain.reported_known, heartbeat.domain_known)
+            if self._counts(member, now):
+                domain.live += 1
+                domain.reported_live = max(domain.reported_live, heartbeat.domain_live)
+        known = sum(max(d.known, d.reported_known) for d in domains.values())
+        live = sum(max(d.live, d.reported_live) for d in domains.values())
         return known, live
 
     def _counts(self, member, now):
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -160,6 +160,19 @@
 
         self.run_process(test)
 
+    def test_request_right_after_a_pause_uses_the_watch_in_progress(self):
+        """The watch has missed nothing, and may take seconds to end."""
+
+        async def test():
+            await self.wake()
+            await asyncio.sleep(AWAKE_SECONDS + 0.1)
+            self.beat()
+            await asyncio.sleep(0.1)
+            self.assertLess(await self.wake(), 0.001)
+            self.assertTrue(self.process._upstreams_feed.answered)
+
+        self.run_process(test)
+
     def test_host_that_becomes_active_is_ready_once_upstreams_are_read(self):
         async def test():
             copies = SimpleNamespace(members={"s": "id"}, version=1)
