--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -1,6 +1,7 @@
 """An entry host that stands by, and what a request to it does."""
 
 import asyncio
+import functools
 import sys
 import unittest
 from types import SimpleNamespace
@@ -8,6 +9,7 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable
+from sapphireyard.fleet.generated_fleet import HostProfile
 from sapphireyard.runtime import Runtime
 from sapphireyard.streams.frames import MessageCodec
 from tests.platform_site import ROOT, build_configuration
@@ -17,6 +19,7 @@
 
 from adapter.entry import (  # noqa: E402
     AWAKE_SECONDS,
+    SETTLE_SECONDS,
     WAKE_TIMEOUT_SECONDS,
     EntryProcess,
 )
@@ -24,7 +27,6 @@
 from adapter.settings import HostSettings  # noqa: E402
 
 STORE_SECONDS = 0.004
-NEVER_SECONDS = 1000.0
 
 
 class LoopClock(Clock):
@@ -123,6 +125,17 @@
     def beat(self):
         self.process._prepare_beat(asyncio.get_running_loop().time())
 
+    def activate(self):
+        """Let the rotation choose this host at its next heartbeat."""
+        rotation = self.process._rotation
+        rotation.active = False
+
+        def choose(now, **options):
+            rotation.active = True
+
+        rotation.update = choose
+        self.beat()
+
     async def wake(self):
         """Return the seconds for which a request waits."""
         started = asyncio.get_running_loop().time()
@@ -173,6 +186,26 @@
 
         self.run_process(test)
 
+    def test_host_that_becomes_active_is_ready_once_it_has_heard_the_others(self):
+        """In a small fleet all hosts are active from the start, and need not wait."""
+
+        async def test(others, seconds):
+            profiles = [HostProfile(f"h{n}", "", "entry", "x") for n in range(others)]
+            self.process._membership.set_profiles(profiles)
+            copies = SimpleNamespace(members={"s": "id"}, version=1)
+            history = SimpleNamespace(copies=copies, keeps_turns=True)
+            self.process._runtime.history = history
+            started = asyncio.get_running_loop().time()
+            self.activate()
+            while not self.process.ready:
+                await asyncio.sleep(0.01)
+            waited = asyncio.get_running_loop().time() - started
+            self.assertAlmostEqual(waited, seconds, delta=0.05)
+
+        for others, seconds in ((7, 0.0), (40, SETTLE_SECONDS)):
+            with self.subTest(others):
+                self.run_process(functools.partial(test, others, seconds))
+
     def test_host_that_becomes_active_is_ready_once_upstreams_are_read(self):
         async def test():
             copies = SimpleNamespace(members={"s": "id"}, version=1)
