Log how an upstream's answer was delimited and how it ended

A turn that counts as served had no line that tells a proper end from a broken-off one, so the hypotheses on the broken-off stream could not be told apart from logs. The line 'request ended' now has framing, ending, number of events and the bytes after the last of them; a counter has the numbers.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -116,6 +116,33 @@
     timeout: float
 
 
+LENGTH = "length"
+CHUNKED = "chunked"
+CONNECTION = "connection"
+COMPLETE = "complete"
+CLOSED = "closed"
+RESET = "reset"
+BROKEN = "broken"
+
+
+@dataclass
+class BodyEnd:
+    """How the body of an answer is delimited, and how it ended.
+
+    Parameters
+    ----------
+    framing : str
+        `LENGTH`, `CHUNKED`, or `CONNECTION` if the body ends with its connection;
+        empty if there was no answer.
+    outcome : str
+        `COMPLETE` by its framing, connection `CLOSED` in order, `RESET`, or `BROKEN`
+        off as its framing shows; empty until the body has been read.
+    """
+
+    framing: str = ""
+    outcome: str = ""
+
+
 @dataclass
 class UpstreamAnswer:
     """The head of an upstream's answer, and its body as a stream.
@@ -132,6 +159,8 @@
         The answer carries the upstream's signature.
     chunks : async iterator of bytes
         The body; raises `UpstreamFailed` if it ends early.
+    end : BodyEnd
+        How the body ended; complete once `chunks` has been read.
     """
 
     status: int
@@ -139,6 +168,7 @@
     refused: bool = False
     signed: bool = False
     chunks: object = field(default=None, repr=False)
+    end: BodyEnd = field(default_factory=BodyEnd)
 
 
 class UpstreamSender(ABC):
--- a/sapphireyard/exchange/events.py
+++ b/sapphireyard/exchange/events.py
@@ -12,6 +12,7 @@
     def __init__(self):
         self._incomplete_line = b""
         self._data = []
+        self._open_bytes = 0
         self.events = 0
         self.output = bytearray()
 
@@ -21,9 +22,15 @@
         lines = (self._incomplete_line + chunk).split(b"\n")
         self._incomplete_line = lines.pop()
         for line in lines:
+            self._open_bytes += len(line) + 1
             self._process_line(line.removesuffix(b"\r"))
         return self.events - before
 
+    @property
+    def trailing_bytes(self):
+        """int: Bytes since the end of the last event."""
+        return self._open_bytes + len(self._incomplete_line)
+
     @property
     def partial(self):
         """bool: Whether the bytes so far end inside an event."""
@@ -34,6 +41,7 @@
             if line.startswith(DATA_FIELD):
                 self._data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
             return
+        self._open_bytes = 0
         if not self._data:
             return
         self.output += b"\n".join(self._data) + b"\n"
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -9,7 +9,8 @@
 from functools import cached_property
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
-from sapphireyard.exchange.calls import Dispatch
+from sapphireyard.exchange.calls import BodyEnd, Dispatch
+from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.routes import Customer, Route
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR, digest_request
 from sapphireyard.scheduling.scheduling import SlotRequest
@@ -63,6 +64,10 @@
         An upstream may have run it, even if a later one refuses it.
     body : bytes
         Body sent by the caller.
+    end : BodyEnd
+        How the body of the last answer ended.
+    reader : EventReader or None
+        Events of the answer to a turn.
     marks : dict of str to float
         Milliseconds from the arrival to the end of each step, for the log.
     """
@@ -76,6 +81,8 @@
     upstream: str = ""
     may_have_run: bool = False
     body: bytes = b""
+    end: BodyEnd = field(default_factory=BodyEnd)
+    reader: EventReader | None = None
     marks: dict = field(default_factory=dict)
 
     @property
@@ -87,6 +94,16 @@
         """Record that a step of the request ended."""
         self.marks[f"{step}_ms"] = round((now - self.call.arrived_at) * 1000, 1)
 
+    def describe_end(self):
+        """Return how the last answer ended, as fields of a log line."""
+        if not self.end.framing:
+            return {}
+        fields = {"framing": self.end.framing, "ending": self.end.outcome}
+        if self.reader is not None:
+            fields["events"] = self.reader.events
+            fields["trailing_bytes"] = self.reader.trailing_bytes
+        return fields
+
     @property
     def priority(self):
         """int: Priority of the request; 0 is the highest."""
@@ -349,6 +366,7 @@
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
+                    admitted.end = answer.end
                     if answer.refused:
                         self._runtime.pools.report(upstream, ok=True)
                         return answer.status, (), None
@@ -460,6 +478,10 @@
         seconds = now - call.arrived_at
         self._runtime.metrics.count("calls", route=route, code=outcome["code"])
         self._runtime.metrics.record("call_duration", seconds, route=route)
+        if admitted and admitted.end.framing:
+            self._runtime.metrics.count(
+                "answers", framing=admitted.end.framing, ending=admitted.end.outcome
+            )
         logger.info(
             "request ended",
             extra={
@@ -472,6 +494,7 @@
                 "sends": admitted.sends if admitted else 0,
                 "ms": round(seconds * 1000, 1),
                 **(admitted.marks if admitted else {}),
+                **(admitted.describe_end() if admitted else {}),
                 "version": self._runtime.configuration.table.version,
                 "version_age": round(self._runtime.configuration.age, 2),
                 **outcome,
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -45,7 +45,7 @@
         keep_seconds = self._keep_seconds(admitted)
         chain, synced = await self._prepare(admitted, keep_seconds)
         admitted.mark("history", self._runtime.clock.monotonic())
-        reader = EventReader()
+        reader = admitted.reader = EventReader()
         committed = False
         try:
             committed = await self._run(admitted, chain, synced, reply, reader)
@@ -148,6 +148,7 @@
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
+                    admitted.end = answer.end
                     if answer.refused:
                         pools.report(upstream, ok=True)
                         return None
--- a/sapphireyard/metrics.py
+++ b/sapphireyard/metrics.py
@@ -34,6 +34,7 @@
     Instrument("refusals", COUNTER, "1", "Calls refused, by code."),
     Instrument("forwarded", COUNTER, "1", "Calls passed to another host."),
     Instrument("upstream_failures", COUNTER, "1", "Failed attempts, by upstream."),
+    Instrument("answers", COUNTER, "1", "Upstreams' answers, by framing and ending."),
     Instrument("commit_duration", HISTOGRAM, "s", "Time to make records durable."),
 )
 
