--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -55,3 +55,40 @@
         line = vars(await self.answer(HEAD, b"body", End.CLOSE, path="/view/1"))
         self.assertEqual((line["framing"], line["ending"]), (CONNECTION, CLOSED))
         self.assertNotIn("events", line)
+
+
+class BrokenOffStreamTest(AnswerTestCase):
+    """Streams that end with their connection and are broken off."""
+
+    async def check(self, *steps, complete=False):
+        line = await self.answer(HEAD, *steps)
+        self.assertEqual(self.complete, complete, vars(line))
+        self.assertEqual(len(self.runtime.history.turns), int(complete))
+
+    async def test_stream_cut_inside_an_event_does_not_look_complete(self):
+        """An event may be cut after a line that holds no data yet."""
+        events = [
+            b"id: 2\ndata: two\n\n",
+            b"id: 2\r\ndata: two\r\n\r\n",
+            b"weight-versions: 4\nid: 2\nevent: token\ndata: two\n\n",
+        ]
+        for event in events:
+            for size in range(1, len(event)):
+                with self.subTest(cut=event[:size]):
+                    await self.check(EVENTS[0] + event[:size], End.CLOSE)
+            with self.subTest(whole=event):
+                await self.check(EVENTS[0] + event, End.CLOSE, complete=True)
+
+    async def test_stream_cut_by_a_crash_between_events_does_not_look_complete(self):
+        """The connection ends in order; the upstream accepts no other one."""
+        await self.check(EVENTS[0], End.CRASH)
+
+    async def test_stream_cut_by_a_reset_does_not_look_complete(self):
+        """Cases are the pauses before the first event and before the reset."""
+        cases = [(0.0, 0.0), (PAUSE_SECONDS, 0.0), (0.0, PAUSE_SECONDS)]
+        for before_event, before_reset in cases:
+            with self.subTest((before_event, before_reset)):
+                await self.check(before_event, EVENTS[0], before_reset, End.RESET)
+
+    async def test_whole_stream_looks_complete(self):
+        await self.check(*EVENTS, End.CLOSE, complete=True)
