Treat a stream that ends after any line of an event as broken off

Callers saw a turn with status 200, the engine's signature and a proper end, though the engine had crashed in it; the short turn was stored as history. Cause: EventReader.partial knew unfinished lines and collected data only. A stream without a length that ended after 'id: 2' or another line that holds no data had neither, so it counted as whole and was committed. Why it works: an event is open from its first field to the empty line, whatever its fields are. Comments open none, since they may stand between events. Whether this is what the users' record saw is not shown: it has no bytes.

--- a/sapphireyard/exchange/events.py
+++ b/sapphireyard/exchange/events.py
@@ -1,12 +1,14 @@
 """Parses the events of a stream while its bytes are forwarded."""
 
 DATA_FIELD = b"data:"
+COMMENT = b":"
 
 
 class EventReader:
     """Collects the data of complete events of a ``text/event-stream`` body.
 
-    An event ends with an empty line; lines end with LF or CRLF.
+    An event begins with its first field, whichever it is, and ends with an empty line;
+    lines end with LF or CRLF. Comments belong to no event.
     """
 
     def __init__(self):
@@ -22,22 +24,24 @@
         lines = (self._incomplete_line + chunk).split(b"\n")
         self._incomplete_line = lines.pop()
         for line in lines:
-            self._open_bytes += len(line) + 1
             self._process_line(line.removesuffix(b"\r"))
         return self.events - before
 
     @property
     def trailing_bytes(self):
-        """int: Bytes since the end of the last event."""
+        """int: Bytes of an event that has not ended; a line end counts as one."""
         return self._open_bytes + len(self._incomplete_line)
 
     @property
     def partial(self):
         """bool: Whether the bytes so far end inside an event."""
-        return bool(self._incomplete_line or self._data)
+        return self.trailing_bytes > 0
 
     def _process_line(self, line):
+        if line.startswith(COMMENT):
+            return
         if line:
+            self._open_bytes += len(line) + 1
             if line.startswith(DATA_FIELD):
                 self._data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
             return
