Take an answer without a length for broken off if its upstream is down

Callers saw a short answer that looked complete, and the short turn was stored. Cause: the end of a connection is the only end of an answer without a length or chunks, and only a reset counted as broken off. Evidence: between two events, or in a plain body, nothing in the bytes tells the two ends apart. tests.test_answer_ends failed before for a stream and for a booking (200 for a body cut by a crash). Why it works: an upstream that crashed refuses connections, so one connection is opened before such an answer counts as complete. It costs a connection, and only for these answers. An upstream that is leaving or no longer listed may have stopped after its last answer; its orderly ends still count. What remains: a crash that restarts within a round trip cannot be told from a proper end, nor can a crash of a leaving upstream between two events.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -9,7 +9,7 @@
 from functools import cached_property
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
-from sapphireyard.exchange.calls import BodyEnd, Dispatch
+from sapphireyard.exchange.calls import CLOSED, BodyEnd, Dispatch
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.routes import Customer, Route
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR, digest_request
@@ -370,7 +370,7 @@
                     if answer.refused:
                         self._runtime.pools.report(upstream, ok=True)
                         return answer.status, (), None
-                    data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+                    data = await self.read_body(answer, upstream)
             except UpstreamFailed as error:
                 self.record_failure(admitted, upstream, error)
                 raise
@@ -379,6 +379,26 @@
             self.record_success(admitted, upstream)
             return answer.status, answer.headers, data
 
+    async def read_body(self, answer, upstream):
+        """Return the complete body; raise `UpstreamFailed` if there is none."""
+        data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+        await self.check_end(answer, upstream)
+        return data
+
+    async def check_end(self, answer, upstream):
+        """Raise `UpstreamFailed` if an upstream crashed while it answered.
+
+        The connections of a crashed process may be closed in order. If nothing else
+        ends an answer, its upstream must still accept connections. A leaving upstream
+        may have stopped after its last answer.
+        """
+        if answer.end.outcome != CLOSED or self._runtime.pools.is_leaving(upstream):
+            return
+        if not await self._sender.is_listening(upstream):
+            raise UpstreamFailed(
+                "upstream is down after an answer without a length", crashed=True
+            )
+
     def record_success(self, admitted, upstream):
         """Record that an upstream completed a request."""
         self._runtime.pools.report(upstream, ok=True)
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -154,6 +154,12 @@
             )
             self._execute(actions)
 
+    def is_leaving(self, upstream):
+        """Return whether an upstream is leaving or no longer listed."""
+        pool = self._pools.get(upstream.service)
+        known = pool.upstreams.get(upstream.name) if pool else None
+        return known is None or known.leaving
+
     def report(self, upstream, *, ok):
         """Record whether an upstream answered correctly."""
         now = self._now()
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -8,7 +8,7 @@
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
-from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES, check_answer, read_all
+from sapphireyard.exchange.exchange import check_answer
 from sapphireyard.history.client import ChainText
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
@@ -155,11 +155,12 @@
                     admitted.may_have_run = True
                     check_answer(answer)
                     if answer.status != 200:
-                        data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+                        data = await self.exchange.read_body(answer, upstream)
                         await reply.send_complete(answer.status, answer.headers, data)
                         pools.report(upstream, ok=answer.status < 500)
                         return False
                     await self._forward(admitted, answer, synced, reply, reader)
+                    await self.exchange.check_end(answer, upstream)
             except UpstreamFailed as error:
                 self.exchange.record_failure(admitted, upstream, error)
                 raise
--- a/tests/answer_case.py
+++ b/tests/answer_case.py
@@ -42,12 +42,23 @@
         turns = TurnService(self.runtime, self.sender)
         self.exchange = turns.exchange = Exchange(self.runtime, self.sender, turns)
 
-    def set_upstreams(self, address):
-        """Let one upstream of each service be at an address."""
-        self.runtime.pools.set_upstreams(
-            Upstream(f"{service}-1", service, address, slots=8)
-            for service in ("plain", "engine")
-        )
+    def set_upstreams(self, address, changes=()):
+        """List one upstream of each service at an address; none if `changes` is None.
+
+        Parameters
+        ----------
+        address : str
+            IP:PORT.
+        changes : dict or None, optional
+            Fields that differ from those of an upstream in use.
+        """
+        upstreams = []
+        if changes is not None:
+            upstreams = [
+                Upstream(f"{service}-1", service, address, slots=8, **dict(changes))
+                for service in ("plain", "engine")
+            ]
+        self.runtime.pools.set_upstreams(upstreams)
 
     def count(self, name, amount=1, **attributes):
         self.counts[name, *attributes.values()] += amount
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,5 +1,7 @@
 """Tests how the ends of upstreams' answers are told apart."""
 
+import asyncio
+
 from sapphireyard.exchange.calls import (
     BROKEN,
     CHUNKED,
@@ -57,6 +59,43 @@
         self.assertNotIn("events", line)
 
 
+class BrokenOffAnswerTest(AnswerTestCase):
+    """Answers of plain services, which are forwarded once they are complete."""
+
+    async def test_answers_without_a_length(self):
+        """Cases are the end of the connection, and the status that the caller gets.
+
+        The booking may not be repeated.
+        """
+        cases = [
+            (End.CLOSE, "/book/1", 200),
+            (End.CRASH, "/book/1", 502),
+            (End.RESET, "/book/1", 502),
+        ]
+        for end, path, status in cases:
+            with self.subTest((end, path)):
+                await self.asyncSetUp()
+                await self.answer(HEAD, b"body", PAUSE_SECONDS, end, path=path)
+                self.assertEqual(self.reply.status, status)
+
+    async def test_last_answer_of_a_leaving_upstream_counts(self):
+        """It stops accepting connections once it has answered.
+
+        Cases are what its entry in the store says when the answer ends.
+        """
+        cases = [("leaving", {"leaving": True}), ("removed", None)]
+        for name, changes in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    PAUSE_SECONDS, self.set_upstreams, self.upstream.address, changes
+                )
+                steps = (HEAD, b"body", 2 * PAUSE_SECONDS, End.CRASH)
+                await self.answer(*steps, path="/book/1")
+                self.assertEqual(self.reply.status, 200)
+
+
 class BrokenOffStreamTest(AnswerTestCase):
     """Streams that end with their connection and are broken off."""
 
