Detect a reset where the connection is lost, for every HTTP client

No change for callers. The adapter compared a flag of the connection after the body had ended, and only it did so. StrictConnection fails the body itself, so that whoever reads it sees the reset; framing, end and the check whether a server listens are in sapphireyard.answers, which the product's own clients can use. A reset after the end of a framed body changes nothing (new test, which fails without the check of the body's end).

--- /dev/null
+++ b/sapphireyard/answers.py
@@ -0,0 +1,120 @@
+"""How answers over HTTP end: complete, broken off, or with their connection."""
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+LENGTH = "length"
+CHUNKED = "chunked"
+CONNECTION = "connection"
+COMPLETE = "complete"
+CLOSED = "closed"
+RESET = "reset"
+BROKEN = "broken"
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Time-out of `is_listening`; a connection between failure domains takes 3 ms."""
+
+
+@dataclass
+class BodyEnd:
+    """How the body of an answer is delimited, and how it ended.
+
+    Parameters
+    ----------
+    framing : str
+        `LENGTH`, `CHUNKED`, or `CONNECTION` if the body ends with its connection;
+        empty if there was no answer.
+    outcome : str
+        `COMPLETE` by its framing, connection `CLOSED` in order, `RESET`, or `BROKEN`
+        off as its framing shows; empty until the body has been read.
+    """
+
+    framing: str = ""
+    outcome: str = ""
+
+
+class BodyReset(aiohttp.ClientPayloadError):
+    """The connection was reset before the end of a body."""
+
+
+class StrictConnection(ResponseHandler):
+    """A client connection on which a reset does not end a body.
+
+    aiohttp takes any end of the connection for the end of a body that has neither a
+    length nor chunks.
+    """
+
+    def connection_lost(self, exc):
+        unfinished = self._payload is not None and not self._payload.is_eof()
+        if exc is not None and unfinished:
+            self._payload.set_exception(BodyReset(f"connection reset: {exc!r}"))
+        super().connection_lost(exc)
+
+
+def build_connector(connection_class=StrictConnection, **options):
+    """Return a `TCPConnector` whose connections are of a class of this project.
+
+    Parameters
+    ----------
+    connection_class : type, optional
+        `StrictConnection` or a subclass.
+    **options
+        Arguments of the connector.
+    """
+    connector = aiohttp.TCPConnector(**options)
+    # There is no public way to set the class of the connections.
+    connector._factory = partial(connection_class, loop=asyncio.get_running_loop())
+    return connector
+
+
+def find_framing(response):
+    """Return how the end of a body is found, as in `BodyEnd`."""
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return CHUNKED
+    return LENGTH if "Content-Length" in response.headers else CONNECTION
+
+
+async def read_chunks(response, end):
+    """Yield the body of an answer.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer, received on a `StrictConnection`.
+    end : BodyEnd
+        Gets the outcome.
+
+    Raises
+    ------
+    aiohttp.ClientError
+        The body broke off.
+    """
+    end.outcome = BROKEN
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except BodyReset:
+        end.outcome = RESET
+        raise
+    end.outcome = CLOSED if end.framing == CONNECTION else COMPLETE
+
+
+async def is_listening(address):
+    """Return False if a server at IP:PORT refuses connections.
+
+    A time-out does not count as a refusal: the network may be at fault.
+    """
+    ip, port = address.rsplit(":", 1)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(ip, int(port))
+    except ConnectionRefusedError:
+        return False
+    except (TimeoutError, OSError):
+        return True
+    writer.close()
+    return True
--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+from sapphireyard.answers import BodyEnd
+
 
 @dataclass
 class ProgramCall:
@@ -116,33 +118,6 @@
     timeout: float
 
 
-LENGTH = "length"
-CHUNKED = "chunked"
-CONNECTION = "connection"
-COMPLETE = "complete"
-CLOSED = "closed"
-RESET = "reset"
-BROKEN = "broken"
-
-
-@dataclass
-class BodyEnd:
-    """How the body of an answer is delimited, and how it ended.
-
-    Parameters
-    ----------
-    framing : str
-        `LENGTH`, `CHUNKED`, or `CONNECTION` if the body ends with its connection;
-        empty if there was no answer.
-    outcome : str
-        `COMPLETE` by its framing, connection `CLOSED` in order, `RESET`, or `BROKEN`
-        off as its framing shows; empty until the body has been read.
-    """
-
-    framing: str = ""
-    outcome: str = ""
-
-
 @dataclass
 class UpstreamAnswer:
     """The head of an upstream's answer, and its body as a stream.
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from sapphireyard.answers import CLOSED, BodyEnd
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
-from sapphireyard.exchange.calls import CLOSED, BodyEnd, Dispatch
+from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.routes import Customer, Route
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR, digest_request
--- a/tests/answer_case.py
+++ b/tests/answer_case.py
@@ -63,14 +63,14 @@
     def count(self, name, amount=1, **attributes):
         self.counts[name, *attributes.values()] += amount
 
-    async def answer(self, *steps, path="/chat/1"):
+    async def answer(self, *steps, path="/chat/1", **fields):
         """Serve a request that gets these steps as answer; return its log line."""
         self.upstream.steps = steps
         self.reply = RecordingReply()
         self.runtime.history.log = self.reply.log
         self.runtime.history.turns.clear()
         with self.assertLogs("sapphireyard.exchange.exchange") as logs:
-            await self.serve(path)
+            await self.serve(path, **fields)
         (line,) = (r for r in logs.records if r.msg == "request ended")
         return line
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sapphireyard.exchange.calls import (
+from sapphireyard.answers import (
     BROKEN,
     CHUNKED,
     CLOSED,
@@ -129,5 +129,19 @@
             with self.subTest((before_event, before_reset)):
                 await self.check(before_event, EVENTS[0], before_reset, End.RESET)
 
+    async def test_reset_after_the_end_of_a_framed_stream_changes_nothing(self):
+        """The reset arrives while the first event waits for its reservation."""
+        stream = b"".join(EVENTS)
+        chunks = CHUNKED_HEAD + chunk(stream) + LAST_CHUNK
+        for answer in (LENGTH_HEAD + stream, chunks):
+            with self.subTest(answer):
+                await self.asyncSetUp()
+                synced = self.runtime.history.synced
+                synced.clear()
+                loop = asyncio.get_running_loop()
+                loop.call_later(4 * PAUSE_SECONDS, synced.set)
+                await self.answer(answer, PAUSE_SECONDS, End.RESET, token_budget=100)
+                self.assertTrue(self.complete)
+
     async def test_whole_stream_looks_complete(self):
         await self.check(*EVENTS, End.CLOSE, complete=True)
