Notice broken-off answers of plain services on the own interface

Callers of the own interface could get a short text of a plain service as a complete answer. Cause: the same as for streams of the platform: without a length any end of the connection ended the body, a reset too. The new table of ends failed for a reset and for a crash before this change. Engines' streams are not concerned: their last event is [DONE].

--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -12,6 +12,12 @@
 import aiohttp
 import mode
 
+from sapphireyard.answers import (
+    CONNECTION,
+    build_connector,
+    find_framing,
+    is_listening,
+)
 from sapphireyard.exceptions import SapphireyardError
 from sapphireyard.tasks import start_task
 from sapphireyard.upstreams.completions import dump_json
@@ -84,7 +90,7 @@
                 await session.close()
 
     def _open_session(self, timeout, *, force_close):
-        connector = aiohttp.TCPConnector(
+        connector = build_connector(
             limit=0, force_close=force_close, use_dns_cache=False
         )
         return aiohttp.ClientSession(
@@ -138,7 +144,9 @@
         headers = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
         url = f"http://{address}/{path}"
         async with self._post(session, url, body, headers) as response:
-            return response.status, await _read_text(response)
+            text = await _read_text(response)
+            await _check_end(address, response)
+            return response.status, text
 
     async def release_program(self, address, program):
         """Ask an engine to drop the cached state of a program."""
@@ -281,6 +289,19 @@
         raise UpstreamLeaving(f"{url}: upstream is leaving", seconds=float(seconds))
 
 
+async def _check_end(address, response):
+    """Raise `UpstreamError` if a service crashed while it answered.
+
+    If only the end of the connection ends an answer, the service must still accept
+    connections: those of a crashed process may be closed in order.
+    """
+    if find_framing(response) != CONNECTION or await is_listening(address):
+        return
+    raise UpstreamError(
+        f"{address}: down after an answer without a length", sent=True, crashed=True
+    )
+
+
 async def _read_text(response):
     data = bytearray()
     async for piece in response.content.iter_any():
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,4 +1,4 @@
-"""Tests of the detection of silent connections to upstreams."""
+"""Tests of broken and silent connections to upstreams."""
 
 import asyncio
 import unittest
@@ -8,10 +8,12 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.upstreams.liveness import ProgressLimits
-from sapphireyard.upstreams.upstreams import Upstreams, UpstreamSilent
+from sapphireyard.upstreams.upstreams import Upstreams, UpstreamError, UpstreamSilent
+from standins.scripted_upstream import End, ScriptedUpstream, build_head
 
 LIMITS = ProgressLimits(first_byte=1.0, next_byte=0.5)
 TEST_TIMEOUT_SECONDS = 10.0
+PAUSE_SECONDS = 0.02
 
 
 class SilentEngine:
@@ -40,6 +42,30 @@
         return web.Response(status=200 if self.answers else 503)
 
 
+class BrokenOffServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_without_a_length(self):
+        """Cases are the end of the connection, and whether the answer counts."""
+        cases = [(End.CLOSE, True), (End.RESET, False), (End.CRASH, False)]
+        upstreams = Upstreams(SimpleNamespace(clock=Clock()))
+        await upstreams.on_start()
+        self.addAsyncCleanup(upstreams.on_stop)
+        for end, counts in cases:
+            with self.subTest(end):
+                server = ScriptedUpstream((build_head("r1"), b"{}", PAUSE_SECONDS, end))
+                address = await server.start()
+                self.addAsyncCleanup(server.stop)
+                call = upstreams.call_service(
+                    address, "book", "{}", idempotency_key="", repeatable=False
+                )
+                if counts:
+                    self.assertEqual(await call, (200, "{}"))
+                    continue
+                with self.assertRaises(UpstreamError) as raised:
+                    await call
+                self.assertTrue(raised.exception.sent)
+                self.assertTrue(raised.exception.crashed)
+
+
 class ProgressWatchTest(unittest.IsolatedAsyncioTestCase):
     async def serve(self, engine):
         runner = web.AppRunner(engine.app, handler_cancellation=True)
