--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -8,7 +8,7 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.upstreams.liveness import ProgressLimits
-from sapphireyard.upstreams.upstreams import Upstreams, UpstreamError, UpstreamSilent
+from sapphireyard.upstreams.upstreams import UpstreamError, Upstreams, UpstreamSilent
 from standins.scripted_upstream import End, ScriptedUpstream, build_head
 
 LIMITS = ProgressLimits(first_byte=1.0, next_byte=0.5)
