Use no value of the object API whose end is not certain

Cause: the same as for answers of upstreams; the client read until the connection ended. Seen in a test only: a value without a length was returned after an orderly end, a reset and a crash (all three failed before). A value is bytes of any kind, so nothing inside it shows its end: an answer without a length or chunks now counts as an outage, which is retried.

--- a/sapphireyard/storage/objects.py
+++ b/sapphireyard/storage/objects.py
@@ -8,6 +8,7 @@
 import aiohttp
 from yarl import URL
 
+from sapphireyard.answers import CONNECTION, find_framing
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable, WatchExpired
 from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 
@@ -131,7 +132,11 @@
             async with session.request(
                 method, url, timeout=timeout, trace_request_ctx=_Attempts(), **options
             ) as response:
-                return response.status, response.headers, await response.read()
+                body = await response.read()
+                if find_framing(response) == CONNECTION:
+                    # A value that broke off could not be told from a whole one.
+                    raise StoreUnavailable(f"{kind} {path}: answer without a length")
+                return response.status, response.headers, body
         except (asyncio.TimeoutError, TimeoutError) as error:
             self._discard_session(session)
             raise StoreUnavailable(f"no answer to {kind} {path}") from error
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -7,6 +7,21 @@
 from sapphireyard.storage.objects import ObjectStore
 from standins._serving import serving
 from standins.objects import MAX_VALUE_BYTES, ObjectServer
+from standins.scripted_upstream import End, ScriptedUpstream, build_head
+
+
+class BrokenOffValueTest(unittest.IsolatedAsyncioTestCase):
+    async def test_value_without_a_length_is_not_used(self):
+        """Nothing tells its end from a broken-off one."""
+        head = build_head("", "Object-Version: 7")
+        for end in (End.CLOSE, End.RESET, End.CRASH):
+            with self.subTest(end):
+                server = ScriptedUpstream((head, b"half of a va", end))
+                store = ObjectStore(f"http://{await server.start()}")
+                self.addAsyncCleanup(server.stop)
+                self.addAsyncCleanup(store.close)
+                with self.assertRaises(StoreUnavailable):
+                    await store.get("journal/1")
 
 
 class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
