Treat an empty answer of the platform's store to a read as an outage

A list, watch or read whose connection ended right after the head, with neither a length nor chunks, was decoded as an empty object; the feed that had asked ended with a KeyError. Cause: a body without a length may end anywhere, and an empty body was taken for 'nothing to say'.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,9 @@
 
 from aiohttp import web
 
+from sapphireyard.exceptions import StoreUnavailable
 from standins import site_store
+from standins.scripted_upstream import End, ScriptedUpstream, build_head
 from standins.site_store import SiteStore
 from tests.platform_site import ROOT
 
@@ -15,6 +17,21 @@
 from adapter.store import PlatformStore  # noqa: E402
 
 
+class BrokenOffAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_broken_off_answer_is_an_outage(self):
+        """Cases are what is received of the answer before its connection ends."""
+        page = b'{"items":[],"more-pages":false,"current-rev":5}'
+        for data in (b"", page[:20], page[:-1]):
+            for end in (End.CLOSE, End.RESET):
+                with self.subTest(data=data, end=end):
+                    server = ScriptedUpstream((build_head(""), data, 0.02, end))
+                    store = PlatformStore(await server.start())
+                    self.addAsyncCleanup(server.stop)
+                    self.addAsyncCleanup(store.close)
+                    with self.assertRaises(StoreUnavailable):
+                        await store.list_objects("servers")
+
+
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.site = SiteStore()
