Send nothing more to an upstream that says in an answer that it is leaving

Until now a host learned of a leaving upstream from the store only. A host cut off from the store, or one whose list lagged, went on sending to it, and callers got the ends of its connections. The pools remember the run (name and start time), so neither a repeated nor a stale list makes it usable; a restart does.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -132,6 +132,8 @@
         The upstream states that it has not run the request and will not.
     signed : bool
         The answer carries the upstream's signature.
+    leaving : bool
+        The upstream states that it is leaving.
     chunks : async iterator of bytes
         The body; raises `UpstreamFailed` if it ends early.
     end : BodyEnd
@@ -142,6 +144,7 @@
     headers: tuple = ()
     refused: bool = False
     signed: bool = False
+    leaving: bool = False
     chunks: object = field(default=None, repr=False)
     end: BodyEnd = field(default_factory=BodyEnd)
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -367,7 +367,7 @@
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
-                    admitted.end = answer.end
+                    self.record_answer(admitted, upstream, answer)
                     if answer.refused:
                         self._runtime.pools.report(upstream, ok=True)
                         return answer.status, (), None
@@ -380,6 +380,12 @@
             self.record_success(admitted, upstream)
             return answer.status, answer.headers, data
 
+    def record_answer(self, admitted, upstream, answer):
+        """Record the head of an upstream's answer."""
+        admitted.end = answer.end
+        if answer.leaving:
+            self._runtime.pools.note_leaving(upstream)
+
     async def read_body(self, answer, upstream):
         """Return the complete body; raise `UpstreamFailed` if there is none."""
         data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -37,6 +37,9 @@
 FAILURES_TO_EJECT = 2
 """Consecutive failures after which an upstream is ejected."""
 NO_UPSTREAM_RETRY_SECONDS = 0.5
+LEAVING_MEMORY_SECONDS = 3600.0
+"""Time for which an upstream that has said that it is leaving, and is not listed any
+more, is remembered: longer than any takes to leave."""
 MAX_RETRY_SECONDS = 2.0
 """A caller that waits longer than this for a slot has no time left."""
 
@@ -82,6 +85,7 @@
         self._running = {}
         self._remote = {}
         self._remote_load = {}
+        self._leaving = {}
 
     @property
     def running(self):
@@ -98,8 +102,16 @@
     def set_upstreams(self, upstreams):
         """Replace the list of upstreams; those not listed are removed."""
         by_service = {}
+        now = self._now()
         for upstream in upstreams:
+            run = upstream.name, upstream.started_at
+            if run in self._leaving:
+                self._leaving[run] = now
+                upstream = replace(upstream, leaving=True)
             by_service.setdefault(upstream.service, {})[upstream.name] = upstream
+        for run, noted_at in list(self._leaving.items()):
+            if now - noted_at > LEAVING_MEMORY_SECONDS:
+                del self._leaving[run]
         for service in by_service.keys() | self._pools.keys():
             pool = self._pools.setdefault(service, _Pool(self._runtime.host))
             self._update(service, pool, by_service.get(service, {}))
@@ -154,6 +166,22 @@
             )
             self._execute(actions)
 
+    def note_leaving(self, upstream):
+        """Send no more requests to an upstream that has said that it is leaving.
+
+        The store may list it as usable for longer, or again. It is used once more
+        after a restart, which changes its start time.
+        """
+        now = self._now()
+        self._leaving[upstream.name, upstream.started_at] = now
+        pool = self._pools[upstream.service]
+        known = pool.upstreams.get(upstream.name)
+        if known is None or known.leaving or known.started_at != upstream.started_at:
+            return
+        pool.upstreams[upstream.name] = replace(known, leaving=True)
+        self._log_upstream(known, "leaving", source="answer")
+        self._apply_states(upstream.service, now)
+
     def is_leaving(self, upstream):
         """Return whether an upstream is leaving or no longer listed."""
         pool = self._pools.get(upstream.service)
@@ -298,7 +326,7 @@
         )
 
     @staticmethod
-    def _log_upstream(upstream, state):
+    def _log_upstream(upstream, state, *, source="store"):
         logger.info(
             "upstream listed",
             extra={
@@ -307,6 +335,7 @@
                 "service": upstream.service,
                 "address": upstream.address,
                 "state": state,
+                "source": source,
             },
         )
 
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -148,7 +148,7 @@
             admitted.sends += 1
             try:
                 async with self._sender.send(dispatch) as answer:
-                    admitted.end = answer.end
+                    self.exchange.record_answer(admitted, upstream, answer)
                     if answer.refused:
                         pools.report(upstream, ok=True)
                         return None
--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -43,8 +43,8 @@
     ----------
     address : str
         IP:PORT.
-    connections : int
-        Connections accepted so far.
+    connections, requests : int
+        Connections accepted and requests received so far.
     sent_bytes : int
         Bytes of `Endless` steps that were written so far.
     closed : asyncio.Event
@@ -54,6 +54,7 @@
     steps: tuple = ()
     address: str = ""
     connections: int = 0
+    requests: int = 0
     sent_bytes: int = 0
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: object = None
@@ -88,6 +89,7 @@
         """Answer one request; return whether the connection stays open."""
         head = await reader.readuntil(b"\r\n\r\n")
         await reader.readexactly(_find_length(head))
+        self.requests += 1
         for step in self.steps:
             if isinstance(step, bytes):
                 writer.write(step)
