End a call that may not be repeated at its deadline

Callers saw nothing of it themselves: they had their 504. But the call went on for as long as the upstream kept its connection open, and its slot with it, so an upstream that hangs took slots from the calls after it. Cause: the deadline was outside the shield that lets such a call go on without its caller, so it ended the waiting and not the call. Found by the tests of bytes without end. The new test failed ({'plain-1': 1} still running). The deadline is now inside the shield. A caller that leaves still does not end the call.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -194,15 +194,11 @@
         try:
             admitted.body = await self._read_body(admitted)
             self._check_crashes(admitted)
-            async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
-                if admitted.route.streaming:
-                    await self._turns.serve(admitted, reply)
-                elif admitted.route.repeatable:
-                    await self._serve_buffered(admitted, reply)
-                else:
-                    await asyncio.shield(
-                        start_task(self._serve_buffered(admitted, reply), name="call")
-                    )
+            serving = self._serve_by_deadline(admitted, reply)
+            if admitted.route.streaming or admitted.route.repeatable:
+                await serving
+            else:  # goes on without its caller
+                await asyncio.shield(start_task(serving, name="call"))
         except TimeoutError as error:
             if not admitted.sends:
                 raise CallError(
@@ -218,6 +214,13 @@
             if not admitted.sends:
                 self._refund(admitted)
 
+    async def _serve_by_deadline(self, admitted, reply):
+        async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
+            if admitted.route.streaming:
+                await self._turns.serve(admitted, reply)
+            else:
+                await self._serve_buffered(admitted, reply)
+
     async def _read_body(self, admitted):
         limit = self._runtime.configuration.table.limits.body_bytes
         try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -103,6 +103,15 @@
         after = self.runtime.quotas.counts()
         self.assertEqual(after, counts)
 
+    async def test_unrepeatable_call_without_an_answer_ends_at_its_deadline(self):
+        """Nobody could use a later answer, and its slot is needed."""
+        for timeout in (0.05, 0.1):
+            with self.subTest(timeout):
+                await self.asyncSetUp()
+                self.sender.script = ["hang"]
+                self.assertEqual(await self.serve("/book/1", timeout=timeout), 504)
+                self.assertEqual(self.runtime.pools.running, {})
+
     async def test_unrepeatable_call_ends_though_its_caller_has_gone(self):
         for path, ends in (("/book/1", True), ("/view/1", False)):
             with self.subTest(path):
