Cut off upstreams that send bytes without end

An upstream in trouble may send bytes that are no answer until its peer closes. StrictConnection now gives up after 256 KiB without any byte of a body, or with more than 64 unread answers; a turn ends at an event over 1 MiB or a stream over 8 MiB, streams of the own interface at 64 MiB. Known limit: if noise arrives in one read with the end of a whole answer, the parser of aiohttp gives neither, and the answer counts as failed.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
 LENGTH = "length"
 CHUNKED = "chunked"
@@ -18,6 +19,11 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Time-out of `is_listening`; a connection between failure domains takes 3 ms."""
 
+MAX_UNREAD_ANSWERS = 64
+"""Answers, interim ones too, that may wait on a connection to be read."""
+MAX_STRAY_BYTES = 256 * 1024
+"""Bytes in a row that may carry none of a body: several times the largest head."""
+
 
 @dataclass
 class BodyEnd:
@@ -45,9 +51,34 @@
     """A client connection on which a reset does not end a body.
 
     aiohttp takes any end of the connection for the end of a body that has neither a
-    length nor chunks.
+    length nor chunks. It also reads without limit what carries no body: interim
+    answers, trailers, extensions of chunks, and whatever follows an answer.
     """
 
+    _stray_bytes = 0
+
+    def data_received(self, data):
+        before = self._payload
+        size_before = before.total_bytes if before is not None else 0
+        super().data_received(data)
+        if len(self._buffer) > MAX_UNREAD_ANSWERS:
+            self._give_up(f"more than {MAX_UNREAD_ANSWERS} answers")
+            return
+        after = self._payload
+        if after is not None and after is not EMPTY_PAYLOAD:
+            if after is not before or after.total_bytes > size_before:
+                self._stray_bytes = 0
+                return
+        self._stray_bytes += len(data)
+        if self._stray_bytes > MAX_STRAY_BYTES:
+            self._give_up(f"{self._stray_bytes} bytes without any of a body")
+
+    def _give_up(self, reason):
+        if self.transport is None:
+            return
+        self.set_exception(aiohttp.ClientPayloadError(reason))
+        self.transport.abort()
+
     def connection_lost(self, exc):
         unfinished = self._payload is not None and not self._payload.is_eof()
         if exc is not None and unfinished:
--- a/sapphireyard/exchange/events.py
+++ b/sapphireyard/exchange/events.py
@@ -15,12 +15,14 @@
         self._incomplete_line = b""
         self._data = []
         self._open_bytes = 0
+        self.total_bytes = 0
         self.events = 0
         self.output = bytearray()
 
     def feed(self, chunk):
         """Parse a chunk; return the number of events that it completes."""
         before = self.events
+        self.total_bytes += len(chunk)
         lines = (self._incomplete_line + chunk).split(b"\n")
         self._incomplete_line = lines.pop()
         for line in lines:
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -8,7 +8,7 @@
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.events import EventReader
-from sapphireyard.exchange.exchange import check_answer
+from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES, check_answer
 from sapphireyard.history.client import ChainText
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
@@ -20,6 +20,8 @@
 before its caller sees the end."""
 UNSENT_RETRIES = 2
 """Retries after failed connections, in addition to the route's attempts."""
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event of a stream."""
 COMMIT_TIMEOUT_SECONDS = 2.0
 """Longest time for which the end of a complete answer is held back."""
 
@@ -182,6 +184,7 @@
                 await reply.start(answer.status, answer.headers)
                 admitted.mark("first", self._runtime.clock.monotonic())
             reader.feed(chunk)
+            _check_size(reader)
             await reply.write(chunk)
         if is_first:
             raise UpstreamFailed("stream without an event")
@@ -230,3 +233,11 @@
     def _program(admitted):
         program = admitted.call.program or admitted.call.request_id
         return f"{admitted.customer.name}/{program}"
+
+
+def _check_size(reader):
+    """Raise `UpstreamFailed` for a stream or an event without end."""
+    if reader.trailing_bytes > MAX_EVENT_BYTES:
+        raise UpstreamFailed(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+    if reader.total_bytes > MAX_ANSWER_BYTES:
+        raise UpstreamFailed(f"stream exceeds {MAX_ANSWER_BYTES} bytes")
--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -33,6 +33,9 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Size limit of an upstream's answer, or of one event of a streamed answer."""
 
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+"""Size limit of a streamed answer, in which each token takes some 200 bytes."""
+
 UNAVAILABLE_STATUS = 503
 
 NO_READ_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
@@ -315,9 +318,12 @@
 
 async def _read_events(response):
     buffer = bytearray()
+    size = searched = 0
     async for piece in response.content.iter_any():
+        size += len(piece)
         buffer += piece.replace(b"\r", b"")
-        while (end := buffer.find(b"\n\n")) >= 0:
+        while (end := buffer.find(b"\n\n", searched)) >= 0:
+            searched = 0
             event = bytes(buffer[:end]).decode(errors="replace")
             del buffer[: end + 2]
             data = [
@@ -325,8 +331,11 @@
             ]
             if data:
                 yield "\n".join(data)
+        searched = max(0, len(buffer) - 1)
         if len(buffer) > MAX_ANSWER_BYTES:
             raise UpstreamError(f"an event exceeds {MAX_ANSWER_BYTES} bytes", sent=True)
+        if size > MAX_STREAM_BYTES:
+            raise UpstreamError(f"a stream exceeds {MAX_STREAM_BYTES} bytes", sent=True)
 
 
 def parse_chunk(data):
