Sync the folder that holds the record log's folder

A loss of power just after a host's first start could take the new folder of the log with it, and all its records, though each of them was synced: only the log's own folder was synced, not the entry that names it. The history machine now also loses one disk while all other hosts lose power, entry hosts and spares too, in random scripts and two fixed ones; it found nothing, and fails if a copy answers before its sync.

--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -61,6 +61,7 @@
     def open(self):
         """Read all files and yield (position, payload) of their records."""
         self._folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(self._folder.parent)
         for path in sorted(self._folder.glob(f"*{SEGMENT_SUFFIX}")):
             self._next_segment = int(path.stem) + 1
             for offset, payload in _read_segment(path):
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -222,15 +222,19 @@
     async def start(self):
         """Start all hosts and wait until the set is complete."""
         for name in ENTRIES:
-            host = SimulatedHost(name, self)
-            self.network.hosts[name] = host
-            self.clients[name] = HistoryClient(host)
+            self.start_entry(name)
         self._gossip = asyncio.ensure_future(self._gossip_forever())
         for name in COPIES:  # the first four become members
             await self.run(name)
             await asyncio.sleep(1.0)
         await self.wait_for_joins()
 
+    def start_entry(self, name):
+        """Start an entry host, or restart it without anything it knew."""
+        host = SimulatedHost(name, self)
+        self.network.hosts[name] = host
+        self.clients[name] = HistoryClient(host)
+
     async def stop(self):
         """Stop all hosts."""
         await self.kill_all()
@@ -275,7 +279,8 @@
     @property
     def healthy(self):
         """bool: Whether each member serves and no message is lost."""
-        members = self.clients["x"].copies.members
+        running = [*self.services.values(), *self.clients.values()]
+        members = max((each.copies for each in running), key=_read_version).members
         return (
             not self.network.cuts
             and not self.network.lossy
@@ -386,6 +391,15 @@
         await self.kill(name)
         self.disks[name].wipe()
 
+    async def wipe_and_power_off(self, name):
+        """Lose one disk while all other hosts lose power, entry hosts and spares too."""
+        if not self.healthy or name in self.retired:
+            return
+        await self.kill_all()
+        self.disks[name].wipe()
+        for entry in ENTRIES:
+            self.start_entry(entry)
+
     async def replace(self, name):
         """Lose one disk and restart without it, with time to join again."""
         await self.wipe(name)
@@ -421,3 +435,7 @@
         """Kill all copies, as a power failure does."""
         for name in list(self.services):
             await self.kill(name)
+
+
+def _read_version(copies):
+    return copies.version
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError
@@ -195,6 +196,15 @@
                     if extra != path:
                         extra.unlink()
 
+    async def test_new_folder_outlasts_a_loss_of_power(self):
+        """A folder is durable once the folder that holds it was synced."""
+        synced = []
+        with mock.patch("sapphireyard.history.log.sync_folder", synced.append):
+            log = RecordLog(self.folder / "new")
+            list(log.open())
+            log.close()
+        self.assertEqual(synced, [self.folder, self.folder / "new"])
+
     async def test_dropped_records_free_their_files(self):
         log, _ = self.reopen()
         for number in range(40):
--- a/tests/test_history_machine.py
+++ b/tests/test_history_machine.py
@@ -31,6 +31,7 @@
     st.tuples(st.just("kill"), copies),
     st.tuples(st.just("run"), copies),
     st.tuples(st.just("wipe"), copies),
+    st.tuples(st.just("wipe_and_power_off"), copies),
     st.tuples(st.just("retire"), copies),
     st.tuples(st.just("cut"), copies, numbers),
     st.tuples(st.just("lossy"), copies),
@@ -88,10 +89,33 @@
 ]
 """An empty copy joins while the two copies that have a turn cannot be asked."""
 
+POWER_LOST_WITH_THE_DISKS = [
+    step
+    for name in COPIES
+    for step in (
+        ("commit_at", {"a", "b", "c"}, 0),
+        ("commit", "x", 1),
+        ("spend", 0),
+        ("wipe_and_power_off", name),
+        ("heal",),
+    )
+]
+"""Each copy in turn loses its disk while all other hosts lose power."""
+
+POWER_LOST_AFTER_A_RETIREMENT = [
+    ("commit_at", {"a", "b", "c"}, 0),
+    ("retire", "a"),
+    ("wipe_and_power_off", "b"),
+    ("heal",),
+]
+"""A copy has left, and the next one loses its disk while the others lose power."""
+
 
 class HistoryMachineTest(unittest.TestCase):
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
     @example(JOIN_WITHOUT_THE_HOLDERS)
+    @example(POWER_LOST_WITH_THE_DISKS)
+    @example(POWER_LOST_AFTER_A_RETIREMENT)
     @given(st.lists(steps, min_size=10, max_size=40))
     def test_nothing_acknowledged_is_lost_or_denied(self, script):
         loop = VirtualLoop()
