Break streams off against real processes as well

Over sockets, with real entry hosts and copies: a stream without a length that ends inside an event, by a reset or by a crash between two events does not look complete, and the turn cannot be continued; an orderly end counts.

--- a/standins/site_upstream.py
+++ b/standins/site_upstream.py
@@ -12,6 +12,11 @@
 """No length; closing the connection ends the body."""
 UNFRAMED_RESET = "unframed_reset"
 """No length; a reset ends the body."""
+UNFRAMED_CUT = "unframed_cut"
+"""No length; the connection ends in order after the first line of the last event."""
+UNFRAMED_CRASH = "unframed_crash"
+"""No length; the connection ends in order before the last event, and the upstream
+stops accepting connections."""
 EXTRA_ANSWER = "extra"
 """A second answer with the same request id follows the complete one."""
 FOREIGN_ID = "foreign"
@@ -180,6 +185,8 @@
         return True
 
     async def _stream(self, answer, request, writer):
+        if answer.startswith(UNFRAMED):
+            return await self._stream_unframed(answer, request, writer)
         self._write_head(writer, request, 200, "chunked")
         for number, data in enumerate(self.events, 1):
             await asyncio.sleep(self.gap_seconds)
@@ -197,6 +204,23 @@
         await writer.drain()
         return True
 
+    async def _stream_unframed(self, answer, request, writer):
+        """Send the events without chunks; the end of the connection is their end."""
+        self._write_head(writer, request, 200, None)
+        events = [f"id: {n}\ndata: {d}\n\n" for n, d in enumerate(self.events, 1)]
+        if answer != UNFRAMED:
+            last = events.pop()
+            if answer == UNFRAMED_CUT:
+                events.append(last.splitlines(keepends=True)[0])
+        writer.write("".join(events).encode())
+        await writer.drain()
+        if answer == UNFRAMED_RESET:
+            await asyncio.sleep(RESET_DELAY_SECONDS)
+            reset(writer)
+        elif answer == UNFRAMED_CRASH:
+            self._server.close()
+        return False
+
     def _write_head(
         self,
         writer,
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -392,7 +392,7 @@
         self.disks[name].wipe()
 
     async def wipe_and_power_off(self, name):
-        """Lose one disk while all other hosts lose power, entry hosts and spares too."""
+        """Lose one disk while all other hosts, entry hosts too, lose power."""
         if not self.healthy or name in self.retired:
             return
         await self.kill_all()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -334,6 +334,26 @@
                     self.assertIn("Response-Signature", got.headers)
                     self.assertTrue(got.body.endswith(target.encode()))
 
+    async def test_broken_off_streams_do_not_look_complete(self):
+        """Cases are the engine's answer, and whether the turn counts.
+
+        A turn that does not count can't be continued.
+        """
+        cases = [
+            (site_upstream.UNFRAMED, True),
+            (site_upstream.UNFRAMED_CUT, False),
+            (site_upstream.UNFRAMED_RESET, False),
+            (site_upstream.TRUNCATED, False),
+            (site_upstream.UNFRAMED_CRASH, False),
+        ]
+        for kind, counts in cases:
+            with self.subTest(kind):
+                self.engine.answers = [kind, site_upstream.COMPLETE]
+                turn, answer = await self.site.send_turn(ENTRY_IPS[0], b"A")
+                self.assertEqual((answer.status, answer.complete), (200, counts))
+                _, after = await self.site.send_turn(ENTRY_IPS[1], b"B", previous=turn)
+                self.assertEqual(after.status == 200, counts)
+
     async def test_request_that_crashes_upstreams_stops_on_all_hosts(self):
         upstreams = [self.plain]
         for number in range(2, 7):
