Let hosts that join several rotations at once hear each other

Cause, until now read from the code and now shown by a test: a host that becomes active sends heartbeats to the active hosts it has heard and to those that the registered order expects. Active hosts already name the rotation of their domain in each heartbeat; the named ones now get heartbeats too.

--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -224,10 +224,22 @@
         return receivers
 
     def _list_active(self, now):
-        """Return the other entry hosts that are active, or expected to be."""
+        """Return the other entry hosts that are active, or are to be.
+
+        Hosts that join in several domains at once are neither expected by the
+        registered order nor heard by each other; those that named them are.
+        """
         known = self.membership.list_known(ENTRY)
         active = {m.heartbeat.host for m in known if m.heartbeat.active}
-        return (active | set(list_expected(self.membership))) - {self._runtime.host}
+        named = {
+            host
+            for member in known
+            if member.heartbeat.active and self.membership.is_live(member, now)
+            for host in member.heartbeat.rotation
+            if self.membership.find_address(host) is not None
+        }
+        expected = set(list_expected(self.membership))
+        return (active | named | expected) - {self._runtime.host}
 
     def _list_hosts(self, role):
         """Return the other hosts with a role, registered or heard."""
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -46,10 +46,11 @@
 
 @dataclass
 class _DomainCount:
-    """Entry hosts of a failure domain: heard here, and as its hosts report."""
+    """Entry hosts of a failure domain: heard here, registered, and as they report."""
 
     known: int = 0
     live: int = 0
+    registered: int = 0
     reported_known: int = 0
     reported_live: int = 0
 
@@ -85,6 +86,7 @@
         self._members = {}
         self._profiles = {}
         self._seeds = set()
+        self._removed = set()
         self.own = None
         self.active = True
         self.heartbeat_seconds = 0.1
@@ -147,6 +149,7 @@
         limit = self.silence_limit(known.heartbeat if known else heartbeat)
         member = Member(heartbeat, now, max(0.0, silence - limit))
         self._members[heartbeat.host] = member
+        self._removed.discard(heartbeat.host)
         return member
 
     def find_address(self, host):
@@ -213,7 +216,9 @@
         """Return how many entry hosts are known in the fleet, and how many live.
 
         Each host counts those of its own domain that it hears. If live hosts of a
-        domain report more than are heard from here, their counts are used.
+        domain report more than are heard from here, their counts are used. Hosts that
+        have just become active have heard few others: registered hosts are known as
+        well, unless they were removed for their silence.
         """
         domains = defaultdict(_DomainCount)
         own = domains[self._failure_domain]
@@ -226,7 +231,13 @@
             if self._counts(member, now):
                 domain.live += 1
                 domain.reported_live = max(domain.reported_live, heartbeat.domain_live)
-        known = sum(max(d.known, d.reported_known) for d in domains.values())
+        for profile in self._profiles.values():
+            if profile.role == ENTRY and profile.host not in self._removed:
+                domains[profile.failure_domain].registered += 1
+        own.registered += 1
+        known = sum(
+            max(d.known, d.reported_known, d.registered) for d in domains.values()
+        )
         live = sum(max(d.live, d.reported_live) for d in domains.values())
         return known, live
 
@@ -248,6 +259,8 @@
         ]
         for host in removed:
             del self._members[host]
+        self._removed.update(removed)
+        self._removed &= self._profiles.keys()
         return removed
 
     def heard_number(self, host):
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -247,6 +247,46 @@
             with self.subTest(seed):
                 self.assert_complete(build_world(seed=seed))
 
+    def test_hosts_that_join_the_rotations_of_several_domains_hear_each_other(self):
+        """None of them is expected by the registered order, nor known to the others.
+
+        The load grows in all domains at once. A host is ready a second after it has
+        become active and must have heard what all others admit by then.
+        """
+        for seed in range(5):
+            with self.subTest(seed):
+                sizes = [(domain, 0.5) for domain in "abcd" for _ in range(12)]
+                world = World(sizes, seed=seed)
+                world.start_all()
+                world.run(6.0)
+                before = world.list_active()
+                for name in before:
+                    world.hosts[name].call_rate = 60.0
+                world.run(3.0)
+                active = world.list_active()
+                self.assertGreater(len(active - before), 4)
+                now = world.clock.now
+                for name in active:
+                    members = world.hosts[name].membership.list_active(now)
+                    heard = {member.heartbeat.host for member in members}
+                    self.assertEqual(active - heard - {name}, set(), name)
+
+    def test_registered_hosts_are_known_until_they_are_removed_for_silence(self):
+        """Cases are seconds after a host was lost, and known and live hosts."""
+        world = World([("a", 1.0)] * 3 + [("b", 1.0)] * 4)
+        world.start_all()
+        world.run(3.0)
+        observer, lost = "entry-000", "entry-006"
+        world.kill(lost)
+        for seconds, counts in ((2.0, (7, 6)), (16.0, (7, 6)), (4.0, (6, 6))):
+            with self.subTest(seconds):
+                world.run(seconds)
+                membership = world.hosts[observer].membership
+                self.assertEqual(membership.count_fleet(world.clock.now), counts)
+        world.start(lost)
+        world.run(2.0)
+        self.assertEqual(membership.count_fleet(world.clock.now), (7, 7))
+
     def test_cut_that_lasts_longer_than_hosts_are_remembered_heals(self):
         """Both sides forget each other's heartbeats after 20 s."""
         world = build_world()
