Abort every answer that has started and was not sent to its end

An answer looked complete unless something objected: the exchange aborted it for the errors that it named, and for others left it to the HTTP server, which ends a started answer properly. A ConnectionError was taken for the caller's own connection, wherever it came from, and ended without an abort. Found by reading the path of the broken-off stream to its end. The table of errors failed for a ConnectionResetError and for a cancellation in the commit of a turn; which connection of the deployed processes could raise one there was looked for and not found, so no caller is known to have seen this. Now the end of a request aborts whatever has started and is not finished.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -178,6 +178,11 @@
     def started(self):
         """bool: Whether a status has been sent to the caller."""
 
+    @property
+    @abstractmethod
+    def finished(self):
+        """bool: Whether the answer has been sent to its end."""
+
     @abstractmethod
     async def send_complete(self, status, headers, body):
         """Send a complete answer."""
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -181,6 +181,8 @@
                 CallError("internal_error", "internal error", executed="unknown"),
             )
         finally:
+            if reply.started and not reply.finished:
+                reply.abort()
             self.open_requests -= 1
             self._log_end(call, outcome)
 
@@ -488,8 +490,8 @@
         )
 
     async def _refuse(self, reply, error):
+        """Send an error answer unless another one has started, which gets aborted."""
         if reply.started:
-            reply.abort()
             return
         with contextlib.suppress(ConnectionError):  # the caller has disconnected
             await reply.refuse(error)
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -129,6 +129,10 @@
     def started(self):
         return self.status is not None
 
+    @property
+    def finished(self):
+        return bool(self.log) and self.log[-1][0] in ("complete", "finish", "refuse")
+
     async def send_complete(self, status, headers, body):
         self.status = status
         self.log.append(("complete", body))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,6 +1,7 @@
 """Turns on an entry host: history, token budget, events, and commit."""
 
 import asyncio
+import contextlib
 import unittest
 
 from sapphireyard.exceptions import CallError
@@ -90,12 +91,25 @@
         self.assertEqual(self.reply.log, [("refuse", "upstream_failed")])
 
     async def test_turn_that_is_not_durable_does_not_look_complete(self):
-        async def fail(turn):
-            raise CallError("history_unavailable", "too few copies")
+        """Whatever the error is: it may look like one of the caller's connection."""
+        errors = [
+            CallError("history_unavailable", "too few copies"),
+            ConnectionResetError("of some other connection"),
+            TimeoutError(),
+            ValueError(),
+            asyncio.CancelledError(),
+        ]
+        for error in errors:
+            with self.subTest(error):
+                await self.asyncSetUp()
 
-        self.runtime.history.commit = fail
-        await self.turn()
-        self.assertEqual(self.reply.log[-1], ("abort",))
+                async def fail(turn):
+                    raise error
+
+                self.runtime.history.commit = fail
+                with contextlib.suppress(asyncio.CancelledError):
+                    await self.turn()
+                self.assertEqual(self.reply.log[-1], ("abort",))
 
     async def test_failed_reservation_does_not_wait_for_the_chain(self):
         async def never(turn):
