--- /dev/null
+++ b/sapphireyard/exchange/requests.py
@@ -0,0 +1,91 @@
+"""A request on its way from its admission to its end."""
+
+from dataclasses import dataclass, field
+from functools import cached_property
+
+from sapphireyard.answers import BodyEnd
+from sapphireyard.exchange.events import EventReader
+from sapphireyard.exchange.routes import Customer, Route
+from sapphireyard.fleet.crashes import digest_request
+
+
+@dataclass
+class AdmittedRequest:
+    """A request that may run.
+
+    Parameters
+    ----------
+    call : ProgramCall
+        The caller's request.
+    route : Route
+        Route that it matches.
+    customer : Customer
+        Customer that sent it.
+    service : str
+        Service that runs it.
+    deadline : float
+        Monotonic seconds by which it must be answered.
+    sends : int
+        Number of times that it was sent to an upstream.
+    upstream : str
+        Upstream chosen last.
+    may_have_run : bool
+        An upstream may have run it, even if a later one refuses it.
+    body : bytes
+        Body sent by the caller.
+    end : BodyEnd
+        How the body of the last answer ended.
+    reader : EventReader or None
+        Events of the answer to a turn.
+    marks : dict of str to float
+        Milliseconds from the arrival to the end of each step, for the log.
+    """
+
+    call: object
+    route: Route
+    customer: Customer
+    service: str
+    deadline: float
+    sends: int = 0
+    upstream: str = ""
+    may_have_run: bool = False
+    body: bytes = b""
+    end: BodyEnd = field(default_factory=BodyEnd)
+    reader: EventReader | None = None
+    marks: dict = field(default_factory=dict)
+
+    @property
+    def time_limit(self):
+        """float: Seconds from the arrival to the deadline."""
+        return self.deadline - self.call.arrived_at
+
+    def mark(self, step, now):
+        """Record that a step of the request ended."""
+        self.marks[f"{step}_ms"] = round((now - self.call.arrived_at) * 1000, 1)
+
+    def describe_end(self):
+        """Return how the last answer ended, as fields of a log line."""
+        if not self.end.framing:
+            return {}
+        fields = {"framing": self.end.framing, "ending": self.end.outcome}
+        if self.reader is not None:
+            fields["events"] = self.reader.events
+            fields["trailing_bytes"] = self.reader.trailing_bytes
+        return fields
+
+    @property
+    def priority(self):
+        """int: Priority of the request; 0 is the highest."""
+        if self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    @cached_property
+    def digest(self):
+        """str: Equal for all repeats of the request; needs the body."""
+        return digest_request(self.customer.name, self.call.path, self.body)
+
+    @property
+    def opens_program(self):
+        """bool: Whether no earlier request of the program has run."""
+        return self.route.retention is not None and not self.call.previous_turn
