Give every error that a host passes on a status

Callers of the own interface got a plain 500 of the HTTP library and the log a traceback (KeyError: 'peer_unavailable') when the owner of a program could not reach a third host. Cause: the code of a PeerError was sent on as that of a CallError, whose codes must have a status. The new test failed; both cases now are internal_error with an unknown outcome.

--- a/sapphireyard/streams/connections.py
+++ b/sapphireyard/streams/connections.py
@@ -273,14 +273,14 @@
                     )
             connection._send(FrameKind.END, self._request_id)
         except asyncio.CancelledError:
-            self._fail("peer_error", "the request was cancelled")
+            self._fail("internal_error", "the request was cancelled")
             raise
         except CallError as error:
             self._fail(error.code, error.detail, error.executed, error.retry_after)
         except TimeoutError:
             self._fail("deadline_exceeded", "no answer before the deadline")
         except PeerError as error:
-            self._fail(error.code, str(error))
+            self._fail("internal_error", str(error))
         except Exception:
             logger.exception("request %s failed", name)
             self._fail("internal_error", "internal error")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -51,6 +51,8 @@
             raise CallError("overloaded", "later", retry_after=2.5)
         if message.program == "broken":
             raise ValueError("fault")
+        if message.program == "behind":
+            raise PeerUnavailable("a third host does not answer")
         if message.program == "slow":
             await asyncio.sleep(0.05)
         return ProgramView(body=f"{context.host}:{message.program}")
@@ -85,6 +87,14 @@
                 self.assertEqual(error.executed, executed)
                 self.assertEqual(error.retry_after, retry_after)
 
+    async def test_every_error_of_a_host_has_a_status_at_the_sender(self):
+        """Cases are what fails, and the status that a caller gets for it."""
+        for program, status in (("refused", 503), ("broken", 500), ("behind", 500)):
+            with self.subTest(program):
+                with self.assertRaises(CallError) as caught:
+                    await self.ask(program)
+                self.assertEqual(caught.exception.status, status)
+
     async def test_unread_stream_pauses_at_its_window_and_is_cancelled(self):
         stream = self.a.stream("b", LinkProgram("p", "r"), timeout=WAIT_SECONDS)
         async with contextlib.aclosing(stream) as answers:
