--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Time-out of `is_listening`; a connection between failure domains takes 3 ms."""
 
+BODILESS_STATUSES = frozenset({204, 304})
 MAX_UNREAD_ANSWERS = 64
 """Answers, interim ones too, that may wait on a connection to be read."""
 MAX_STRAY_BYTES = 256 * 1024
@@ -103,7 +104,12 @@
 
 
 def find_framing(response):
-    """Return how the end of a body is found, as in `BodyEnd`."""
+    """Return how the end of a body is found, as in `BodyEnd`.
+
+    Answers that have no body count as having a length.
+    """
+    if response.status in BODILESS_STATUSES or response.method == "HEAD":
+        return LENGTH
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
         return CHUNKED
     return LENGTH if "Content-Length" in response.headers else CONNECTION
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -11,7 +11,7 @@
     LENGTH,
     RESET,
 )
-from standins.scripted_upstream import End
+from standins.scripted_upstream import End, build_head
 from tests.answer_case import (
     CHUNKED_HEAD,
     HEAD,
@@ -78,6 +78,17 @@
                 await self.answer(HEAD, b"body", PAUSE_SECONDS, end, path=path)
                 self.assertEqual(self.reply.status, status)
 
+    async def test_answer_without_a_body_needs_no_second_connection(self):
+        """Its end is certain, though it has neither a length nor chunks."""
+        for status in (204, 304):
+            with self.subTest(status):
+                await self.asyncSetUp()
+                head = build_head("r1", status=status)
+                for _ in range(3):
+                    await self.answer(head, End.STAY, path="/book/1")
+                    self.assertEqual(self.reply.status, status)
+                self.assertEqual(self.upstream.connections, 1)
+
     async def test_last_answer_of_a_leaving_upstream_counts(self):
         """It stops accepting connections once it has answered.
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,9 +5,10 @@
 import unittest
 from types import SimpleNamespace
 
+from sapphireyard.answers import MAX_STRAY_BYTES
 from sapphireyard.clocks import Clock
 from sapphireyard.upstreams.upstreams import UpstreamError, Upstreams
-from standins.scripted_upstream import Endless, ScriptedUpstream, build_head
+from standins.scripted_upstream import End, Endless, ScriptedUpstream, build_head
 from tests.answer_case import CHUNKED_HEAD, HEAD, AnswerTestCase, chunk
 
 TIMEOUT_SECONDS = 1.0
@@ -71,6 +72,15 @@
                     await self.asyncSetUp()
                     await self.check(*steps, path=path)
 
+    async def test_many_answers_without_a_body_are_not_endless(self):
+        """Their heads have more bytes together than may come without any of a body."""
+        padding = "X-Y: " + "z" * 8000
+        head = build_head("r1", padding, status=204)
+        for _ in range(2 * MAX_STRAY_BYTES // len(head)):
+            await self.answer(head, End.STAY, path="/book/1")
+            self.assertEqual(self.reply.status, 204)
+        self.assertEqual(self.upstream.connections, 1)
+
     async def test_bytes_without_end_after_an_answer(self):
         """The answer counts; the connection is not left to the next request."""
         whole = build_head("r1", "Content-Length: 4") + b"done"
