Keep an answer that other bytes follow in the same read

Callers got 502 for a complete, signed answer, also to calls that may not be repeated, if an upstream sent bytes of no answer right behind it. Cause: the parser of aiohttp gives no head of the bytes in which it finds an error. What follows a head is now passed to the parser separately: the head is out, and the body is complete, before the error.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Time-out of `is_listening`; a connection between failure domains takes 3 ms."""
 
+END_OF_HEAD = b"\r\n\r\n"
 BODILESS_STATUSES = frozenset({204, 304})
 MAX_UNREAD_ANSWERS = 64
 """Answers, interim ones too, that may wait on a connection to be read."""
@@ -59,6 +60,20 @@
     _stray_bytes = 0
 
     def data_received(self, data):
+        # An error of the parser discards the heads that it has read from the same
+        # bytes, so what follows a head is passed to it separately.
+        head, end, rest = data.partition(END_OF_HEAD)
+        if not end or not rest or self._is_reading_body():
+            self._receive(data)
+            return
+        self._receive(head + end)
+        if self._parser is not None:
+            self._receive(rest)
+
+    def _is_reading_body(self):
+        return self._payload is not None and not self._payload.is_eof()
+
+    def _receive(self, data):
         before = self._payload
         size_before = before.total_bytes if before is not None else 0
         super().data_received(data)
@@ -81,8 +96,7 @@
         self.transport.abort()
 
     def connection_lost(self, exc):
-        unfinished = self._payload is not None and not self._payload.is_eof()
-        if exc is not None and unfinished:
+        if exc is not None and self._is_reading_body():
             self._payload.set_exception(BodyReset(f"connection reset: {exc!r}"))
         super().connection_lost(exc)
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -78,6 +78,25 @@
                 await self.answer(HEAD, b"body", PAUSE_SECONDS, end, path=path)
                 self.assertEqual(self.reply.status, status)
 
+    async def test_answer_counts_though_other_bytes_follow_it_at_once(self):
+        """The bytes belong to no request; the next one gets another connection."""
+        body = b"answer"
+        answers = [
+            build_head("r1", "Content-Length: 6") + body,
+            build_head("r1", "Content-Length: 0"),
+            build_head("r1", "Transfer-Encoding: chunked") + chunk(body) + LAST_CHUNK,
+            build_head("r1", status=204),
+        ]
+        for answer in answers:
+            for extra in (b"\x00\x01noise\r\n\r\n", b"no answer", answer):
+                with self.subTest(answer=answer, extra=extra):
+                    await self.asyncSetUp()
+                    for _ in range(2):
+                        await self.answer(answer + extra, End.STAY, path="/book/1")
+                        self.assertTrue(self.complete)
+                        self.assertIn(self.reply.status, (200, 204))
+                    self.assertEqual(self.upstream.connections, 2)
+
     async def test_answer_without_a_body_needs_no_second_connection(self):
         """Its end is certain, though it has neither a length nor chunks."""
         for status in (204, 304):
