Treat a stream that holds no event as broken off

A stream that began with a comment and was cut there reached its caller as complete, and an empty turn was stored. Cause: only a stream without any byte counted as one without an event; the first event was not asked for.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -186,10 +186,10 @@
             reader.feed(chunk)
             _check_size(reader)
             await reply.write(chunk)
-        if is_first:
-            raise UpstreamFailed("stream without an event")
         if reader.partial:
             raise UpstreamFailed("stream ended inside an event")
+        if not reader.events:
+            raise UpstreamFailed("stream without an event")
 
     async def _commit(self, admitted, chain, reader):
         """Make the turn durable before the caller sees its end."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,6 +1,8 @@
 """Tests how the ends of upstreams' answers are told apart."""
 
 import asyncio
+import random
+from collections import Counter
 
 from sapphireyard.answers import (
     BROKEN,
@@ -23,6 +25,7 @@
 from tests.exchange_case import EVENTS
 
 PAUSE_SECONDS = 0.02
+RANDOM_CASES = 200
 
 
 class LogTest(AnswerTestCase):
@@ -148,6 +151,12 @@
             with self.subTest(whole=event):
                 await self.check(EVENTS[0] + event, End.CLOSE, complete=True)
 
+    async def test_stream_cut_before_its_first_event_does_not_look_complete(self):
+        """A comment may come first, and fields without data are no event."""
+        for stream in (b"", b": comment\n", b": comment\n\n", b"id: 1\n\n"):
+            with self.subTest(stream):
+                await self.check(stream, End.CLOSE)
+
     async def test_stream_cut_by_a_crash_between_events_does_not_look_complete(self):
         """The connection ends in order; the upstream accepts no other one."""
         await self.check(EVENTS[0], End.CRASH)
@@ -175,3 +184,83 @@
 
     async def test_whole_stream_looks_complete(self):
         await self.check(*EVENTS, End.CLOSE, complete=True)
+
+
+class RandomEndsTest(AnswerTestCase):
+    """Random streams and ends, compared with what a plain reading of them says."""
+
+    async def test_only_whole_streams_look_complete(self):
+        outcomes = Counter()
+        for seed in range(RANDOM_CASES):
+            with self.subTest(seed=seed):
+                await self.asyncSetUp()
+                case = RandomAnswer(random.Random(seed))
+                line = await self.answer(*case.steps)
+                self.assertEqual(self.complete, case.whole, (case.steps, vars(line)))
+                self.assertEqual(len(self.runtime.history.turns), int(case.whole))
+                outcomes[case.framing, case.whole] += 1
+                await self.upstream.stop()
+        for framing in (LENGTH, CHUNKED, CONNECTION):
+            for whole in (True, False):
+                self.assertGreater(outcomes[framing, whole], RANDOM_CASES // 20)
+
+
+class RandomAnswer:
+    """A random stream, perhaps cut, and whether it is whole.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of all choices.
+    """
+
+    def __init__(self, rng):
+        self.framing = rng.choice((LENGTH, CHUNKED, CONNECTION))
+        end = rng.choice((End.CLOSE, End.CLOSE, End.CRASH, End.RESET))
+        stream = b"".join(build_event(rng, n) for n in range(1, rng.randint(2, 5)))
+        stream = stream.replace(b"\n", rng.choice((b"\n", b"\r\n")))
+        head, body = HEAD, stream
+        if self.framing == LENGTH:
+            head = build_head("r1", f"Content-Length: {len(stream)}")
+        elif self.framing == CHUNKED:
+            head = CHUNKED_HEAD
+            body = chunk(stream) + LAST_CHUNK
+        sent = body
+        if rng.random() < 0.6:
+            sent = body[
+                : rng.choice((0, *find_borders(body), rng.randrange(len(body))))
+            ]
+        parts = split(rng, sent)
+        self.steps = (head, *parts, PAUSE_SECONDS, end)
+        self.whole = sent == body
+        if self.framing == CONNECTION:
+            self.whole = end is End.CLOSE and is_at_border(sent)
+
+
+def build_event(rng, number):
+    """Return an event with its fields in a random order, perhaps with comments."""
+    lines = [b"id: %d" % number, b"data: " + bytes([97 + number]) * rng.randint(0, 9)]
+    lines += rng.sample([b"event: token", b"weight-versions: 7", b": comment"], 2)
+    rng.shuffle(lines)
+    return b"\n".join(lines) + b"\n\n"
+
+
+def find_borders(data):
+    """Return the positions after the line ends in some bytes."""
+    return [position + 1 for position, byte in enumerate(data) if byte == 10]
+
+
+def split(rng, data):
+    """Return the bytes in up to three parts with pauses between them."""
+    cuts = sorted(rng.randint(0, len(data)) for _ in range(rng.randint(0, 2)))
+    parts = [data[a:b] for a, b in zip([0, *cuts], [*cuts, len(data)])]
+    return [step for part in parts for step in (part, 0.001)]
+
+
+def is_at_border(data):
+    """Return whether a stream has an event, and ends after the last one it has."""
+    lines = data.replace(b"\r\n", b"\n").split(b"\n")
+    if lines.pop():
+        return False
+    fields = [line for line in lines if not line.startswith(b":")]
+    return b"" in fields and not fields[-1]
