Replace silent members of the copies before the set grows

Cause: each host that replaced one that was gone for good joined as a further member, since the set may have six. With two gone the set had six members and four hosts; after two disks two members served, and a joining host needs three that refuse older sets, so none could ever join ('this copy is not a member', 203 times). A joining host now takes the place of a silent member if there is one, and the set grows only if there is none. Joins fetch and fence as before. What remains: a host that joins before the old one leaves for good, without a retirement, still leaves a member behind.

--- a/sapphireyard/history/copies.py
+++ b/sapphireyard/history/copies.py
@@ -53,11 +53,14 @@
     live = [name for name in copies.members if name != host and not silent(name)]
     if copies.members and len(live) < fence_quorum(len(copies.members)):
         return None
-    if host in copies.members or len(copies.members) < target_size(tolerated):
+    if host in copies.members:
         return _change(copies, {**copies.members, host: disk})
+    # A member that is gone for good would count in each quorum.
     replaced = next((name for name in sorted(copies.members) if silent(name)), None)
     if replaced is None:
-        return None
+        if len(copies.members) >= target_size(tolerated):
+            return None
+        return _change(copies, {**copies.members, host: disk})
     rest = {name: known for name, known in copies.members.items() if name != replaced}
     return _change(copies, {**rest, host: disk})
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -85,6 +85,14 @@
                 "b",
                 {**{k: four[k] for k in "acd"}, "e": "5"},
             ),
+            (
+                "for one that is silent, though there is room",
+                three,
+                "e",
+                "5",
+                "b",
+                {"a": "1", "c": "3", "e": "5"},
+            ),
             ("back with another disk", four, "d", "9", "", {**four, "d": "9"}),
             ("too few are live", four, "e", "5", "abc", None),
         ]
