Log the state of a customer's rate with each request

The record of the incident of rates cannot tell its hypotheses apart: the line of a request has neither the bucket nor what the host knew of the others. request ended now has the tokens left, the share of the rate, the active hosts heard and the hosts whose counts are known. The new row of tests.test_exchange failed before; the module passes.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -213,6 +213,8 @@
                 await asyncio.sleep(wait)
         finally:
             self._rate_waits[customer.name] -= 1
+            if customer.quota is not None:
+                admitted.rate_state = self._runtime.quotas.describe(customer.name)
 
     def _refund(self, admitted):
         customer = admitted.customer
@@ -443,6 +445,7 @@
                 "ms": round(seconds * 1000, 1),
                 **(admitted.marks if admitted else {}),
                 **(admitted.describe_end() if admitted else {}),
+                **(admitted.rate_state if admitted else {}),
                 "version": self._runtime.configuration.table.version,
                 "version_age": round(self._runtime.configuration.age, 2),
                 **outcome,
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -39,6 +39,8 @@
         Events of the answer to a turn.
     marks : dict of str to float
         Milliseconds from the arrival to the end of each step, for the log.
+    rate_state : dict
+        State of the customer's rate at the last decision on it, for the log.
     """
 
     call: object
@@ -53,6 +55,7 @@
     end: BodyEnd = field(default_factory=BodyEnd)
     reader: EventReader | None = None
     marks: dict = field(default_factory=dict)
+    rate_state: dict = field(default_factory=dict)
 
     @property
     def time_limit(self):
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -155,6 +155,16 @@
         bucket.fleet_tokens += 1.0
         self._count(customer, bucket, now, change=-1)
 
+    def describe(self, customer):
+        """Return what decisions on a customer depend on, as fields of a log line."""
+        bucket = self._buckets.get(customer)
+        return {
+            "rate_tokens": round(bucket.fleet_tokens, 1) if bucket else None,
+            "rate_share": round(self._heard / self._hosts, 3),
+            "rate_hosts": self._admitting,
+            "rate_known": len(self._counts),
+        }
+
     def merge_counts(
         self,
         host,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from sapphireyard.fleet.quotas import QuotaRule
-from tests.exchange_case import ExchangeTestCase, build_table
+from tests.exchange_case import ExchangeTestCase, RecordingReply, build_table
 
 
 class PlainTest(ExchangeTestCase):
@@ -103,6 +103,19 @@
         after = self.runtime.quotas.counts()
         self.assertEqual(after, counts)
 
+    async def test_log_line_has_the_state_of_the_rate(self):
+        """The first request takes the only token."""
+        table = build_table(rate=0.1, burst=1.0)
+        self.runtime.configuration.apply(replace(table, version=2))
+        for code in ("served", "rate_exceeded"):
+            with self.subTest(code):
+                self.reply = RecordingReply()
+                with self.assertLogs("sapphireyard.exchange.exchange") as logs:
+                    await self.serve("/view/1")
+                (line,) = (r for r in logs.records if r.msg == "request ended")
+                self.assertEqual((line.code, line.rate_tokens), (code, 0.0))
+                self.assertEqual((line.rate_share, line.rate_hosts), (1.0, 1))
+
     async def test_unrepeatable_call_without_an_answer_ends_at_its_deadline(self):
         """Nobody could use a later answer, and its slot is needed."""
         for timeout in (0.05, 0.1):
