--- a/tests/gossip_world.py
+++ b/tests/gossip_world.py
@@ -8,11 +8,14 @@
 from sapphireyard.fleet.generated_fleet import HostProfile
 from sapphireyard.fleet.gossip import Gossip
 from sapphireyard.fleet.membership import ENTRY, HISTORY
+from sapphireyard.fleet.quotas import FleetQuotas
 from sapphireyard.fleet.rotation import Rotation
 
 DELAY_SECONDS = 0.002
 LOSS = 0.01
 """Share of datagrams that are lost."""
+RECENT_SECONDS = 1.5
+NEW_RUN_HEARTBEATS = 30
 
 
 class VirtualClock:
@@ -43,6 +46,8 @@
     ----------
     cut : callable
         ``cut(a, b)`` returns whether datagrams from host a to host b are lost.
+    find_quota : callable
+        Returns the `QuotaRule` of a customer; None without customers.
     sent : list of (str, str, int)
         Sender, receiver and bytes of each datagram.
     """
@@ -52,6 +57,7 @@
         self.clock = VirtualClock()
         self.loss = loss
         self.cut = lambda a, b: False
+        self.find_quota = None
         self.sent = []
         self.hosts = {}
         self._events = []
@@ -135,6 +141,7 @@
         self.leaving = False
         self.call_rate = 0.0
         self.directory = []
+        self.quotas = FleetQuotas(started_at=world.clock.now)
         settings = SimpleNamespace(
             peer_address=profile.address,
             role=profile.role,
@@ -178,12 +185,24 @@
         self.world.schedule(self.gossip.interval, self._beat)
 
     def _update_rotation(self, now):
+        was_active = self.rotation.active
         self.rotation.update(
             now,
             call_rate=self.call_rate,
             leaving=self.leaving,
             registered=self.registered,
         )
+        if self.rotation.active and not was_active:
+            self.quotas.restart(now)
+        if not self.rotation.active or self.world.find_quota is None:
+            return
+        known, live = self.membership.count_fleet(now)
+        self.quotas.set_fleet(
+            known,
+            live,
+            admitting=len(self.membership.list_active(now)) + 1,
+            count_seconds=self.membership.heartbeat_seconds,
+        )
 
     def _describe(self, now, full):
         if self.profile.role == HISTORY:
@@ -199,6 +218,11 @@
             "domain_live": live,
             "leaving": self.leaving,
             "ready": True,
+            "admitted": (
+                self.quotas.counts()
+                if full
+                else self.quotas.changed_counts(now - RECENT_SECONDS)
+            ),
         }
 
     def _list_addresses(self):
@@ -207,5 +231,18 @@
         return [self.profile.caller_address, *others]
 
     def _handle_heartbeat(self, member, now):
-        if member.heartbeat.directory:
-            self.directory = member.heartbeat.directory
+        heartbeat = member.heartbeat
+        if heartbeat.directory:
+            self.directory = heartbeat.directory
+        if heartbeat.role != ENTRY or self.world.find_quota is None:
+            return
+        self.quotas.merge_counts(
+            heartbeat.host,
+            heartbeat.incarnation,
+            heartbeat.admitted,
+            self.world.find_quota,
+            now,
+            absence=member.absence,
+            new=heartbeat.number <= NEW_RUN_HEARTBEATS,
+            full=heartbeat.full,
+        )
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -17,6 +17,17 @@
 SLACK_REQUESTS = 20
 
 
+def count_in_window(times):
+    """Return the maximum number of requests in any window, from sorted times."""
+    most = 0
+    first = 0
+    for last, at in enumerate(times):
+        while times[first] < at - WINDOW_SECONDS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 class Fleet:
     """Entry hosts in virtual time; `hears` tells whose counts reach whom."""
 
@@ -90,13 +101,7 @@
 
     def max_in_window(self):
         """Return the maximum number of requests admitted in any window."""
-        most = 0
-        first = 0
-        for last, at in enumerate(self.admitted):
-            while self.admitted[first] < at - WINDOW_SECONDS:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        return count_in_window(self.admitted)
 
 
 class GrowingFleet(Fleet):
