Send complete counts to a host that becomes active again

What callers saw: a customer got more than its rate, on fleets in which hosts stand by. Cause: a host that becomes active forgets the others' counts and waits for their next complete ones, and admits at the rate of the whole fleet until then. Others send complete counts first to a host whose run or activity has changed. Active hosts of other domains don't hear a host that stands by, so one that resumes within 20 s looked unchanged to them, and got complete counts up to 20 heartbeats (4 s) late. The class of fault: a receiver resets its state, and the sender cannot tell. Change: heartbeats carry how often their host has become active; a new number is answered with complete counts like a new run.

--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -147,3 +147,7 @@
     """
     IP:PORT of the hosts to which callers are to be sent; for hosts that stand by.
     """
+    activation: int = 0
+    """
+    How often the host has become active since it started.
+    """
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -181,6 +181,7 @@
             failure_domain=settings.failure_domain,
             effort=self._effort,
             full=full,
+            activation=self.rotation.activation if self.rotation else 0,
             **self._describe(now, full),
         )
 
@@ -197,7 +198,8 @@
         member = self.membership.find(host)
         run = None
         if member is not None:
-            run = member.heartbeat.incarnation, member.heartbeat.active
+            heartbeat = member.heartbeat
+            run = heartbeat.incarnation, heartbeat.active, heartbeat.activation
         known, count = self._full_counts.get(host, (None, 0))
         if run != known:
             count = 0
--- a/sapphireyard/fleet/rotation.py
+++ b/sapphireyard/fleet/rotation.py
@@ -125,6 +125,15 @@
         The other hosts.
     now : float
         Monotonic seconds at which the process started.
+
+    Attributes
+    ----------
+    active : bool
+        Whether this host serves callers.
+    activation : int
+        How often it has become active.
+    names : list of str
+        Hosts of its domain that are to be active, as it sees the domain.
     """
 
     def __init__(self, profile, membership, now):
@@ -135,6 +144,7 @@
         self._heard_at = now
         self._named_at = now
         self.active = False
+        self.activation = 0
         self.names = []
         membership.active = False
         membership.own = profile
@@ -248,6 +258,7 @@
 
     def _switch(self, active, others):
         self.active = self._membership.active = active
+        self.activation += active
         logger.info(
             "active" if active else "standing by",
             extra={
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -109,7 +109,10 @@
             ("other format", encode([FORMAT + 1, *values[1:]])),
             ("too few fields", encode(values[:4])),
             ("wrong type", encode([FORMAT, 7, *values[2:]])),
-            ("wrong type in a map", encode([*values[:-4], {"c": "x"}, {}, None, []])),
+            (
+                "wrong type in a map",
+                encode([*values[:-5], {"c": "x"}, {}, None, [], 0]),
+            ),
         ]
         for name, payload in cases:
             with self.subTest(name), self.assertRaises(PeerError):
