Count a new customer's requests at hosts that learn of it later

Cause: counts of a customer that a host had no limit for were noted as known and so never taken from its bucket, which was full once the limit came. Change: counts of a customer that the configuration in force lacks stay uncounted until it has the customer; they then take what the bucket has and leave no debt. A customer without a limit is counted as before.

--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -182,6 +182,11 @@
         return self.customers.get(name)
 
     def find_quota(self, name):
-        """Return the `QuotaRule` of a customer by name, or None."""
-        customer = self.customers.get(name)
-        return customer.quota if customer else None
+        """Return the `QuotaRule` of a customer by name; None without a limit.
+
+        Raises
+        ------
+        KeyError
+            There is no such customer in this version.
+        """
+        return self.customers[name].quota
--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 SCARCE_SHARE = 0.25
 """Share of the burst below which each host limits itself to its local part of the
@@ -45,6 +45,25 @@
     admitted: int = 0
 
 
+@dataclass
+class _Run:
+    """What another host's run has admitted, as far as it was counted here.
+
+    Parameters
+    ----------
+    incarnation : int
+        The run.
+    counts : dict of str to int
+        Requests counted for each customer.
+    uncounted : set of str
+        Customers with later requests that are not known here yet.
+    """
+
+    incarnation: int | None = None
+    counts: dict = field(default_factory=dict)
+    uncounted: set = field(default_factory=set)
+
+
 class FleetQuotas:
     """Admits requests within the rates of their customers.
 
@@ -64,7 +83,7 @@
     def __init__(self, *, started_at):
         self._started_at = started_at
         self._buckets = {}
-        self._counts = {}
+        self._runs = {}
         self._changed = OrderedDict()
         self._hosts = 1
         self._heard = 1
@@ -94,7 +113,7 @@
         A host that stood by has not counted what the others admitted.
         """
         self._started_at = now
-        self._counts.clear()
+        self._runs.clear()
         for bucket in self._buckets.values():
             bucket.fleet_tokens = bucket.local_tokens = 0.0
             bucket.refilled_at = now
@@ -162,7 +181,7 @@
             "rate_tokens": round(bucket.fleet_tokens, 1) if bucket else None,
             "rate_share": round(self._heard / self._hosts, 3),
             "rate_hosts": self._admitting,
-            "rate_known": len(self._counts),
+            "rate_known": len(self._runs),
         }
 
     def merge_counts(
@@ -188,7 +207,8 @@
         admitted : dict of str to int
             Requests admitted for each customer.
         rules : callable
-            Returns the `QuotaRule` of a customer or None.
+            Returns the `QuotaRule` of a customer, None without a limit; raises
+            `KeyError` for a customer that is not known here yet.
         now : float
             Monotonic seconds.
         absence : float, optional
@@ -202,21 +222,39 @@
             All customers with requests are included. Until then, nothing is known of
             what a run that is not new admitted before.
         """
-        run, known = self._counts.get(host, (None, {}))
-        if run != incarnation:
+        run = self._runs.get(host, _Run())
+        if run.incarnation != incarnation:
             if not new and not full:
                 return
-            known = {} if new else dict(admitted)
-            self._counts[host] = (incarnation, known)
+            run = _Run(incarnation, {} if new else dict(admitted))
+            self._runs[host] = run
         for customer, count in admitted.items():
-            before = known.get(customer, 0)
-            known[customer] = count
-            rule = rules(customer)
-            if rule is None or count <= before:
+            before = run.counts.get(customer, 0)
+            if count <= before:
+                run.counts[customer] = count
+                continue
+            try:
+                rule = rules(customer)
+            except KeyError:
+                run.uncounted.add(customer)
                 continue
-            bucket = self._refill(customer, rule, now)
-            local_part = rule.rate / self._hosts * absence
-            bucket.fleet_tokens -= max(0.0, count - before - local_part)
+            run.counts[customer] = count
+            if rule is not None:
+                self._charge(customer, rule, run, count - before, absence, now)
+
+    def _charge(self, customer, rule, run, requests, absence, now):
+        """Take another host's requests from the bucket of a customer.
+
+        Requests from before the customer was known here have partly been made up for
+        by tokens since: they take what the bucket has, and leave no debt.
+        """
+        bucket = self._refill(customer, rule, now)
+        local_part = rule.rate / self._hosts * absence
+        tokens = max(0.0, requests - local_part)
+        if customer in run.uncounted:
+            run.uncounted.discard(customer)
+            tokens = min(tokens, max(0.0, bucket.fleet_tokens))
+        bucket.fleet_tokens -= tokens
 
     def counts(self):
         """Return the number of requests admitted for each customer."""
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -261,6 +261,8 @@
         )
         self.assertIsNone(self.table.find_quota("second"))
         self.assertEqual(self.table.find_quota("first").rate, 100)
+        with self.assertRaises(KeyError):
+            self.table.find_quota("unknown")
         self.assertEqual(RouteTable().find_route("h", "/"), None)
 
     def test_invalid_upstream_entries_are_rejected(self):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -142,6 +142,39 @@
                     )
 
 
+class LearningFleet(Fleet):
+    """A fleet whose hosts learn of the customer one after another, evenly spread."""
+
+    def __init__(self, hosts, *, starts_at, seconds, rule, rounds):
+        super().__init__(hosts, rule=rule, rounds=rounds)
+        self._learned_at = [
+            starts_at + seconds * host / (hosts - 1) for host in range(hosts)
+        ]
+
+    def list_active(self, now):
+        pairs = zip(self.hosts, self._learned_at)
+        return [host for host, learned_at in pairs if learned_at <= now]
+
+    def exchange_counts(self, now):
+        for number, receiver in enumerate(self.hosts):
+            receiver.set_fleet(
+                len(self.hosts),
+                len(self.hosts),
+                count_seconds=self._rounds * HEARTBEAT_SECONDS,
+            )
+            rules = {"c": self.rule} if self._learned_at[number] <= now else {}
+            for other, sender in enumerate(self.hosts):
+                if other != number:
+                    receiver.merge_counts(
+                        f"h{other}",
+                        1,
+                        sender.counts(),
+                        rules.__getitem__,
+                        now,
+                        new=False,
+                    )
+
+
 def split(start, end):
     """Return a function that tells who hears whom while two halves are partitioned."""
     return lambda a, b, now: not start <= now < end or a % 2 == b % 2
@@ -254,6 +287,41 @@
                     allowed = self.count_allowed(rule)
                     self.assertEqual(fleet.max_in_window() <= allowed, holds)
 
+    def test_customer_that_hosts_learn_of_one_after_another(self):
+        """Hosts that already know a new customer admit its requests meanwhile."""
+        rule = QuotaRule(4.0, 22.0)
+        for seconds in (0.0, 1.0, 2.0, 4.0):
+            for demand in (20.0, 40.0, 80.0):
+                with self.subTest((seconds, demand)):
+                    fleet = LearningFleet(
+                        13, starts_at=10.0, seconds=seconds, rule=rule, rounds=2
+                    )
+                    fleet.run(demand, start=10.0, end=20.0)
+                    allowed = self.count_allowed(rule)
+                    self.assertLessEqual(fleet.max_in_window(), allowed)
+                    self.assertGreater(len(fleet.admitted), 0.9 * (22 + 4 * 10))
+
+    def test_customer_that_a_host_learns_of_late_is_not_kept_out(self):
+        """The others have admitted more meanwhile than the bucket holds."""
+        rule = QuotaRule(4.0, 22.0)
+        quotas = FleetQuotas(started_at=0.0)
+        quotas.set_fleet(2, 2)
+        quotas.merge_counts("b", 1, {}, {}.__getitem__, 10.0, new=False)
+        quotas.merge_counts("b", 1, {"c": 58}, {}.__getitem__, 19.0, new=False)
+        quotas.merge_counts("b", 1, {"c": 58}, lambda _: rule, 19.1, new=False)
+        self.assertGreater(quotas.admit("c", rule, 19.1), 0)
+        self.assertEqual(quotas.admit("c", rule, 19.4), 0)
+
+    def test_customer_that_gets_a_limit_starts_with_its_burst(self):
+        rule = QuotaRule(4.0, 22.0)
+        quotas = FleetQuotas(started_at=0.0)
+        quotas.set_fleet(2, 2)
+        for now, count in ((10.0, 5), (11.0, 500)):
+            quotas.merge_counts("b", 1, {"c": count}, lambda _: None, now, new=False)
+        quotas.merge_counts("b", 1, {"c": 501}, lambda _: rule, 11.1, new=False)
+        admitted = sum(not quotas.admit("c", rule, 11.1) for _ in range(40))
+        self.assertEqual(admitted, 21)
+
     def test_customer_within_its_rate_is_not_refused(self):
         """Load of 0.8 times the rate, spread at random over the hosts."""
         fleet = Fleet(7)
