Let hosts that stand by ask an active host for customers' tokens

Cause: a host that stands by is counted by two active hosts only, and had a token for each customer of its own, so the parts of a fleet added up to more than the rate: the floor of one token holds for each host, however many there are. Change: TokenService takes tokens from this host's buckets if it is active, and asks up to two active hosts of its domain otherwise; these count the request like their own. If none answers, the request is refused at once with the time to come back.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -50,6 +50,8 @@
         Sends requests to upstreams.
     turns : TurnService
         Serves routes that keep histories.
+    tokens : TokenService
+        Takes tokens of customers' rates.
     prepare : callable, optional
         Called and awaited before each request is checked.
 
@@ -61,10 +63,11 @@
         Requests that have arrived.
     """
 
-    def __init__(self, runtime, sender, turns, *, prepare=None):
+    def __init__(self, runtime, sender, turns, tokens, *, prepare=None):
         self._runtime = runtime
         self._sender = sender
         self._turns = turns
+        self._tokens = tokens
         self._rate_waits = Counter()
         self._prepare = prepare
         self.open_requests = 0
@@ -195,15 +198,13 @@
         wait_until = min(self._now() + max_wait, admitted.deadline)
         self._rate_waits[customer.name] += 1
         try:
-            while wait := self._runtime.quotas.admit(
-                customer.name,
-                customer.quota,
-                self._now(),
-                opening=opening,
-                urgent=admitted.priority == 0,
-            ):
-                queued = self._rate_waits[customer.name] - 1
-                queue_wait = self._runtime.quotas.estimate_wait(customer.quota, queued)
+            while wait := await self._tokens.take(admitted):
+                queue_wait = 0.0
+                if not admitted.token_host:
+                    queued = self._rate_waits[customer.name] - 1
+                    queue_wait = self._runtime.quotas.estimate_wait(
+                        customer.quota, queued
+                    )
                 if self._now() + max(wait, queue_wait) > wait_until:
                     raise CallError(
                         "rate_exceeded",
@@ -214,13 +215,14 @@
         finally:
             self._rate_waits[customer.name] -= 1
             if customer.quota is not None:
-                admitted.rate_state = self._runtime.quotas.describe(customer.name)
+                admitted.rate_state = {
+                    "rate_host": admitted.token_host,
+                    **self._runtime.quotas.describe(customer.name),
+                }
 
     def _refund(self, admitted):
-        customer = admitted.customer
-        if customer.name:
-            now = self._now()
-            self._runtime.quotas.refund(customer.name, customer.quota, now)
+        if admitted.customer.name:
+            self._tokens.give_back(admitted)
 
     async def _serve_buffered(self, admitted, reply):
         """Send a request to a plain service; forward its answer once complete."""
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -41,6 +41,8 @@
         Events of the answer to a turn.
     marks : dict of str to float
         Milliseconds from the arrival to the end of each step, for the log.
+    token_host : str
+        Host that counted it against the customer's rate; empty for this host.
     rate_state : dict
         State of the customer's rate at the last decision on it, for the log.
     """
@@ -58,6 +60,7 @@
     end: BodyEnd = field(default_factory=BodyEnd)
     reader: EventReader | None = None
     marks: dict = field(default_factory=dict)
+    token_host: str = ""
     rate_state: dict = field(default_factory=dict)
 
     @property
--- a/tests/answer_case.py
+++ b/tests/answer_case.py
@@ -40,7 +40,9 @@
         await self.sender.on_start()
         self.addAsyncCleanup(self.sender.on_stop)
         turns = TurnService(self.runtime, self.sender)
-        self.exchange = turns.exchange = Exchange(self.runtime, self.sender, turns)
+        self.exchange = turns.exchange = Exchange(
+            self.runtime, self.sender, turns, self.tokens
+        )
 
     def set_upstreams(self, address, changes=()):
         """List one upstream of each service at an address; none if `changes` is None.
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -25,11 +25,13 @@
     Service,
     digest_key,
 )
+from sapphireyard.exchange.tokens import TokenService
 from sapphireyard.exchange.turns import TurnService
 from sapphireyard.fleet.crashes import CrashLedger
 from sapphireyard.fleet.membership import Membership
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
 from sapphireyard.history.client import ChainText
+from sapphireyard.streams.frames import MessageCodec
 
 EVENTS = [b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n"]
 WAIT_SECONDS = 5.0
@@ -206,6 +208,9 @@
             metrics=SimpleNamespace(count=lambda *a, **k: 0, record=lambda *a, **k: 0),
             quotas=FleetQuotas(started_at=clock.monotonic() - 60),
             crashes=CrashLedger(),
+            peers=SimpleNamespace(
+                codec=MessageCodec(), register=lambda message_class, handler: None
+            ),
         )
         self.runtime.configuration = Configuration(clock, withdrawal_seconds=5.0)
         self.apply_table(build_table())
@@ -220,7 +225,10 @@
         self.runtime.pools.set_upstreams(upstreams)
         self.sender = ScriptedSender()
         turns = TurnService(self.runtime, self.sender)
-        self.exchange = turns.exchange = Exchange(self.runtime, self.sender, turns)
+        self.tokens = TokenService(self.runtime)
+        self.exchange = turns.exchange = Exchange(
+            self.runtime, self.sender, turns, self.tokens
+        )
         self.reply = RecordingReply()
         self.runtime.history = FakeHistory(self.reply.log)
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -107,7 +107,11 @@
             )
             self.store = FakeStore()
             runtime = Runtime(settings, self.store, clock=LoopClock())
-            runtime.peers = SimpleNamespace(static_addresses={}, codec=MessageCodec())
+            runtime.peers = SimpleNamespace(
+                static_addresses={},
+                codec=MessageCodec(),
+                register=lambda message_class, handler: None,
+            )
             self.process = EntryProcess(runtime)
             feeds = (self.process._feed, self.process._upstreams_feed)
             for feed in feeds:
