Return a token to the host that gave it last

Found on reading the change: a request that was first refused by another host and got a token here, as this host became active meanwhile, returned it to the other one. One active host is waited for 0.15 s rather than 0.25 s, as it is in the same failure domain; the shortest Retry-After of pools has a name.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -42,6 +42,7 @@
 LEAVING_MEMORY_SECONDS = 3600.0
 """Time for which an upstream that has said that it is leaving, and is not listed any
 more, is remembered: longer than any takes to leave."""
+MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 """A caller that waits longer than this for a slot has no time left."""
 
@@ -291,7 +292,7 @@
         raise CallError(
             "overloaded",
             f"all upstreams of {request.pool!r} have stated rates that are used up",
-            retry_after=min(wait, MAX_RETRY_SECONDS),
+            retry_after=min(max(wait, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS),
         )
 
     def _execute(self, actions):
@@ -306,7 +307,8 @@
             if isinstance(action, Grant):
                 waiter.future.set_result(action.upstream)
                 continue
-            retry_after = min(max(action.retry_after, 0.05), MAX_RETRY_SECONDS)
+            retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
+            retry_after = min(retry_after, MAX_RETRY_SECONDS)
             waiter.future.set_exception(
                 CallError(
                     "overloaded",
--- a/sapphireyard/exchange/tokens.py
+++ b/sapphireyard/exchange/tokens.py
@@ -8,8 +8,8 @@
 
 logger = logging.getLogger(__name__)
 
-ASK_SECONDS = 0.25
-"""Longest wait for one active host; several round trips between failure domains."""
+ASK_SECONDS = 0.15
+"""Longest wait for one active host, which is in the same failure domain."""
 ASKED_HOSTS = 2
 """Active hosts that are asked, so that one may be lost."""
 RETRY_SECONDS = 0.3
@@ -59,6 +59,7 @@
         opening = admitted.opens_program
         urgent = admitted.priority == 0
         if self._runtime.gossip.membership.active or customer.quota is None:
+            admitted.token_host = ""
             return self._take_here(customer.name, customer.quota, opening, urgent)
         return await self._ask(admitted, TokenRequest(customer.name, opening, urgent))
 
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -164,6 +164,18 @@
         await fleet.hosts[host].serve(message)
         self.assertEqual(fleet.hosts[host].quotas.counts(), {})
 
+    async def test_token_taken_here_after_a_refusal_elsewhere_goes_back_here(self):
+        """A host becomes active while a request waits for the rate."""
+        fleet = Fleet(3, 1)
+        fleet.now = 10.0
+        request = build_request()
+        host = fleet.hosts["s0"]
+        await host.service.take(request)
+        host.runtime.gossip.membership.active = True
+        await host.service.take(request)
+        host.service.give_back(request)
+        self.assertEqual((fleet.told, host.quotas.counts()), ([], {}))
+
     async def test_active_hosts_and_customers_without_a_limit_ask_nobody(self):
         fleet = Fleet(3, 1)
         fleet.lost = set(fleet.hosts)
