Let a host that was frozen use its own part of a rate only

Cause: a host that wakes serves the requests that have piled up before it reads the heartbeats of the others, from a bucket that has filled up while these used the rate. Change: a host that has sent no heartbeat for 1.5 s, which an active one does five times meanwhile, uses its part of rate and burst until its next one.

--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -5,6 +5,7 @@
 bucket of the whole fleet.
 """
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -20,6 +21,8 @@
 MIN_RETRY_SECONDS = 0.02
 """Shortest delay after which a retry is suggested: a large customer gets two tokens
 in this time."""
+MAX_PAUSE_SECONDS = 1.5
+"""Longest time between two heartbeats of an active host that has not been frozen."""
 OPENING_SHARE = 0.3
 """Share of the burst reserved for running programs: a program that is refused in the
 middle has wasted its earlier requests."""
@@ -87,10 +90,19 @@
         self._changed = OrderedDict()
         self._hosts = 1
         self._heard = 1
+        self._heard_at = math.inf
         self._admitting = 1
         self._count_seconds = COUNT_SECONDS
 
-    def set_fleet(self, hosts, heard, *, admitting=None, count_seconds=COUNT_SECONDS):
+    def set_fleet(
+        self,
+        hosts,
+        heard,
+        *,
+        admitting=None,
+        count_seconds=COUNT_SECONDS,
+        now=math.inf,
+    ):
         """Set the number of entry hosts, and how many of them are in touch.
 
         Parameters
@@ -101,7 +113,11 @@
             Hosts in touch that admit requests; all unless some stand by.
         count_seconds : float, optional
             Age of the other hosts' counts.
+        now : float, optional
+            Monotonic seconds. Unless this is called again soon, the host uses its own
+            part only; by default it never does.
         """
+        self._heard_at = now
         self._count_seconds = count_seconds
         self._hosts = max(1, hosts)
         self._heard = max(1, min(heard, self._hosts))
@@ -144,7 +160,7 @@
         if rule is None:
             self._count(customer, bucket, now)
             return 0.0
-        share = self._heard / self._hosts
+        share = self._find_share(now)
         scarce = (
             bucket.fleet_tokens < 1.0 + SCARCE_SHARE * rule.burst * share
             and rule.rate * (self._admitting - 1) * self._count_seconds
@@ -287,7 +303,7 @@
             return bucket
         elapsed = max(0.0, now - bucket.refilled_at)
         bucket.refilled_at = now
-        share = self._heard / self._hosts
+        share = self._find_share(now)
         fleet_max = max(1.0, rule.burst * share)
         bucket.fleet_tokens = min(
             fleet_max, bucket.fleet_tokens + rule.rate * share * elapsed
@@ -298,6 +314,15 @@
         )
         return bucket
 
+    def _find_share(self, now):
+        """Return the part of the fleet that this host is in touch with.
+
+        A host that was frozen has heard nobody meanwhile.
+        """
+        if now - self._heard_at > MAX_PAUSE_SECONDS:
+            return 1.0 / self._hosts
+        return self._heard / self._hosts
+
     def _local_rate(self, rule):
         """Return this host's part of a rate in requests per second."""
         return rule.rate * self._heard / self._hosts / self._admitting
--- a/tests/gossip_world.py
+++ b/tests/gossip_world.py
@@ -202,6 +202,7 @@
             live,
             admitting=len(self.membership.list_active(now)) + 1,
             count_seconds=self.membership.heartbeat_seconds,
+            now=now,
         )
 
     def _describe(self, now, full):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -404,6 +404,22 @@
         admitted = sum(not quotas.admit("c", RULE, now) for _ in range(100))
         self.assertLessEqual(admitted, RULE.burst - 61)
 
+    def test_host_that_was_frozen_brings_no_tokens(self):
+        """It serves what has piled up before it reads the others' heartbeats.
+
+        Cases are the seconds since its last heartbeat, and how many it may admit.
+        """
+        for pause, most in ((0.4, 22), (2.0, 1), (6.0, 1)):
+            with self.subTest(pause):
+                rule = QuotaRule(4.0, 22.0)
+                quotas = FleetQuotas(started_at=0.0)
+                quotas.set_fleet(74, 74, admitting=12, now=60.0)
+                now = 60.0 + pause
+                admitted = sum(not quotas.admit("c", rule, now) for _ in range(30))
+                self.assertEqual(admitted, most)
+                quotas.set_fleet(74, 74, admitting=12, now=now)
+                self.assertEqual(quotas.admit("c", rule, now + 1.0), 0)
+
     def test_refusal_tells_when_to_retry(self):
         quotas = FleetQuotas(started_at=0.0)
         rule = QuotaRule(2.0, 2.0)
