Give the test of a call's deadline time to send it

Traced: it runs in real time. The deadlines are now 1.0 and 1.5 s; the checks are those of before, and also that the request was sent once and how long it took.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -118,12 +118,16 @@
 
     async def test_unrepeatable_call_without_an_answer_ends_at_its_deadline(self):
         """Nobody could use a later answer, and its slot is needed."""
-        for timeout in (0.05, 0.1):
+        for timeout in (1.0, 1.5):
             with self.subTest(timeout):
                 await self.asyncSetUp()
                 self.sender.script = ["hang"]
+                arrived_at = self.runtime.clock.monotonic()
                 self.assertEqual(await self.serve("/book/1", timeout=timeout), 504)
+                seconds = self.runtime.clock.monotonic() - arrived_at
+                self.assertAlmostEqual(seconds, timeout, delta=0.5)
                 self.assertEqual(self.runtime.pools.running, {})
+                self.assertEqual(len(self.sender.sent), 1)
 
     async def test_unrepeatable_call_ends_though_its_caller_has_gone(self):
         for path, ends in (("/book/1", True), ("/view/1", False)):
