--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
+SERVE = ROOT / "platform" / "serve.py"
 STORE_IP = "127.0.0.1"
 WAIT_TIMEOUT_SECONDS = 20.0
 TAIL_LINES = 8
@@ -144,7 +145,22 @@
         await self._runner.cleanup()
         self._folder.cleanup()
 
-    def start_process(self, name, role, ip, *, failure_domain="a", bootstrap=True):
+    @property
+    def folder(self):
+        """Path: Folder of the processes' settings and logs."""
+        return Path(self._folder.name)
+
+    def start_process(
+        self,
+        name,
+        role,
+        ip,
+        *,
+        failure_domain="a",
+        bootstrap=True,
+        script=SERVE,
+        environ=(),
+    ):
         """Start a process, or restart one that was killed."""
         folder = Path(self._folder.name) / name
         folder.mkdir(exist_ok=True)
@@ -168,10 +184,10 @@
             f"provider.address={STORE_IP}:{self._store_port}",
         ]
         path.write_text("\n".join(lines) + "\n")
-        environ = {**os.environ, "SAPPHIREYARD_NODE_FILE": str(path)}
+        environ = {**os.environ, "SAPPHIREYARD_NODE_FILE": str(path), **dict(environ)}
         with open(folder / "log", "ab") as output:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "serve.py"), role],
+                [sys.executable, str(script), role],
                 cwd=ROOT,
                 env=environ,
                 stdout=output,
@@ -218,7 +234,7 @@
     def _read_log_tails(self):
         """Return the last lines of all logs, to diagnose failures that do not recur."""
         lines = []
-        for folder in sorted(Path(self._folder.name).iterdir()):
+        for folder in sorted(p for p in self.folder.iterdir() if p.is_dir()):
             tail = (folder / "log").read_text().splitlines()[-TAIL_LINES:]
             lines += [f"{folder.name}: {line[:TAIL_CHARACTERS]}" for line in tail]
         return "\n".join(["last log lines", *lines])
