Direct callers away from hosts that reach no upstream

The addresses that callers get did not depend on links to upstreams, so new callers kept coming to isolated hosts. DirectoryTest fails without the change.

--- a/sapphireyard/fleet/directory.py
+++ b/sapphireyard/fleet/directory.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from statistics import median
 
+MIN_REACHING_SHARE = 0.25
+"""Share of hosts that reach upstreams from which all callers are directed to them.
+Fewer would be overloaded by the connections of all callers."""
 MAX_PREFERRED_STORE_AGE_SECONDS = 2.8
 """Age of a host's own last answer from the store from which other hosts are
 preferred: a host with an older one may soon have to refuse callers."""
@@ -29,6 +32,8 @@
         Enough copies of histories are reachable from it to serve turns.
     effort : float, optional
         Seconds that the host takes for a piece of work that is the same on all hosts.
+    isolated : bool, optional
+        It reaches no upstream.
     """
 
     address: str
@@ -37,6 +42,7 @@
     store_age: float
     keeps_turns: bool = True
     effort: float = 0.0
+    isolated: bool = False
 
     @property
     def connected(self):
@@ -49,16 +55,26 @@
 def choose_addresses(candidates):
     """Return the addresses to give to callers: those of the best available hosts.
 
-    Handles two load patterns. While the store is unavailable, all callers retry: if
+    Handles three load patterns. While the store is unavailable, all callers retry: if
     no host is ready, the live ones are returned, so that callers get a refusal with
     a Retry-After rather than no answer. Single machines may be cut off from the store
     or from the copies, or run several times slower than the others: callers are
-    directed to other hosts.
+    directed to other hosts. Some may be cut off from all upstreams: they serve through
+    other hosts, to which callers are better sent at once.
     """
     staying = [each for each in candidates if not each.leaving and each.address]
     ready = [each for each in staying if each.ready]
     connected = [each for each in ready if each.connected]
-    return [each.address for each in _drop_slow(connected or ready or staying)]
+    chosen = _drop_isolated(connected or ready or staying)
+    return [each.address for each in _drop_slow(chosen)]
+
+
+def _drop_isolated(candidates):
+    """Return the hosts that reach upstreams, unless they are too few."""
+    reaching = [each for each in candidates if not each.isolated]
+    if len(reaching) < MIN_REACHING_SHARE * len(candidates):
+        return candidates
+    return reaching
 
 
 def _drop_slow(candidates):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from sapphireyard.fleet.directory import Candidate, choose_addresses
 from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.membership import ENTRY, Member
 from sapphireyard.fleet.relays import list_relays, rank_relays
@@ -153,5 +154,19 @@
             self.assertAlmostEqual(shares[host], share, delta=0.06)
 
 
+class DirectoryTest(unittest.TestCase):
+    def test_callers_are_sent_to_hosts_that_reach_upstreams(self):
+        """Cases are isolated hosts of eight, and how many addresses are returned."""
+        for isolated, returned in ((0, 8), (1, 7), (5, 3), (6, 2), (7, 8), (8, 8)):
+            with self.subTest(isolated):
+                candidates = [
+                    Candidate(
+                        f"h{number}", True, False, 0.1, isolated=number < isolated
+                    )
+                    for number in range(8)
+                ]
+                self.assertEqual(len(choose_addresses(candidates)), returned)
+
+
 if __name__ == "__main__":
     unittest.main()
