Forget the failed link of an upstream that has restarted

A restarted upstream's old failure still counted towards 'no upstream can be reached', so a host could take itself for isolated with a sound link. Found by reading; the extended test_restarted_upstream_starts_afresh fails without the change. Also a process test for a host that reaches one service only.

--- a/sapphireyard/upstreams/links.py
+++ b/sapphireyard/upstreams/links.py
@@ -102,13 +102,15 @@
         started : dict of str to float
             Start time of each upstream; a new one forgets what was known of its link.
         """
-        for name in self._links.keys() - started.keys():
-            del self._links[name]
-            self._suspects.pop(name, None)
+        for name, link in list(self._links.items()):
+            if started.get(name) != link.started_at:
+                del self._links[name]
+                self._suspects.pop(name, None)
         for name, started_at in started.items():
-            known = self._links.get(name)
-            if known is None or known.started_at != started_at:
+            if name not in self._links:
                 self._links[name] = _Link(started_at)
+        if not self._suspects:
+            self._suspected_from = float("inf")
 
     def note_pending(self, upstream, change, now):
         """Record that an upstream owes one more answer, or one less."""
@@ -148,9 +150,7 @@
     def note_failed(self, upstream, tried_at, now, *, reason=""):
         """Record an attempt to connect, begun at `tried_at`, that failed."""
         link = self._links.get(upstream)
-        if link is None or tried_at < link.connected_at:
-            return
-        if link.down:
+        if link is None or link.down or tried_at < link.connected_at:
             return
         link.down = True
         link.probed_at = now
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -110,6 +110,9 @@
         links.note_failed("a", 10.0, 10.5)
         links.set_upstreams({"a": 11.0, "b": 0.0})
         self.assertTrue(links.is_up("a"))
+        links.note_failed("b", 12.0, 12.0)
+        links.choose_probes(20.0)
+        self.assertFalse(links.isolated)
 
     def test_quiet_links_are_not_probed(self):
         network = Network(50)
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -143,6 +143,20 @@
                 self.set_links("open")
                 await self.site.wait_until(self.turns_are_served)
 
+    async def test_callers_of_a_service_that_a_host_does_not_reach_are_served(self):
+        for mode in ("refuse", "hang"):
+            with self.subTest(mode):
+                self.cut(mode, services={"plain"})
+                load = asyncio.ensure_future(self.send_first_tries(ENTRY_IPS[0], 3))
+                await asyncio.sleep(CONTACT_SECONDS)
+                served, log = await self.send_first_tries(ENTRY_IPS[0], REQUESTS)
+                self.assertGreaterEqual(served, MIN_SERVED_SHARE * REQUESTS, log)
+                self.assertEqual(self.find_repeated(), set())
+                self.assertNotIn("reaches no upstream", self.site.read_log("entry-1"))
+                await load
+                self.set_links("open")
+                await self.site.wait_until(self.turns_are_served)
+
 
 if __name__ == "__main__":
     unittest.main()
