--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -31,6 +31,10 @@
         Maximum number of tokens that all turns of the program generate.
     prompt_tokens, output_tokens : int
         Tokens of the prompt, and maximum number of generated tokens.
+    expected_output_tokens : int
+        The caller's estimate of the generated tokens; 0 if there is none.
+    prompt_parts : tuple of (str, int)
+        Id and tokens of each part of the prompt, in order; equal parts have equal ids.
     previous_turn : str
         Turn that this one continues; empty at the start of a chain.
     headers : tuple of (bytes, bytes)
@@ -52,6 +56,8 @@
     token_budget: int | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_output_tokens: int = 0
+    prompt_parts: tuple = ()
     previous_turn: str = ""
     headers: tuple = ()
     read_body: object = None
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -397,6 +397,10 @@
             output_tokens=max(1, call.output_tokens),
             deadline=now + max_wait,
             excluded=tuple(excluded),
+            priority=admitted.priority,
+            aim_at=admitted.aim_at,
+            started=admitted.continues_program,
+            prompt_parts=call.prompt_parts,
         )
 
     def build_dispatch(self, admitted, upstream, *, prefix=b""):
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -97,6 +97,19 @@
         """str: Equal for all repeats of the request; needs the body."""
         return digest_request(self.customer.name, self.call.path, self.body)
 
+    @property
+    def aim_at(self):
+        """float: Monotonic seconds at which the program, or else this, should end."""
+        seconds = self.call.program_timeout
+        if seconds is None:
+            seconds = self.route.target_latency
+        return self.call.arrived_at + seconds
+
+    @property
+    def continues_program(self):
+        """bool: Whether an earlier request of the program has run."""
+        return bool(self.call.program) and not self.opens_program
+
     @property
     def opens_program(self):
         """bool: Whether no earlier request of the program has run."""
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -29,6 +29,15 @@
         that has the request; 0 for none.
     excluded : tuple of str, optional
         Upstreams to avoid while others are up.
+    priority : int, optional
+        Priority of the customer or route; 0 is the highest.
+    aim_at : float, optional
+        Monotonic seconds at which the program should be done, or a request without
+        one; 0 if that is not known.
+    started : bool, optional
+        An earlier request of the program has run.
+    prompt_parts : tuple of (str, int), optional
+        Id and tokens of each part of the prompt, in order.
     request_id : str, optional
         Id that is unique in the fleet; the holder sets it.
     holder : str, optional
@@ -44,6 +53,10 @@
     output_tokens: int = 1
     deadline: float = 0.0
     excluded: tuple[str, ...] = ()
+    priority: int = 0
+    aim_at: float = 0.0
+    started: bool = False
+    prompt_parts: tuple[tuple[str, int], ...] = ()
     request_id: str = ""
     holder: str = ""
 
