Send requests to the engine that keeps the start of their prompt

Callers saw prompts read from their first token whenever a program without retention came to another host than before, and shared parts were read on every engine.

Cause: a host knew only which engine served a program's last turn, from the retained turn or from its own sends.

Each host now keeps the parts that engines have read (KeptParts), from its own sends and from those that other hosts report in heartbeats, and prefers an engine that keeps the prompt as far as that saves more than the load there costs. The expected tokens enter the cost estimate, the log line of a turn and three metrics.

Not measured yet.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -459,6 +459,7 @@
                 **(admitted.marks if admitted else {}),
                 **(admitted.describe_end() if admitted else {}),
                 **(admitted.rate_state if admitted else {}),
+                **(admitted.placed if admitted else {}),
                 "version": self._runtime.configuration.table.version,
                 "version_age": round(self._runtime.configuration.age, 2),
                 **outcome,
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -14,9 +14,11 @@
 import mode
 
 from sapphireyard.exceptions import CallError
+from sapphireyard.exchange.placements import record_placement
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     Grant,
@@ -60,9 +62,11 @@
 class _Pool:
     """One service: its scheduler and its upstreams."""
 
-    def __init__(self, host):
+    def __init__(self, host, parts):
         options = SchedulerOptions(hold_new=False, tie_seed=host)
-        self.scheduler = Scheduler([], options=options, max_upstreams=MAX_UPSTREAMS)
+        self.scheduler = Scheduler(
+            [], options=options, max_upstreams=MAX_UPSTREAMS, parts=parts
+        )
         self.upstreams = {}
         self.limited = set()
         self.grants_at = math.inf
@@ -87,6 +91,8 @@
         Rates that upstreams have stated.
     links : Links
         Upstreams to which this host can open connections.
+    parts : KeptParts
+        Parts of prompts that engines keep.
     """
 
     def __init__(self, runtime):
@@ -103,6 +109,7 @@
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
+        self.parts = KeptParts()
 
     @property
     def running(self):
@@ -132,11 +139,13 @@
         self.rates.forget(now)
         self.links.set_upstreams({each.name: each.started_at for each in upstreams})
         for service in by_service.keys() | self._pools.keys():
-            pool = self._pools.setdefault(service, _Pool(self._runtime.host))
+            pool = self._pools.setdefault(
+                service, _Pool(self._runtime.host, self.parts)
+            )
             self._update(service, pool, by_service.get(service, {}))
 
     @asynccontextmanager
-    async def lease(self, request, *, upstream_hint=""):
+    async def lease(self, request, *, upstream_hint="", placed=None):
         """Hold a slot while the context lasts.
 
         Parameters
@@ -145,6 +154,8 @@
             Request for a slot; its pool is the service.
         upstream_hint : str, optional
             Upstream that served the program's last turn.
+        placed : dict, optional
+            Gets the fields of a log line that tell of the choice.
 
         Yields
         ------
@@ -174,7 +185,11 @@
             pool.scheduler.learn_prefix(
                 upstream_hint, request.program, request.prefix_tokens, now
             )
-        name = await self._acquire(pool, request)
+        grant = await self._acquire(pool, request)
+        fields = record_placement(grant, self._runtime.metrics)
+        if placed is not None:
+            placed.update(fields)
+        name = grant.upstream
         upstream = pool.upstreams[name]
         self._running[name] = self._running.get(name, 0) + 1
         self._outliers.note_sent(name, now)
@@ -330,7 +345,7 @@
             if waiter is None or waiter.future.done():
                 continue
             if isinstance(action, Grant):
-                waiter.future.set_result(action.upstream)
+                waiter.future.set_result(action)
                 continue
             retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
             retry_after = min(retry_after, MAX_RETRY_SECONDS)
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -47,6 +47,8 @@
         Host that counted it against the customer's rate; empty for this host.
     rate_state : dict
         State of the customer's rate at the last decision on it, for the log.
+    placed : dict
+        Why the last upstream was chosen, for the log.
     """
 
     call: object
@@ -65,6 +67,7 @@
     marks: dict = field(default_factory=dict)
     token_host: str = ""
     rate_state: dict = field(default_factory=dict)
+    placed: dict = field(default_factory=dict)
 
     @property
     def time_limit(self):
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -142,7 +142,10 @@
             admitted, excluded, prefix_tokens=chain.tokens
         )
         pools = self._runtime.pools
-        async with pools.lease(request, upstream_hint=chain.upstream) as upstream:
+        lease = pools.lease(
+            request, upstream_hint=chain.upstream, placed=admitted.placed
+        )
+        async with lease as upstream:
             excluded.append(upstream.name)
             dispatch = self.exchange.build_dispatch(
                 admitted, upstream, prefix=chain.text
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -171,3 +171,7 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    kept_parts: dict[str, list[int]] = field(default_factory=dict)
+    """
+    Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
+    """
--- a/sapphireyard/metrics.py
+++ b/sapphireyard/metrics.py
@@ -30,6 +30,9 @@
     Instrument("queue_wait", HISTOGRAM, "s", "Time that a call waited for a slot."),
     Instrument("prompt_tokens", COUNTER, "1", "Prompt tokens, by pool."),
     Instrument("cached_tokens", COUNTER, "1", "Prompt tokens found cached, by pool."),
+    Instrument(
+        "reread_tokens", COUNTER, "1", "Prompt tokens read though kept elsewhere."
+    ),
     Instrument("output_tokens", COUNTER, "1", "Tokens generated, by pool."),
     Instrument("refusals", COUNTER, "1", "Calls refused, by code."),
     Instrument("forwarded", COUNTER, "1", "Calls passed to another host."),
--- a/sapphireyard/scheduling/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -1,7 +1,12 @@
 """Prefixes held by the upstreams of a group, and the cost of moving a program."""
 
+from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.prefixes import PrefixRecord
 
+READ_SMOOTHING = 0.05
+"""Weight of the newest request in the mean of prompt tokens read."""
+FIRST_MEAN_READ_TOKENS = 512.0
+
 
 class Placement:
     """Tracks which upstream holds a program's prefix, and what a move costs.
@@ -12,22 +17,32 @@
         Tokens below which a prefix is not worth waiting for.
     keep_seconds : float, optional
         Idle time after which the memory of a prefix counts as free.
+    parts : KeptParts, optional
+        Parts of prompts that upstreams keep.
     """
 
-    def __init__(self, *, min_prefix=64, keep_seconds=float("inf")):
+    def __init__(self, *, min_prefix=64, keep_seconds=float("inf"), parts=None):
         self._min_prefix = min_prefix
         self._keep_seconds = keep_seconds
+        self._parts = KeptParts() if parts is None else parts
         self._records = {}
+        self._mean_read = FIRST_MEAN_READ_TOKENS
 
     def add(self, limits):
         """Add an upstream."""
         self._records[limits.name] = PrefixRecord(
             limits.kv_tokens, keep_seconds=self._keep_seconds
         )
+        self._parts.add(limits.name, limits.kv_tokens)
+
+    def resize(self, limits):
+        """Apply the changed limits of an upstream."""
+        self._parts.add(limits.name, limits.kv_tokens)
 
     def remove(self, name):
         """Remove an upstream."""
         self._records.pop(name, None)
+        self._parts.remove(name)
 
     def record(self, name):
         """Return the `PrefixRecord` of an upstream."""
@@ -47,8 +62,53 @@
         return best
 
     def cached(self, name, request):
-        """Return the prefix tokens of a request that are cached on `name`."""
-        return min(self._tokens(name, request.program), request.prefix_tokens)
+        """Return the prompt tokens of a request that are cached on `name`."""
+        prefix = min(self._tokens(name, request.program), request.prefix_tokens)
+        if not request.prompt_parts:
+            return prefix
+        prompt = request.prefix_tokens + request.new_tokens
+        kept = self._parts.find(request.prompt_parts).get(name, 0)
+        return max(prefix, min(kept, prompt))
+
+    def choose_keeper(self, request, loads):
+        """Return the upstream that reads a request's prompt soonest.
+
+        One more request on an upstream, whose prompt is read between the tokens of all
+        others, counts as much as the mean prompt that is read. So upstreams that keep
+        a part get more requests than others only as far as that saves time, and a part
+        that many requests share is kept by as many upstreams as these need.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            A request whose parts are known.
+        loads : dict of str to float
+            Requests on each upstream that has room for it, in the order of preference.
+
+        Returns
+        -------
+        str
+            One of `loads`; the first one if none keeps enough of the prompt.
+        """
+        kept = self._parts.find(request.prompt_parts)
+        return min(
+            loads, key=lambda name: loads[name] * self._mean_read - kept.get(name, 0)
+        )
+
+    def note_sent(self, name, request, now):
+        """Record that a request is sent to an upstream, which reads its prompt."""
+        if not request.prompt_parts:
+            return
+        prompt = request.prefix_tokens + request.new_tokens
+        read = max(0, prompt - self.cached(name, request))
+        self._mean_read += READ_SMOOTHING * (read - self._mean_read)
+        self._parts.note_sent(name, request.prompt_parts, now)
+
+    def longest(self, names, request):
+        """Return the most prompt tokens of a request that one of `names` keeps."""
+        kept = self._parts.find(request.prompt_parts)
+        most = max((kept.get(name, 0) for name in names), default=0)
+        return min(most, request.prefix_tokens + request.new_tokens)
 
     def move_seconds(self, request, limits, source):
         """Return the seconds to prefill again what a move from `source` loses."""
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -51,14 +51,20 @@
         Switches and weights.
     max_upstreams : int, optional
         Maximum number of upstreams in the group.
+    parts : KeptParts, optional
+        Parts of prompts that upstreams keep, shared by the schedulers of a host.
     """
 
-    def __init__(self, upstreams, *, options=None, max_upstreams=MAX_GROUP_SIZE):
+    def __init__(
+        self, upstreams, *, options=None, max_upstreams=MAX_GROUP_SIZE, parts=None
+    ):
         self._max_upstreams = max_upstreams
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
-        self._placement = Placement(keep_seconds=self._options.keep_seconds)
+        self._placement = Placement(
+            keep_seconds=self._options.keep_seconds, parts=parts
+        )
         self._queues = RequestQueues()
         self._slots = {}
         self._waiting = {}
@@ -108,6 +114,7 @@
         self._selection.unblock()
         if limits.name in self._slots:
             self._slots[limits.name].limits = limits
+            self._placement.resize(limits)
             return
         if len(self._slots) >= self._max_upstreams:
             raise ValueError(f"a group has at most {self._max_upstreams} upstreams")
@@ -340,15 +347,19 @@
         self._shares.advance(tag)
         self._dequeue(choice.waiting)
         cached = self._placement.cached(choice.upstream, request)
+        among = tuple(n for n, s in self._slots.items() if s.is_up)
+        kept = max(cached, self._placement.longest(among, request))
         self._start(request, choice.upstream, self._cost(request, cached), now)
+        self._placement.note_sent(choice.upstream, request, now)
         actions = [
             Grant(
                 request=request,
                 upstream=choice.upstream,
                 reason=choice.reason,
-                among=tuple(n for n, s in self._slots.items() if s.is_up),
+                among=among,
                 cached_tokens=cached,
                 waited=now - choice.waiting.submitted,
+                kept_tokens=kept,
             )
         ]
         if choice.reason == REASON_MOVED:
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -5,6 +5,7 @@
 REASON_CACHED = "cached"
 REASON_LEAST_LOADED = "least_loaded"
 REASON_MOVED = "moved"
+REASON_KEPT = "kept_parts"
 
 
 @dataclass(frozen=True)
@@ -81,9 +82,11 @@
     among : tuple of str
         Upstreams that were up.
     cached_tokens : int
-        Prefix tokens expected in the upstream's cache.
+        Prompt tokens expected in the upstream's cache.
     waited : float
         Seconds in the queue.
+    kept_tokens : int
+        Most prompt tokens that any upstream of `among` is expected to keep.
     """
 
     request: SlotRequest
@@ -92,6 +95,7 @@
     among: tuple[str, ...]
     cached_tokens: int = 0
     waited: float = 0.0
+    kept_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -8,6 +8,7 @@
 from sapphireyard.scheduling.queues import ANY, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
     REASON_CACHED,
+    REASON_KEPT,
     REASON_LEAST_LOADED,
     REASON_MOVED,
 )
@@ -98,13 +99,32 @@
             for name, slots in self._slots.items()
             if name not in self._blocked and slots.has_slot()
         ]
-        for slots in sorted(free, key=self._load_key):
+        free.sort(key=self._load_key)
+        for slots in free:
             choice = self._choose_for(slots, now)
             if choice:
-                return choice
+                return self._prefer_keeper(choice, free, now)
             self._blocked.add(slots.limits.name)
         return None
 
+    def _prefer_keeper(self, choice, free, now):
+        """Return a choice on the upstream that keeps enough of the prompt, if any."""
+        waiting = choice.waiting
+        if waiting.affinity != ANY or not waiting.request.prompt_parts:
+            return choice
+        aged = self._is_aged(waiting, now)
+        loads = {
+            slots.limits.name: slots.fill * slots.limits.batch_size
+            for slots in free
+            if self._is_allowed(waiting, slots)
+            and self._may_start(waiting, slots, aged, now)
+            and slots.fits(waiting.request.total_tokens)
+        }
+        name = self._placement.choose_keeper(waiting.request, loads)
+        if name == choice.upstream:
+            return choice
+        return Choice(waiting, name, REASON_KEPT)
+
     def _load_key(self, slots):
         """Return the sort key of an upstream with a free slot.
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -10,6 +10,7 @@
 from sapphireyard.exchange.pools import LEAVING_MEMORY_SECONDS
 from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.membership import ENTRY
+from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.scheduling import SlotRequest
 from tests.exchange_case import ExchangeTestCase
 
@@ -56,6 +57,42 @@
             self.assertEqual(caught.exception.code, "overloaded")
             self.assertGreater(caught.exception.retry_after, 0)
 
+    async def test_program_continues_on_the_engine_that_another_host_chose(self):
+        now = self.runtime.clock.monotonic()
+        async with await self.lease() as preferred:
+            names = {"engine-1", "engine-2", "engine-3"} - {preferred.name}
+        keeper = min(names)
+        parts = (("shared", 500), ("turn-1", 900))
+        there = KeptParts()
+        there.add(keeper, 90_000)
+        there.note_sent(keeper, parts, now)
+        self.runtime.pools.parts.merge(there.report(now))
+        placed = {}
+        lease = self.runtime.pools.lease(
+            SlotRequest(
+                "c/p",
+                "c/p",
+                "c",
+                "engine",
+                new_tokens=1700,
+                prompt_parts=(*parts, ("turn-2", 300)),
+                deadline=now + 0.5,
+            ),
+            placed=placed,
+        )
+        async with lease as upstream:
+            self.assertEqual(upstream.name, keeper)
+        self.assertEqual(
+            placed,
+            {
+                "placed": "kept_parts",
+                "prompt_tokens": 1700,
+                "cached_tokens": 1400,
+                "reread_tokens": 0,
+            },
+        )
+        self.assertIn(keeper, self.runtime.pools.parts.report(now))
+
     async def test_service_is_used_as_far_as_any_host_reaches_it(self):
         """Cases are links that are down, upstreams that no other host reaches either.
 
