Place requests where their memory fits beside that of all hosts' requests

Cause: hosts told each other how many requests they have on an engine, not how much memory these need. An engine whose memory runs out interrupts its newest request, which is read again.

Heartbeats now have the tokens that a host's requests need on each engine. FleetLoads keeps them with the counts, which moves out of UpstreamPools. A host without requests of its own on an engine no longer ignores the memory that others use there.

tests.test_pools fails without the change of UpstreamSlots.fits (2 of 3 cases).

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -14,6 +14,7 @@
 import mode
 
 from sapphireyard.exceptions import CallError
+from sapphireyard.exchange.loads import FleetLoads
 from sapphireyard.exchange.placements import record_placement
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
@@ -103,9 +104,7 @@
         self._numbers = itertools.count(1)
         self._outliers = OutlierDetector(consecutive=FAILURES_TO_EJECT)
         self._engines = {}
-        self._running = {}
-        self._remote = {}
-        self._remote_load = {}
+        self._loads = FleetLoads()
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
@@ -114,7 +113,12 @@
     @property
     def running(self):
         """dict of str to int: This host's requests in flight on each upstream."""
-        return dict(self._running)
+        return self._loads.count_running()
+
+    @property
+    def reserved(self):
+        """dict of str to int: Memory tokens that these requests need."""
+        return self._loads.count_tokens()
 
     def set_services(self, services):
         """Apply the services of a configuration."""
@@ -191,14 +195,13 @@
             placed.update(fields)
         name = grant.upstream
         upstream = pool.upstreams[name]
-        self._running[name] = self._running.get(name, 0) + 1
+        tokens = request.total_tokens if self._engines.get(request.pool) else 0
+        self._loads.acquire(name, tokens)
         self._outliers.note_sent(name, now)
         try:
             yield upstream
         finally:
-            self._running[name] -= 1
-            if not self._running[name]:
-                del self._running[name]
+            self._loads.release(name, tokens)
             actions = pool.scheduler.finish(
                 request.request_id, request.output_tokens, None, self._now()
             )
@@ -258,7 +261,10 @@
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
         if heartbeat.role == ENTRY:
-            self._replace_remote(heartbeat.host, heartbeat.running, now)
+            changed = self._loads.replace(
+                heartbeat.host, heartbeat.running, heartbeat.reserved
+            )
+            self._report_changed(changed, now)
 
     @mode.Service.task
     async def _watch(self):
@@ -427,32 +433,23 @@
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
         membership = self._runtime.gossip.membership
-        for host in list(self._remote):
+        for host in self._loads.hosts:
             member = membership.find(host)
             if member is None or not membership.is_live(member, now):
-                self._replace_remote(host, {}, now)
-                del self._remote[host]
-
-    def _replace_remote(self, host, running, now):
-        """Count the requests that another host has in flight now."""
-        before = self._remote.get(host, {})
-        self._remote[host] = running
-        for name in before.keys() | running.keys():
-            change = running.get(name, 0) - before.get(name, 0)
-            if change:
-                self._change_remote(name, change, now)
-
-    def _change_remote(self, name, change, now):
-        self._remote_load[name] = self._remote_load.get(name, 0) + change
-        pool = self._find_pool(name)
-        if pool is not None:
-            self._report_remote(pool, name, now)
-        if not self._remote_load[name]:
-            del self._remote_load[name]
+                self._report_changed(self._loads.drop(host), now)
+
+    def _report_changed(self, names, now):
+        """Tell schedulers of the changed load of other hosts."""
+        for name in names:
+            pool = self._find_pool(name)
+            if pool is not None:
+                self._report_remote(pool, name, now)
 
     def _report_remote(self, pool, name, now):
-        count = self._remote_load.get(name, 0)
-        self._execute(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+        load = self._loads.find_others(name)
+        self._execute(
+            pool.scheduler.report_load(name, load.requests, load.tokens, 0, 0, now)
+        )
 
     def _find_pool(self, name):
         return next((p for p in self._pools.values() if name in p.upstreams), None)
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -175,3 +175,7 @@
     """
     Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
     """
+    reserved: dict[str, int] = field(default_factory=dict)
+    """
+    Tokens of memory that the host's requests in flight need on each upstream.
+    """
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -275,7 +275,7 @@
             return
         heartbeat = self._build_heartbeat(now, True)
         heartbeat.admitted = heartbeat.running = {}
-        heartbeat.kept_parts = {}
+        heartbeat.kept_parts = heartbeat.reserved = {}
         heartbeat.full = False
         heartbeat.directory = self._describe_directory()
         encoder = HeartbeatEncoder(heartbeat)
--- a/sapphireyard/scheduling/capacity.py
+++ b/sapphireyard/scheduling/capacity.py
@@ -117,7 +117,7 @@
         """
         if not self.has_slot():
             return False
-        if not self.limits.kv_tokens or not self.running:
+        if not self.limits.kv_tokens or not (self.running or self.foreign_running):
             return True
         used = self.reserved + self.foreign_reserved
         return used + tokens <= self.limits.kv_tokens
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -29,9 +29,11 @@
         }
         return self.runtime.pools.lease(SlotRequest(**{**values, **fields}))
 
-    def report_load(self, number, running):
+    def report_load(self, number, running, reserved=None):
         now = self.runtime.clock.monotonic()
-        heartbeat = Heartbeat("b", 1, number, "-", ENTRY, "x", running=running)
+        heartbeat = Heartbeat(
+            "b", 1, number, "-", ENTRY, "x", running=running, reserved=reserved or {}
+        )
         member = self.runtime.gossip.membership.record_heartbeat(heartbeat, now)
         self.runtime.pools.update_remote_load(member, now)
 
@@ -57,6 +59,34 @@
             self.assertEqual(caught.exception.code, "overloaded")
             self.assertGreater(caught.exception.retry_after, 0)
 
+    async def test_request_goes_where_its_memory_fits_beside_that_of_other_hosts(self):
+        """Cases are tokens that others need on engines 1 to 3, and the engine used.
+
+        A request of 3,001 tokens waits if no engine has memory for it.
+        """
+        names = ("engine-1", "engine-2", "engine-3")
+        cases = [
+            ((88_000, 88_000, 1_000), "engine-3"),
+            ((88_000, 86_999, 88_000), "engine-2"),
+            ((87_000, 88_000, 90_000), None),
+        ]
+        for number, (tokens, expected) in enumerate(cases, 1):
+            with self.subTest(tokens=tokens):
+                running = dict.fromkeys(names, 1)
+                self.report_load(number, running, dict(zip(names, tokens)))
+                deadline = self.runtime.clock.monotonic() + 30.0
+                lease = await self.lease(new_tokens=3_000, deadline=deadline)
+                if expected is None:
+                    with self.assertRaises(TimeoutError):
+                        async with asyncio.timeout(0.05), lease:
+                            pass
+                    continue
+                async with lease as upstream:
+                    self.assertEqual(upstream.name, expected)
+                    reserved = self.runtime.pools.reserved
+                    self.assertEqual(reserved, {upstream.name: 3_001})
+                self.assertEqual(self.runtime.pools.reserved, {})
+
     async def test_program_continues_on_the_engine_that_another_host_chose(self):
         now = self.runtime.clock.monotonic()
         async with await self.lease() as preferred:
