Keep answers for callers that read slowly, within the host's memory

A caller that did not read its answer stopped the reading from the engine: the slot stayed taken until the deadline, the turn was not stored, and the answer was dropped.

`HeldBytes` counts it, with bodies, buffered answers and texts of turns, against the memory in the host's settings: new requests are refused from three quarters on, and callers that do not read are let go if that does not suffice, those first whose answers cost least to get again.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -6,6 +6,10 @@
 from sapphireyard.answers import BodyEnd
 
 
+async def _keep_uncounted(size):
+    """Keep bytes for a request that no caller waits for."""
+
+
 @dataclass
 class ProgramCall:
     """One request of a caller.
@@ -41,6 +45,9 @@
         Headers to forward to an upstream.
     read_body : callable
         ``await read_body(limit)`` returns the body.
+    keep : callable
+        ``await keep(size)`` counts bytes that are kept for the request, fewer if
+        negative; it waits for room.
     """
 
     request_id: str
@@ -61,6 +68,7 @@
     previous_turn: str = ""
     headers: tuple = ()
     read_body: object = None
+    keep: object = _keep_uncounted
 
     @property
     def path(self):
@@ -202,7 +210,10 @@
     @property
     @abstractmethod
     def finished(self):
-        """bool: Whether the answer has been sent to its end."""
+        """bool: Whether the answer is complete; its caller may not have read it."""
+
+    def note_admitted(self, admitted):
+        """Record the `AdmittedRequest` that this answers."""
 
     @abstractmethod
     async def send_complete(self, status, headers, body):
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -110,6 +110,7 @@
             await self._prepare()
         admitted = self._admit(call)
         outcome["admitted"] = admitted
+        reply.note_admitted(admitted)
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
         try:
@@ -296,7 +297,7 @@
                     if answer.refused:
                         self._runtime.pools.report(upstream, ok=True)
                         return answer.status, (), None
-                    data = await self.read_body(answer, upstream)
+                    data = await self.read_body(admitted, answer, upstream)
             except UpstreamFailed as error:
                 self.record_failure(admitted, upstream, error)
                 raise
@@ -316,9 +317,9 @@
                 upstream, answer.rate, sent_at=admitted.sent_at, now=self._now()
             )
 
-    async def read_body(self, answer, upstream):
+    async def read_body(self, admitted, answer, upstream):
         """Return the complete body; raise `UpstreamFailed` if there is none."""
-        data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+        data = await read_all(answer.chunks, MAX_ANSWER_BYTES, admitted.call.keep)
         await self.check_end(answer, upstream)
         return data
 
@@ -479,15 +480,23 @@
     return CallError("upstream_failed", error.detail, executed=EXECUTED_UNKNOWN)
 
 
-async def read_all(chunks, limit):
-    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes."""
+async def read_all(chunks, limit, keep):
+    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes.
+
+    ``await keep(size)`` counts the bytes, and takes them back if there is no body.
+    """
     parts = []
     size = 0
-    async for chunk in chunks:
-        size += len(chunk)
-        if size > limit:
-            raise UpstreamFailed(f"answer exceeds {limit} bytes")
-        parts.append(chunk)
+    try:
+        async for chunk in chunks:
+            size += len(chunk)
+            if size > limit:
+                raise UpstreamFailed(f"answer exceeds {limit} bytes")
+            await keep(len(chunk))
+            parts.append(chunk)
+    except UpstreamFailed:
+        await keep(-sum(map(len, parts)))
+        raise
     return b"".join(parts)
 
 
--- /dev/null
+++ b/sapphireyard/exchange/held.py
@@ -0,0 +1,222 @@
+"""The bytes that a host keeps for its requests, against its memory.
+
+Handles callers that read their answers slowly or not at all, while others go on to
+send requests: what an upstream has answered is read and kept for them, so that its slot
+is free, as long as there is room. When room is short, new requests are refused first.
+If that does not suffice, callers that do not read are let go, those first whose answers
+cost least to get again.
+"""
+
+import logging
+import math
+from dataclasses import dataclass, field
+
+logger = logging.getLogger(__name__)
+
+MEBIBYTE = 1024 * 1024
+PROCESS_BYTES = 72 * MEBIBYTE
+"""Memory of a process that holds nothing for requests: code, tables and heartbeats."""
+CACHE_BYTES = 12 * MEBIBYTE
+"""Memory of the cached texts of histories."""
+BUFFER_OVERHEAD = 1.25
+"""Memory of a buffer that grows, by the bytes in it."""
+REQUEST_BYTES = 32 * 1024
+"""Memory of a request and its connections, without its body and answer."""
+MIN_HELD_BYTES = 8 * MEBIBYTE
+"""Bytes for requests on the smallest host: an answer of the largest size fits."""
+ADMISSION_SHARE = 0.75
+"""Share of the bytes from which new requests are refused. The rest is for the answers
+of requests that have been accepted."""
+UNREAD_SHARE = 0.25
+"""Largest share of the bytes that one caller may leave unread."""
+STALLED_SECONDS = 30.0
+"""Time without a byte read after which a caller counts as gone."""
+RETRY_SECONDS = 1.0
+"""Retry-After while there is no room; slow callers take about as long to read on."""
+
+
+def find_room(memory_bytes):
+    """Return the bytes that a host may keep for requests.
+
+    Parameters
+    ----------
+    memory_bytes : float
+        Memory of the process; infinity without a limit.
+    """
+    return max(MIN_HELD_BYTES, memory_bytes - PROCESS_BYTES - CACHE_BYTES)
+
+
+@dataclass(eq=False)
+class Hold:
+    """What is kept for one request.
+
+    Parameters
+    ----------
+    label : str
+        Id of the request, for the log.
+    cost : tuple of int
+        What it costs to get the answer again, in order of weight; the lowest is let
+        go first.
+    release : callable or None
+        Called to let the caller go.
+    measure : callable or None
+        Returns the bytes that the caller has not read yet.
+    kept : int
+        Bytes of the request's body, and of an answer that is not on its way yet.
+    unread : int
+        Bytes of the answer that wait for the caller to read them.
+    read_at : float
+        Monotonic seconds at which the caller last read, or had nothing to read.
+    """
+
+    label: str = ""
+    cost: tuple = (0, 0)
+    release: object = None
+    measure: object = None
+    kept: int = 0
+    unread: int = 0
+    read_at: float = -math.inf
+    released: bool = field(default=False, repr=False)
+
+    @property
+    def size(self):
+        """int: Bytes of memory, with an allowance for the request itself."""
+        return REQUEST_BYTES + int((self.kept + self.unread) * BUFFER_OVERHEAD)
+
+
+class HeldBytes:
+    """Decides who may keep bytes in the memory of a host.
+
+    Parameters
+    ----------
+    limit : float
+        Bytes that may be kept for requests; infinity without a limit.
+
+    Attributes
+    ----------
+    total : int
+        Bytes kept now.
+    highest : int
+        Most bytes that were kept.
+    """
+
+    def __init__(self, limit=math.inf):
+        self.limit = limit
+        self.total = 0
+        self.highest = 0
+        self._holds = set()
+
+    @property
+    def count(self):
+        """int: Requests for which bytes are kept."""
+        return len(self._holds)
+
+    def open(self, label, *, now, release=None, measure=None):
+        """Return a new `Hold` for a request."""
+        hold = Hold(label, release=release, measure=measure, read_at=now)
+        self._holds.add(hold)
+        self._add(hold.size)
+        return hold
+
+    def close(self, hold):
+        """Keep nothing for a request any more."""
+        if hold in self._holds:
+            self._holds.remove(hold)
+            self.total -= hold.size
+
+    def admits(self, size):
+        """Return whether a new request with a body of `size` bytes may be read."""
+        return self.total + size * BUFFER_OVERHEAD <= self.limit * ADMISSION_SHARE
+
+    def fits(self, size):
+        """Return whether a request that was accepted may keep `size` bytes more."""
+        return self.total + size * BUFFER_OVERHEAD <= self.limit
+
+    def keep(self, hold, size):
+        """Count `size` bytes more, or fewer, of a body or a buffered answer."""
+        self._resize(hold, kept=max(0, hold.kept + size))
+
+    def note_unread(self, hold, unread, now, *, written=0):
+        """Record the bytes of an answer that its caller has not read yet.
+
+        Parameters
+        ----------
+        hold : Hold
+            What is kept for the request.
+        unread : int
+            Bytes that wait now.
+        now : float
+            Monotonic seconds.
+        written : int, optional
+            Bytes added since the last record.
+        """
+        if not unread or unread < hold.unread + written:
+            hold.read_at = now
+        self._resize(hold, unread=unread)
+
+    def is_short(self, hold):
+        """Return whether callers may have to be let go, this one first of all."""
+        return self.total > self.limit or self._leaves_too_much(hold)
+
+    def list_unread(self):
+        """Return the holds of callers that have bytes to read."""
+        return [hold for hold in self._holds if hold.unread]
+
+    def choose_released(self, now):
+        """Return the holds of the callers to let go, those that cost least first.
+
+        These are callers that have read nothing for long, that leave too much unread
+        each, and, if all bytes together exceed the limit, as many as make room. A
+        caller is not let go while it has nothing to read.
+        """
+        waiting = [hold for hold in self.list_unread() if not hold.released]
+        waiting.sort(key=lambda hold: (hold.cost, hold.read_at, -hold.unread))
+        chosen = [hold for hold in waiting if self._is_excessive(hold, now)]
+        leaving = chosen + [hold for hold in self._holds if hold.released]
+        excess = self.total - self.limit - sum(hold.size for hold in leaving)
+        for hold in waiting:
+            if excess <= 0:
+                break
+            if hold not in chosen:
+                chosen.append(hold)
+                excess -= hold.size
+        return chosen
+
+    def relieve(self, now):
+        """Let callers go as `choose_released` says, and log each."""
+        for hold in self.list_unread():
+            if hold.measure is not None:
+                self.note_unread(hold, hold.measure(), now)
+        for hold in self.choose_released(now):
+            hold.released = True
+            logger.info(
+                "caller let go",
+                extra={
+                    "decision": "held",
+                    "request_id": hold.label,
+                    "unread": hold.unread,
+                    "seconds": round(now - hold.read_at, 2),
+                    "cost": list(hold.cost),
+                    "total": self.total,
+                    "limit": self.limit,
+                },
+            )
+            if hold.release is not None:
+                hold.release()
+
+    def _is_excessive(self, hold, now):
+        return self._leaves_too_much(hold) or now - hold.read_at > STALLED_SECONDS
+
+    def _leaves_too_much(self, hold):
+        return hold.unread * BUFFER_OVERHEAD > self.limit * UNREAD_SHARE
+
+    def _resize(self, hold, **sizes):
+        before = hold.size
+        for name, size in sizes.items():
+            setattr(hold, name, size)
+        if hold in self._holds:
+            self._add(hold.size - before)
+
+    def _add(self, size):
+        self.total += size
+        self.highest = max(self.highest, self.total)
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -157,7 +157,7 @@
                     admitted.may_have_run = True
                     check_answer(answer)
                     if answer.status != 200:
-                        data = await self.exchange.read_body(answer, upstream)
+                        data = await self.exchange.read_body(admitted, answer, upstream)
                         await reply.send_complete(answer.status, answer.headers, data)
                         pools.report(upstream, ok=answer.status < 500)
                         return False
@@ -185,6 +185,7 @@
                 admitted.mark("first", self._runtime.clock.monotonic())
             reader.feed(chunk)
             _check_size(reader)
+            await admitted.call.keep(len(chunk))
             await reply.write(chunk)
         if reader.partial:
             raise UpstreamFailed("stream ended inside an event")
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -16,6 +16,7 @@
 )
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.exchange import Exchange
+from sapphireyard.exchange.held import HeldBytes
 from sapphireyard.exchange.pools import UpstreamPools
 from sapphireyard.exchange.routes import (
     Customer,
@@ -208,6 +209,7 @@
             metrics=SimpleNamespace(count=lambda *a, **k: 0, record=lambda *a, **k: 0),
             quotas=FleetQuotas(started_at=clock.monotonic() - 60),
             crashes=CrashLedger(),
+            held=HeldBytes(),
             peers=SimpleNamespace(
                 codec=MessageCodec(),
                 register=lambda message_class, handler: None,
--- /dev/null
+++ b/tests/test_held.py
@@ -0,0 +1,119 @@
+"""Tests of the decisions on the bytes that a host keeps for its requests."""
+
+import math
+import unittest
+
+from sapphireyard.exchange.held import (
+    MEBIBYTE,
+    MIN_HELD_BYTES,
+    REQUEST_BYTES,
+    STALLED_SECONDS,
+    HeldBytes,
+    find_room,
+)
+
+REPEATABLE, STREAM, UNREPEATABLE = 0, 1, 2
+
+
+class HeldBytesTest(unittest.TestCase):
+    def test_room_by_the_memory_of_the_process(self):
+        cases = [
+            ("no limit", math.inf, math.inf),
+            ("small host", 128 * MEBIBYTE, 44 * MEBIBYTE),
+            ("large host", 552 * MEBIBYTE, 468 * MEBIBYTE),
+            ("less than the process needs", 64 * MEBIBYTE, MIN_HELD_BYTES),
+        ]
+        for name, memory, room in cases:
+            with self.subTest(name):
+                self.assertEqual(find_room(memory), room)
+
+    def test_new_requests_are_refused_before_accepted_ones_wait(self):
+        """Room is left for the answers of requests that have been accepted."""
+        cases = [
+            # kept MiB, size MiB, admitted, fits
+            (0, 0, True, True),
+            (50, 9, True, True),
+            (60, 0, False, True),
+            (50, 20, False, True),
+            (50, 40, False, False),
+            (81, 0, False, False),
+        ]
+        for kept, size, admitted, fits in cases:
+            with self.subTest(kept=kept, size=size):
+                held = HeldBytes(100 * MEBIBYTE)
+                held.keep(held.open("a", now=0.0), kept * MEBIBYTE)
+                self.assertEqual(held.admits(size * MEBIBYTE), admitted)
+                self.assertEqual(held.fits(size * MEBIBYTE), fits)
+
+    def test_total_is_zero_once_all_are_closed(self):
+        held = HeldBytes(MEBIBYTE)
+        first, second = held.open("a", now=0.0), held.open("b", now=0.0)
+        held.keep(first, 1000)
+        held.note_unread(second, 500, 1.0, written=500)
+        held.close(first)
+        self.assertEqual(held.total, REQUEST_BYTES + 625)
+        held.close(second)
+        held.close(second)
+        held.keep(second, 1000)
+        self.assertEqual((held.total, held.count), (0, 0))
+        self.assertGreater(held.highest, 2 * REQUEST_BYTES)
+
+    def test_callers_that_do_not_read_are_let_go_cheapest_first(self):
+        """Each caller leaves 10 MiB unread, by name; the last read is that long ago."""
+        callers = {
+            "turn": ((STREAM, -1), 5.0),
+            "urgent turn": ((STREAM, 0), 5.0),
+            "view": ((REPEATABLE, -1), 1.0),
+            "older view": ((REPEATABLE, -1), 9.0),
+            "booking": ((UNREPEATABLE, -3), 20.0),
+        }
+        order = ["older view", "view", "turn", "urgent turn", "booking"]
+        # From 45 MiB on each leaves more than its share.
+        for limit, count in ((70, 0), (60, 1), (50, 2), (45, 5)):
+            with self.subTest(limit=limit):
+                held = HeldBytes(limit * MEBIBYTE)
+                for name, (cost, seconds) in callers.items():
+                    hold = held.open(name, now=100.0 - seconds)
+                    hold.cost = cost
+                    size = 10 * MEBIBYTE
+                    held.note_unread(hold, size, 100.0 - seconds, written=size)
+                chosen = [hold.label for hold in held.choose_released(100.0)]
+                self.assertEqual(chosen, order[:count])
+
+    def test_callers_are_let_go_once(self):
+        """Their connections take a moment to close, and count until then."""
+        held = HeldBytes(100 * MEBIBYTE)
+        gone = []
+        for number in range(10):
+            hold = held.open(
+                f"{number}", now=number, release=lambda n=number: gone.append(n)
+            )
+            held.note_unread(hold, 9 * MEBIBYTE, number, written=9 * MEBIBYTE)
+        held.relieve(20.0)
+        held.relieve(20.0)
+        self.assertEqual(gone, [0, 1])
+
+    def test_a_caller_that_reads_a_little_is_not_let_go(self):
+        cases = [
+            ("reads nothing", 1000, 0, True),
+            ("reads nothing while more is written", 3000, 2000, True),
+            ("reads a little", 999, 0, False),
+            ("reads less than is written", 2999, 2000, False),
+            ("has read all", 0, 0, False),
+        ]
+        for name, unread, written, released in cases:
+            with self.subTest(name):
+                held = HeldBytes(MEBIBYTE)
+                hold = held.open("a", now=0.0)
+                held.note_unread(hold, 1000, 0.0, written=1000)
+                held.note_unread(hold, unread, STALLED_SECONDS, written=written)
+                chosen = held.choose_released(STALLED_SECONDS + 1.0)
+                self.assertEqual(chosen == [hold], released)
+
+    def test_relief_counts_what_callers_have_read_since(self):
+        """A caller that is only slow is not let go for bytes it has read."""
+        held = HeldBytes(MEBIBYTE)
+        hold = held.open("a", now=0.0, measure=lambda: 10, release=self.fail)
+        held.note_unread(hold, 2 * MEBIBYTE, 0.0, written=2 * MEBIBYTE)
+        held.relieve(1.0)
+        self.assertEqual(held.total, REQUEST_BYTES + 12)
