Count relayed bodies against the memory of the relay

A body of up to 4 MiB was kept for another host's request without being counted. A relay without room refuses before anything is sent, and the next relay is tried.

--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -196,12 +196,15 @@
     async def _serve_request(self, message, context):
         """Send another host's request over this host's own link."""
         upstream = self._runtime.pools.find(message.upstream)
-        refusal = self._find_refusal(upstream)
+        refusal = self._find_refusal(upstream, len(message.body))
         if refusal:
             self._log_relayed(message, context, refusal)
             yield RelayedFailure(refusal, sent=False)
             return
         outcome = "broken off"
+        held = self._runtime.held
+        hold = held.open(message.request_id, now=self._now())
+        held.keep(hold, len(message.body))
         self.open_requests += 1
         try:
             async for answer in self._relay(_decode_request(message, upstream)):
@@ -212,9 +215,10 @@
             yield RelayedFailure(outcome, sent=error.sent, crashed=error.crashed)
         finally:
             self.open_requests -= 1
+            held.close(hold)
             self._log_relayed(message, context, outcome)
 
-    def _find_refusal(self, upstream):
+    def _find_refusal(self, upstream, size):
         """Return why requests for an upstream are not relayed, or an empty string."""
         if upstream is None:
             return "upstream is not listed here"
@@ -222,6 +226,8 @@
             return "upstream is leaving"
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
+        if not self._runtime.held.admits(size):
+            return "no memory for the request"
         return ""
 
     async def _relay(self, dispatch):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,6 +15,7 @@
     Upstream,
     UpstreamAnswer,
 )
+from sapphireyard.exchange.held import MEBIBYTE, HeldBytes
 from sapphireyard.exchange.pools import UpstreamPools
 from sapphireyard.exchange.relays import MAX_RELAYED_BYTES, RelaySender
 from sapphireyard.fleet.generated_fleet import Heartbeat
@@ -106,6 +107,7 @@
                 gossip=SimpleNamespace(membership=Membership(host)),
                 metrics=SimpleNamespace(count=lambda *a, **k: 0),
                 peers=LocalPeers(host, self.fleet),
+                held=HeldBytes(),
             )
             runtime.pools = UpstreamPools(runtime)
             runtime.pools.set_upstreams([UPSTREAM])
@@ -197,6 +199,22 @@
             await self.send(body=b"x" * (MAX_RELAYED_BYTES + 1))
         self.assertFalse(caught.exception.sent)
 
+    async def test_relay_without_memory_refuses_and_another_one_serves(self):
+        self.fleet["a"].link.state = "refused"
+        for host in ("b", "c"):
+            self.fleet[host].held.limit = 4 * MEBIBYTE
+        body = b"x" * MAX_RELAYED_BYTES
+        with self.assertRaises(UpstreamFailed) as caught:
+            await self.send(body=body)
+        self.assertFalse(caught.exception.sent)
+        self.fleet["c"].held.limit = 16 * MEBIBYTE
+        answer, _ = await self.send(body=body)
+        self.assertEqual(answer.relay, "c")
+        await asyncio.sleep(0)  # the relay's side ends after the answer
+        await asyncio.sleep(0)
+        for host in HOSTS:
+            self.assertEqual(self.fleet[host].held.total, 0)
+
     async def test_caller_that_leaves_ends_the_relayed_request(self):
         self.fleet["a"].link.state = "refused"
         relay = self.fleet["b"]
