Judge upstreams by the results of all hosts

Upstreams that fail part of their requests stayed in use for seconds: each host judged by two failures in a row of its own, and sends one upstream a request or two in that time. Upstreams that did not answer at all were never left out: a request that ran into its deadline was not reported to the pool.

Heartbeats now have the recent results of upstreams that failed at any host, and all hosts leave out those that fail far more than their peers. A failure domain for which an upstream works keeps it. Requests that may not be repeated are not sent as probes while another upstream is there.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -6,7 +6,7 @@
 import secrets
 from collections import Counter
 
-from sapphireyard.answers import CLOSED
+from sapphireyard.answers import CLOSED, BodyEnd
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.requests import AdmittedRequest
@@ -127,6 +127,8 @@
                     "overloaded",
                     f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
                 ) from error
+            if admitted.is_unanswered:
+                self._runtime.pools.report_silent(admitted.upstream)
             raise CallError(
                 "deadline_exceeded",
                 f"no answer from {admitted.upstream} in time",
@@ -387,6 +389,8 @@
         call = admitted.call
         now = self._now()
         max_wait = (admitted.deadline - now) * QUEUE_WAIT_SHARE
+        if not (admitted.route.repeatable or admitted.route.streaming):
+            excluded = [*excluded, *self._runtime.pools.list_probed()]
         name = call.session or call.program or call.request_id
         return SlotRequest(
             program=f"{admitted.customer.name}/{name}",
@@ -412,6 +416,7 @@
         """
         self._check_crashes(admitted)
         admitted.upstream = upstream.name
+        admitted.end = BodyEnd()
         admitted.sent_at = self._now()
         admitted.mark("slot", admitted.sent_at)
         timeout = admitted.deadline - admitted.sent_at
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -24,6 +24,7 @@
     SchedulerOptions,
     SlotRequest,
 )
+from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
@@ -87,6 +88,8 @@
         Rates that upstreams have stated.
     links : Links
         Upstreams to which this host can open connections.
+    evidence : FleetEvidence
+        Results of upstreams at all hosts.
     """
 
     def __init__(self, runtime):
@@ -103,6 +106,7 @@
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
+        self.evidence = FleetEvidence(runtime.gossip.membership.failure_domain)
 
     @property
     def running(self):
@@ -235,15 +239,36 @@
         now = self._now()
         if not ok and not self.links.is_up(upstream.name):
             return
+        if ok and self._outliers.is_restored_by(upstream.name):
+            self.evidence.note_restored(upstream.name, now)
         self._outliers.report(upstream.name, ok=ok, now=now)
+        self.evidence.report(upstream.name, ok=ok, now=now)
         if not ok:
             self._apply_states(upstream.service, now)
 
+    def report_silent(self, name):
+        """Record that an upstream has not begun to answer by a request's deadline.
+
+        It may be busy: it is left out only if it fails far more than its peers.
+        """
+        if self.links.is_up(name):
+            self.evidence.report(name, ok=False, now=self._now())
+
+    def list_probed(self):
+        """Return the upstreams whose next request is a probe after failures."""
+        return self._outliers.list_probed(self._now())
+
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
         if heartbeat.role == ENTRY:
             self._replace_remote(heartbeat.host, heartbeat.running, now)
+            self.evidence.merge(
+                heartbeat.host,
+                heartbeat.failure_domain,
+                heartbeat.upstream_results,
+                now,
+            )
 
     @mode.Service.task
     async def _watch(self):
@@ -367,6 +392,9 @@
     def _apply_states(self, service, now):
         pool = self._pools[service]
         staying = [name for name, u in pool.upstreams.items() if not u.leaving]
+        for name in self.evidence.find_outliers(staying, now):
+            if self._outliers.eject(name, now):
+                self._log_upstream(pool.upstreams[name], "ejected", source="fleet")
         usable = self._list_usable(service, staying, now)
         pool.unreachable = bool(staying) and not usable
         if pool.unreachable:
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -85,6 +85,13 @@
             fields["trailing_bytes"] = self.reader.trailing_bytes
         return fields
 
+    @property
+    def is_unanswered(self):
+        """bool: Whether the upstream chosen last has sent no part of an answer."""
+        if self.reader is not None:
+            return not self.reader.total_bytes
+        return not self.end.framing
+
     @property
     def priority(self):
         """int: Priority of the request; 0 is the highest."""
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -171,3 +171,7 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    upstream_results: dict[str, list[float]] = field(default_factory=dict)
+    """
+    Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
+    """
--- a/sapphireyard/fleet/membership.py
+++ b/sapphireyard/fleet/membership.py
@@ -91,6 +91,11 @@
         self.active = True
         self.heartbeat_seconds = 0.1
 
+    @property
+    def failure_domain(self):
+        """str: Failure domain of this host; empty if unknown."""
+        return self._failure_domain
+
     @property
     def profiles(self):
         """dict of str to HostProfile: The other registered hosts by name."""
--- a/sapphireyard/upstreams/outliers.py
+++ b/sapphireyard/upstreams/outliers.py
@@ -70,6 +70,7 @@
         self._failure_rate = failure_rate
         self._ejected_share = ejected_share
         self._records = {}
+        self._ejected = set()
         self._leaving = set()
 
     def report(self, upstream, *, ok, now):
@@ -90,6 +91,33 @@
             self._note_success(record, now)
         else:
             self._note_failure(record, now)
+        self._note_ejected(upstream, record)
+
+    def eject(self, upstream, now):
+        """Eject an upstream that others have found failing, unless it is ejected.
+
+        Returns
+        -------
+        bool
+            Whether it was not ejected before.
+        """
+        record = self._records.setdefault(upstream, _Record())
+        if record.ejected:
+            return False
+        record.last_result_at = now
+        self._eject(record, now)
+        self._note_ejected(upstream, record)
+        return True
+
+    def is_restored_by(self, upstream):
+        """Return whether a success restores an upstream, as it is ejected."""
+        return upstream in self._ejected
+
+    def list_probed(self, now):
+        """Return the upstreams whose next request is a probe."""
+        return [
+            name for name in self._ejected if self._is_due(self._records[name], now)
+        ]
 
     def set_leaving(self, upstreams):
         """Set the upstreams that get no new work because they are leaving."""
@@ -121,6 +149,13 @@
         for name, record in list(self._records.items()):
             if now - record.last_result_at > seconds:
                 del self._records[name]
+                self._ejected.discard(name)
+
+    def _note_ejected(self, upstream, record):
+        if record.ejected:
+            self._ejected.add(upstream)
+        else:
+            self._ejected.discard(upstream)
 
     def _note_success(self, record, now):
         record.consecutive = 0
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from sapphireyard.fleet.quotas import QuotaRule
+from sapphireyard.upstreams.outliers import EJECTION_SECONDS
 from tests.exchange_case import ExchangeTestCase, RecordingReply, build_table
 
 
@@ -129,6 +130,41 @@
                 self.assertEqual(self.runtime.pools.running, {})
                 self.assertEqual(len(self.sender.sent), 1)
 
+    async def test_upstreams_that_do_not_answer_are_left_out(self):
+        """They accept connections, so that only the deadline tells."""
+        self.sender.script = ["hang"] * 3
+        now = self.runtime.clock.monotonic
+        for number in range(3):
+            self.reply = RecordingReply()
+            await self.serve("/short/1", request_id=f"r{number}")
+        evidence = self.runtime.pools.evidence
+        silent = {d.upstream.name for d in self.sender.sent}
+        self.assertEqual(set(evidence.summarize(now())), silent)
+        failures = [counts[0] for counts in evidence.summarize(now()).values()]
+        self.assertEqual(sum(failures), 3)
+
+    async def test_request_in_a_queue_says_nothing_of_upstreams(self):
+        self.sender.script = ["full"] * 10
+        await self.serve("/short/1")
+        evidence = self.runtime.pools.evidence
+        self.assertEqual(evidence.summarize(self.runtime.clock.monotonic()), {})
+
+    async def test_unrepeatable_request_is_no_probe(self):
+        """An ejected upstream that is due for a probe gets repeatable requests only."""
+        pools = self.runtime.pools
+        await self.serve("/book/1", program="")
+        preferred = self.sender.sent.pop().upstream.name
+        past = self.runtime.clock.monotonic() - EJECTION_SECONDS - 0.1
+        pools._outliers.eject(preferred, past)
+        self.assertEqual(pools.list_probed(), [preferred])
+        for path, is_probe in (("/book/1", False), ("/view/1", True)):
+            self.reply = RecordingReply()
+            await self.serve(path, program="")
+            self.assertEqual(self.reply.status, 200)
+            sent = self.sender.sent.pop().upstream.name
+            self.assertEqual(sent == preferred, is_probe, path)
+        self.assertEqual(pools.list_probed(), [])
+
     async def test_unrepeatable_call_ends_though_its_caller_has_gone(self):
         for path, ends in (("/book/1", True), ("/view/1", False)):
             with self.subTest(path):
