Send repeatable requests that got an error to another upstream

An upstream that answered part of its requests with status 500 counted as sound: its errors went to callers, also of requests that may be repeated, and it stayed in use.

Such a request is now sent to another upstream within its route's attempts. The error counts as a failure next to the upstream's peers. A retry budget for each service keeps retries of requests that may have run at half of the requests and one a second.

test_errors_of_upstreams failed on the code before.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -14,6 +14,7 @@
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR
 from sapphireyard.scheduling.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
+from sapphireyard.upstreams.retries import RetryBudget
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +34,11 @@
 """Largest answer of a plain service, which is buffered until it is complete."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that assure callers that a request has not run and never will."""
+SERVER_ERROR = 500
+"""Lowest status that tells of an error of the upstream."""
+RETRY_RATIO = 0.5
+"""Retries of requests that may have run, by requests: they never double a load."""
+MIN_RETRIES_PER_SECOND = 1.0
 CRASH_ID_BITS = 48
 """Large enough that the random ids of one request's crashes do not collide."""
 PUBLIC = Customer("")
@@ -69,6 +75,7 @@
         self._turns = turns
         self._tokens = tokens
         self._rate_waits = Counter()
+        self._retries = RetryBudget(ratio=RETRY_RATIO, floor=MIN_RETRIES_PER_SECOND)
         self._prepare = prepare
         self.open_requests = 0
         self.total_requests = 0
@@ -128,7 +135,7 @@
                     f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
                 ) from error
             if admitted.is_unanswered:
-                self._runtime.pools.report_silent(admitted.upstream)
+                self._runtime.pools.report_doubtful(admitted.upstream)
             raise CallError(
                 "deadline_exceeded",
                 f"no answer from {admitted.upstream} in time",
@@ -230,9 +237,12 @@
     async def _serve_buffered(self, admitted, reply):
         """Send a request to a plain service; forward its answer once complete."""
         excluded = []
-        error = None
+        error = last_answer = None
         unsent = 0
+        self._retries.note_request(admitted.service, self._now())
         while admitted.sends < max(1, admitted.route.attempts):
+            if admitted.may_have_run and not self._may_retry(admitted):
+                break
             try:
                 status, headers, answer = await self._attempt(admitted, excluded)
             except UpstreamFailed as failure:
@@ -248,10 +258,17 @@
                     raise
                 error = error or refusal
                 break
-            if answer is not None:
-                await reply.send_complete(status, headers, answer)
-                return
-        self.raise_failed(admitted, error)
+            if answer is None:
+                continue
+            last_answer = status, headers, answer
+            if status < SERVER_ERROR or not admitted.route.repeatable:
+                break
+        if last_answer is None:
+            self.raise_failed(admitted, error)
+        await reply.send_complete(*last_answer)
+
+    def _may_retry(self, admitted):
+        return self._retries.may_retry(admitted.service, self._now())
 
     @staticmethod
     def raise_failed(admitted, error):
@@ -305,7 +322,7 @@
                 raise
             admitted.may_have_run = True
             check_answer(answer)
-            self.record_success(admitted, upstream)
+            self.record_success(admitted, upstream, ok=answer.status < SERVER_ERROR)
             return answer.status, answer.headers, data
 
     def record_answer(self, admitted, upstream, answer):
@@ -339,9 +356,12 @@
                 "upstream is down after an answer without a length", crashed=True
             )
 
-    def record_success(self, admitted, upstream):
-        """Record that an upstream completed a request."""
-        self._runtime.pools.report(upstream, ok=True)
+    def record_success(self, admitted, upstream, *, ok=True):
+        """Record that an upstream completed a request, if not `ok` with an error."""
+        if ok:
+            self._runtime.pools.report(upstream, ok=True)
+        else:
+            self._runtime.pools.report_doubtful(upstream.name)
         if self._runtime.crashes:
             self._runtime.crashes.clear(admitted.digest, self._now())
 
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -246,10 +246,10 @@
         if not ok:
             self._apply_states(upstream.service, now)
 
-    def report_silent(self, name):
-        """Record that an upstream has not begun to answer by a request's deadline.
+    def report_doubtful(self, name):
+        """Record a failure that need not be the upstream's: silence or an error.
 
-        It may be busy: it is left out only if it fails far more than its peers.
+        It is left out only if it fails far more than its peers.
         """
         if self.links.is_up(name):
             self.evidence.report(name, ok=False, now=self._now())
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -80,6 +80,7 @@
     Steps of a script are ``complete``, which is the default, ``unreachable`` (no
     connection), ``lost`` (the connection breaks without an answer), ``hang`` (no
     answer), ``full`` (refused before a run), ``busy`` (status 503 after a run),
+    ``error`` (status 500),
     ``unsigned`` (no signature) and ``cut`` (the body breaks off).
     """
 
@@ -104,6 +105,9 @@
         if step == "busy":
             yield UpstreamAnswer(503, signed=True, chunks=self.stream_parts([b"busy"]))
             return
+        if step == "error":
+            yield UpstreamAnswer(500, signed=True, chunks=self.stream_parts([b"error"]))
+            return
         if step == "unsigned":
             yield UpstreamAnswer(200, chunks=self.stream_parts([b"x"]))
             return
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,6 +5,7 @@
 
 from sapphireyard.fleet.quotas import QuotaRule
 from sapphireyard.upstreams.outliers import EJECTION_SECONDS
+from sapphireyard.upstreams.retries import RetryBudget
 from tests.exchange_case import ExchangeTestCase, RecordingReply, build_table
 
 
@@ -143,6 +144,38 @@
         failures = [counts[0] for counts in evidence.summarize(now()).values()]
         self.assertEqual(sum(failures), 3)
 
+    async def test_errors_of_upstreams(self):
+        """A repeatable request that got status 500 is sent to another upstream.
+
+        Cases are the path, the script, the status for the caller, and the sends.
+        """
+        cases = [
+            ("/view/1", ["error"], 200, 2),
+            ("/view/1", ["error", "error"], 500, 2),
+            ("/view/1", ["error", "lost"], 500, 2),
+            ("/view/1", ["error", "full"], 500, 2),
+            ("/view/1", ["full", "error"], 500, 2),
+            ("/book/1", ["error"], 500, 1),
+        ]
+        for path, script, status, sends in cases:
+            with self.subTest(path=path, script=script):
+                self.exchange._retries = RetryBudget(ratio=1.0)
+                self.sender.script = list(script)
+                self.sender.sent.clear()
+                self.reply = RecordingReply()
+                self.assertEqual(await self.serve(path), status)
+                self.assertEqual(len(self.sender.sent), sends)
+
+    async def test_retries_do_not_double_a_load(self):
+        """While all upstreams fail, half as many retries are sent as requests."""
+        self.sender.script = ["error"] * 1000
+        for number in range(100):
+            self.reply = RecordingReply()
+            await self.serve("/view/1", request_id=f"r{number}")
+        retries = len(self.sender.sent) - 100
+        self.assertLessEqual(retries, 65)
+        self.assertGreaterEqual(retries, 40)
+
     async def test_request_in_a_queue_says_nothing_of_upstreams(self):
         self.sender.script = ["full"] * 10
         await self.serve("/short/1")
