--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -6,7 +6,7 @@
 import secrets
 from collections import Counter
 
-from sapphireyard.answers import CLOSED
+from sapphireyard.answers import CLOSED, BodyEnd
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.requests import AdmittedRequest
@@ -14,6 +14,7 @@
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR
 from sapphireyard.scheduling.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
+from sapphireyard.upstreams.retries import RetryBudget
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +34,11 @@
 """Largest answer of a plain service, which is buffered until it is complete."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that assure callers that a request has not run and never will."""
+SERVER_ERROR = 500
+"""Lowest status that tells of an error of the upstream."""
+RETRY_RATIO = 0.5
+"""Retries of requests that may have run, by requests: they never double a load."""
+MIN_RETRIES_PER_SECOND = 1.0
 CRASH_ID_BITS = 48
 """Large enough that the random ids of one request's crashes do not collide."""
 PUBLIC = Customer("")
@@ -69,6 +75,7 @@
         self._turns = turns
         self._tokens = tokens
         self._rate_waits = Counter()
+        self._retries = RetryBudget(ratio=RETRY_RATIO, floor=MIN_RETRIES_PER_SECOND)
         self._prepare = prepare
         self.open_requests = 0
         self.total_requests = 0
@@ -110,6 +117,7 @@
             await self._prepare()
         admitted = self._admit(call)
         outcome["admitted"] = admitted
+        reply.note_admitted(admitted)
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
         try:
@@ -126,6 +134,8 @@
                     "overloaded",
                     f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
                 ) from error
+            if admitted.is_unanswered:
+                self._runtime.pools.report_doubtful(admitted.upstream)
             raise CallError(
                 "deadline_exceeded",
                 f"no answer from {admitted.upstream} in time",
@@ -227,9 +237,12 @@
     async def _serve_buffered(self, admitted, reply):
         """Send a request to a plain service; forward its answer once complete."""
         excluded = []
-        error = None
+        error = last_answer = None
         unsent = 0
+        self._retries.note_request(admitted.service, self._now())
         while admitted.sends < max(1, admitted.route.attempts):
+            if admitted.may_have_run and not self._may_retry(admitted):
+                break
             try:
                 status, headers, answer = await self._attempt(admitted, excluded)
             except UpstreamFailed as failure:
@@ -245,10 +258,17 @@
                     raise
                 error = error or refusal
                 break
-            if answer is not None:
-                await reply.send_complete(status, headers, answer)
-                return
-        self.raise_failed(admitted, error)
+            if answer is None:
+                continue
+            last_answer = status, headers, answer
+            if status < SERVER_ERROR or not admitted.route.repeatable:
+                break
+        if last_answer is None:
+            self.raise_failed(admitted, error)
+        await reply.send_complete(*last_answer)
+
+    def _may_retry(self, admitted):
+        return self._retries.may_retry(admitted.service, self._now())
 
     @staticmethod
     def raise_failed(admitted, error):
@@ -296,13 +316,13 @@
                     if answer.refused:
                         self._runtime.pools.report(upstream, ok=True)
                         return answer.status, (), None
-                    data = await self.read_body(answer, upstream)
+                    data = await self.read_body(admitted, answer, upstream)
             except UpstreamFailed as error:
                 self.record_failure(admitted, upstream, error)
                 raise
             admitted.may_have_run = True
             check_answer(answer)
-            self.record_success(admitted, upstream)
+            self.record_success(admitted, upstream, ok=answer.status < SERVER_ERROR)
             return answer.status, answer.headers, data
 
     def record_answer(self, admitted, upstream, answer):
@@ -316,9 +336,9 @@
                 upstream, answer.rate, sent_at=admitted.sent_at, now=self._now()
             )
 
-    async def read_body(self, answer, upstream):
+    async def read_body(self, admitted, answer, upstream):
         """Return the complete body; raise `UpstreamFailed` if there is none."""
-        data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+        data = await read_all(answer.chunks, MAX_ANSWER_BYTES, admitted.call.keep)
         await self.check_end(answer, upstream)
         return data
 
@@ -336,9 +356,12 @@
                 "upstream is down after an answer without a length", crashed=True
             )
 
-    def record_success(self, admitted, upstream):
-        """Record that an upstream completed a request."""
-        self._runtime.pools.report(upstream, ok=True)
+    def record_success(self, admitted, upstream, *, ok=True):
+        """Record that an upstream completed a request, if not `ok` with an error."""
+        if ok:
+            self._runtime.pools.report(upstream, ok=True)
+        else:
+            self._runtime.pools.report_doubtful(upstream.name)
         if self._runtime.crashes:
             self._runtime.crashes.clear(admitted.digest, self._now())
 
@@ -386,6 +409,8 @@
         call = admitted.call
         now = self._now()
         max_wait = (admitted.deadline - now) * QUEUE_WAIT_SHARE
+        if not (admitted.route.repeatable or admitted.route.streaming):
+            excluded = [*excluded, *self._runtime.pools.list_probed()]
         name = call.session or call.program or call.request_id
         return SlotRequest(
             program=f"{admitted.customer.name}/{name}",
@@ -411,6 +436,7 @@
         """
         self._check_crashes(admitted)
         admitted.upstream = upstream.name
+        admitted.end = BodyEnd()
         admitted.sent_at = self._now()
         admitted.mark("slot", admitted.sent_at)
         timeout = admitted.deadline - admitted.sent_at
@@ -480,15 +506,23 @@
     return CallError("upstream_failed", error.detail, executed=EXECUTED_UNKNOWN)
 
 
-async def read_all(chunks, limit):
-    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes."""
+async def read_all(chunks, limit, keep):
+    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes.
+
+    ``await keep(size)`` counts the bytes, and takes them back if there is no body.
+    """
     parts = []
     size = 0
-    async for chunk in chunks:
-        size += len(chunk)
-        if size > limit:
-            raise UpstreamFailed(f"answer exceeds {limit} bytes")
-        parts.append(chunk)
+    try:
+        async for chunk in chunks:
+            size += len(chunk)
+            if size > limit:
+                raise UpstreamFailed(f"answer exceeds {limit} bytes")
+            await keep(len(chunk))
+            parts.append(chunk)
+    except UpstreamFailed:
+        await keep(-sum(map(len, parts)))
+        raise
     return b"".join(parts)
 
 
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -175,3 +175,7 @@
     """
     Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
     """
+    upstream_results: dict[str, list[float]] = field(default_factory=dict)
+    """
+    Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
+    """
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -16,6 +16,7 @@
 )
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.exchange import Exchange
+from sapphireyard.exchange.held import HeldBytes
 from sapphireyard.exchange.pools import UpstreamPools
 from sapphireyard.exchange.routes import (
     Customer,
@@ -79,6 +80,7 @@
     Steps of a script are ``complete``, which is the default, ``unreachable`` (no
     connection), ``lost`` (the connection breaks without an answer), ``hang`` (no
     answer), ``full`` (refused before a run), ``busy`` (status 503 after a run),
+    ``error`` (status 500),
     ``unsigned`` (no signature) and ``cut`` (the body breaks off).
     """
 
@@ -103,6 +105,9 @@
         if step == "busy":
             yield UpstreamAnswer(503, signed=True, chunks=self.stream_parts([b"busy"]))
             return
+        if step == "error":
+            yield UpstreamAnswer(500, signed=True, chunks=self.stream_parts([b"error"]))
+            return
         if step == "unsigned":
             yield UpstreamAnswer(200, chunks=self.stream_parts([b"x"]))
             return
@@ -208,6 +213,7 @@
             metrics=SimpleNamespace(count=lambda *a, **k: 0, record=lambda *a, **k: 0),
             quotas=FleetQuotas(started_at=clock.monotonic() - 60),
             crashes=CrashLedger(),
+            held=HeldBytes(),
             peers=SimpleNamespace(
                 codec=MessageCodec(),
                 register=lambda message_class, handler: None,
