Explain where a request would go now, without sending it

Operators could see what had been decided on a request (log, trace), not what would be decided on the next one. Nothing is counted, queued or sent.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -203,9 +203,7 @@
         customer = admitted.customer
         if not customer.name:
             return
-        opening = admitted.opens_program
-        max_wait = OPENING_QUOTA_WAIT_SECONDS if opening else QUOTA_WAIT_SECONDS
-        wait_until = min(self._now() + max_wait, admitted.deadline)
+        wait_until = self._now() + self.find_rate_patience(admitted)
         self._rate_waits[customer.name] += 1
         try:
             while wait := await self._tokens.take(admitted):
@@ -230,6 +228,12 @@
                     **self._runtime.quotas.describe(customer.name),
                 }
 
+    def find_rate_patience(self, admitted):
+        """Return the longest wait for the customer's rate in seconds."""
+        opening = admitted.opens_program
+        max_wait = OPENING_QUOTA_WAIT_SECONDS if opening else QUOTA_WAIT_SECONDS
+        return min(max_wait, admitted.deadline - self._now())
+
     def _refund(self, admitted):
         if admitted.customer.name:
             self._tokens.give_back(admitted)
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -171,17 +171,7 @@
         CallError
             ``overloaded``: no slot in time. Nothing was sent.
         """
-        pool = self._pools.get(request.pool)
-        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
-            raise CallError(
-                "overloaded",
-                f"service {request.pool!r} has no upstream",
-                retry_after=NO_UPSTREAM_RETRY_SECONDS,
-            )
-        if pool.unreachable:
-            raise _build_unreachable_error(request.pool)
-        self._update_grants(pool)
-        self._check_rates(pool, request)
+        pool = self._find_usable(request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
         now = self._now()
@@ -208,6 +198,31 @@
             )
             self._execute(actions)
 
+    def preview(self, request):
+        """Return the `Preview` of a request.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``, as by `lease`.
+        """
+        return self._find_usable(request).scheduler.preview(request, self._now())
+
+    def _find_usable(self, request):
+        """Return the pool of a request; raise `CallError` if it can't be served."""
+        pool = self._pools.get(request.pool)
+        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
+            raise CallError(
+                "overloaded",
+                f"service {request.pool!r} has no upstream",
+                retry_after=NO_UPSTREAM_RETRY_SECONDS,
+            )
+        if pool.unreachable:
+            raise _build_unreachable_error(request.pool)
+        self._update_grants(pool)
+        self._check_rates(pool, request)
+        return pool
+
     def find(self, name):
         """Return the listed `Upstream` called `name`, or None."""
         pool = self._find_pool(name)
--- a/sapphireyard/operators/_commands.py
+++ b/sapphireyard/operators/_commands.py
@@ -10,6 +10,7 @@
 
 DEFAULT_HISTORY_LIMIT = 20
 DEFAULT_TRACE_SECONDS = 2.0
+DEFAULT_CALLER_SECONDS = 3.0
 
 
 def _option(field, help_text, *, default="", **options):
@@ -143,14 +144,40 @@
 
 
 @cappa.command(
-    help="Show the owner of a program and the latest decisions about it.",
-    epilog="Example: sapphireyard explain hatua-east/move-1881",
+    help=(
+        "Show the owner of a program and the latest decisions about it, or, with"
+        " --path, where a request would go now and why, without sending it."
+    ),
+    epilog=(
+        "Examples: sapphireyard explain hatua-east/move-1881;"
+        " sapphireyard explain --address 10.0.0.1:9464 --host site.example"
+        " --path /chat/1 --customer hatua-east --prompt-tokens 900"
+    ),
 )
 @dataclass(kw_only=True)
 class Explain(SiteOptions):
     """Explain decisions."""
 
-    program: Annotated[str, cappa.Arg(help="CUSTOMER/PROGRAM.")]
+    program: Annotated[
+        str, cappa.Arg(help="CUSTOMER/PROGRAM, or with --path a program's name.")
+    ] = ""
+    path: Annotated[str, cappa.Arg(long=True, help="Path of the request.")] = ""
+    host: Annotated[str, cappa.Arg(long=True, help="Host name of the request.")] = ""
+    customer: Annotated[
+        str, cappa.Arg(long=True, help="Customer; omit on public routes.")
+    ] = ""
+    prompt_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Tokens of the prompt.")
+    ] = 0
+    output_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Most tokens to generate.")
+    ] = 0
+    kept_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Tokens of the program's history.")
+    ] = 0
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="Time for which the caller waits.")
+    ] = DEFAULT_CALLER_SECONDS
 
 
 @cappa.command(
--- a/sapphireyard/operators/_output.py
+++ b/sapphireyard/operators/_output.py
@@ -44,6 +44,21 @@
         print(change)
 
 
+def print_explanation(explanation):
+    """Print what a host would do with a request, step by step."""
+    steps = dict(explanation["steps"])
+    upstreams = steps.pop("upstreams", [])
+    print(f"{explanation['outcome']}: {explanation['reason']}")
+    if explanation["upstream"]:
+        print(f"upstream: {explanation['upstream']}")
+    if explanation["retry_after"] is not None:
+        print(f"retry after: {explanation['retry_after']:.2f} s")
+    for name, values in steps.items():
+        print(f"{name}: {' '.join(f'{k}={_format(v)}' for k, v in values.items())}")
+    if upstreams:
+        print_rows(upstreams, list(upstreams[0]), output=TABLE)
+
+
 def _format(value):
     if value is None:
         return "-"
--- a/sapphireyard/operators/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -46,6 +46,7 @@
     JSON,
     TABLE,
     print_changes,
+    print_explanation,
     print_json,
     print_rows,
 )
@@ -63,6 +64,7 @@
 """Variable with the operator's key; a flag would be visible to other users."""
 
 REQUEST_TIMEOUT_SECONDS = 10.0
+EXPLAINED_FIGURES = ("prompt_tokens", "output_tokens", "kept_tokens", "seconds")
 
 
 @asynccontextmanager
@@ -101,6 +103,23 @@
             raise SapphireyardError(f"{answer.get('code')}: {answer.get('detail')}")
 
 
+async def _request_administration(options, path, query):
+    """Return the JSON answer of a host's administration address."""
+    if not options.address:
+        finding = Finding("--address or SAPPHIREYARD_ADDRESS", "is required")
+        raise SettingsError([finding])
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
+    url = f"http://{options.address}/{path}"
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with session.get(url, params=query) as response:
+            if response.status == 200:
+                return await response.json(content_type=None)
+            if response.status != 400:
+                raise SapphireyardError(f"{options.address} answered {response.status}")
+            answer = await response.json(content_type=None)
+            raise SettingsError([Finding(answer["code"], answer["detail"])])
+
+
 @singledispatch
 async def run_command(command):
     """Run a command and return the exit status."""
@@ -216,7 +235,19 @@
 
 @run_command.register
 async def _(command: Explain):
-    print_json(await _request_entry_host(command, "GET", f"explain/{command.program}"))
+    if not command.path:
+        if not command.program:
+            raise SettingsError([Finding("program", "specify a program or --path")])
+        path = f"explain/{command.program}"
+        print_json(await _request_entry_host(command, "GET", path))
+        return EXIT_DONE
+    fields = ("path", "host", "customer", "program", *EXPLAINED_FIGURES)
+    query = {name: str(value) for name in fields if (value := getattr(command, name))}
+    explanation = await _request_administration(command, "explain", query)
+    if command.output == JSON:
+        print_json(explanation)
+    else:
+        print_explanation(explanation)
     return EXIT_DONE
 
 
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -5,8 +5,9 @@
 from sapphireyard.scheduling.backlog import Backlog
 from sapphireyard.scheduling.capacity import MeanDuration, UpstreamSlots, UpstreamState
 from sapphireyard.scheduling.fairness import FairShares
-from sapphireyard.scheduling.order import ProgramOrder
+from sapphireyard.scheduling.order import OrderKey, ProgramOrder
 from sapphireyard.scheduling.placement import Placement
+from sapphireyard.scheduling.previews import Preview, view_upstream
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
     REASON_MOVED,
@@ -146,13 +147,31 @@
             raise ValueError(
                 f"request {request.request_id} is waiting or running already"
             )
-        wait = self.expected_wait(request.customer)
-        late = now + wait - request.deadline
-        if self._options.refuse and request.deadline and late > 0:
-            return [Refuse(request, max(late, self._duration.seconds))]
+        refusal = self._judge(request, now)
+        if refusal is not None:
+            return [refusal]
         self._enqueue(request, now)
         return self._decide(now)
 
+    def preview(self, request, now):
+        """Return the `Preview` of a request: what `submit` would do, without doing it.
+
+        A request that could start waits nevertheless if others wait, whose order
+        `submit` would decide.
+        """
+        refusal = self._judge(request, now)
+        action = refusal
+        if refusal is None and not self._waiting:
+            action = self._preview_grant(request, now)
+        views = tuple(
+            view_upstream(
+                slots, request, kept_tokens=self._placement.cached(name, request)
+            )
+            for name, slots in self._slots.items()
+        )
+        wait = self.expected_wait(request.customer)
+        return Preview(action, len(self._waiting), wait, views)
+
     def cancel(self, request_id, now):
         """Remove a waiting request, or release its slot if it has one."""
         waiting = self._waiting.get(request_id)
@@ -301,6 +320,29 @@
         """Return the expected wait of a new request of a customer in seconds."""
         return self._backlog.expected_wait(self._share_key(customer))
 
+    def _judge(self, request, now):
+        """Return the `Refuse` of a request that cannot start in time, or None."""
+        late = now + self.expected_wait(request.customer) - request.deadline
+        if not self._options.refuse or not request.deadline or late <= 0:
+            return None
+        return Refuse(request, max(late, self._duration.seconds))
+
+    def _preview_grant(self, request, now):
+        """Return the `Grant` of a request if it were the only one, or None."""
+        waiting = WaitingRequest(
+            request=request,
+            customer=self._share_key(request.customer),
+            affinity=self._selection.affinity(request),
+            key=OrderKey(0, now, 0),
+            submitted=now,
+        )
+        choice = self._selection.preview(waiting, now)
+        if choice is None:
+            return None
+        cached = self._placement.cached(choice.upstream, request)
+        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
+        return Grant(request, choice.upstream, choice.reason, among, cached)
+
     def _share_key(self, customer):
         return customer if self._options.fair else ALL_CUSTOMERS
 
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -107,6 +107,28 @@
             self._blocked.add(slots.limits.name)
         return None
 
+    def preview(self, waiting, now):
+        """Return the `Choice` for a request if it were next, or None; changes nothing.
+
+        Parameters
+        ----------
+        waiting : WaitingRequest
+            The request, which is not in the queues.
+        now : float
+            Seconds.
+        """
+        free = [slots for slots in self._slots.values() if slots.has_slot()]
+        free.sort(key=self._load_key)
+        for slots in free:
+            self._user_weights = None
+            if not self._may_take(waiting, slots, False, now):
+                continue
+            if slots.fits(waiting.request.total_tokens):
+                reason = self._reason(waiting, slots)
+                choice = Choice(waiting, slots.limits.name, reason)
+                return self._prefer_keeper(choice, free, now)
+        return None
+
     def _prefer_keeper(self, choice, free, now):
         """Return a choice on the upstream that keeps enough of the prompt, if any."""
         waiting = choice.waiting
@@ -159,16 +181,19 @@
         """Return the first head with this affinity that may start, or None."""
         heads = self._queues.heads(affinity, partial(self._is_aged, now=now))
         for waiting in islice(heads, LOOKAHEAD_CUSTOMERS):
-            if not self._is_allowed(waiting, slots):
-                continue
             aged = self._is_aged(waiting, now)
-            if not self._may_leave_holder(waiting, slots):
-                continue
-            if not self._may_start(waiting, slots, aged, now):
-                continue
-            return _Candidate(self._rank(waiting, aged), waiting)
+            if self._may_take(waiting, slots, aged, now):
+                return _Candidate(self._rank(waiting, aged), waiting)
         return None
 
+    def _may_take(self, waiting, slots, aged, now):
+        """Return whether an upstream may take a request when its turn comes."""
+        if not self._is_allowed(waiting, slots):
+            return False
+        if not self._may_leave_holder(waiting, slots):
+            return False
+        return self._may_start(waiting, slots, aged, now)
+
     def _is_aged(self, waiting, now):
         if now - waiting.submitted < self.options.aging_seconds:
             return False
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -20,6 +20,7 @@
     "api",
     "control_settings",
     "archive_settings",
+    "explanations",
 }
 """Schemas of data from people or callers; they become validating models."""
 
