--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -145,6 +145,11 @@
         await self._runner.cleanup()
         self._folder.cleanup()
 
+    @property
+    def caller_port(self):
+        """int: Port of the entry hosts' interface for callers."""
+        return self._port + 1
+
     @property
     def folder(self):
         """Path: Folder of the processes' settings and logs."""
@@ -160,8 +165,12 @@
         bootstrap=True,
         script=SERVE,
         environ=(),
+        settings=(),
     ):
-        """Start a process, or restart one that was killed."""
+        """Start a process, or restart one that was killed.
+
+        `settings` are further lines of its settings file.
+        """
         folder = Path(self._folder.name) / name
         folder.mkdir(exist_ok=True)
         path = folder / "settings.conf"
@@ -182,6 +191,7 @@
             "bounds.grace-s=8",
             "bounds.revoke-ms=5000",
             f"provider.address={STORE_IP}:{self._store_port}",
+            *settings,
         ]
         path.write_text("\n".join(lines) + "\n")
         environ = {**os.environ, "SAPPHIREYARD_NODE_FILE": str(path), **dict(environ)}
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -22,7 +22,15 @@
 
 
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
-    """Runs two entry hosts, four history hosts, an engine and a plain service."""
+    """Runs two entry hosts, four history hosts, an engine and a plain service.
+
+    Attributes
+    ----------
+    entry_options : dict
+        Options of `PlatformSite.start_process` for the entry hosts.
+    """
+
+    entry_options = {}
 
     async def asyncSetUp(self):
         self.site = PlatformSite()
@@ -36,7 +44,11 @@
         self.site.store.put("config", "main", build_configuration())
         for number, ip in enumerate(ENTRY_IPS, 1):
             self.site.start_process(
-                f"entry-{number}", "entry", ip, failure_domain=f"d{number}"
+                f"entry-{number}",
+                "entry",
+                ip,
+                failure_domain=f"d{number}",
+                **self.entry_options,
             )
         for number, ip in enumerate(COPY_IPS, 1):
             self.site.start_process(
