--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -12,7 +12,7 @@
 
 MEMORY_MB = 128
 ADDRESS_SPACE_BYTES = 256_000_000
-"""The process maps some 100 MB of libraries, stacks and arenas that it never touches."""
+"""The process maps 100 MB of libraries, stacks and arenas that it never touches."""
 SLOW_CALLERS = 200
 BULK_EVENTS = ("x" * 500_000,) * 12
 """6 MB: an entry host has room for a few such answers."""
