Close idle connections before descriptors or memory run out

Callers that come back all at once and keep their connections could take all descriptors of a host, or its memory, until the idle time-out of the configuration.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -34,6 +34,47 @@
 RETRY_SECONDS = 1.0
 """Retry-After while there is no room; slow callers take about as long to read on."""
 
+CONNECTION_BYTES = 8 * 1024
+"""Memory of a connection without a request."""
+CONNECTIONS_MEMORY_SHARE = 0.25
+"""Largest share of the bytes for requests that connections without one may take."""
+RESERVED_DESCRIPTORS = 200
+"""Descriptors for files, and for connections to other hosts and to the store."""
+CALLERS_DESCRIPTOR_SHARE = 0.6
+"""Share of the others for callers; each running request needs one to an upstream."""
+
+
+def find_max_connections(descriptors, room):
+    """Return the number of callers' connections that a host keeps open.
+
+    Parameters
+    ----------
+    descriptors : int
+        File descriptors of the process.
+    room : float
+        As from `find_room`.
+    """
+    by_descriptors = (descriptors - RESERVED_DESCRIPTORS) * CALLERS_DESCRIPTOR_SHARE
+    by_memory = room * CONNECTIONS_MEMORY_SHARE / CONNECTION_BYTES
+    return max(1, int(min(by_descriptors, by_memory)))
+
+
+def choose_closed(idle_since, count):
+    """Return the idle connections to close so that there are `count` fewer.
+
+    Handles callers that come back all at once after a restart and keep connections
+    that they do not use: those idle for longest are closed first, and none with a
+    request.
+
+    Parameters
+    ----------
+    idle_since : dict of connection to float
+        Monotonic seconds since which each idle connection has had no request.
+    count : int
+        Connections above the limit; not positive if there is room.
+    """
+    return sorted(idle_since, key=idle_since.get)[: max(0, count)]
+
 
 def find_room(memory_bytes):
     """Return the bytes that a host may keep for requests.
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -9,6 +9,8 @@
     REQUEST_BYTES,
     STALLED_SECONDS,
     HeldBytes,
+    choose_closed,
+    find_max_connections,
     find_room,
 )
 
@@ -27,6 +29,24 @@
             with self.subTest(name):
                 self.assertEqual(find_room(memory), room)
 
+    def test_connections_by_descriptors_and_memory(self):
+        cases = [
+            ("few descriptors", 1638, 468 * MEBIBYTE, 862),
+            ("little memory", 4100, 44 * MEBIBYTE, 1408),
+            ("no limit of memory", 4100, math.inf, 2340),
+            ("hardly any", 100, MEBIBYTE, 1),
+        ]
+        for name, descriptors, room, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(find_max_connections(descriptors, room), expected)
+
+    def test_connections_idle_for_longest_are_closed(self):
+        idle_since = {"a": 3.0, "b": 1.0, "c": 2.0}
+        cases = [(-1, []), (0, []), (1, ["b"]), (2, ["b", "c"]), (9, ["b", "c", "a"])]
+        for count, expected in cases:
+            with self.subTest(count=count):
+                self.assertEqual(choose_closed(idle_since, count), expected)
+
     def test_new_requests_are_refused_before_accepted_ones_wait(self):
         """Room is left for the answers of requests that have been accepted."""
         cases = [
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -19,6 +19,7 @@
 LONG_STREAM_EVENTS = 500
 """8 MB: more than the buffers of two sockets."""
 SLOW_CALLERS = 300
+DESCRIPTORS = 4096
 SOCKET_BUFFER_BYTES = 4096
 WAIT_SECONDS = 15.0
 
@@ -33,6 +34,7 @@
             ready_address="127.0.0.1:0",
             directory_address="127.0.0.1:0",
             address_seconds=1,
+            descriptors=DESCRIPTORS,
         )
         self.callers = CallerInterface(
             self.runtime, self.exchange, list_addresses=list, is_ready=lambda: True
@@ -127,6 +129,36 @@
         await self.wait_until(lambda: not self.runtime.held.count)
         self.assertEqual(self.callers.undelivered, 0)
 
+    async def test_idle_connections_are_closed_before_descriptors_run_out(self):
+        (sweep,) = [
+            each
+            for each in self.callers._children
+            if each._server is self.callers._runners[0].server
+        ]
+        sweep._max_connections = 10
+        self.upstream.steps = (build_head("r1", "Content-Length: 2"), b"ok")
+        connections = []
+        for _ in range(15):
+            connections.append(await self.send("/view/1"))
+            await connections[-1][0].readuntil(b"ok")
+        self.upstream.steps = (CHUNKED_HEAD, chunk(EVENT), 1.0, LAST_CHUNK)
+        busy, _ = await self.send("/chat/1")
+        await self.wait_until(lambda: self.exchange.open_requests)
+        closed = sweep._choose_idle()
+        self.assertEqual(len(closed), 6)
+        for connection in closed:
+            connection.force_close()
+        answer = await asyncio.wait_for(read_to_end(busy), WAIT_SECONDS)
+        self.assertTrue(answer.endswith(LAST_CHUNK))
+        ended = [await self.is_ended(reader) for reader, _ in connections]
+        self.assertEqual(ended, [True] * 6 + [False] * 9)
+
+    async def is_ended(self, reader):
+        try:
+            return not await asyncio.wait_for(reader.read(1), 0.05)
+        except TimeoutError:
+            return False
+
 
 async def read_to_end(reader, end=LAST_CHUNK):
     """Return the bytes up to the end of an answer or of its connection."""
