--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -171,6 +171,10 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    kept_parts: dict[str, list[int]] = field(default_factory=dict)
+    """
+    Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
+    """
     upstream_results: dict[str, list[float]] = field(default_factory=dict)
     """
     Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
