--- /dev/null
+++ b/sapphireyard/exchange/answers.py
@@ -0,0 +1,20 @@
+"""What the status of an upstream's answer means."""
+
+from sapphireyard.exceptions import UpstreamFailed
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that assure callers that a request has not run and never will."""
+SERVER_ERROR = 500
+"""Lowest status that tells of an error of the upstream."""
+
+
+def check_answer(answer):
+    """Raise `UpstreamFailed` for an answer that must not be forwarded.
+
+    A success must carry the upstream's signature. A status that tells callers that
+    the request has not run is valid only as a refusal by the upstream.
+    """
+    if 200 <= answer.status < 300 and not answer.signed:
+        raise UpstreamFailed("answer without a signature")
+    if answer.status in NOT_RUN_STATUSES:
+        raise UpstreamFailed(f"status {answer.status} without a refusal")
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -8,18 +8,17 @@
 
 from sapphireyard.answers import CLOSED, BodyEnd
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exchange.answers import NOT_RUN_STATUSES
 from sapphireyard.exchange.calls import Dispatch
+from sapphireyard.exchange.plain import PlainService
 from sapphireyard.exchange.requests import AdmittedRequest
 from sapphireyard.exchange.routes import Customer
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR
 from sapphireyard.scheduling.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
-from sapphireyard.upstreams.retries import RetryBudget
 
 logger = logging.getLogger(__name__)
 
-UNSENT_RETRIES = 3
-"""Retries after failed connections, in addition to the route's attempts."""
 QUEUE_WAIT_SHARE = 0.4
 """Share of the remaining time that a request may wait for a slot."""
 REFUSED_RETRY_SECONDS = 0.1
@@ -32,13 +31,6 @@
 the first token, so that a refused caller still has time to retry."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer of a plain service, which is buffered until it is complete."""
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that assure callers that a request has not run and never will."""
-SERVER_ERROR = 500
-"""Lowest status that tells of an error of the upstream."""
-RETRY_RATIO = 0.5
-"""Retries of requests that may have run, by requests: they never double a load."""
-MIN_RETRIES_PER_SECOND = 1.0
 CRASH_ID_BITS = 48
 """Large enough that the random ids of one request's crashes do not collide."""
 PUBLIC = Customer("")
@@ -75,7 +67,7 @@
         self._turns = turns
         self._tokens = tokens
         self._rate_waits = Counter()
-        self._retries = RetryBudget(ratio=RETRY_RATIO, floor=MIN_RETRIES_PER_SECOND)
+        self._plain = PlainService(runtime, sender, self)
         self._prepare = prepare
         self.open_requests = 0
         self.total_requests = 0
@@ -150,7 +142,7 @@
             if admitted.route.streaming:
                 await self._turns.serve(admitted, reply)
             else:
-                await self._serve_buffered(admitted, reply)
+                await self._plain.serve(admitted, reply)
 
     async def _read_body(self, admitted):
         limit = self._runtime.configuration.table.limits.body_bytes
@@ -234,42 +226,6 @@
         if admitted.customer.name:
             self._tokens.give_back(admitted)
 
-    async def _serve_buffered(self, admitted, reply):
-        """Send a request to a plain service; forward its answer once complete."""
-        excluded = []
-        error = last_answer = None
-        unsent = 0
-        self._retries.note_request(admitted.service, self._now())
-        while admitted.sends < max(1, admitted.route.attempts):
-            if admitted.may_have_run and not self._may_retry(admitted):
-                break
-            try:
-                status, headers, answer = await self._attempt(admitted, excluded)
-            except UpstreamFailed as failure:
-                error = failure
-                unsent += not failure.sent
-                if unsent > UNSENT_RETRIES:
-                    break
-                if failure.sent and not admitted.route.repeatable:
-                    break
-                continue
-            except CallError as refusal:
-                if not admitted.may_have_run:
-                    raise
-                error = error or refusal
-                break
-            if answer is None:
-                continue
-            last_answer = status, headers, answer
-            if status < SERVER_ERROR or not admitted.route.repeatable:
-                break
-        if last_answer is None:
-            self.raise_failed(admitted, error)
-        await reply.send_complete(*last_answer)
-
-    def _may_retry(self, admitted):
-        return self._retries.may_retry(admitted.service, self._now())
-
     @staticmethod
     def raise_failed(admitted, error):
         """Raise the `CallError` for a request that no upstream answered.
@@ -293,38 +249,6 @@
             executed=EXECUTED_UNKNOWN,
         )
 
-    async def _attempt(self, admitted, excluded):
-        """Send the request to one upstream.
-
-        Returns
-        -------
-        status : int
-            HTTP status.
-        headers : tuple of (bytes, bytes)
-            Headers to forward.
-        body : bytes or None
-            None if the upstream refused the request.
-        """
-        request = self.build_slot_request(admitted, excluded)
-        async with self._runtime.pools.lease(request) as upstream:
-            excluded.append(upstream.name)
-            dispatch = self.build_dispatch(admitted, upstream)
-            admitted.sends += 1
-            try:
-                async with self._sender.send(dispatch) as answer:
-                    self.record_answer(admitted, upstream, answer)
-                    if answer.refused:
-                        self._runtime.pools.report(upstream, ok=True)
-                        return answer.status, (), None
-                    data = await self.read_body(admitted, answer, upstream)
-            except UpstreamFailed as error:
-                self.record_failure(admitted, upstream, error)
-                raise
-            admitted.may_have_run = True
-            check_answer(answer)
-            self.record_success(admitted, upstream, ok=answer.status < SERVER_ERROR)
-            return answer.status, answer.headers, data
-
     def record_answer(self, admitted, upstream, answer):
         """Record the head of an upstream's answer."""
         admitted.end = answer.end
@@ -524,15 +448,3 @@
         await keep(-sum(map(len, parts)))
         raise
     return b"".join(parts)
-
-
-def check_answer(answer):
-    """Raise `UpstreamFailed` for an answer that must not be forwarded.
-
-    A success must carry the upstream's signature. A status that tells callers that
-    the request has not run is valid only as a refusal by the upstream.
-    """
-    if 200 <= answer.status < 300 and not answer.signed:
-        raise UpstreamFailed("answer without a signature")
-    if answer.status in NOT_RUN_STATUSES:
-        raise UpstreamFailed(f"status {answer.status} without a refusal")
--- /dev/null
+++ b/sapphireyard/exchange/plain.py
@@ -0,0 +1,104 @@
+"""Requests to plain services, whose answers are forwarded once they are complete."""
+
+from sapphireyard.exceptions import CallError, UpstreamFailed
+from sapphireyard.exchange.answers import SERVER_ERROR, check_answer
+from sapphireyard.upstreams.retries import RetryBudget
+
+UNSENT_RETRIES = 3
+"""Retries after failed connections, in addition to the route's attempts."""
+RETRY_RATIO = 0.5
+"""Retries of requests that may have run, by requests: they never double a load."""
+MIN_RETRIES_PER_SECOND = 1.0
+
+
+class PlainService:
+    """Serves requests to plain services.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Provides pools and clock.
+    sender : UpstreamSender
+        Sends requests to upstreams.
+    exchange : Exchange
+        Prepares requests and records their answers.
+    """
+
+    def __init__(self, runtime, sender, exchange):
+        self._runtime = runtime
+        self._sender = sender
+        self._exchange = exchange
+        self._retries = RetryBudget(ratio=RETRY_RATIO, floor=MIN_RETRIES_PER_SECOND)
+
+    async def serve(self, admitted, reply):
+        """Send a request to a plain service; forward its answer once complete."""
+        excluded = []
+        error = last_answer = None
+        unsent = 0
+        self._retries.note_request(admitted.service, self._now())
+        while admitted.sends < max(1, admitted.route.attempts):
+            if admitted.may_have_run and not self._may_retry(admitted):
+                break
+            try:
+                status, headers, answer = await self._attempt(admitted, excluded)
+            except UpstreamFailed as failure:
+                error = failure
+                unsent += not failure.sent
+                if unsent > UNSENT_RETRIES:
+                    break
+                if failure.sent and not admitted.route.repeatable:
+                    break
+                continue
+            except CallError as refusal:
+                if not admitted.may_have_run:
+                    raise
+                error = error or refusal
+                break
+            if answer is None:
+                continue
+            last_answer = status, headers, answer
+            if status < SERVER_ERROR or not admitted.route.repeatable:
+                break
+        if last_answer is None:
+            self._exchange.raise_failed(admitted, error)
+        await reply.send_complete(*last_answer)
+
+    def _may_retry(self, admitted):
+        return self._retries.may_retry(admitted.service, self._now())
+
+    async def _attempt(self, admitted, excluded):
+        """Send the request to one upstream.
+
+        Returns
+        -------
+        status : int
+            HTTP status.
+        headers : tuple of (bytes, bytes)
+            Headers to forward.
+        body : bytes or None
+            None if the upstream refused the request.
+        """
+        request = self._exchange.build_slot_request(admitted, excluded)
+        async with self._runtime.pools.lease(request) as upstream:
+            excluded.append(upstream.name)
+            dispatch = self._exchange.build_dispatch(admitted, upstream)
+            admitted.sends += 1
+            try:
+                async with self._sender.send(dispatch) as answer:
+                    self._exchange.record_answer(admitted, upstream, answer)
+                    if answer.refused:
+                        self._runtime.pools.report(upstream, ok=True)
+                        return answer.status, (), None
+                    data = await self._exchange.read_body(admitted, answer, upstream)
+            except UpstreamFailed as error:
+                self._exchange.record_failure(admitted, upstream, error)
+                raise
+            admitted.may_have_run = True
+            check_answer(answer)
+            self._exchange.record_success(
+                admitted, upstream, ok=answer.status < SERVER_ERROR
+            )
+            return answer.status, answer.headers, data
+
+    def _now(self):
+        return self._runtime.clock.monotonic()
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -7,8 +7,9 @@
 import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exchange.answers import check_answer
 from sapphireyard.exchange.events import EventReader
-from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES, check_answer
+from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
 from sapphireyard.history.client import ChainText
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -159,7 +159,7 @@
         ]
         for path, script, status, sends in cases:
             with self.subTest(path=path, script=script):
-                self.exchange._retries = RetryBudget(ratio=1.0)
+                self.exchange._plain._retries = RetryBudget(ratio=1.0)
                 self.sender.script = list(script)
                 self.sender.sent.clear()
                 self.reply = RecordingReply()
