Send nothing to upstreams of an evacuated failure domain

Operators empty a failure domain by an entry in the platform's store. Nothing read those entries, so requests went on to its upstreams until they were cut off.

Each active entry host follows the entries like the list of upstreams, and repeats the newest view, by the store's revision, in its heartbeats. Upstreams of such a domain are down for placement, and relays refuse them. A service without any other upstream is refused at once.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -14,6 +14,7 @@
 import mode
 
 from sapphireyard.exceptions import CallError
+from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
@@ -47,6 +48,9 @@
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 """A caller that waits longer than this for a slot has no time left."""
+UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
+"""Why requests are refused, and their Retry-After: upstreams are probed again."""
+EVACUATED = "operators have evacuated all upstreams", MAX_RETRY_SECONDS
 
 
 @dataclass
@@ -66,7 +70,7 @@
         self.upstreams = {}
         self.limited = set()
         self.grants_at = math.inf
-        self.unreachable = False
+        self.refusal = None
 
 
 class UpstreamPools(mode.Service):
@@ -87,6 +91,8 @@
         Rates that upstreams have stated.
     links : Links
         Upstreams to which this host can open connections.
+    evacuations : Evacuations
+        Failure domains whose upstreams get no requests.
     """
 
     def __init__(self, runtime):
@@ -103,6 +109,7 @@
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
+        self.evacuations = Evacuations(on_change=self._apply_all_states)
 
     @property
     def running(self):
@@ -163,8 +170,8 @@
                 f"service {request.pool!r} has no upstream",
                 retry_after=NO_UPSTREAM_RETRY_SECONDS,
             )
-        if pool.unreachable:
-            raise _build_unreachable_error(request.pool)
+        if pool.refusal:
+            raise _build_refusal(request.pool, *pool.refusal)
         self._update_grants(pool)
         self._check_rates(pool, request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
@@ -303,7 +310,11 @@
         """Raise `CallError` if stated rates leave no upstream for a request in time."""
         if not pool.limited:
             return
-        staying = [u for u in pool.upstreams.values() if not u.leaving]
+        staying = [
+            upstream
+            for upstream in pool.upstreams.values()
+            if not upstream.leaving and not self.evacuations.covers(upstream)
+        ]
         upstreams = [u for u in staying if u.name not in request.excluded] or staying
         if any(upstream.name not in pool.limited for upstream in upstreams):
             return
@@ -364,12 +375,22 @@
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
         self._apply_states(service, now)
 
+    def _apply_all_states(self):
+        for service in self._pools:
+            self._apply_states(service, self._now())
+
     def _apply_states(self, service, now):
         pool = self._pools[service]
         staying = [name for name, u in pool.upstreams.items() if not u.leaving]
-        usable = self._list_usable(service, staying, now)
-        pool.unreachable = bool(staying) and not usable
-        if pool.unreachable:
+        allowed = [
+            name
+            for name in staying
+            if not self.evacuations.covers(pool.upstreams[name])
+        ]
+        usable = self._list_usable(service, allowed, now)
+        pool.refusal = None
+        if staying and not usable:
+            pool.refusal = UNREACHABLE if allowed else EVACUATED
             self._refuse_waiting(service, pool, now)
         for name, upstream in pool.upstreams.items():
             state = UpstreamState.UP
@@ -402,11 +423,11 @@
         return reached.intersection(healthy) or reached
 
     def _refuse_waiting(self, service, pool, now):
-        """Refuse the requests that wait for a service that no host reaches."""
+        """Refuse the requests that wait for a service without a usable upstream."""
         for request_id, waiter in list(self._waiting.items()):
             if waiter.request.pool != service or waiter.future.done():
                 continue
-            waiter.future.set_exception(_build_unreachable_error(service))
+            waiter.future.set_exception(_build_refusal(service, *pool.refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
     def _drop_silent(self, now):
@@ -472,13 +493,6 @@
         return self._runtime.clock.monotonic()
 
 
-def _build_unreachable_error(service):
-    """Return the `CallError` for a service that no host reaches.
-
-    It is tried again with the next probes.
-    """
-    return CallError(
-        "overloaded",
-        f"no host reaches an upstream of {service!r}",
-        retry_after=PROBE_SECONDS,
-    )
+def _build_refusal(service, reason, retry_after):
+    """Return the `CallError` for a service without a usable upstream."""
+    return CallError("overloaded", f"{reason} of {service!r}", retry_after=retry_after)
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -220,6 +220,8 @@
             return "upstream is not listed here"
         if self._runtime.pools.is_leaving(upstream):
             return "upstream is leaving"
+        if self._runtime.pools.evacuations.covers(upstream):
+            return "failure domain is evacuated"
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
         return ""
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -171,3 +171,11 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    evacuated: list[str] = field(default_factory=list)
+    """
+    Failure domains whose upstreams are to get no requests.
+    """
+    evacuated_revision: int = 0
+    """
+    Revision of the store at which that was read; 0 for never.
+    """
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -191,6 +191,16 @@
         self.assertFalse(caught.exception.sent)
         self.assertEqual(self.list_sent(), [])
 
+    async def test_evacuated_upstream_gets_nothing_through_a_relay(self):
+        """The host that asks has not heard of the evacuation."""
+        self.fleet["a"].link.state = "refused"
+        for host in ("b", "c"):
+            self.fleet[host].pools.evacuations.apply([UPSTREAM.failure_domain], 1)
+        with self.assertRaises(UpstreamFailed) as caught:
+            await self.send()
+        self.assertFalse(caught.exception.sent)
+        self.assertEqual(self.list_sent(), [])
+
     async def test_body_larger_than_a_frame_is_not_relayed(self):
         self.fleet["a"].link.state = "refused"
         with self.assertRaises(UpstreamFailed) as caught:
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -9,7 +9,8 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable
-from sapphireyard.fleet.generated_fleet import HostProfile
+from sapphireyard.fleet.generated_fleet import Heartbeat, HostProfile
+from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.runtime import Runtime
 from sapphireyard.streams.frames import MessageCodec
 from tests.platform_site import ROOT, build_configuration
@@ -249,6 +250,24 @@
 
         self.run_process(test)
 
+    def test_host_that_the_store_does_not_answer_hears_of_an_evacuation(self):
+        async def test():
+            self.store.silent = True
+            heartbeat = Heartbeat(
+                "b", 1, 1, "-", ENTRY, "x", evacuated=["y"], evacuated_revision=7
+            )
+            now = asyncio.get_running_loop().time()
+            gossip = self.process._runtime.gossip
+            member = gossip.membership.record_heartbeat(heartbeat, now)
+            with mock.patch.object(type(gossip), "answered_since"):
+                self.process._handle_heartbeat(member, now)
+            self.assertEqual(self.process._runtime.pools.evacuations.domains, {"y"})
+            described = self.process._describe(now, full=False)
+            self.assertEqual(described["evacuated"], ["y"])
+            self.assertEqual(described["evacuated_revision"], 7)
+
+        self.run_process(test)
+
     def test_request_is_not_held_while_the_store_is_known_to_be_down(self):
         async def test():
             self.store.silent = True
