--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -16,6 +16,7 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.loads import FleetLoads
 from sapphireyard.exchange.placements import record_placement
+from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
@@ -27,6 +28,7 @@
     SchedulerOptions,
     SlotRequest,
 )
+from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
@@ -50,6 +52,9 @@
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 """A caller that waits longer than this for a slot has no time left."""
+UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
+"""Why requests are refused, and their Retry-After: upstreams are probed again."""
+EVACUATED = "operators have evacuated all upstreams", MAX_RETRY_SECONDS
 
 
 @dataclass
@@ -71,7 +76,7 @@
         self.upstreams = {}
         self.limited = set()
         self.grants_at = math.inf
-        self.unreachable = False
+        self.refusal = None
 
 
 class UpstreamPools(mode.Service):
@@ -94,6 +99,10 @@
         Upstreams to which this host can open connections.
     parts : KeptParts
         Parts of prompts that engines keep.
+    evidence : FleetEvidence
+        Results of upstreams at all hosts.
+    evacuations : Evacuations
+        Failure domains whose upstreams get no requests.
     """
 
     def __init__(self, runtime):
@@ -109,6 +118,8 @@
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
         self.parts = KeptParts()
+        self.evidence = FleetEvidence(runtime.gossip.membership.failure_domain)
+        self.evacuations = Evacuations(on_change=self._apply_all_states)
 
     @property
     def running(self):
@@ -171,17 +182,7 @@
         CallError
             ``overloaded``: no slot in time. Nothing was sent.
         """
-        pool = self._pools.get(request.pool)
-        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
-            raise CallError(
-                "overloaded",
-                f"service {request.pool!r} has no upstream",
-                retry_after=NO_UPSTREAM_RETRY_SECONDS,
-            )
-        if pool.unreachable:
-            raise _build_unreachable_error(request.pool)
-        self._update_grants(pool)
-        self._check_rates(pool, request)
+        pool = self._find_usable(request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
         now = self._now()
@@ -207,6 +208,31 @@
             )
             self._execute(actions)
 
+    def preview(self, request):
+        """Return the `Preview` of a request.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``, as by `lease`.
+        """
+        return self._find_usable(request).scheduler.preview(request, self._now())
+
+    def _find_usable(self, request):
+        """Return the pool of a request; raise `CallError` if it can't be served."""
+        pool = self._pools.get(request.pool)
+        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
+            raise CallError(
+                "overloaded",
+                f"service {request.pool!r} has no upstream",
+                retry_after=NO_UPSTREAM_RETRY_SECONDS,
+            )
+        if pool.refusal:
+            raise _build_refusal(request.pool, *pool.refusal)
+        self._update_grants(pool)
+        self._check_rates(pool, request)
+        return pool
+
     def find(self, name):
         """Return the listed `Upstream` called `name`, or None."""
         pool = self._find_pool(name)
@@ -253,10 +279,25 @@
         now = self._now()
         if not ok and not self.links.is_up(upstream.name):
             return
+        if ok and self._outliers.is_restored_by(upstream.name):
+            self.evidence.note_restored(upstream.name, now)
         self._outliers.report(upstream.name, ok=ok, now=now)
+        self.evidence.report(upstream.name, ok=ok, now=now)
         if not ok:
             self._apply_states(upstream.service, now)
 
+    def report_doubtful(self, name):
+        """Record a failure that need not be the upstream's: silence or an error.
+
+        It is left out only if it fails far more than its peers.
+        """
+        if self.links.is_up(name):
+            self.evidence.report(name, ok=False, now=self._now())
+
+    def list_probed(self):
+        """Return the upstreams whose next request is a probe after failures."""
+        return self._outliers.list_probed(self._now())
+
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
@@ -265,6 +306,12 @@
                 heartbeat.host, heartbeat.running, heartbeat.reserved
             )
             self._report_changed(changed, now)
+            self.evidence.merge(
+                heartbeat.host,
+                heartbeat.failure_domain,
+                heartbeat.upstream_results,
+                now,
+            )
 
     @mode.Service.task
     async def _watch(self):
@@ -324,7 +371,11 @@
         """Raise `CallError` if stated rates leave no upstream for a request in time."""
         if not pool.limited:
             return
-        staying = [u for u in pool.upstreams.values() if not u.leaving]
+        staying = [
+            upstream
+            for upstream in pool.upstreams.values()
+            if not upstream.leaving and not self.evacuations.covers(upstream)
+        ]
         upstreams = [u for u in staying if u.name not in request.excluded] or staying
         if any(upstream.name not in pool.limited for upstream in upstreams):
             return
@@ -385,12 +436,25 @@
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
         self._apply_states(service, now)
 
+    def _apply_all_states(self):
+        for service in self._pools:
+            self._apply_states(service, self._now())
+
     def _apply_states(self, service, now):
         pool = self._pools[service]
         staying = [name for name, u in pool.upstreams.items() if not u.leaving]
-        usable = self._list_usable(service, staying, now)
-        pool.unreachable = bool(staying) and not usable
-        if pool.unreachable:
+        for name in self.evidence.find_outliers(staying, now):
+            if self._outliers.eject(name, now):
+                self._log_upstream(pool.upstreams[name], "ejected", source="fleet")
+        allowed = [
+            name
+            for name in staying
+            if not self.evacuations.covers(pool.upstreams[name])
+        ]
+        usable = self._list_usable(service, allowed, now)
+        pool.refusal = None
+        if staying and not usable:
+            pool.refusal = UNREACHABLE if allowed else EVACUATED
             self._refuse_waiting(service, pool, now)
         for name, upstream in pool.upstreams.items():
             state = UpstreamState.UP
@@ -423,11 +487,11 @@
         return reached.intersection(healthy) or reached
 
     def _refuse_waiting(self, service, pool, now):
-        """Refuse the requests that wait for a service that no host reaches."""
+        """Refuse the requests that wait for a service without a usable upstream."""
         for request_id, waiter in list(self._waiting.items()):
             if waiter.request.pool != service or waiter.future.done():
                 continue
-            waiter.future.set_exception(_build_unreachable_error(service))
+            waiter.future.set_exception(_build_refusal(service, *pool.refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
     def _drop_silent(self, now):
@@ -484,13 +548,6 @@
         return self._runtime.clock.monotonic()
 
 
-def _build_unreachable_error(service):
-    """Return the `CallError` for a service that no host reaches.
-
-    It is tried again with the next probes.
-    """
-    return CallError(
-        "overloaded",
-        f"no host reaches an upstream of {service!r}",
-        retry_after=PROBE_SECONDS,
-    )
+def _build_refusal(service, reason, retry_after):
+    """Return the `CallError` for a service without a usable upstream."""
+    return CallError("overloaded", f"{reason} of {service!r}", retry_after=retry_after)
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -175,6 +175,18 @@
     """
     Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
     """
+    upstream_results: dict[str, list[float]] = field(default_factory=dict)
+    """
+    Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
+    """
+    evacuated: list[str] = field(default_factory=list)
+    """
+    Failure domains whose upstreams are to get no requests.
+    """
+    evacuated_revision: int = 0
+    """
+    Revision of the store at which that was read; 0 for never.
+    """
     reserved: dict[str, int] = field(default_factory=dict)
     """
     Tokens of memory that the host's requests in flight need on each upstream.
