Weigh kept parts against the pace of engines

The choice among engines that keep a prompt compared loads only: a slow engine that keeps a shared part would have got requests that a fast one ends sooner, as reading 500 tokens is a small part of a request. choose_keeper now takes the pace of each engine. Until paces are learned all are 1, and the choice is as before.

tests.test_parts covers four pairs of paces. Not measured.

--- a/sapphireyard/scheduling/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -70,30 +70,39 @@
         kept = self._parts.find(request.prompt_parts).get(name, 0)
         return max(prefix, min(kept, prompt))
 
-    def choose_keeper(self, request, loads):
-        """Return the upstream that reads a request's prompt soonest.
+    def choose_keeper(self, request, candidates):
+        """Return the upstream that ends a request soonest, by what it keeps.
 
-        One more request on an upstream, whose prompt is read between the tokens of all
-        others, counts as much as the mean prompt that is read. So upstreams that keep
-        a part get more requests than others only as far as that saves time, and a part
-        that many requests share is kept by as many upstreams as these need.
+        The request is read and answered at the upstream's pace. Each request that runs
+        there counts as much as the mean prompt that is read: its successor's prompt is
+        read between the tokens of all others. So upstreams that keep a part get more
+        requests than others only as far as that saves time, and a part that many
+        requests share is kept by as many upstreams as these need.
 
         Parameters
         ----------
         request : SlotRequest
             A request whose parts are known.
-        loads : dict of str to float
-            Requests on each upstream that has room for it, in the order of preference.
+        candidates : dict of UpstreamLimits to (float, float)
+            Requests that run, and time that a request takes relative to the expected
+            time, of each upstream that has room for it, in the order of preference.
 
         Returns
         -------
         str
-            One of `loads`; the first one if none keeps enough of the prompt.
+            Name of the upstream; the first one if none keeps enough of the prompt.
         """
         kept = self._parts.find(request.prompt_parts)
-        return min(
-            loads, key=lambda name: loads[name] * self._mean_read - kept.get(name, 0)
-        )
+        prompt = request.prefix_tokens + request.new_tokens
+
+        def cost(limits):
+            running, pace = candidates[limits]
+            step_tokens = limits.prefill_rate * limits.decode_seconds
+            tokens = max(0, prompt - kept.get(limits.name, 0))
+            tokens += request.output_tokens * step_tokens
+            return pace * tokens + running * self._mean_read
+
+        return min(candidates, key=cost).name
 
     def note_sent(self, name, request, now):
         """Record that a request is sent to an upstream, which reads its prompt."""
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -135,14 +135,14 @@
         if waiting.affinity != ANY or not waiting.request.prompt_parts:
             return choice
         aged = self._is_aged(waiting, now)
-        loads = {
-            slots.limits.name: slots.fill * slots.limits.batch_size
+        candidates = {
+            slots.limits: (len(slots.running) + slots.foreign_running, 1.0)
             for slots in free
             if self._is_allowed(waiting, slots)
             and self._may_start(waiting, slots, aged, now)
             and slots.fits(waiting.request.total_tokens)
         }
-        name = self._placement.choose_keeper(waiting.request, loads)
+        name = self._placement.choose_keeper(waiting.request, candidates)
         if name == choice.upstream:
             return choice
         return Choice(waiting, name, REASON_KEPT)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -10,6 +10,7 @@
     REPORT_SECONDS,
     KeptParts,
 )
+from sapphireyard.scheduling.placement import Placement
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     REASON_KEPT,
@@ -233,6 +234,34 @@
         self.parts.note_sent("b", CHAIN, 0.0)
         self.assertEqual(self.submit(()).reason, REASON_LEAST_LOADED)
 
+    def test_slow_engine_gets_a_request_only_if_what_it_keeps_outweighs_its_pace(self):
+        """Cases are paces of a, which keeps the prompt, and b, and the one chosen."""
+        cases = [
+            (1.0, 1.0, "a"),
+            (1.02, 1.0, "a"),
+            (1.5, 1.0, "b"),
+            (0.7, 1.0, "a"),
+        ]
+        limits = {name: self.limits(name) for name in ("a", "b")}
+        request = SlotRequest(
+            "p",
+            "p",
+            "c",
+            "engine",
+            new_tokens=1400,
+            output_tokens=75,
+            prompt_parts=CHAIN,
+        )
+        for pace_a, pace_b, expected in cases:
+            with self.subTest(pace_a=pace_a, pace_b=pace_b):
+                placement = Placement()
+                for each in limits.values():
+                    placement.add(each)
+                placement.note_sent("a", request, 0.0)
+                candidates = {limits["b"]: (0, pace_b), limits["a"]: (0, pace_a)}
+                chosen = placement.choose_keeper(request, candidates)
+                self.assertEqual(chosen, expected)
+
 
 if __name__ == "__main__":
     unittest.main()
