Compare only engines that keep a prompt, and fewer parts

Cause: with 5,200 engines the choice compared all of them: 37 ms a request in a measurement of the decision alone. It now compares the least loaded engine with those that keep the prompt (1.9 ms, mostly the list of candidates in the measurement; 0.1 ms with 22 engines). A part takes some 1,000 bytes rather than 500, so 5,000 are known rather than 10,000.

--- a/sapphireyard/scheduling/parts.py
+++ b/sapphireyard/scheduling/parts.py
@@ -11,8 +11,8 @@
 
 from sapphireyard._hashing import hash_text
 
-MAX_KEPT_PARTS = 10_000
-"""Parts known over all engines, some 500 bytes each."""
+MAX_KEPT_PARTS = 5_000
+"""Parts known over all engines, some 1,000 bytes each."""
 MAX_REPORTED_PARTS = 64
 """Parts in one report, some 8 bytes each."""
 REPORT_SECONDS = 0.9
--- a/sapphireyard/scheduling/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -85,7 +85,7 @@
             A request whose parts are known.
         candidates : dict of UpstreamLimits to (float, float)
             Requests that run, and time that a request takes relative to the expected
-            time, of each upstream that has room for it, in the order of preference.
+            time, of upstreams that have room for it, in the order of preference.
 
         Returns
         -------
@@ -113,11 +113,11 @@
         self._mean_read += READ_SMOOTHING * (read - self._mean_read)
         self._parts.note_sent(name, request.prompt_parts, now)
 
-    def longest(self, names, request):
-        """Return the most prompt tokens of a request that one of `names` keeps."""
-        kept = self._parts.find(request.prompt_parts)
-        most = max((kept.get(name, 0) for name in names), default=0)
-        return min(most, request.prefix_tokens + request.new_tokens)
+    def find_keepers(self, request):
+        """Return the prompt tokens of a request that each upstream keeps, by name."""
+        if not request.prompt_parts:
+            return {}
+        return self._parts.find(request.prompt_parts)
 
     def move_seconds(self, request, limits, source):
         """Return the seconds to prefill again what a move from `source` loses."""
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -390,7 +390,8 @@
         self._dequeue(choice.waiting)
         cached = self._placement.cached(choice.upstream, request)
         among = tuple(n for n, s in self._slots.items() if s.is_up)
-        kept = max(cached, self._placement.longest(among, request))
+        keepers = self._placement.find_keepers(request)
+        kept = [tokens for name, tokens in keepers.items() if name in among]
         self._start(request, choice.upstream, self._cost(request, cached), now)
         self._placement.note_sent(choice.upstream, request, now)
         actions = [
@@ -401,7 +402,7 @@
                 among=among,
                 cached_tokens=cached,
                 waited=now - choice.waiting.submitted,
-                kept_tokens=kept,
+                kept_tokens=max([cached, *kept]),
             )
         ]
         if choice.reason == REASON_MOVED:
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -135,10 +135,12 @@
         if waiting.affinity != ANY or not waiting.request.prompt_parts:
             return choice
         aged = self._is_aged(waiting, now)
+        names = {choice.upstream, *self._placement.find_keepers(waiting.request)}
         candidates = {
             slots.limits: (len(slots.running) + slots.foreign_running, 1.0)
             for slots in free
-            if self._is_allowed(waiting, slots)
+            if slots.limits.name in names
+            and self._is_allowed(waiting, slots)
             and self._may_start(waiting, slots, aged, now)
             and slots.fits(waiting.request.total_tokens)
         }
