Try another upstream while a repeatable request has time left

A repeatable request at an upstream that accepted it and stayed silent waited until its deadline: the caller got 504 though other upstreams were idle. After two fifths of the time left it is now sent to another one, within the route's attempts and the retry budget. The silence counts as a failure next to the upstream's peers.

test_silent_upstreams failed on the code before (504 instead of 200).

--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -138,6 +138,10 @@
         self.crashed = crashed
 
 
+class UpstreamLate(UpstreamFailed):
+    """An upstream did not begin to answer while another one could be tried."""
+
+
 class CallError(SapphireyardError):
     """An error answer to a caller.
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -7,7 +7,12 @@
 from collections import Counter
 
 from sapphireyard.answers import CLOSED, BodyEnd
-from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exceptions import (
+    EXECUTED_UNKNOWN,
+    CallError,
+    UpstreamFailed,
+    UpstreamLate,
+)
 from sapphireyard.exchange.answers import NOT_RUN_STATUSES
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.plain import PlainService
@@ -293,6 +298,9 @@
         """Record how an upstream failed a request."""
         admitted.sends -= not error.sent
         admitted.may_have_run |= error.sent
+        if isinstance(error, UpstreamLate):
+            self._runtime.pools.report_doubtful(upstream.name)
+            return
         self._runtime.pools.report(upstream, ok=False)
         if error.crashed:
             start_task(self._record_crash(admitted, upstream), name="crash")
--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -1,6 +1,9 @@
 """Requests to plain services, whose answers are forwarded once they are complete."""
 
-from sapphireyard.exceptions import CallError, UpstreamFailed
+import asyncio
+from contextlib import asynccontextmanager
+
+from sapphireyard.exceptions import CallError, UpstreamFailed, UpstreamLate
 from sapphireyard.exchange.answers import SERVER_ERROR, check_answer
 from sapphireyard.upstreams.retries import RetryBudget
 
@@ -9,6 +12,9 @@
 RETRY_RATIO = 0.5
 """Retries of requests that may have run, by requests: they never double a load."""
 MIN_RETRIES_PER_SECOND = 1.0
+FIRST_TRY_SHARE = 0.4
+"""Share of the time left after which a repeatable request without any part of an answer
+is sent to another upstream. Sound upstreams take a tenth of it."""
 
 
 class PlainService:
@@ -35,14 +41,18 @@
         excluded = []
         error = last_answer = None
         unsent = 0
+        granted = False
         self._retries.note_request(admitted.service, self._now())
         while admitted.sends < max(1, admitted.route.attempts):
-            if admitted.may_have_run and not self._may_retry(admitted):
+            is_retry = admitted.may_have_run and not granted
+            if is_retry and not self._may_retry(admitted):
                 break
+            granted = False
             try:
                 status, headers, answer = await self._attempt(admitted, excluded)
             except UpstreamFailed as failure:
                 error = failure
+                granted = isinstance(failure, UpstreamLate)
                 unsent += not failure.sent
                 if unsent > UNSENT_RETRIES:
                     break
@@ -63,6 +73,35 @@
             self._exchange.raise_failed(admitted, error)
         await reply.send_complete(*last_answer)
 
+    @asynccontextmanager
+    async def _limit_try(self, admitted):
+        """Raise `UpstreamLate` if an upstream is silent and another one may be tried.
+
+        The retry is taken from the budget at that moment: without one, the upstream
+        has the rest of the time.
+        """
+        route = admitted.route
+        if not route.repeatable or admitted.sends >= route.attempts:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        seconds = (admitted.deadline - self._now()) * FIRST_TRY_SHARE
+        try:
+            async with asyncio.timeout(None) as limit:
+                timer = loop.call_later(seconds, self._end_try, admitted, limit)
+                try:
+                    yield
+                finally:
+                    timer.cancel()
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise UpstreamLate(f"silent for {seconds:.2f} s") from error
+
+    def _end_try(self, admitted, limit):
+        if admitted.is_unanswered and self._may_retry(admitted):
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def _may_retry(self, admitted):
         return self._retries.may_retry(admitted.service, self._now())
 
@@ -84,12 +123,15 @@
             dispatch = self._exchange.build_dispatch(admitted, upstream)
             admitted.sends += 1
             try:
-                async with self._sender.send(dispatch) as answer:
-                    self._exchange.record_answer(admitted, upstream, answer)
-                    if answer.refused:
-                        self._runtime.pools.report(upstream, ok=True)
-                        return answer.status, (), None
-                    data = await self._exchange.read_body(admitted, answer, upstream)
+                async with self._limit_try(admitted):
+                    async with self._sender.send(dispatch) as answer:
+                        self._exchange.record_answer(admitted, upstream, answer)
+                        if answer.refused:
+                            self._runtime.pools.report(upstream, ok=True)
+                            return answer.status, (), None
+                        data = await self._exchange.read_body(
+                            admitted, answer, upstream
+                        )
             except UpstreamFailed as error:
                 self._exchange.record_failure(admitted, upstream, error)
                 raise
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -36,6 +36,7 @@
 
 EVENTS = [b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n"]
 WAIT_SECONDS = 5.0
+SLOW_SECONDS = 0.35
 
 
 def build_table(**quota):
@@ -80,7 +81,7 @@
     Steps of a script are ``complete``, which is the default, ``unreachable`` (no
     connection), ``lost`` (the connection breaks without an answer), ``hang`` (no
     answer), ``full`` (refused before a run), ``busy`` (status 503 after a run),
-    ``error`` (status 500),
+    ``error`` (status 500), ``slow`` (complete after `SLOW_SECONDS`),
     ``unsigned`` (no signature) and ``cut`` (the body breaks off).
     """
 
@@ -99,6 +100,8 @@
             raise UpstreamFailed("no answer", crashed=True)
         if step == "hang":
             await asyncio.Event().wait()
+        if step == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
         if step == "full":
             yield UpstreamAnswer(503, refused=True, chunks=self.stream_parts([]))
             return
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -166,6 +166,34 @@
                 self.assertEqual(await self.serve(path), status)
                 self.assertEqual(len(self.sender.sent), sends)
 
+    async def test_silent_upstreams(self):
+        """A repeatable request is sent to another upstream while there is time.
+
+        Cases are the path, the script, the status for the caller, and the sends.
+        """
+        cases = [
+            ("/view/1", ["hang"], 200, 2),
+            ("/view/1", ["hang", "hang"], 504, 2),
+            ("/view/1", ["error", "hang"], 504, 2),
+            ("/book/1", ["hang"], 504, 1),
+        ]
+        for path, script, status, sends in cases:
+            with self.subTest(path=path, script=script):
+                self.exchange._plain._retries = RetryBudget(ratio=1.0)
+                self.sender.script = list(script)
+                self.sender.sent.clear()
+                self.reply = RecordingReply()
+                self.assertEqual(await self.serve(path, timeout=0.5), status)
+                self.assertEqual(len(self.sender.sent), sends)
+
+    async def test_silent_upstream_keeps_a_request_without_a_retry(self):
+        """If the budget allows no other try, the first one has all the time."""
+        self.exchange._plain._retries = RetryBudget(ratio=0.0, floor=0.0)
+        self.exchange._plain._retries.may_retry("plain", 0.0)
+        self.sender.script = ["slow"]
+        self.assertEqual(await self.serve("/view/1", timeout=0.5), 200)
+        self.assertEqual(len(self.sender.sent), 1)
+
     async def test_retries_do_not_double_a_load(self):
         """While all upstreams fail, half as many retries are sent as requests."""
         self.sender.script = ["error"] * 1000
