--- a/tests/answer_case.py
+++ b/tests/answer_case.py
@@ -67,6 +67,7 @@
 
     async def answer(self, *steps, path="/chat/1", **fields):
         """Serve a request that gets these steps as answer; return its log line."""
+        self.runtime.configuration.confirm(self.runtime.clock.monotonic())
         self.upstream.steps = steps
         self.reply = RecordingReply()
         self.runtime.history.log = self.reply.log
