Count silent upstreams as failing before deadlines

A request that may not be repeated, and a turn, told of a silent upstream only at its deadline, which is 4 s for turns: in that time many others were sent there. The upstream counts as failing, next to its peers, after two fifths of the time left, 0.2 s at least; the request goes on. Waiting for a reservation to become durable does not count.

--- a/sapphireyard/exchange/answers.py
+++ b/sapphireyard/exchange/answers.py
@@ -1,4 +1,4 @@
-"""What the status of an upstream's answer means."""
+"""What the status of an upstream's answer means, or that there is none."""
 
 from sapphireyard.exceptions import UpstreamFailed
 
@@ -6,6 +6,15 @@
 """Statuses that assure callers that a request has not run and never will."""
 SERVER_ERROR = 500
 """Lowest status that tells of an error of the upstream."""
+SILENT_SHARE = 0.4
+"""Share of the time left after which an upstream without any part of an answer is
+silent. Sound ones take a tenth of it."""
+MIN_SILENT_SECONDS = 0.2
+
+
+def find_silent_seconds(seconds_left):
+    """Return the seconds after which an upstream counts as silent."""
+    return max(MIN_SILENT_SECONDS, seconds_left * SILENT_SHARE)
 
 
 def check_answer(answer):
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -6,14 +6,14 @@
 import secrets
 from collections import Counter
 
-from sapphireyard.answers import CLOSED, BodyEnd
+from sapphireyard.answers import CLOSED
 from sapphireyard.exceptions import (
     EXECUTED_UNKNOWN,
     CallError,
     UpstreamFailed,
     UpstreamLate,
 )
-from sapphireyard.exchange.answers import NOT_RUN_STATUSES
+from sapphireyard.exchange.answers import NOT_RUN_STATUSES, find_silent_seconds
 from sapphireyard.exchange.calls import Dispatch
 from sapphireyard.exchange.plain import PlainService
 from sapphireyard.exchange.requests import AdmittedRequest
@@ -131,8 +131,6 @@
                     "overloaded",
                     f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
                 ) from error
-            if admitted.is_unanswered:
-                self._runtime.pools.report_doubtful(admitted.upstream)
             raise CallError(
                 "deadline_exceeded",
                 f"no answer from {admitted.upstream} in time",
@@ -254,8 +252,27 @@
             executed=EXECUTED_UNKNOWN,
         )
 
+    def watch_silence(self, admitted):
+        """Count the upstream chosen last as failing if it is silent, before a deadline.
+
+        The request goes on: it may not be repeated, or has no other try.
+
+        Returns
+        -------
+        asyncio.TimerHandle
+            To be cancelled when the request has ended.
+        """
+        seconds = find_silent_seconds(admitted.deadline - self._now())
+        loop = asyncio.get_running_loop()
+        return loop.call_later(seconds, self._note_silent, admitted)
+
+    def _note_silent(self, admitted):
+        if not admitted.answered:
+            self._runtime.pools.report_doubtful(admitted.upstream)
+
     def record_answer(self, admitted, upstream, answer):
         """Record the head of an upstream's answer."""
+        admitted.answered = not admitted.route.streaming or answer.status != 200
         admitted.end = answer.end
         admitted.relay = answer.relay
         if answer.leaving:
@@ -368,7 +385,7 @@
         """
         self._check_crashes(admitted)
         admitted.upstream = upstream.name
-        admitted.end = BodyEnd()
+        admitted.answered = False
         admitted.sent_at = self._now()
         admitted.mark("slot", admitted.sent_at)
         timeout = admitted.deadline - admitted.sent_at
--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -4,7 +4,11 @@
 from contextlib import asynccontextmanager
 
 from sapphireyard.exceptions import CallError, UpstreamFailed, UpstreamLate
-from sapphireyard.exchange.answers import SERVER_ERROR, check_answer
+from sapphireyard.exchange.answers import (
+    SERVER_ERROR,
+    check_answer,
+    find_silent_seconds,
+)
 from sapphireyard.upstreams.retries import RetryBudget
 
 UNSENT_RETRIES = 3
@@ -12,9 +16,6 @@
 RETRY_RATIO = 0.5
 """Retries of requests that may have run, by requests: they never double a load."""
 MIN_RETRIES_PER_SECOND = 1.0
-FIRST_TRY_SHARE = 0.4
-"""Share of the time left after which a repeatable request without any part of an answer
-is sent to another upstream. Sound upstreams take a tenth of it."""
 
 
 class PlainService:
@@ -82,10 +83,14 @@
         """
         route = admitted.route
         if not route.repeatable or admitted.sends >= route.attempts:
-            yield
+            watch = self._exchange.watch_silence(admitted)
+            try:
+                yield
+            finally:
+                watch.cancel()
             return
         loop = asyncio.get_running_loop()
-        seconds = (admitted.deadline - self._now()) * FIRST_TRY_SHARE
+        seconds = find_silent_seconds(admitted.deadline - self._now())
         try:
             async with asyncio.timeout(None) as limit:
                 timer = loop.call_later(seconds, self._end_try, admitted, limit)
@@ -99,7 +104,7 @@
             raise UpstreamLate(f"silent for {seconds:.2f} s") from error
 
     def _end_try(self, admitted, limit):
-        if admitted.is_unanswered and self._may_retry(admitted):
+        if not admitted.answered and self._may_retry(admitted):
             limit.reschedule(asyncio.get_running_loop().time())
 
     def _may_retry(self, admitted):
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -33,6 +33,8 @@
         Upstream chosen last.
     relay : str
         Host through which the last answer came; empty for a connection of this host.
+    answered : bool
+        The upstream chosen last has begun to answer, with an event if it streams.
     may_have_run : bool
         An upstream may have run it, even if a later one refuses it.
     body : bytes
@@ -60,6 +62,7 @@
     sent_at: float = 0.0
     upstream: str = ""
     relay: str = ""
+    answered: bool = False
     may_have_run: bool = False
     body: bytes = b""
     end: BodyEnd = field(default_factory=BodyEnd)
@@ -88,13 +91,6 @@
             fields["trailing_bytes"] = self.reader.trailing_bytes
         return fields
 
-    @property
-    def is_unanswered(self):
-        """bool: Whether the upstream chosen last has sent no part of an answer."""
-        if self.reader is not None:
-            return not self.reader.total_bytes
-        return not self.end.framing
-
     @property
     def priority(self):
         """int: Priority of the request; 0 is the highest."""
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -152,6 +152,7 @@
                 admitted, upstream, prefix=chain.text
             )
             admitted.sends += 1
+            watch = self.exchange.watch_silence(admitted)
             try:
                 async with self._sender.send(dispatch) as answer:
                     self.exchange.record_answer(admitted, upstream, answer)
@@ -170,6 +171,8 @@
             except UpstreamFailed as error:
                 self.exchange.record_failure(admitted, upstream, error)
                 raise
+            finally:
+                watch.cancel()
             self.exchange.record_success(admitted, upstream)
         if admitted.route.retention is not None:
             admitted.mark("last", self._runtime.clock.monotonic())
@@ -183,6 +186,7 @@
         async for chunk in answer.chunks:
             if is_first:
                 is_first = False
+                admitted.answered = True
                 if synced is not None:
                     await synced
                 await reply.start(answer.status, answer.headers)
