--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -179,3 +179,11 @@
     """
     Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
     """
+    evacuated: list[str] = field(default_factory=list)
+    """
+    Failure domains whose upstreams are to get no requests.
+    """
+    evacuated_revision: int = 0
+    """
+    Revision of the store at which that was read; 0 for never.
+    """
