Let callers go that do not read while new requests are refused

A few callers that never read their answers could keep three quarters of a host's bytes for 30 s, and all new requests were refused meanwhile. test_platform_memory showed it once beside load: the host refused every turn for 20 s after 200 such callers.

While new requests are refused, callers that have read nothing for 4 s now go, those first that cost least, until there is room. test_callers_that_do_not_read_do_not_shut_out_others failed on the code before.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -31,6 +31,8 @@
 """Largest share of the bytes that one caller may leave unread."""
 STALLED_SECONDS = 30.0
 """Time without a byte read after which a caller counts as gone."""
+PRESSED_SECONDS = 4.0
+"""The same while new requests are refused: about as long as their callers wait."""
 RETRY_SECONDS = 1.0
 """Retry-After while there is no room; slow callers take about as long to read on."""
 
@@ -207,20 +209,25 @@
         """Return the holds of the callers to let go, those that cost least first.
 
         These are callers that have read nothing for long, that leave too much unread
-        each, and, if all bytes together exceed the limit, as many as make room. A
-        caller is not let go while it has nothing to read.
+        each, and, if all bytes together exceed the limit, as many as make room. While
+        new requests are refused, callers that have read nothing for some seconds go
+        until there is room for some. No caller goes while it has nothing to read.
         """
         waiting = [hold for hold in self.list_unread() if not hold.released]
-        waiting.sort(key=lambda hold: (hold.cost, hold.read_at, -hold.unread))
+        waiting.sort(
+            key=lambda each: (each.cost, each.read_at, -each.unread, each.label)
+        )
         chosen = [hold for hold in waiting if self._is_excessive(hold, now)]
         leaving = chosen + [hold for hold in self._holds if hold.released]
-        excess = self.total - self.limit - sum(hold.size for hold in leaving)
+        left = self.total - sum(hold.size for hold in leaving)
         for hold in waiting:
-            if excess <= 0:
-                break
-            if hold not in chosen:
+            if hold in chosen:
+                continue
+            is_stalled = now - hold.read_at > PRESSED_SECONDS
+            limit = self.limit * ADMISSION_SHARE if is_stalled else self.limit
+            if left > limit:
                 chosen.append(hold)
-                excess -= hold.size
+                left -= hold.size
         return chosen
 
     def relieve(self, now):
