Start with what the other hosts leave out

The results of an upstream vanish once no host sends anything there: a restarted host knew nothing of it and sent it requests. Hosts now name the upstreams that they leave out, and for how long; a host that has no results of its own follows a host of its failure domain, or hosts of two.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -291,6 +291,10 @@
         if self.links.is_up(name):
             self.evidence.report(name, ok=False, now=self._now())
 
+    def summarize_results(self, now):
+        """Return the results of upstreams for other hosts, as `FleetEvidence` does."""
+        return self.evidence.summarize(now, self._outliers.describe_ejected(now))
+
     def list_probed(self):
         """Return the upstreams whose next request is a probe after failures."""
         return self._outliers.list_probed(self._now())
@@ -440,6 +444,9 @@
         for name in self.evidence.find_outliers(staying, now):
             if self._outliers.eject(name, now):
                 self._log_upstream(pool.upstreams[name], "ejected", source="fleet")
+        for name, until in self.evidence.find_left_out(staying, now).items():
+            if self._outliers.eject(name, now, until=until):
+                self._log_upstream(pool.upstreams[name], "ejected", source="others")
         allowed = [
             name
             for name in staying
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -177,7 +177,7 @@
     """
     upstream_results: dict[str, list[float]] = field(default_factory=dict)
     """
-    Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
+    Recent results of upstreams that failed at any host: failures, all results, seconds since the last failure, and seconds for which the host still leaves the upstream out.
     """
     evacuated: list[str] = field(default_factory=list)
     """
--- a/sapphireyard/upstreams/evidence.py
+++ b/sapphireyard/upstreams/evidence.py
@@ -59,6 +59,7 @@
     results: int
     failed_at: float
     reported_at: float
+    ejected_until: float
 
 
 class FleetEvidence:
@@ -104,40 +105,48 @@
             Monotonic seconds.
         """
         for name, values in reports.items():
-            if len(values) != 3:
+            if len(values) != 4:
                 logger.warning("invalid results of %s from host %s", name, host)
                 continue
-            failures, results, age = values
+            failures, results, age, ejected_seconds = values
             failed_at = now - max(0.0, age)
             self._reports.setdefault(name, {})[host] = _Report(
-                domain, failures, results, failed_at, now
+                domain, failures, results, failed_at, now, now + ejected_seconds
             )
             if failures:
                 known = self._failed_at.get(name, failed_at)
                 self._failed_at[name] = max(known, failed_at)
 
-    def summarize(self, now):
+    def summarize(self, now, ejected=()):
         """Return this host's results of the upstreams that have failed anywhere.
 
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        ejected : dict of str to float, optional
+            Seconds for which this host still leaves out upstreams.
+
         Returns
         -------
         dict of str to list of float
-            Failures, all results, and seconds since the last failure, by upstream;
-            those with most failures first if there are too many.
+            Failures, all results, seconds since the last failure, and seconds for which
+            this host leaves it out, by upstream; those left out and those with most
+            failures first if there are too many.
         """
         self._forget(now)
-        counts = {
-            name: self._own[name].count(now)
-            for name in self._failed_at
-            if name in self._own
-        }
-        suspected = [name for name, (_, results, _) in counts.items() if results]
-        suspected.sort(key=lambda name: (-counts[name][0], -counts[name][1], name))
+        ejected = dict(ejected)
+        names = ejected.keys() | (self._failed_at.keys() & self._own.keys())
+        nothing = _Results()
+        counts = {name: self._own.get(name, nothing).count(now) for name in names}
+        names = [name for name in names if name in ejected or counts[name][1]]
+        names.sort(key=lambda n: (n not in ejected, -counts[n][0], -counts[n][1], n))
         summary = {}
-        for name in suspected[:MAX_REPORTED]:
+        for name in names[:MAX_REPORTED]:
             failures, results, failed_at = counts[name]
             age = round(now - failed_at, 2) if failures else WINDOW_SECONDS
-            summary[name] = [failures, results, age]
+            left = round(ejected.get(name, 0.0), 2)
+            summary[name] = [failures, results, age, left]
         return summary
 
     def find_outliers(self, upstreams, now):
@@ -167,6 +176,28 @@
             and failures >= results * max(FAILURE_SHARE, PEER_RATIO * usual)
         ]
 
+    def find_left_out(self, upstreams, now):
+        """Return until when other hosts leave out upstreams unknown to this one.
+
+        They count if a host of the same failure domain is among them, or hosts of two.
+
+        Returns
+        -------
+        dict of str to float
+            Monotonic seconds by upstream.
+        """
+        left_out = {}
+        for name in self._reports.keys() & set(upstreams) - self._own.keys():
+            reports = [
+                each
+                for each in self._reports[name].values()
+                if each.ejected_until > now and now - each.reported_at <= WINDOW_SECONDS
+            ]
+            domains = {each.domain for each in reports}
+            if self._domain in domains or len(domains) > 1:
+                left_out[name] = max(each.ejected_until for each in reports)
+        return left_out
+
     def _count(self, name, now):
         """Return the failures and results by which this host judges an upstream."""
         own = self._own.get(name)
--- a/sapphireyard/upstreams/outliers.py
+++ b/sapphireyard/upstreams/outliers.py
@@ -93,9 +93,18 @@
             self._note_failure(record, now)
         self._note_ejected(upstream, record)
 
-    def eject(self, upstream, now):
+    def eject(self, upstream, now, *, until=None):
         """Eject an upstream that others have found failing, unless it is ejected.
 
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream.
+        now : float
+            Monotonic seconds.
+        until : float, optional
+            End of the ejection; by default as after failures seen here.
+
         Returns
         -------
         bool
@@ -106,9 +115,16 @@
             return False
         record.last_result_at = now
         self._eject(record, now)
+        if until is not None:
+            record.ejected_until = min(until, now + MAX_EJECTION_SECONDS)
         self._note_ejected(upstream, record)
         return True
 
+    def describe_ejected(self, now):
+        """Return the seconds for which upstreams are still left out, by upstream."""
+        seconds = {n: self._records[n].ejected_until - now for n in self._ejected}
+        return {name: each for name, each in seconds.items() if each > 0}
+
     def is_restored_by(self, upstream):
         """Return whether a success restores an upstream, as it is ejected."""
         return upstream in self._ejected
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -32,9 +32,9 @@
             with self.subTest(name):
                 evidence = FleetEvidence("x")
                 for domain, (failures, results) in by_domain.items():
-                    reports = {POOL[0]: [failures, results, 0.1]}
+                    reports = {POOL[0]: [failures, results, 0.1, 0.0]}
                     for other in POOL[1:]:
-                        reports[other] = [*others, 0.1]
+                        reports[other] = [*others, 0.1, 0.0]
                     evidence.merge(f"host-{domain}", domain, reports, 0.0)
                 found = evidence.find_outliers(POOL, 0.1)
                 self.assertEqual(found, POOL[:1] if expected else [])
@@ -43,17 +43,17 @@
         evidence = FleetEvidence("x")
         for _ in range(3):
             evidence.report("up-0", ok=False, now=0.0)
-            evidence.merge("b", "x", {"up-1": [3, 3, 0.0]}, 0.0)
+            evidence.merge("b", "x", {"up-1": [3, 3, 0.0, 0.0]}, 0.0)
         self.assertEqual(evidence.find_outliers(POOL, 1.0), ["up-0", "up-1"])
         self.assertEqual(evidence.find_outliers(POOL, WINDOW_SECONDS + 1.0), [])
         self.assertEqual(evidence.summarize(WINDOW_SECONDS + 1.0), {})
 
     def test_an_upstream_in_use_again_is_judged_by_later_failures(self):
         evidence = FleetEvidence("x")
-        evidence.merge("b", "x", {"up-0": [3, 3, 0.0]}, 0.0)
+        evidence.merge("b", "x", {"up-0": [3, 3, 0.0, 0.0]}, 0.0)
         evidence.note_restored("up-0", 1.0)
         self.assertEqual(evidence.find_outliers(POOL, 1.0), [])
-        evidence.merge("b", "x", {"up-0": [4, 4, 0.1]}, 2.0)
+        evidence.merge("b", "x", {"up-0": [4, 4, 0.1, 0.0]}, 2.0)
         self.assertEqual(evidence.find_outliers(POOL, 2.0), ["up-0"])
 
     def test_summary_is_bounded_and_has_successes_of_suspected_ones(self):
@@ -63,15 +63,41 @@
                 evidence.report(f"up-{number}", ok=False, now=0.0)
         evidence.report("good", ok=True, now=0.0)
         evidence.report("suspect", ok=True, now=0.0)
-        evidence.merge("b", "y", {"suspect": [1, 1, 0.0]}, 0.0)
+        evidence.merge("b", "y", {"suspect": [1, 1, 0.0, 0.0]}, 0.0)
         summary = evidence.summarize(0.5)
         self.assertEqual(len(summary), MAX_REPORTED)
-        self.assertEqual(summary["up-47"], [47, 47, 0.5])
+        self.assertEqual(summary["up-47"], [47, 47, 0.5, 0.0])
         few = FleetEvidence("x")
         few.report("good", ok=True, now=0.0)
         few.report("suspect", ok=True, now=0.0)
-        few.merge("b", "y", {"suspect": [1, 1, 0.0]}, 0.0)
-        self.assertEqual(few.summarize(0.5), {"suspect": [0, 1, WINDOW_SECONDS]})
+        few.merge("b", "y", {"suspect": [1, 1, 0.0, 0.0]}, 0.0)
+        self.assertEqual(few.summarize(0.5), {"suspect": [0, 1, WINDOW_SECONDS, 0.0]})
+
+    def test_a_restarted_host_leaves_out_what_others_leave_out(self):
+        """They report no results any more, as they send nothing there."""
+        cases = [
+            ("a host of its domain", ["x"], 4.0, [], True),
+            ("hosts of two other domains", ["y", "z"], 4.0, [], True),
+            ("a host of one other domain", ["y"], 4.0, [], False),
+            ("no longer left out", ["x", "y"], 0.0, [], False),
+            ("it works here", ["x", "y"], 4.0, [True], False),
+        ]
+        for name, domains, seconds, results, expected in cases:
+            with self.subTest(name):
+                evidence = FleetEvidence("x")
+                for ok in results:
+                    evidence.report("up-0", ok=ok, now=1.0)
+                for number, domain in enumerate(domains):
+                    sender = FleetEvidence(domain)
+                    summary = sender.summarize(1.0, {"up-0": seconds})
+                    evidence.merge(f"host-{number}", domain, summary, 1.0)
+                left_out = evidence.find_left_out(POOL, 1.5)
+                self.assertEqual(left_out, {"up-0": 5.0} if expected else {})
+                detector = OutlierDetector()
+                for upstream, until in left_out.items():
+                    detector.eject(upstream, 1.5, until=until)
+                self.assertEqual("up-0" in detector.usable(POOL, 4.9), not expected)
+                self.assertIn("up-0", detector.usable(POOL, 5.0))
 
     def test_invalid_reports_are_ignored(self):
         evidence = FleetEvidence("x")
