--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -1,7 +1,14 @@
 """Requests to plain services, whose answers are forwarded once they are complete."""
 
-from sapphireyard.exceptions import CallError, UpstreamFailed
-from sapphireyard.exchange.answers import SERVER_ERROR, check_answer
+import asyncio
+from contextlib import asynccontextmanager
+
+from sapphireyard.exceptions import CallError, UpstreamFailed, UpstreamLate
+from sapphireyard.exchange.answers import (
+    SERVER_ERROR,
+    check_answer,
+    find_silent_seconds,
+)
 from sapphireyard.upstreams.retries import RetryBudget
 
 UNSENT_RETRIES = 3
@@ -35,14 +42,18 @@
         excluded = []
         error = last_answer = None
         unsent = 0
+        granted = False
         self._retries.note_request(admitted.service, self._now())
         while admitted.sends < max(1, admitted.route.attempts):
-            if admitted.may_have_run and not self._may_retry(admitted):
+            is_retry = admitted.may_have_run and not granted
+            if is_retry and not self._may_retry(admitted):
                 break
+            granted = False
             try:
                 status, headers, answer = await self._attempt(admitted, excluded)
             except UpstreamFailed as failure:
                 error = failure
+                granted = isinstance(failure, UpstreamLate)
                 unsent += not failure.sent
                 if unsent > UNSENT_RETRIES:
                     break
@@ -63,6 +74,39 @@
             self._exchange.raise_failed(admitted, error)
         await reply.send_complete(*last_answer)
 
+    @asynccontextmanager
+    async def _limit_try(self, admitted):
+        """Raise `UpstreamLate` if an upstream is silent and another one may be tried.
+
+        The retry is taken from the budget at that moment: without one, the upstream
+        has the rest of the time.
+        """
+        route = admitted.route
+        if not route.repeatable or admitted.sends >= route.attempts:
+            watch = self._exchange.watch_silence(admitted)
+            try:
+                yield
+            finally:
+                watch.cancel()
+            return
+        loop = asyncio.get_running_loop()
+        seconds = find_silent_seconds(admitted.deadline - self._now())
+        try:
+            async with asyncio.timeout(None) as limit:
+                timer = loop.call_later(seconds, self._end_try, admitted, limit)
+                try:
+                    yield
+                finally:
+                    timer.cancel()
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise UpstreamLate(f"silent for {seconds:.2f} s") from error
+
+    def _end_try(self, admitted, limit):
+        if not admitted.answered and self._may_retry(admitted):
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def _may_retry(self, admitted):
         return self._retries.may_retry(admitted.service, self._now())
 
@@ -84,12 +128,15 @@
             dispatch = self._exchange.build_dispatch(admitted, upstream)
             admitted.sends += 1
             try:
-                async with self._sender.send(dispatch) as answer:
-                    self._exchange.record_answer(admitted, upstream, answer)
-                    if answer.refused:
-                        self._runtime.pools.report(upstream, ok=True)
-                        return answer.status, (), None
-                    data = await self._exchange.read_body(admitted, answer, upstream)
+                async with self._limit_try(admitted):
+                    async with self._sender.send(dispatch) as answer:
+                        self._exchange.record_answer(admitted, upstream, answer)
+                        if answer.refused:
+                            self._runtime.pools.report(upstream, ok=True)
+                            return answer.status, (), None
+                        data = await self._exchange.read_body(
+                            admitted, answer, upstream
+                        )
             except UpstreamFailed as error:
                 self._exchange.record_failure(admitted, upstream, error)
                 raise
