Copies: a joining host waits neither for a silent member nor for other joining ones

Callers saw no turns served for 5 to 10 s while one history host was gone and another one came: the new host waited for the answer of the silent member (up to 5 s) once before and once after it had changed the set. It now takes the first members that answer, as many as it needs.

A host that was added while members had lost their disks enlarged the set, which then needed more serving members to join from than were left; all joining hosts waited for each other. The set now grows only while all its members serve, and a joining host counts the members that it needs by the set that it comes from, also after a restart.

--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -67,6 +67,8 @@
 """Records examined for one batch; a copy serves no other request meanwhile."""
 BATCH_TIMEOUT_SECONDS = 5.0
 """Longest wait for a batch of records."""
+SERVING_TIMEOUT_SECONDS = 0.5
+"""Longest wait for members to tell whether they serve."""
 END_POSITION = 2**62
 """Position after which no copy has records: a query from there returns none."""
 PURGE_SECONDS = 5.0
@@ -253,21 +255,55 @@
         kept = copies if changed is None else changed
         others = [name for name in copies.members if name in kept.members]
         others = [name for name in others if name != self._runtime.host]
-        positions = await self._fetch_all(others, CopySet(), {})
+        needed = self._count_fences(copies)
+        positions = await self._fetch_all(others, CopySet(), {}, needed)
         if changed is not None:
-            needed = self._count_fences(copies)
-            if copies.members and len(positions) < needed:
-                logger.info("%d of %d members have answered", len(positions), needed)
+            if not await self._may_change(copies, changed, positions):
                 return
+            # Also after a restart, it is known which set this host joins from.
+            self._copies = copies
+            self._append(copies)
+            await self._log.sync()
             await self._write_copies(stored, changed)
             copies = changed
         await self._fence_and_join(copies, positions)
 
+    async def _may_change(self, copies, changed, answered):
+        """Return whether enough members serve for the set to change."""
+        needed = self._count_fences(copies)
+        if len(changed.members) > len(copies.members):
+            # One member more needs more others to join from, so none may be missing.
+            needed = len(copies.members)
+            answered = await self._list_serving(copies.members)
+        if len(answered) >= needed:
+            return True
+        logger.info("%d of %d members have answered", len(answered), needed)
+        return False
+
+    async def _list_serving(self, hosts):
+        """Return the hosts that answer as serving members."""
+        query = RecordsQuery(END_POSITION)
+        answers = await asyncio.gather(
+            *(
+                self._runtime.peers.ask(host, query, timeout=SERVING_TIMEOUT_SECONDS)
+                for host in hosts
+            ),
+            return_exceptions=True,
+        )
+        for answer in answers:
+            if isinstance(answer, BaseException):
+                if not isinstance(answer, (PeerError, CallError)):
+                    raise answer
+        return [h for h, a in zip(hosts, answers) if isinstance(a, RecordBatch)]
+
     async def _fence_and_join(self, copies, positions):
         """Make enough members refuse older sets, then serve."""
         others = [name for name in copies.members if name != self._runtime.host]
-        needed = min(self._count_fences(copies), len(others))
-        fenced = await self._fetch_all(others, copies, positions)
+        joins_from = copies
+        if self._copies.version == copies.version - 1:
+            joins_from = self._copies
+        needed = min(self._count_fences(joins_from), len(others))
+        fenced = await self._fetch_all(others, copies, positions, needed)
         if len(fenced) < needed:
             logger.info("%d of %d members are fenced", len(fenced), needed)
             return
@@ -282,12 +318,31 @@
             },
         )
 
-    async def _fetch_all(self, hosts, copies, positions):
-        """Copy the records of several hosts; return the position reached at each."""
-        reached = await asyncio.gather(
-            *(self._fetch(host, copies, positions.get(host, 0)) for host in hosts)
-        )
-        return {h: p for h, p in zip(hosts, reached) if p is not None}
+    async def _fetch_all(self, hosts, copies, positions, needed):
+        """Copy the records of as many of several hosts as are needed.
+
+        Returns the position reached at each of those that answered first. The others
+        are not waited for: a host that is cut off answers none of the requests.
+        """
+        tasks = {
+            start_task(
+                self._fetch(host, copies, positions.get(host, 0)), name="records"
+            ): host
+            for host in hosts
+        }
+        reached = {}
+        waiting = set(tasks)
+        try:
+            while waiting and len(reached) < needed:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                found = {tasks[task]: task.result() for task in done}
+                reached |= {h: p for h, p in found.items() if p is not None}
+        finally:
+            for task in waiting:
+                task.cancel()
+        return reached
 
     async def _fetch(self, host, copies, position, written_after=0.0):
         try:
--- a/tests/test_history_losses.py
+++ b/tests/test_history_losses.py
@@ -168,6 +168,8 @@
             else:
                 await getattr(world, name)(*arguments)
         await asyncio.gather(*running)
+        if script == A_MEMBER_IS_GONE:
+            await world.serve_new()
         world.store.unavailable = False
         await world.heal()
         await world.serve_new()
@@ -219,6 +221,17 @@
 ]
 
 
+HOST_ADDED_BESIDE_LOST_DISKS = [
+    ("commit", "x", 0),
+    ("wipe", [0, 1]),
+    ("add",),
+    ("sleep", 3.0),
+]
+
+A_MEMBER_IS_GONE = [("replace", 0), ("sleep", 3.0)]
+"""The host that comes must not wait for the one that is gone."""
+
+
 class HistoryLossesTest(unittest.TestCase):
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
     @example((2, 3), DISKS_LOST_AFTER_A_RETIREMENT)
@@ -229,6 +242,8 @@
     @example((1, 4), LEAVING_HOST_LOSES_ITS_DISK)
     @example((2, 7), RETIREMENTS_IN_SERIES)
     @example((1, 5), RETIREMENTS_IN_SERIES)
+    @example((2, 3), HOST_ADDED_BESIDE_LOST_DISKS)
+    @example((2, 3), A_MEMBER_IS_GONE)
     @given(st.sampled_from(FLEETS), st.lists(steps, min_size=5, max_size=25))
     def test_allowed_losses_in_any_order_lose_nothing_and_end(self, fleet, script):
         loop = VirtualLoop()
