Copies: begin a new set, which says so, when histories are gone for good

After more lost disks than tolerated, hosts with empty disks waited for each other for good and callers got history_unavailable for every turn. A host now asks the members for the identity of their disks; if the loss is certain, it begins a new set with lost_before, so that turns which may be lost get 503 and no token budget is served from an empty record. A silent member is waited for until an operator accepts its loss.

Programs that begin after the loss are refused like the others until records would have expired or the loss is accepted: they can't be told apart yet.

--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -26,6 +26,10 @@
     """
     Identity of the disk of each member, by host.
     """
+    lost_before: int = 0
+    """
+    Records written under sets before this version may be lost; 0 if none are.
+    """
 
 
 @dataclass
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -74,6 +74,7 @@
         self._runtime = runtime
         self._copies = CopySet()
         self._changed = asyncio.Event()
+        self._loss_known_at = 0.0
         self._cache = OrderedDict()
         self._cached_bytes = 0
         runtime.peers.codec.register_module(generated_history)
@@ -92,6 +93,8 @@
         """Switch to a set that another host uses if it is newer."""
         if copies is None or copies.version <= self._copies.version:
             return
+        if copies.lost_before > self._copies.lost_before:
+            self._loss_known_at = self._runtime.clock.monotonic()
         self._copies = copies
         self._changed.set()
         self._changed = asyncio.Event()
@@ -101,6 +104,7 @@
                 "decision": "copies",
                 "set_version": copies.version,
                 "members": sorted(copies.members),
+                "lost_before": copies.lost_before,
             },
         )
 
@@ -145,7 +149,8 @@
         ------
         CallError
             ``budget_exceeded``, or ``history_unavailable`` if too few copies answer,
-            at once if too few are reachable. Nothing may be sent to an engine then,
+            at once if too few are reachable, or while what the program has spent
+            before may be lost. Nothing may be sent to an engine then,
             and the turn must be settled with 0 tokens.
         """
         return await self._retry_on_change(
@@ -155,6 +160,7 @@
         )
 
     async def _reserve(self, copies, program, turn, tokens, budget, keep_seconds):
+        self._check_lost_spending(copies, keep_seconds)
         needed = self._quorum(copies)
         reachable = self._count_reachable(copies)
         if reachable < needed:
@@ -182,6 +188,21 @@
             gather_quorum(synced, needed, ANSWER_TIMEOUT_SECONDS), name="reservation"
         )
 
+    def _check_lost_spending(self, copies, keep_seconds):
+        """Refuse reservations while spending may be lost that would still count.
+
+        No copy can tell a new program from one whose records are lost.
+        """
+        if not copies.lost_before:
+            return
+        age = self._runtime.clock.monotonic() - self._loss_known_at
+        if age < keep_seconds:
+            raise CallError(
+                "history_unavailable",
+                "the tokens that programs have spent may be lost",
+                retry_after=keep_seconds - age,
+            )
+
     async def _ask_spending(self, copies, program):
         """Ask a majority again what a program has spent.
 
@@ -300,6 +321,10 @@
         members = len(copies.members)
         tolerated = self._runtime.settings.tolerated_losses
         if members and absent >= fence_quorum(members, tolerated=tolerated):
+            if copies.lost_before:
+                raise CallError(
+                    "history_unavailable", f"turn {turn!r} may be among those lost"
+                )
             raise CallError("turn_unknown", f"there is no turn {turn!r}")
         raise _build_unavailable(
             f"turn {turn!r} was not found, but only {absent} of {members} copies"
--- a/sapphireyard/history/copies.py
+++ b/sapphireyard/history/copies.py
@@ -78,6 +78,54 @@
     return _change(copies, rest)
 
 
+def plan_recovery(copies, host, disk, disks, *, accepted, tolerated):
+    """Return a set without the lost members, or None if no loss is certain.
+
+    More disks are lost than may be lost at once, so that no host can join any more.
+    A member that does not answer may still have all records; without it, only an
+    operator can accept the loss. The set records that histories may be lost.
+
+    Parameters
+    ----------
+    copies : CopySet
+        The set in force.
+    host, disk : str
+        Host that plans, which becomes a member, and the identity of its disk.
+    disks : dict of str to DiskStatus
+        Answers of members; one that has lost its disk has another one.
+    accepted : int
+        Version of a set whose loss an operator accepts.
+    tolerated : int
+        Disks that may be lost at once.
+    """
+    if not copies.members:
+        return None
+    serving = {}
+    joining = 0
+    for name, known in copies.members.items():
+        status = disks.get(name)
+        if status is None or status.disk != known:
+            continue
+        if status.serving:
+            serving[name] = known
+        else:
+            joining += 1
+    needed = fence_quorum(len(copies.members), tolerated=tolerated)
+    if len(serving) >= needed:
+        return None
+    is_silent = any(name not in disks for name in copies.members)
+    # A joining host needs another one that serves, unless it is the only member.
+    may_end = (
+        len(serving) + joining >= needed
+        if serving
+        else len(copies.members) == joining == 1
+    )
+    if (is_silent or may_end) and accepted != copies.version:
+        return None
+    changed = _change(copies, {**serving, host: disk})
+    return replace(changed, lost_before=changed.version)
+
+
 def explain_stay(copies, host, holders, *, tolerated):
     """Return why a host must keep its disk, or an empty string if it need not.
 
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -206,6 +206,33 @@
     """
     Members of that set, with the identities of their disks.
     """
+    lost_before: int = 0
+    """
+    As in that set.
+    """
+
+
+@dataclass
+class DiskQuery:
+    """
+    Asks a history host for its disk.
+    """
+
+
+@dataclass
+class DiskStatus:
+    """
+    The disk of a history host, and whether the host serves from it.
+    """
+
+    disk: str
+    """
+    Identity of the disk.
+    """
+    serving: bool
+    """
+    The host answers as a member of the set.
+    """
 
 
 @dataclass
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import os
+import secrets
 import struct
 from pathlib import Path
 
@@ -21,6 +22,7 @@
 SEGMENT_BYTES = 4 * 1024 * 1024
 """Size from which a new file is started; files are only deleted as a whole."""
 SEGMENT_SUFFIX = ".records"
+IDENTITY_FILE = "identity"
 
 
 class LogFailed(SapphireyardError):
@@ -186,6 +188,22 @@
         os.close(handle)
 
 
+def read_identity(folder):
+    """Return the identity of a disk, which is generated at its first use."""
+    folder = Path(folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / IDENTITY_FILE
+    if path.exists() and path.read_text():
+        return path.read_text()
+    identity = secrets.token_hex(8)
+    with open(path, "w") as file:
+        file.write(identity)
+        file.flush()
+        os.fsync(file.fileno())
+    sync_folder(folder)
+    return identity
+
+
 def _read_segment(path):
     """Yield (offset, payload) of the records of a file up to the first torn one."""
     data = path.read_bytes()
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import contextlib
-import json
 import logging
-import os
-import secrets
-from dataclasses import asdict
+from dataclasses import replace
 from pathlib import Path
 
 import mode
@@ -16,7 +13,6 @@
     CallError,
     PeerError,
     SapphireyardError,
-    StoreConflict,
     StoreError,
 )
 from sapphireyard.fleet import generated_fleet
@@ -27,10 +23,13 @@
     fence_quorum,
     plan_join,
     plan_leave,
+    plan_recovery,
 )
 from sapphireyard.history.generated_history import (
     Chain,
     ChainQuery,
+    DiskQuery,
+    DiskStatus,
     RecordBatch,
     RecordsKept,
     RecordsQuery,
@@ -42,16 +41,20 @@
     TurnCommit,
     TurnSynced,
 )
-from sapphireyard.history.log import RecordLog, sync_folder
+from sapphireyard.history.log import RecordLog, read_identity
 from sapphireyard.history.state import HistoryState
+from sapphireyard.history.stored_set import StoredSet
+from sapphireyard.history.survey import ask_disks, list_serving
+from sapphireyard.history.transfer import (
+    BATCH_TIMEOUT_SECONDS,
+    RecordTransfer,
+    build_query,
+)
 from sapphireyard.streams.frames import MessageCodec
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
 
-COPIES_OBJECT = "copies/main"
-"""Name of the set of copies in the platform's store."""
-IDENTITY_FILE = "identity"
 MAINTAIN_SECONDS = 0.25
 """Interval of the checks whether to join the set."""
 JOIN_RETRY_SECONDS = 0.4
@@ -65,12 +68,6 @@
 """Size of a batch of records; well below the largest frame."""
 BATCH_RECORDS = 200
 """Records examined for one batch; a copy serves no other request meanwhile."""
-BATCH_TIMEOUT_SECONDS = 5.0
-"""Longest wait for a batch of records."""
-SERVING_TIMEOUT_SECONDS = 0.5
-"""Longest wait for members to tell whether they serve."""
-END_POSITION = 2**62
-"""Position after which no copy has records: a query from there returns none."""
 PURGE_SECONDS = 5.0
 REPAIR_OVERLAP_SECONDS = 15.0
 """A restarted host also fetches records up to this much older than its newest one."""
@@ -93,11 +90,12 @@
         self._codec.register_module(generated_fleet)
         self._log = RecordLog(Path(runtime.settings.data_folder) / "records")
         self._state = HistoryState()
+        self._transfer = RecordTransfer(runtime.peers, self._log, self._read_batch)
         self._copies = CopySet()
+        self._set = StoredSet(runtime.store)
         self._disk_id = ""
         self._serving = False
         self._retiring = False
-        self._transferred = {}  # by host and disk: position after the records it has
         self._newest_written_at = 0.0
         self._join_at = float("-inf")
         runtime.peers.codec.register_module(generated_history)
@@ -108,6 +106,7 @@
         runtime.peers.register(ChainQuery, self._serve_chain)
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
+        runtime.peers.register(DiskQuery, self._serve_disk)
 
     @property
     def copies(self):
@@ -124,7 +123,7 @@
         return self._runtime.settings.tolerated_losses
 
     async def on_start(self):
-        self._disk_id = self._read_identity()
+        self._disk_id = read_identity(self._runtime.settings.data_folder)
         for position, payload in self._log.open():
             self._replay(payload, position)
         self._serving = self._copies.members.get(self._runtime.host) == self._disk_id
@@ -185,11 +184,11 @@
             The set cannot be read or changed.
         """
         self._retiring = True
-        stored, copies = await self._read_copies()
+        stored, copies = await self._set.read()
         if self._runtime.host in copies.members:
             await self._check_leave(copies, CopySet())
             copies = plan_leave(copies, self._runtime.host)
-            await self._write_copies(stored, copies)
+            await self._set.write(stored, copies)
         await self._adopt(copies)
         await self._check_leave(copies, copies)
 
@@ -204,37 +203,17 @@
         tolerated = self._tolerated
         reason = explain_stay(copies, host, others, tolerated=tolerated)
         if not reason:
-            stored = await asyncio.gather(
-                *(self._transfer_records(each, copies, announced) for each in others)
-            )
-            holders = [name for name, has_all in zip(others, stored) if has_all]
+            holders = await self._transfer.send_all(copies, others, announced)
             reason = explain_stay(copies, host, holders, tolerated=tolerated)
         if reason:
             raise CallError("history_unavailable", reason)
 
-    async def _transfer_records(self, host, copies, announced):
-        """Send all records to a member; return whether it serves and has them."""
-        disk = copies.members[host]
-        position = self._transferred.get((host, disk), 0)
-        query = RecordsQuery(END_POSITION, 0.0, announced.version, announced.members)
-        peers = self._runtime.peers
-        try:
-            await peers.ask(host, query, timeout=BATCH_TIMEOUT_SECONDS)
-            while position < self._log.end:
-                batch = self._read_batch(position, 0.0)
-                await peers.ask(host, batch, timeout=BATCH_TIMEOUT_SECONDS)
-                position = self._transferred[host, disk] = batch.position
-        except (PeerError, CallError) as error:
-            logger.info("records not transferred to %s: %s", host, error)
-            return False
-        return True
-
     async def _try_join(self):
         now = self._now()
         if now < self._join_at:
             return
         self._join_at = now + JOIN_RETRY_SECONDS
-        stored, copies = await self._read_copies()
+        stored, copies = await self._set.read()
         if stored is None and not self._runtime.settings.bootstrap:
             logger.error("the store has no set of copies, and bootstrap is not set")
             return
@@ -250,6 +229,7 @@
             tolerated=self._tolerated,
         )
         if changed is None and not is_member:
+            await self._recover(stored, copies)
             self._join_at = now + SPARE_SECONDS
             return
         kept = copies if changed is None else changed
@@ -259,14 +239,64 @@
         positions = await self._fetch_all(others, CopySet(), {}, needed)
         if changed is not None:
             if not await self._may_change(copies, changed, positions):
+                await self._recover(stored, copies)
                 return
             # Also after a restart, it is known which set this host joins from.
             self._copies = copies
             self._append(copies)
             await self._log.sync()
-            await self._write_copies(stored, changed)
+            await self._set.write(stored, changed)
             copies = changed
-        await self._fence_and_join(copies, positions)
+        if not await self._fence_and_join(copies, positions):
+            await self._recover(*await self._set.read())
+
+    async def _recover(self, stored, copies):
+        """Begin a new set if histories are gone for good."""
+        disks = await ask_disks(self._runtime.peers, copies.members)
+        disks[self._runtime.host] = DiskStatus(self._disk_id, self._serving)
+        options = {"accepted": copies.version, "tolerated": self._tolerated}
+        host = self._runtime.host
+        if plan_recovery(copies, host, self._disk_id, disks, **options) is None:
+            return
+        options["accepted"] = await self._set.read_accepted_loss()
+        changed = plan_recovery(copies, host, self._disk_id, disks, **options)
+        if changed is None:
+            logger.error(
+                "too few members are left to join from",
+                extra={
+                    "decision": "recovery",
+                    "set_version": copies.version,
+                    "silent": sorted(set(copies.members) - set(disks)),
+                },
+            )
+            return
+        logger.error(
+            "histories are lost",
+            extra={
+                "decision": "recovery",
+                "set_version": copies.version,
+                "members": sorted(copies.members),
+                "answered": sorted(disks),
+                "serving": sorted(set(changed.members) - {host}),
+            },
+        )
+        await self._set.write(stored, changed)
+        await self._fence_and_join(changed, {})
+
+    @mode.Service.timer(SPARE_SECONDS)
+    async def _end_recovery(self):
+        """End the time in which records may be lost once an operator accepts it."""
+        if not self._serving or not self._copies.lost_before:
+            return
+        try:
+            accepted = await self._set.read_accepted_loss()
+            stored, copies = await self._set.read()
+            if copies.lost_before and copies.version == accepted:
+                copies = replace(copies, version=copies.version + 1, lost_before=0)
+                await self._set.write(stored, copies)
+                await self._adopt(copies)
+        except StoreError as error:
+            logger.info("cannot read whether a loss is accepted: %s", error)
 
     async def _may_change(self, copies, changed, answered):
         """Return whether enough members serve for the set to change."""
@@ -274,30 +304,14 @@
         if len(changed.members) > len(copies.members):
             # One member more needs more others to join from, so none may be missing.
             needed = len(copies.members)
-            answered = await self._list_serving(copies.members)
+            answered = await list_serving(self._runtime.peers, copies.members)
         if len(answered) >= needed:
             return True
         logger.info("%d of %d members have answered", len(answered), needed)
         return False
 
-    async def _list_serving(self, hosts):
-        """Return the hosts that answer as serving members."""
-        query = RecordsQuery(END_POSITION)
-        answers = await asyncio.gather(
-            *(
-                self._runtime.peers.ask(host, query, timeout=SERVING_TIMEOUT_SECONDS)
-                for host in hosts
-            ),
-            return_exceptions=True,
-        )
-        for answer in answers:
-            if isinstance(answer, BaseException):
-                if not isinstance(answer, (PeerError, CallError)):
-                    raise answer
-        return [h for h, a in zip(hosts, answers) if isinstance(a, RecordBatch)]
-
     async def _fence_and_join(self, copies, positions):
-        """Make enough members refuse older sets, then serve."""
+        """Make enough members refuse older sets, then serve; return whether it did."""
         others = [name for name in copies.members if name != self._runtime.host]
         joins_from = copies
         if self._copies.version == copies.version - 1:
@@ -306,7 +320,7 @@
         fenced = await self._fetch_all(others, copies, positions, needed)
         if len(fenced) < needed:
             logger.info("%d of %d members are fenced", len(fenced), needed)
-            return
+            return False
         await self._adopt(copies)
         logger.info(
             "joined the copies",
@@ -317,6 +331,7 @@
                 "fenced": sorted(fenced),
             },
         )
+        return True
 
     async def _fetch_all(self, hosts, copies, positions, needed):
         """Copy the records of as many of several hosts as are needed.
@@ -347,9 +362,7 @@
     async def _fetch(self, host, copies, position, written_after=0.0):
         try:
             while True:
-                query = RecordsQuery(
-                    position, written_after, copies.version, copies.members
-                )
+                query = build_query(position, copies, written_after)
                 batch = await self._runtime.peers.ask(
                     host, query, timeout=BATCH_TIMEOUT_SECONDS
                 )
@@ -378,26 +391,6 @@
         # A newer set may have been adopted during the sync.
         self._serving = self._copies.members.get(self._runtime.host) == self._disk_id
 
-    async def _read_copies(self):
-        stored = await self._runtime.store.get(COPIES_OBJECT)
-        if stored is None:
-            return None, CopySet()
-        return stored, CopySet(**json.loads(stored.value))
-
-    async def _write_copies(self, stored, copies):
-        """Write the set unless another host has changed it since it was read."""
-        value = json.dumps(asdict(copies)).encode()
-        try:
-            if stored is None:
-                await self._runtime.store.create(COPIES_OBJECT, value)
-            else:
-                await self._runtime.store.update(
-                    COPIES_OBJECT, value, expected_version=stored.version
-                )
-        except StoreConflict:
-            logger.info("another host changed the set of copies first")
-            raise
-
     def _count_fences(self, copies):
         """Return how many members must refuse older sets before one joins."""
         return fence_quorum(len(copies.members), tolerated=self._tolerated)
@@ -444,9 +437,16 @@
         if not self._serving:
             raise CallError("history_unavailable", "this copy is not a member")
         if message.set_version > self._copies.version:
-            await self._adopt(CopySet(message.set_version, message.members))
+            await self._adopt(
+                CopySet(message.set_version, message.members, message.lost_before)
+            )
         return self._read_batch(message.after, message.written_after)
 
+    async def _serve_disk(self, message, context):
+        if not self._disk_id:
+            raise CallError("history_unavailable", "the disk has not been read yet")
+        return DiskStatus(self._disk_id, self._serving)
+
     async def _serve_batch(self, message, context):
         self._apply_batch(message)
         await self._log.sync()
@@ -510,18 +510,3 @@
 
     def _unpack(self, payload):
         return self._codec.load(*msgpack.unpackb(payload))
-
-    def _read_identity(self):
-        """Return the identity of this disk, which is generated at its first use."""
-        folder = Path(self._runtime.settings.data_folder)
-        folder.mkdir(parents=True, exist_ok=True)
-        path = folder / IDENTITY_FILE
-        if path.exists() and path.read_text():
-            return path.read_text()
-        identity = secrets.token_hex(8)
-        with open(path, "w") as file:
-            file.write(identity)
-            file.flush()
-            os.fsync(file.fileno())
-        sync_folder(folder)
-        return identity
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -20,10 +20,12 @@
     majority,
     plan_join,
     plan_leave,
+    plan_recovery,
     target_size,
     write_quorum,
 )
 from sapphireyard.history.generated_history import (
+    DiskStatus,
     Reservation,
     ReservationCounted,
     ReservationSynced,
@@ -151,6 +153,49 @@
                 reason = explain_stay(copies, "a", set(holders), tolerated=tolerated)
                 self.assertEqual(not reason, may_leave, reason)
 
+    def test_recovery_begins_only_when_a_loss_is_certain(self):
+        """Each case has the state of each member: serving, joining, lost or away.
+
+        Two disks may be lost; the expected members are those of the new set.
+        """
+        cases = [
+            ("a lost b lost c lost", 0, "x"),
+            ("a lost b lost c serving", 0, None),
+            ("a lost b lost c away", 0, None),
+            ("a lost b lost c away", 6, None),
+            ("a lost b lost c away", 7, "x"),
+            ("a lost b lost c lost d joining", 0, "x"),
+            ("a lost b lost c serving d joining", 0, None),
+            ("a lost b lost c lost d serving", 0, "dx"),
+            ("a lost b lost c lost d lost e serving f serving", 0, "efx"),
+            ("a lost b lost c lost d serving e serving f serving", 0, None),
+            ("a lost b lost c lost d lost e serving f away", 0, None),
+            ("a away b away c away", 0, None),
+            ("a joining", 0, None),
+            ("a lost", 0, "x"),
+            ("", 0, None),
+        ]
+        for states, accepted, expected in cases:
+            with self.subTest((states, accepted)):
+                words = states.split()
+                pairs = dict(zip(words[::2], words[1::2]))
+                copies = CopySet(7, dict.fromkeys(pairs, "old"))
+                disks = {
+                    name: DiskStatus(
+                        "new" if state == "lost" else "old", state == "serving"
+                    )
+                    for name, state in pairs.items()
+                    if state != "away"
+                }
+                changed = plan_recovery(
+                    copies, "x", "disk", disks, accepted=accepted, tolerated=2
+                )
+                if expected is None:
+                    self.assertIsNone(changed)
+                    continue
+                self.assertEqual("".join(sorted(changed.members)), expected)
+                self.assertEqual((changed.version, changed.lost_before), (8, 8))
+
 
 class StateTest(unittest.TestCase):
     def test_state_does_not_depend_on_order(self):
--- a/tests/test_history_losses.py
+++ b/tests/test_history_losses.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -246,11 +247,54 @@
     @example((2, 3), A_MEMBER_IS_GONE)
     @given(st.sampled_from(FLEETS), st.lists(steps, min_size=5, max_size=25))
     def test_allowed_losses_in_any_order_lose_nothing_and_end(self, fleet, script):
+        self.run_virtually(lambda folder: play(*fleet, script, folder))
+
+    def test_histories_that_are_gone_for_good_are_not_reset_silently(self):
+        """All disks are lost; what may be lost is refused until it is accepted."""
+
+        async def lose_all(folder):
+            world = LossWorld(folder, tolerated=2, hosts=3)
+            try:
+                await world.start()
+                await world.commit("x", 0)
+                await world.kill_all()
+                for disk in world.disks.values():
+                    disk.wipe()
+                for name in list(world.disks):
+                    await world.run(name)
+                await world.wait_for_joins()
+                self.assertTrue(world.healthy)
+                client = world.clients["x"]
+                client._cache.clear()
+                with self.assertRaises(CallError) as caught:
+                    await client.read_chain("t1")
+                self.assertEqual(caught.exception.code, "history_unavailable")
+                with self.assertRaises(CallError) as caught:
+                    await client.reserve("c/p", "t2", 1, 9, keep_seconds=KEEP_SECONDS)
+                self.assertEqual(caught.exception.code, "history_unavailable")
+                self.assertGreater(caught.exception.retry_after, KEEP_SECONDS / 2)
+                await world.commit("x", 0)
+                self.assertEqual(client.copies.lost_before, 4)
+                await client.read_chain("t2")
+                accepted = json.dumps({"version": client.copies.version}).encode()
+                await world.store.create("copies/accepted-loss", accepted)
+                await world.wait_for_joins()
+                await world.serve_new()
+                with self.assertRaises(CallError) as caught:
+                    await client.read_chain("t1")
+                self.assertEqual(caught.exception.code, "turn_unknown")
+            finally:
+                await world.stop()
+
+        self.run_virtually(lose_all)
+
+    def run_virtually(self, scenario):
+        """Run a scenario, which gets a folder, in virtual time."""
         loop = VirtualLoop()
         asyncio.set_event_loop(loop)
         try:
             with tempfile.TemporaryDirectory() as folder:
-                loop.run_until_complete(play(*fleet, script, Path(folder)))
+                loop.run_until_complete(scenario(Path(folder)))
         finally:
             asyncio.set_event_loop(None)
             loop.close()
