Send a program that leaves its engine where the start of its prompt is kept

Cause: the choice by kept parts left out requests that leave the holder of their prefix, when it is full or has no grants; they went to the least loaded engine and were read from the first token. tests.test_parts fails on the code before. Not measured.

--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -132,7 +132,7 @@
     def _prefer_keeper(self, choice, free, now):
         """Return a choice on the upstream that keeps enough of the prompt, if any."""
         waiting = choice.waiting
-        if waiting.affinity != ANY or not waiting.request.prompt_parts:
+        if choice.reason == REASON_CACHED or not waiting.request.prompt_parts:
             return choice
         aged = self._is_aged(waiting, now)
         names = {choice.upstream, *self._placement.find_keepers(waiting.request)}
@@ -141,13 +141,15 @@
             for slots in free
             if slots.limits.name in names
             and self._is_allowed(waiting, slots)
+            and self._may_leave_holder(waiting, slots)
             and self._may_start(waiting, slots, aged, now)
             and slots.fits(waiting.request.total_tokens)
         }
         name = self._placement.choose_keeper(waiting.request, candidates)
         if name == choice.upstream:
             return choice
-        return Choice(waiting, name, REASON_KEPT)
+        reason = REASON_MOVED if choice.reason == REASON_MOVED else REASON_KEPT
+        return Choice(waiting, name, reason)
 
     def _load_key(self, slots):
         """Return the sort key of an upstream with a free slot.
