Keep the requests of all hosts within what cold upstreams bear

An upstream that has started, or turned cold again, crashes well above the rate that its service's configuration states. Hosts did not read that, and an idle upstream is preferred by all of them at once.

The rates of cold upstreams are kept by the same mechanism as stated rates: a part of the rate for each host by its share of the requests, scaled by the share of the fleet in touch, so that hosts that are cut off or frozen add nothing. Entries tell how long an upstream is cold; one that is usable again counts as cold for its service's time, as it may have restarted and its entry may be late. As many hosts use the rate as half of the bound's margin allows to send at once.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -88,6 +88,9 @@
         It is being drained and gets no new requests.
     started_at : float
         Start time, which differs between two runs under the same name.
+    cold_until : float
+        Monotonic seconds of this host until which it is cold. Each entry tells it
+        anew, so that it does not count when upstreams are compared.
     """
 
     name: str
@@ -97,6 +100,7 @@
     slots: int = 1
     leaving: bool = False
     started_at: float = 0.0
+    cold_until: float = field(default=0.0, compare=False)
 
 
 @dataclass
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -25,6 +25,7 @@
     SchedulerOptions,
     SlotRequest,
 )
+from sapphireyard.upstreams.cold import ColdUpstreams
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
@@ -88,7 +89,9 @@
     Attributes
     ----------
     rates : UpstreamRates
-        Rates that upstreams have stated.
+        Rates that upstreams have stated, or take while they are cold.
+    cold : ColdUpstreams
+        Upstreams that are cold.
     links : Links
         Upstreams to which this host can open connections.
     evacuations : Evacuations
@@ -108,6 +111,7 @@
         self._remote_load = {}
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
+        self.cold = ColdUpstreams(self.rates)
         self.links = Links()
         self.evacuations = Evacuations(on_change=self._apply_all_states)
 
@@ -119,9 +123,11 @@
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
+        self.cold.set_services(services)
         for pool in self._pools.values():
             for upstream in pool.upstreams.values():
                 pool.scheduler.add_upstream(self._limits(upstream))
+                self.cold.note_listed(upstream, self._now())
 
     def set_upstreams(self, upstreams):
         """Replace the list of upstreams; those not listed are removed."""
@@ -283,6 +289,7 @@
         While requests wait, this is repeated when the next upstream may get one.
         """
         now = self._now()
+        self.rates.end_cold(now)
         next_wait = math.inf
         stated = [name for name in self.rates.limited if name in pool.upstreams]
         for name in pool.limited.union(stated):
@@ -365,12 +372,14 @@
             self._execute(pool.scheduler.remove_upstream(name, now))
         for name, upstream in upstreams.items():
             known = pool.upstreams.get(name)
+            self.cold.note_listed(upstream, now)
             if known == upstream:
                 continue
             if known is not None and known.started_at != upstream.started_at:
                 self._execute(pool.scheduler.remove_upstream(name, now))
             pool.upstreams[name] = upstream
             pool.scheduler.add_upstream(self._limits(upstream))
+            self._update_grants(pool)
             self._report_remote(pool, name, now)
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
         self._apply_states(service, now)
@@ -398,7 +407,11 @@
                 state = UpstreamState.LEAVING
             elif name not in usable:
                 state = UpstreamState.DOWN
-            if pool.scheduler.state(name) is not state:
+            before = pool.scheduler.state(name)
+            if before is not state:
+                if before is UpstreamState.DOWN:
+                    self.cold.note_back(upstream, now)
+                    self._update_grants(pool)
                 logger.info(
                     "upstream state",
                     extra={
--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -39,11 +39,18 @@
         Connections that each upstream accepts, over all hosts.
     engine : EngineLimits or None
         None for plain services.
+    cold_rate : float
+        Requests per second that a cold upstream takes from all hosts; 0 without a
+        limit.
+    cold_seconds : float
+        Time for which an upstream is cold after its start.
     """
 
     name: str
     connections: int
     engine: EngineLimits | None = None
+    cold_rate: float = 0.0
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/sapphireyard/upstreams/rates.py
+++ b/sapphireyard/upstreams/rates.py
@@ -1,7 +1,8 @@
-"""Rates that upstreams state, and the part of each that this host may use.
+"""Rates of upstreams, and the part of each that this host may use.
 
 An upstream in need answers that it takes only so many requests per second, from all
-hosts together and for as long as it says so. Each host sends its own part of that rate,
+hosts together and for as long as it says so; a cold one takes only as many as its
+service's configuration tells. Each host sends its own part of that rate,
 by its share of the fleet's requests, so that no counts have to be exchanged. Low rates
 are used by some of the hosts only, as each may send one request at once.
 """
@@ -43,6 +44,28 @@
     stated_at: float
 
 
+@dataclass(frozen=True)
+class ColdRate:
+    """A rate that holds while an upstream is cold.
+
+    Parameters
+    ----------
+    started_at : float
+        Start time of the upstream's run.
+    rate : float
+        Requests per second from all hosts.
+    hosts : int
+        Maximum number of hosts that send to it, as each may send one request at once.
+    until : float
+        Monotonic seconds at which it is warm.
+    """
+
+    started_at: float
+    rate: float
+    hosts: int
+    until: float
+
+
 @dataclass
 class _Tokens:
     """This host's tokens for one upstream, one at most."""
@@ -68,6 +91,7 @@
     def __init__(self, host):
         self._host = host
         self._stated = {}
+        self._cold = {}
         self._tokens = {}
         self._noted_at = {}
         self._weights = {host: 1.0}
@@ -76,8 +100,8 @@
 
     @property
     def limited(self):
-        """set of str: Upstreams that have stated a rate in their newest run."""
-        return self._tokens.keys()
+        """set of str: Upstreams that state a rate in their newest run, or are cold."""
+        return self._tokens.keys() | self._cold.keys()
 
     def set_hosts(self, weights, *, share=1.0):
         """Set the hosts that divide the rates.
@@ -115,6 +139,35 @@
         if self._note(upstream.name, stated, now, source="answer"):
             self._noted_at[upstream.name] = now
 
+    def note_cold(self, upstream, cold, now):
+        """Record that an upstream is cold; it is until the latest time known.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        cold : ColdRate
+            How long, and what it takes meanwhile.
+        now : float
+            Monotonic seconds.
+        """
+        known = self._cold.get(upstream.name)
+        if known is not None and known.started_at == cold.started_at:
+            if cold.until <= known.until:
+                return
+        else:
+            self._log_cold(upstream.name, "cold", cold.rate, cold.until - now)
+        self._cold[upstream.name] = cold
+        self._users.pop(upstream.name, None)
+
+    def end_cold(self, now):
+        """Lift the limits of upstreams that are warm by now."""
+        for name in [name for name, cold in self._cold.items() if cold.until <= now]:
+            self._log_cold(name, "warm", self._cold.pop(name).rate, 0.0)
+            self._users.pop(name, None)
+            if name not in self._stated or self._stated[name].rate == UNLIMITED:
+                self._tokens.pop(name, None)
+
     def merge(self, host, reports, now):
         """Record the rates that another host has reported.
 
@@ -149,20 +202,20 @@
 
     def find_rate(self, upstream):
         """Return the requests per second that this host may send to an upstream."""
-        stated = self._find(upstream)
-        if stated is None:
+        rate, hosts = self._find(upstream)
+        if rate == UNLIMITED:
             return UNLIMITED
-        users = self._find_users(upstream.name, stated.rate)
+        users = self._find_users(upstream.name, hosts)
         if self._host not in users:
             return 0.0
         part = self._weights[self._host] / sum(self._weights[host] for host in users)
-        return max(stated.rate, PROBE_RATE) * self._share * part
+        return max(rate, PROBE_RATE) * self._share * part
 
     def find_wait(self, upstream, now):
         """Return the seconds until this host may send to an upstream, or infinity."""
-        if self._find(upstream) is None:
-            return 0.0
         rate = self.find_rate(upstream)
+        if rate == UNLIMITED:
+            return 0.0
         bucket = self._refill(upstream.name, rate, now)
         if bucket.tokens >= 1.0:
             return 0.0
@@ -170,9 +223,9 @@
 
     def take(self, upstream, now):
         """Count a request to an upstream."""
-        if self._find(upstream) is None:
-            return
-        self._refill(upstream.name, self.find_rate(upstream), now).tokens -= 1.0
+        rate = self.find_rate(upstream)
+        if rate != UNLIMITED:
+            self._refill(upstream.name, rate, now).tokens -= 1.0
 
     def forget(self, now):
         """Drop the rates of upstreams that have not been heard of for long."""
@@ -181,16 +234,22 @@
                 self._drop(name)
 
     def _find(self, upstream):
+        """Return the rate of an upstream, and how many hosts may use it."""
+        rate = hosts = UNLIMITED
         stated = self._stated.get(upstream.name)
-        if stated is None or stated.rate == UNLIMITED:
-            return None
-        return stated if stated.started_at == upstream.started_at else None
-
-    def _find_users(self, name, rate):
+        if stated is not None and stated.started_at == upstream.started_at:
+            rate = hosts = stated.rate
+        cold = self._cold.get(upstream.name)
+        if cold is not None and cold.started_at == upstream.started_at:
+            rate = min(rate, cold.rate)
+            hosts = min(hosts, cold.rate, cold.hosts)
+        return rate, hosts
+
+    def _find_users(self, name, hosts):
         """Return the hosts that use the rate of an upstream."""
         users = self._users.get(name)
         if users is None:
-            count = max(1, min(len(self._weights), int(rate)))
+            count = max(1, int(min(len(self._weights), hosts)))
             ranked = sorted(self._weights, key=lambda host: score_host(name, host))
             users = self._users[name] = frozenset(ranked[:count])
         return users
@@ -214,7 +273,7 @@
         if stated.rate == before:
             return True
         self._users.pop(name, None)
-        if stated.rate == UNLIMITED:
+        if stated.rate == UNLIMITED and name not in self._cold:
             self._tokens.pop(name, None)
         elif before == UNLIMITED:
             self._tokens[name] = _Tokens(0.0, now)
@@ -232,7 +291,7 @@
         return True
 
     def _refill(self, name, rate, now):
-        bucket = self._tokens[name]
+        bucket = self._tokens.setdefault(name, _Tokens(0.0, now))
         added = rate * max(0.0, now - bucket.refilled_at)
         bucket.tokens = min(1.0, bucket.tokens + added)
         bucket.refilled_at = now
@@ -241,3 +300,17 @@
     def _drop(self, name):
         for known in (self._stated, self._tokens, self._noted_at, self._users):
             known.pop(name, None)
+
+    @staticmethod
+    def _log_cold(name, state, rate, seconds):
+        logger.info(
+            "upstream is %s",
+            state,
+            extra={
+                "decision": "cold",
+                "upstream": name,
+                "state": state,
+                "rate": rate,
+                "seconds": round(seconds, 3),
+            },
+        )
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -46,10 +46,11 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.pools = self.runtime.pools
-        self.pools.set_upstreams(
+        upstreams = [
             Upstream(f"engine-{domain}", "engine", "127.0.0.1:1", domain, slots=2)
             for domain in "xy"
-        )
+        ]
+        self.pools.set_upstreams(upstreams)
 
     async def acquire(self):
         """Return the upstream that a request gets."""
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -275,11 +275,16 @@
             ("host name", {"address": "server:80"}, False),
             ("port out of range", {"address": "10.0.0.1:99999"}, False),
             ("no slots", {"slots": 0}, False),
+            ("coldness as text", {"cold-remaining-ms": "5"}, False),
         ]
         for name, changes, valid in cases:
             with self.subTest(name):
                 upstream = decode_upstream("i-1", {**ENTRY, **changes})
                 self.assertEqual(upstream is not None, valid)
+        upstream = decode_upstream(
+            "i-1", {**ENTRY, "cold-remaining-ms": 1500}, read_at=10.0
+        )
+        self.assertEqual(upstream.cold_until, 11.5)
         for spec in (None, "text", 5, {"service": "engine"}):
             with self.subTest(spec=spec):
                 self.assertIsNone(decode_upstream("i-1", spec))
