Order requests by priority, work already spent, and aim, as an option

Callers saw urgent programs queue behind others: customers' attained service decided the order, and neither priority nor the time left reached it.

--- a/sapphireyard/scheduling/order.py
+++ b/sapphireyard/scheduling/order.py
@@ -59,10 +59,10 @@
         self._roots = OrderedDict()
         self._number = 0
 
-    def key(self, root, now):
-        """Return the key of a request of `root` that arrives at `now`."""
+    def key(self, request, now):
+        """Return the key of a request that arrives at `now`."""
         self._number += 1
-        entry = self._get_or_create(root, now)
+        entry = self._get_or_create(request.root, now)
         return OrderKey(self._level(entry.attained), entry.start, self._number)
 
     def add_service(self, root, tokens, now):
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     SchedulerOptions,
 )
 from sapphireyard.scheduling.selection import Selection
+from sapphireyard.scheduling.urgency import UrgencyOrder
 
 ALL_CUSTOMERS = "*"
 """Name that stands for every customer when shares are not fair."""
@@ -58,6 +59,8 @@
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
+        if self._options.urgency:
+            self._order = UrgencyOrder()
         self._placement = Placement(keep_seconds=self._options.keep_seconds)
         self._queues = RequestQueues()
         self._slots = {}
@@ -90,6 +93,23 @@
         """int: Number of requests that hold a slot."""
         return len(self._running)
 
+    @property
+    def used(self):
+        """int: Slots in use, also by other schedulers, and requests in the queue."""
+        running = sum(
+            len(slots.running) + slots.foreign_running for slots in self._slots.values()
+        )
+        return running + self.waiting
+
+    @property
+    def slots(self):
+        """int: Slots of the upstreams that may get requests."""
+        return sum(slots.batch_limit for slots in self._slots.values() if slots.is_up)
+
+    def is_up(self, name):
+        """Return whether an upstream may get requests."""
+        return self._slots[name].is_up
+
     def held_by(self, holder):
         """Return the ids of the requests for which a host holds a slot."""
         return frozenset(self._held.get(holder, ()))
@@ -309,7 +329,7 @@
             request=request,
             customer=customer,
             affinity=self._selection.affinity(request),
-            key=self._order.key(request.root, now),
+            key=self._order.key(request, now),
             submitted=now,
         )
         self._waiting[request.request_id] = waiting
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -143,6 +143,9 @@
         Whether requests may leave the holder of their prefix while it is full.
     refuse : bool, optional
         Whether requests that cannot meet their deadline are refused at once.
+    urgency : bool, optional
+        Whether priority and aim order the requests of all customers, rather than the
+        service that programs have attained; to be used without fair shares.
     tie_seed : str, optional
         Seed of the order among equally loaded upstreams; empty to order them
         by name.
@@ -159,4 +162,5 @@
     keep_seconds: float = 72.0
     move: bool = True
     refuse: bool = True
+    urgency: bool = False
     tie_seed: str = ""
