Queue the requests for busy engines at one home for all hosts

In a burst each host took the slots that looked free in the others' last heartbeats; engines queued what exceeded their batch in order of arrival, whatever its priority, and ran it late. One host now grants slots to all hosts while more than 0.3 of a service's slots are in use. Which host that is follows from the heartbeats, and it keeps no state that a new home needs. A slot is bound to an exchange between two hosts, so a host that is lost frees its slots, and a home that does not answer is replaced by the host's own choice. Requests on these pools are ordered by urgency.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -8,12 +8,14 @@
 import itertools
 import logging
 import math
+from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import mode
 
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.exchange.shared_queues import SharedQueues
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
@@ -61,7 +63,9 @@
     """One service: its scheduler and its upstreams."""
 
     def __init__(self, host):
-        options = SchedulerOptions(hold_new=False, tie_seed=host)
+        options = SchedulerOptions(
+            fair=False, urgency=True, hold_new=False, tie_seed=host
+        )
         self.scheduler = Scheduler([], options=options, max_upstreams=MAX_UPSTREAMS)
         self.upstreams = {}
         self.limited = set()
@@ -101,6 +105,8 @@
         self._remote = {}
         self._remote_load = {}
         self._leaving = {}
+        self._granted = Counter()
+        self._shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
         self.links = Links()
 
@@ -109,9 +115,15 @@
         """dict of str to int: This host's requests in flight on each upstream."""
         return dict(self._running)
 
+    @property
+    def granted(self):
+        """dict of str to int: The part of `running` for which a home granted slots."""
+        return dict(+self._granted)
+
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
+        self._shared.set_services(name for name in services if self._engines[name])
         for pool in self._pools.values():
             for upstream in pool.upstreams.values():
                 pool.scheduler.add_upstream(self._limits(upstream))
@@ -169,25 +181,74 @@
         self._check_rates(pool, request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
+        async with self._hold_slot(pool, request, upstream_hint) as name:
+            upstream = pool.upstreams[name]
+            self._running[name] = self._running.get(name, 0) + 1
+            self._outliers.note_sent(name, self._now())
+            try:
+                yield upstream
+            finally:
+                self._running[name] -= 1
+                if not self._running[name]:
+                    del self._running[name]
+
+    @asynccontextmanager
+    async def grant(self, request, *, upstream_hint=""):
+        """Hold a slot for a request, which another host may send.
+
+        Yields
+        ------
+        str
+            Name of the upstream.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: no slot in time.
+        PeerError
+            This host reaches no upstream of the service.
+        """
+        pool = self._pools.get(request.pool)
+        if pool is None or pool.unreachable or not pool.upstreams:
+            raise PeerError(f"no upstream of {request.pool!r} is reached here")
         now = self._now()
         if upstream_hint and request.prefix_tokens:
             pool.scheduler.learn_prefix(
                 upstream_hint, request.program, request.prefix_tokens, now
             )
         name = await self._acquire(pool, request)
-        upstream = pool.upstreams[name]
-        self._running[name] = self._running.get(name, 0) + 1
-        self._outliers.note_sent(name, now)
         try:
-            yield upstream
+            yield name
         finally:
-            self._running[name] -= 1
-            if not self._running[name]:
-                del self._running[name]
-            actions = pool.scheduler.finish(
-                request.request_id, request.output_tokens, None, self._now()
-            )
-            self._execute(actions)
+            self._finish(pool, request)
+
+    @asynccontextmanager
+    async def _hold_slot(self, pool, request, upstream_hint):
+        """Hold a slot that the home of the queue grants, or else this host."""
+        scheduler = pool.scheduler
+        used, slots = scheduler.used, 0 if pool.limited else scheduler.slots
+        avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
+        ask = replace(request, excluded=(*request.excluded, *avoided))
+        async with self._shared.hold(
+            ask, used=used if slots else 0, slots=slots, upstream_hint=upstream_hint
+        ) as name:
+            if name not in pool.upstreams:
+                async with self.grant(request, upstream_hint=upstream_hint) as name:
+                    yield name
+                return
+            scheduler.adopt(request, name, self._now())
+            self._granted[name] += 1
+            try:
+                yield name
+            finally:
+                self._granted[name] -= 1
+                self._finish(pool, request)
+
+    def _finish(self, pool, request):
+        tokens = request.output_tokens
+        self._execute(
+            pool.scheduler.finish(request.request_id, tokens, None, self._now())
+        )
 
     def find(self, name):
         """Return the listed `Upstream` called `name`, or None."""
@@ -242,14 +303,26 @@
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
-        if heartbeat.role == ENTRY:
-            self._replace_remote(heartbeat.host, heartbeat.running, now)
+        if heartbeat.role != ENTRY:
+            return
+        running = heartbeat.running
+        if heartbeat.granted:
+            running = Counter(running)
+            running.subtract(
+                {
+                    name: count
+                    for name, count in heartbeat.granted.items()
+                    if self._is_home(name)
+                }
+            )
+        self._replace_remote(heartbeat.host, running, now)
 
     @mode.Service.task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
             self._drop_silent(now)
+            self._shared.update(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
                 self._update_grants(pool)
@@ -409,6 +482,11 @@
             waiter.future.set_exception(_build_unreachable_error(service))
             self._execute(pool.scheduler.cancel(request_id, now))
 
+    def _is_home(self, name):
+        """Return whether this host grants the slots of an upstream to all hosts."""
+        pool = self._find_pool(name)
+        return pool is not None and self._shared.is_home(pool.upstreams[name].service)
+
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
         membership = self._runtime.gossip.membership
--- /dev/null
+++ b/sapphireyard/exchange/shared_queues.py
@@ -0,0 +1,210 @@
+"""A common queue of all hosts for each service that model engines provide.
+
+One active host, the home, grants slots to all while a service is busy. A host that
+gets no answer from the home grants its own slots as if there were no home. A slot is
+held as long as the exchange between the two hosts lasts: it is free again when the
+asking host ends the exchange, or when the connection does.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from contextlib import asynccontextmanager
+
+from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.exchange import generated_shared_queues
+from sapphireyard.exchange.generated_shared_queues import (
+    SharedSlotAsk,
+    SharedSlotGrant,
+)
+from sapphireyard.scheduling.queue_home import QueueHost, choose_queue_home, is_busy
+from sapphireyard.scheduling.scheduling import SlotRequest
+
+logger = logging.getLogger(__name__)
+
+HOLD_SECONDS = 30.0
+"""Longest time for which a slot is held: longer than any request may take."""
+MARGIN_SECONDS = 0.1
+"""Time after a request's last use of a slot for which the home's refusal is awaited."""
+
+
+class SharedQueues:
+    """Asks homes for slots, and serves as a home.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Provides the host's name, peers, gossip and clock.
+    pools : UpstreamPools
+        Grants slots of upstreams to this host, and as a home to others.
+    """
+
+    def __init__(self, runtime, pools):
+        self._runtime = runtime
+        self._pools = pools
+        self._numbers = itertools.count(1)
+        self._services = []
+        self._homes = {}
+        self._awaited = {}
+        runtime.peers.codec.register_module(generated_shared_queues)
+        runtime.peers.register_stream(SharedSlotAsk, self._serve)
+
+    def set_services(self, names):
+        """Set the names of the services that have a common queue."""
+        self._services = sorted(names)
+        self._homes = {}
+
+    def update(self, now):
+        """Choose the homes anew, and stop waiting for those that are silent."""
+        hosts = self._list_hosts(now)
+        for rank, service in enumerate(self._services):
+            home = choose_queue_home(hosts, rank) if len(hosts) > 1 else None
+            if home != self._homes.get(service):
+                logger.info(
+                    "home of a queue",
+                    extra={"decision": "queue_home", "pool": service, "home": home},
+                )
+            self._homes[service] = home
+        live = {each.name for each in hosts}
+        loop = asyncio.get_running_loop()
+        for scope, home in self._awaited.items():
+            if home not in live:
+                scope.reschedule(loop.time())
+
+    def is_home(self, service):
+        """Return whether this host is the home of a service's queue."""
+        return self._homes.get(service) == self._runtime.host
+
+    @asynccontextmanager
+    async def hold(self, request, *, used, slots, upstream_hint=""):
+        """Hold a slot that the home of a service grants.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            The request.
+        used, slots : int
+            Slots in use or waited for, as far as is known here, and all slots.
+        upstream_hint : str, optional
+            Upstream that served the program's last turn.
+
+        Yields
+        ------
+        str or None
+            Name of the upstream; None if this host is to grant the slot itself.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: the home refused the request.
+        """
+        home = self._homes.get(request.pool)
+        if home in (None, self._runtime.host) or not is_busy(used, slots):
+            yield None
+            return
+        ask = self._build_ask(request, upstream_hint)
+        stream = self._runtime.peers.stream(home, ask, timeout=HOLD_SECONDS)
+        async with contextlib.aclosing(stream) as answers:
+            yield await self._await_grant(home, answers, request)
+
+    async def _await_grant(self, home, answers, request):
+        seconds = max(0.0, request.deadline - self._now()) + MARGIN_SECONDS
+        scope = asyncio.timeout(seconds)
+        try:
+            async with scope:
+                self._awaited[scope] = home
+                grant = await anext(answers)
+                return grant.upstream
+        except CallError as error:
+            if error.code == "overloaded":
+                raise
+            failure = error
+        except (PeerError, TimeoutError, StopAsyncIteration) as error:
+            failure = error
+        finally:
+            self._awaited.pop(scope, None)
+        logger.info(
+            "no slot from the home of a queue",
+            extra={
+                "decision": "queue_home",
+                "pool": request.pool,
+                "home": home,
+                "program": request.program,
+                "error": repr(failure),
+            },
+        )
+        return None
+
+    async def _serve(self, message, context):
+        """Grant a slot to another host, and hold it while the exchange lasts."""
+        now = self._now()
+        request = SlotRequest(
+            program=message.program,
+            root=message.root,
+            customer=message.customer,
+            pool=message.pool,
+            prefix_tokens=message.prefix_tokens,
+            new_tokens=message.new_tokens,
+            output_tokens=message.output_tokens,
+            deadline=now + message.seconds_left,
+            excluded=tuple(message.excluded),
+            priority=message.priority,
+            aim_at=now + message.aim_seconds,
+            started=message.started,
+            prompt_parts=tuple(zip(message.part_ids, message.part_tokens)),
+            request_id=f"{context.host}/{next(self._numbers)}",
+            holder=context.host,
+        )
+        async with self._pools.grant(
+            request, upstream_hint=message.upstream_hint
+        ) as name:
+            yield SharedSlotGrant(name)
+            await asyncio.sleep(HOLD_SECONDS)
+
+    def _build_ask(self, request, upstream_hint):
+        now = self._now()
+        return SharedSlotAsk(
+            pool=request.pool,
+            program=request.program,
+            root=request.root,
+            customer=request.customer,
+            prefix_tokens=request.prefix_tokens,
+            new_tokens=request.new_tokens,
+            output_tokens=request.output_tokens,
+            seconds_left=round(request.deadline - now, 4),
+            aim_seconds=round(request.aim_at - now, 4),
+            priority=request.priority,
+            started=request.started,
+            excluded=list(request.excluded),
+            part_ids=[name for name, _ in request.prompt_parts],
+            part_tokens=[tokens for _, tokens in request.prompt_parts],
+            upstream_hint=upstream_hint,
+        )
+
+    def _list_hosts(self, now):
+        """Return the active hosts in touch as `QueueHost`, this one included."""
+        gossip = self._runtime.gossip
+        hosts = [
+            QueueHost(
+                member.heartbeat.host,
+                member.heartbeat.cores,
+                member.heartbeat.effort,
+                member.heartbeat.isolated,
+                member.heartbeat.leaving,
+            )
+            for member in gossip.membership.list_active(now)
+        ]
+        if gossip.membership.active:
+            hosts.append(
+                QueueHost(
+                    self._runtime.host,
+                    self._runtime.settings.cores,
+                    gossip.effort,
+                    self._pools.links.is_avoided(now),
+                )
+            )
+        return hosts
+
+    def _now(self):
+        return self._runtime.clock.monotonic()
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -171,3 +171,7 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    granted: dict[str, int] = field(default_factory=dict)
+    """
+    The part of `running` for which another host, the home of the service's queue, granted the slot.
+    """
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -274,7 +274,7 @@
         if not standby:
             return
         heartbeat = self._build_heartbeat(now, True)
-        heartbeat.admitted = heartbeat.running = {}
+        heartbeat.admitted = heartbeat.running = heartbeat.granted = {}
         heartbeat.full = False
         heartbeat.directory = self._describe_directory()
         encoder = HeartbeatEncoder(heartbeat)
