--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -187,3 +187,7 @@
     """
     Revision of the store at which that was read; 0 for never.
     """
+    granted: dict[str, int] = field(default_factory=dict)
+    """
+    The part of `running` for which another host, the home of the service's queue, granted the slot.
+    """
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from sapphireyard.scheduling.previews import Preview, view_upstream
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
+    REASON_HOME,
     REASON_MOVED,
     Grant,
     Refuse,
@@ -17,6 +18,7 @@
     SchedulerOptions,
 )
 from sapphireyard.scheduling.selection import Selection
+from sapphireyard.scheduling.urgency import UrgencyOrder
 
 ALL_CUSTOMERS = "*"
 """Name that stands for every customer when shares are not fair."""
@@ -63,6 +65,8 @@
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
+        if self._options.urgency:
+            self._order = UrgencyOrder()
         self._placement = Placement(
             keep_seconds=self._options.keep_seconds, parts=parts
         )
@@ -97,6 +101,23 @@
         """int: Number of requests that hold a slot."""
         return len(self._running)
 
+    @property
+    def used(self):
+        """int: Slots in use, also by other schedulers, and requests in the queue."""
+        running = sum(
+            len(slots.running) + slots.foreign_running for slots in self._slots.values()
+        )
+        return running + self.waiting
+
+    @property
+    def slots(self):
+        """int: Slots of the upstreams that may get requests."""
+        return sum(slots.batch_limit for slots in self._slots.values() if slots.is_up)
+
+    def is_up(self, name):
+        """Return whether an upstream may get requests."""
+        return self._slots[name].is_up
+
     def held_by(self, holder):
         """Return the ids of the requests for which a host holds a slot."""
         return frozenset(self._held.get(holder, ()))
@@ -217,13 +238,25 @@
         return self._decide(now)
 
     def adopt(self, request, upstream, now):
-        """Count a slot that was granted by another scheduler."""
+        """Count a slot that was granted by another scheduler; return the `Grant`."""
         if request.request_id in self._running or upstream not in self._slots:
-            return
+            return None
         waiting = self._waiting.get(request.request_id)
         if waiting:
             self._dequeue(waiting)
-        self._start(request, upstream, self._cost(request, 0), now)
+        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
+        cached = self._placement.cached(upstream, request)
+        kept = max(cached, self._placement.longest(among, request))
+        self._start(request, upstream, self._cost(request, cached), now)
+        self._placement.note_sent(upstream, request, now)
+        return Grant(
+            request=request,
+            upstream=upstream,
+            reason=REASON_HOME,
+            among=among,
+            cached_tokens=cached,
+            kept_tokens=kept,
+        )
 
     def release_holder(self, holder, now):
         """Refuse the waiting requests of a dead host and release its slots."""
@@ -358,7 +391,7 @@
             request=request,
             customer=customer,
             affinity=self._selection.affinity(request),
-            key=self._order.key(request.root, now),
+            key=self._order.key(request, now),
             submitted=now,
         )
         self._waiting[request.request_id] = waiting
