Refuse new programs behind a long queue; prefer fast engines

Callers whose programs could not end in time any more took the places of those that could, and a request was refused only once its own wait was over. Engines got requests by their number, so that those at half the speed of others made programs late.

The pace of engines is learned from the requests that they ran.

Not measured with processes yet.

--- a/bench/surge.py
+++ b/bench/surge.py
@@ -10,11 +10,13 @@
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 from statistics import mean
 
 from bench.simulation import Simulation
 from bench.workload import PlannedProgram, Turn, estimate_unloaded_seconds
 from sapphireyard.scheduling.capacity import UpstreamLimits
+from sapphireyard.scheduling.queue_home import is_busy
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     Grant,
@@ -304,6 +306,10 @@
         self._simulation = simulation
         self._site = simulation.site
         self._calls = {}
+        self._requests = {}
+        self._hosts = {}
+        self._engines = {}
+        self._granted = [Counter() for _ in range(hosts or self._site.hosts)]
         self._sent = [Counter() for _ in range(hosts or self._site.hosts)]
         self.schedulers = []
         for host in range(hosts or self._site.hosts):
@@ -333,7 +339,19 @@
         """Queue a call at its host."""
         self._simulation.call_later(self._simulation.site.latency, self._submit, call)
 
+    def _choose_host(self, call):
+        """Return the host whose scheduler grants a call's slot."""
+        return call.program.plan.host % len(self.schedulers)
+
     def _submit(self, call):
+        host = self._hosts[call.request_id] = self._choose_host(call)
+        if host == call.program.plan.host % len(self.schedulers):
+            self._submit_at(host, call)
+        else:
+            latency = self._site.latency
+            self._simulation.call_later(latency, self._submit_at, host, call)
+
+    def _submit_at(self, host, call):
         simulation, program = self._simulation, call.program
         plan, now = program.plan, simulation.now
         kind = self._site.kinds[plan.kind]
@@ -345,20 +363,28 @@
             pool="models",
             prefix_tokens=program.history,
             new_tokens=call.new_tokens,
-            output_tokens=plan.turns[program.turn].estimate,
+            output_tokens=4 * 75,
+            expected_tokens=plan.turns[program.turn].estimate,
             deadline=now + 0.4 * kind.timeout,
             priority=kind.priority,
             aim_at=program.started + plan.aim,
             started=program.turn > 0,
             request_id=call.request_id,
         )
-        host = plan.host % len(self.schedulers)
+        self._requests[call.request_id] = request
+        if plan.name in self._engines:
+            self.schedulers[host].learn_prefix(
+                self._engines[plan.name], plan.name, request.prefix_tokens, now
+            )
         self._apply(host, self.schedulers[host].submit(request, now))
 
     def finish(self, call, event):
         """Return the slot of a finished call."""
-        host = call.program.plan.host % len(self.schedulers)
+        host = self._hosts[call.request_id]
         self._sent[host][f"e{call.engine}"] -= 1
+        self._release(host, call, event)
+
+    def _release(self, host, call, event):
         actions = self.schedulers[host].finish(
             call.request_id, event.output_tokens, None, self._simulation.now
         )
@@ -372,13 +398,20 @@
         for action in actions:
             if isinstance(action, Grant):
                 call = self._calls.pop(action.request.request_id)
-                self._sent[host][action.upstream] += 1
-                simulation.send(call, int(action.upstream[1:]))
+                wait = 0.0
+                if host != call.program.plan.host % len(self.schedulers):
+                    wait = self._site.latency
+                simulation.call_later(wait, self._send, host, call, action.upstream)
             elif isinstance(action, Refuse):
                 call = self._calls.pop(action.request.request_id)
                 simulation.outcomes[call.program.plan.kind].refusals += 1
                 simulation.retry(call, min(max(action.retry_after, 0.05), 2.0))
 
+    def _send(self, host, call, upstream):
+        self._sent[host][upstream] += 1
+        self._engines[call.program.plan.name] = upstream
+        self._simulation.send(call, int(upstream[1:]))
+
     def _tick(self, host):
         now = self._simulation.now
         self._apply(host, self.schedulers[host].tick(now))
@@ -387,10 +420,14 @@
 
     def _beat(self, host):
         simulation = self._simulation
-        sent = {name: count for name, count in self._sent[host].items() if count}
+        sent = +self._sent[host]
+        own = sent - self._granted[host]
         for other in range(len(self.schedulers)):
             if other != host:
-                simulation.call_later(self._site.latency, self._hear, other, host, sent)
+                running = sent if other else own  # the first one is the home
+                simulation.call_later(
+                    self._site.latency, self._hear, other, host, running
+                )
         if simulation.now < 40:
             simulation.call_later(HEARTBEAT_SECONDS, self._beat, host)
 
@@ -402,14 +439,36 @@
             if before.get(name, 0) != sent.get(name, 0):
                 count = sum(each.get(name, 0) for each in view.values())
                 actions = self.schedulers[host].report_load(
-                    name, count, 0, 0, 0, simulation_now(self._simulation)
+                    name, count, 0, 0, 0, self._simulation.now
                 )
                 self._apply(host, actions)
 
 
-def simulation_now(simulation):
-    """Return the virtual time."""
-    return simulation.now
+class HomeArm(HostsArm):
+    """The same, with one home that grants slots to all hosts while they are busy."""
+
+    def _choose_host(self, call):
+        own = call.program.plan.host
+        scheduler = self.schedulers[own]
+        busy = is_busy(scheduler.used, scheduler.slots)
+        return 0 if busy else own
+
+    def _send(self, host, call, upstream):
+        own = call.program.plan.host
+        if host != own:
+            request = self._requests[call.request_id]
+            self.schedulers[own].adopt(request, upstream, self._simulation.now)
+            self._granted[own][upstream] += 1
+        super()._send(own, call, upstream)
+
+    def finish(self, call, event):
+        own, host = call.program.plan.host, self._hosts[call.request_id]
+        if host != own:
+            self._granted[own][f"e{call.engine}"] -= 1
+            latency = self._site.latency
+            self._simulation.call_later(latency, self._release, host, call, event)
+        self._sent[own][f"e{call.engine}"] -= 1
+        self._release(own, call, event)
 
 
 def run(site, *, seed, load=1.0, burst=(8.0, 12.0, 2.1), arm=HostsArm):
@@ -425,9 +484,11 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--sites", nargs="+", default=list(SITES))
+    parser.add_argument("--arms", nargs="+", default=list(ARMS))
     options = parser.parse_args()
     for name in options.sites:
-        for arm_name, arm in ARMS.items():
+        for arm_name in options.arms:
+            arm = ARMS[arm_name]
             runs = [
                 run(SITES[name], seed=seed, load=options.load, arm=arm)
                 for seed in options.seeds
@@ -449,11 +510,14 @@
             print(f"{'':26s} worst second {mean(worst):.3f}")
 
 
-def _arm(**fields):
-    return lambda simulation: HostsArm(simulation, **fields)
-
-
-ARMS = {"as it was": _arm(), "one queue": _arm(hosts=1)}
+URGENT = {"fair": False, "urgency": True}
+ARMS = {
+    "as it was": HostsArm,
+    "each host alone": partial(HostsArm, options=URGENT),
+    "home": partial(HomeArm, options=URGENT),
+    "home, fair": HomeArm,
+    "one queue": partial(HostsArm, options=URGENT, hosts=1),
+}
 
 if __name__ == "__main__":
     main()
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -401,6 +401,7 @@
             aim_at=admitted.aim_at,
             started=admitted.continues_program,
             prompt_parts=call.prompt_parts,
+            expected_tokens=call.expected_output_tokens,
         )
 
     def build_dispatch(self, admitted, upstream, *, prefix=b""):
--- a/sapphireyard/exchange/generated_shared_queues.py
+++ b/sapphireyard/exchange/generated_shared_queues.py
@@ -25,6 +25,10 @@
     prefix_tokens: int = 0
     new_tokens: int = 0
     output_tokens: int = 1
+    expected_tokens: int = 0
+    """
+    The caller's estimate of the generated tokens.
+    """
     seconds_left: float = 0
     """
     Seconds until the slot is of no use.
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -2,10 +2,12 @@
 
 import heapq
 
+from sapphireyard.scheduling.admission import QueueAdmission
 from sapphireyard.scheduling.backlog import Backlog
 from sapphireyard.scheduling.capacity import MeanDuration, UpstreamSlots, UpstreamState
 from sapphireyard.scheduling.fairness import FairShares
 from sapphireyard.scheduling.order import ProgramOrder
+from sapphireyard.scheduling.pace import UpstreamPaces
 from sapphireyard.scheduling.placement import Placement
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
@@ -61,6 +63,8 @@
         self._order = ProgramOrder(first_level=self._options.first_level)
         if self._options.urgency:
             self._order = UrgencyOrder()
+        self._admission = QueueAdmission()
+        self._paces = UpstreamPaces()
         self._placement = Placement(keep_seconds=self._options.keep_seconds)
         self._queues = RequestQueues()
         self._slots = {}
@@ -78,6 +82,7 @@
             self._duration,
             self._shares,
             self._backlog,
+            self._paces,
             self._options,
         )
         for limits in upstreams:
@@ -144,6 +149,7 @@
         """Remove an upstream from the group; its running requests continue."""
         actions = self.set_state(name, UpstreamState.DOWN, now)
         self._placement.remove(name)
+        self._paces.forget(name)
         del self._slots[name]
         return actions
 
@@ -159,10 +165,9 @@
             raise ValueError(
                 f"request {request.request_id} is waiting or running already"
             )
-        wait = self.expected_wait(request.customer)
-        late = now + wait - request.deadline
-        if self._options.refuse and request.deadline and late > 0:
-            return [Refuse(request, max(late, self._duration.seconds))]
+        delay = self._find_delay(request, now) if self._options.refuse else None
+        if delay is not None:
+            return [Refuse(request, delay)]
         self._enqueue(request, now)
         return self._decide(now)
 
@@ -197,6 +202,7 @@
         slots = self._slots.get(running.upstream)
         if slots:
             slots.release(request_id)
+            self._note_pace(running, slots.limits, output_tokens, now)
         self._correct_cost(running, output_tokens, cached_tokens, now)
         if slots and output_tokens and slots.limits.kv_tokens:
             tokens = request.prefix_tokens + request.new_tokens + output_tokens
@@ -314,6 +320,23 @@
         """Return the expected wait of a new request of a customer in seconds."""
         return self._backlog.expected_wait(self._share_key(customer))
 
+    def _find_delay(self, request, now):
+        """Return the seconds after which a request to refuse may return, or None."""
+        if not self._options.urgency:
+            late = now + self.expected_wait(request.customer) - request.deadline
+            if not request.deadline or late <= 0:
+                return None
+            return max(late, self._duration.seconds)
+        key = self._order.key(request, now)
+        return self._admission.find_delay(
+            request,
+            ahead=sum(waiting.key < key for waiting in self._waiting.values()),
+            slots=self.slots,
+            seconds=self._duration.seconds,
+            now=now,
+            engines=any(slots.limits.kv_tokens for slots in self._slots.values()),
+        )
+
     def _share_key(self, customer):
         return customer if self._options.fair else ALL_CUSTOMERS
 
@@ -412,6 +435,16 @@
         cost = prompt + output_tokens * self._output_cost
         self._add_service(request, cost - running.cost, now)
 
+    def _note_pace(self, running, limits, output_tokens, now):
+        """Record how long an engine took for a request that succeeded."""
+        if not limits.kv_tokens or not output_tokens:
+            return
+        request = running.request
+        prompt = running.cost - request.output_tokens * self._output_cost
+        expected = prompt / limits.prefill_rate
+        expected += request.expected_output * limits.decode_seconds
+        self._paces.note(running.upstream, now - running.started, expected)
+
     def _remove_from_held(self, request):
         held = self._held[request.holder]
         held.discard(request.request_id)
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -38,6 +38,8 @@
         An earlier request of the program has run.
     prompt_parts : tuple of (str, int), optional
         Id and tokens of each part of the prompt, in order.
+    expected_tokens : int, optional
+        The caller's estimate of the generated tokens; 0 if there is none.
     request_id : str, optional
         Id that is unique in the fleet; the holder sets it.
     holder : str, optional
@@ -57,9 +59,15 @@
     aim_at: float = 0.0
     started: bool = False
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    expected_tokens: int = 0
     request_id: str = ""
     holder: str = ""
 
+    @property
+    def expected_output(self):
+        """int: Tokens that it probably generates."""
+        return self.expected_tokens or self.output_tokens
+
     @property
     def total_tokens(self):
         """int: Tokens of KV memory that the request needs when it ends."""
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -12,6 +12,8 @@
     REASON_MOVED,
 )
 
+LOAD_DIGITS = 1
+"""Digits by which paces differ; hosts break ties differently."""
 LOOKAHEAD_CUSTOMERS = 4
 """Customers considered when the requests of the least served cannot start."""
 
@@ -54,17 +56,22 @@
         Weights of customers.
     backlog : Backlog
         Expected waits of customers.
+    paces : UpstreamPaces
+        How fast the upstreams run requests.
     options : SchedulerOptions
         Switches and weights.
     """
 
-    def __init__(self, slots, queues, placement, duration, shares, backlog, options):
+    def __init__(
+        self, slots, queues, placement, duration, shares, backlog, paces, options
+    ):
         self._slots = slots
         self._queues = queues
         self._placement = placement
         self._duration = duration
         self._shares = shares
         self._backlog = backlog
+        self._paces = paces
         self._blocked = set()
         self._user_weights = None
         self.options = options
@@ -112,9 +119,13 @@
         not all send to the same upstream between two load reports.
         """
         name = slots.limits.name
+        load = slots.fill
+        if self.options.urgency and slots.limits.kv_tokens:
+            running = len(slots.running) + slots.foreign_running
+            load = round(self._paces.score(name, running), LOAD_DIGITS)
         if not self.options.tie_seed:
-            return slots.fill, 0, name
-        return slots.fill, score_host(self.options.tie_seed, name), name
+            return load, 0, name
+        return load, score_host(self.options.tie_seed, name), name
 
     def _choose_for(self, slots, now):
         self._placement.record(slots.limits.name).age(now)
