--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -26,6 +26,10 @@
     """
     Identity of the disk of each member, by host.
     """
+    lost_before: int = 0
+    """
+    Records written under sets before this version may be lost; 0 if none are.
+    """
 
 
 @dataclass
@@ -177,7 +181,7 @@
     """
     upstream_results: dict[str, list[float]] = field(default_factory=dict)
     """
-    Recent results of upstreams that failed at any host: failures, all results, and seconds since the last failure.
+    Recent results of upstreams that failed at any host: failures, all results, seconds since the last failure, and seconds for which the host still leaves the upstream out.
     """
     evacuated: list[str] = field(default_factory=list)
     """
@@ -187,6 +191,10 @@
     """
     Revision of the store at which that was read; 0 for never.
     """
+    reserved: dict[str, int] = field(default_factory=dict)
+    """
+    Tokens of memory that the host's requests in flight need on each upstream.
+    """
     granted: dict[str, int] = field(default_factory=dict)
     """
     The part of `running` for which another host, the home of the service's queue, granted the slot.
