--- a/sapphireyard/exchange/loads.py
+++ b/sapphireyard/exchange/loads.py
@@ -18,6 +18,11 @@
         """Return the difference of two loads."""
         return Load(self.requests - other.requests, self.tokens - other.tokens)
 
+    def without(self, count):
+        """Return the load without some of its requests, which are taken to be equal."""
+        left = max(0, self.requests - count)
+        return Load(left, self.tokens * left // max(1, self.requests))
+
 
 NO_LOAD = Load()
 
@@ -62,7 +67,7 @@
         """Return the `Load` of all other hosts on an upstream."""
         return self._others.get(name, NO_LOAD)
 
-    def replace(self, host, running, reserved):
+    def replace(self, host, running, reserved, *, granted=None):
         """Apply another host's report; return the upstreams whose load has changed.
 
         Parameters
@@ -72,11 +77,15 @@
         running, reserved : dict of str to int
             Its requests in flight on each upstream, and the tokens that they need; a
             host of an older build reports no tokens.
+        granted : dict of str to int, optional
+            The part of `running` that this host, as a home, counts already.
         """
         before = self._by_host.get(host, {})
         loads = {name: Load(count) for name, count in running.items()}
         for name, tokens in reserved.items():
             loads[name] = replace(loads.get(name, NO_LOAD), tokens=tokens)
+        for name, count in (granted or {}).items():
+            loads[name] = loads.get(name, NO_LOAD).without(count)
         self._by_host[host] = loads
         changed = []
         for name in before.keys() | loads.keys():
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -8,14 +8,16 @@
 import itertools
 import logging
 import math
+from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import mode
 
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import CallError, PeerError
 from sapphireyard.exchange.loads import FleetLoads
 from sapphireyard.exchange.placements import record_placement
+from sapphireyard.exchange.shared_queues import SharedQueues
 from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
@@ -70,7 +72,9 @@
     """One service: its scheduler and its upstreams."""
 
     def __init__(self, host, parts):
-        options = SchedulerOptions(hold_new=False, tie_seed=host)
+        options = SchedulerOptions(
+            fair=False, urgency=True, hold_new=False, tie_seed=host
+        )
         self.scheduler = Scheduler(
             [], options=options, max_upstreams=MAX_UPSTREAMS, parts=parts
         )
@@ -118,6 +122,8 @@
         self._engines = {}
         self._loads = FleetLoads()
         self._leaving = {}
+        self._granted = Counter()
+        self._shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
         self.cold = ColdUpstreams(self.rates)
         self.links = Links()
@@ -135,9 +141,15 @@
         """dict of str to int: Memory tokens that these requests need."""
         return self._loads.count_tokens()
 
+    @property
+    def granted(self):
+        """dict of str to int: The part of `running` for which a home granted slots."""
+        return dict(+self._granted)
+
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
+        self._shared.set_services(name for name in services if self._engines[name])
         self.cold.set_services(services)
         for pool in self._pools.values():
             for upstream in pool.upstreams.values():
@@ -191,28 +203,88 @@
         pool = self._find_usable(request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
+        async with self._hold_slot(pool, request, upstream_hint) as grant:
+            fields = record_placement(grant, self._runtime.metrics)
+            if placed is not None:
+                placed.update(fields)
+            name = grant.upstream
+            upstream = pool.upstreams[name]
+            tokens = request.total_tokens if self._engines.get(request.pool) else 0
+            self._loads.acquire(name, tokens)
+            self._outliers.note_sent(name, self._now())
+            try:
+                yield upstream
+            finally:
+                self._loads.release(name, tokens)
+
+    @asynccontextmanager
+    async def grant(self, request, *, upstream_hint=""):
+        """Hold a slot for a request, which another host may send.
+
+        Yields
+        ------
+        Grant
+            The slot.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``: no slot in time.
+        PeerError
+            This host reaches no upstream of the service.
+        """
+        pool = self._pools.get(request.pool)
+        if pool is None or pool.refusal or not pool.upstreams:
+            raise PeerError(f"no upstream of {request.pool!r} is reached here")
         now = self._now()
         if upstream_hint and request.prefix_tokens:
             pool.scheduler.learn_prefix(
                 upstream_hint, request.program, request.prefix_tokens, now
             )
         grant = await self._acquire(pool, request)
-        fields = record_placement(grant, self._runtime.metrics)
-        if placed is not None:
-            placed.update(fields)
-        name = grant.upstream
-        upstream = pool.upstreams[name]
-        tokens = request.total_tokens if self._engines.get(request.pool) else 0
-        self._loads.acquire(name, tokens)
-        self._outliers.note_sent(name, now)
         try:
-            yield upstream
+            yield grant
         finally:
-            self._loads.release(name, tokens)
-            actions = pool.scheduler.finish(
-                request.request_id, request.output_tokens, None, self._now()
-            )
-            self._execute(actions)
+            self._finish(pool, request)
+
+    @asynccontextmanager
+    async def _hold_slot(self, pool, request, upstream_hint):
+        """Hold a slot that the home of the queue grants, or else this host."""
+        scheduler = pool.scheduler
+        used, slots = scheduler.used, 0 if pool.limited else scheduler.slots
+        avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
+        ask = replace(request, excluded=(*request.excluded, *avoided))
+        async with self._shared.hold(
+            ask, used=used if slots else 0, slots=slots, upstream_hint=upstream_hint
+        ) as name:
+            if not self._may_adopt(pool, name):
+                async with self.grant(request, upstream_hint=upstream_hint) as grant:
+                    yield grant
+                return
+            grant = scheduler.adopt(request, name, self._now())
+            self._granted[name] += 1
+            try:
+                yield grant
+            finally:
+                self._granted[name] -= 1
+                self._finish(pool, request)
+
+    @staticmethod
+    def _may_adopt(pool, name):
+        """Return whether this host may use an upstream that a home has chosen.
+
+        It may have learned meanwhile that the upstream leaves, fails, is evacuated or
+        has stated a rate.
+        """
+        if name not in pool.upstreams or name in pool.limited:
+            return False
+        return pool.scheduler.is_up(name)
+
+    def _finish(self, pool, request):
+        tokens = request.output_tokens
+        self._execute(
+            pool.scheduler.finish(request.request_id, tokens, None, self._now())
+        )
 
     def preview(self, request):
         """Return the `Preview` of a request.
@@ -311,23 +383,27 @@
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
-        if heartbeat.role == ENTRY:
-            changed = self._loads.replace(
-                heartbeat.host, heartbeat.running, heartbeat.reserved
-            )
-            self._report_changed(changed, now)
-            self.evidence.merge(
-                heartbeat.host,
-                heartbeat.failure_domain,
-                heartbeat.upstream_results,
-                now,
-            )
+        if heartbeat.role != ENTRY:
+            return
+        granted = {
+            name: count
+            for name, count in heartbeat.granted.items()
+            if self._is_home(name)
+        }
+        changed = self._loads.replace(
+            heartbeat.host, heartbeat.running, heartbeat.reserved, granted=granted
+        )
+        self._report_changed(changed, now)
+        self.evidence.merge(
+            heartbeat.host, heartbeat.failure_domain, heartbeat.upstream_results, now
+        )
 
     @mode.Service.task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
             self._drop_silent(now)
+            self._shared.update(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
                 self._update_grants(pool)
@@ -514,6 +590,11 @@
             waiter.future.set_exception(_build_refusal(service, *pool.refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
+    def _is_home(self, name):
+        """Return whether this host grants the slots of an upstream to all hosts."""
+        pool = self._find_pool(name)
+        return pool is not None and self._shared.is_home(pool.upstreams[name].service)
+
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
         membership = self._runtime.gossip.membership
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -195,3 +195,7 @@
     """
     Tokens of memory that the host's requests in flight need on each upstream.
     """
+    granted: dict[str, int] = field(default_factory=dict)
+    """
+    The part of `running` for which another host, the home of the service's queue, granted the slot.
+    """
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -2,14 +2,17 @@
 
 import heapq
 
+from sapphireyard.scheduling.admission import QueueAdmission
 from sapphireyard.scheduling.backlog import Backlog
 from sapphireyard.scheduling.capacity import MeanDuration, UpstreamSlots, UpstreamState
 from sapphireyard.scheduling.fairness import FairShares
 from sapphireyard.scheduling.order import OrderKey, ProgramOrder
+from sapphireyard.scheduling.pace import UpstreamPaces
 from sapphireyard.scheduling.placement import Placement
 from sapphireyard.scheduling.previews import Preview, view_upstream
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
+    REASON_HOME,
     REASON_MOVED,
     Grant,
     Refuse,
@@ -17,6 +20,7 @@
     SchedulerOptions,
 )
 from sapphireyard.scheduling.selection import Selection
+from sapphireyard.scheduling.urgency import UrgencyOrder
 
 ALL_CUSTOMERS = "*"
 """Name that stands for every customer when shares are not fair."""
@@ -63,6 +67,10 @@
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
         self._order = ProgramOrder(first_level=self._options.first_level)
+        if self._options.urgency:
+            self._order = UrgencyOrder()
+        self._admission = QueueAdmission()
+        self._paces = UpstreamPaces()
         self._placement = Placement(
             keep_seconds=self._options.keep_seconds, parts=parts
         )
@@ -82,6 +90,7 @@
             self._duration,
             self._shares,
             self._backlog,
+            self._paces,
             self._options,
         )
         for limits in upstreams:
@@ -97,6 +106,23 @@
         """int: Number of requests that hold a slot."""
         return len(self._running)
 
+    @property
+    def used(self):
+        """int: Slots in use, also by other schedulers, and requests in the queue."""
+        running = sum(
+            len(slots.running) + slots.foreign_running for slots in self._slots.values()
+        )
+        return running + self.waiting
+
+    @property
+    def slots(self):
+        """int: Slots of the upstreams that may get requests."""
+        return sum(slots.batch_limit for slots in self._slots.values() if slots.is_up)
+
+    def is_up(self, name):
+        """Return whether an upstream may get requests."""
+        return self._slots[name].is_up
+
     def held_by(self, holder):
         """Return the ids of the requests for which a host holds a slot."""
         return frozenset(self._held.get(holder, ()))
@@ -132,6 +158,7 @@
         """Remove an upstream from the group; its running requests continue."""
         actions = self.set_state(name, UpstreamState.DOWN, now)
         self._placement.remove(name)
+        self._paces.forget(name)
         del self._slots[name]
         return actions
 
@@ -203,6 +230,7 @@
         slots = self._slots.get(running.upstream)
         if slots:
             slots.release(request_id)
+            self._note_pace(running, slots.limits, output_tokens, now)
         self._correct_cost(running, output_tokens, cached_tokens, now)
         if slots and output_tokens and slots.limits.kv_tokens:
             tokens = request.prefix_tokens + request.new_tokens + output_tokens
@@ -217,13 +245,25 @@
         return self._decide(now)
 
     def adopt(self, request, upstream, now):
-        """Count a slot that was granted by another scheduler."""
+        """Count a slot that was granted by another scheduler; return the `Grant`."""
         if request.request_id in self._running or upstream not in self._slots:
-            return
+            return None
         waiting = self._waiting.get(request.request_id)
         if waiting:
             self._dequeue(waiting)
-        self._start(request, upstream, self._cost(request, 0), now)
+        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
+        cached = self._placement.cached(upstream, request)
+        kept = max(cached, self._placement.longest(among, request))
+        self._start(request, upstream, self._cost(request, cached), now)
+        self._placement.note_sent(upstream, request, now)
+        return Grant(
+            request=request,
+            upstream=upstream,
+            reason=REASON_HOME,
+            among=among,
+            cached_tokens=cached,
+            kept_tokens=kept,
+        )
 
     def release_holder(self, holder, now):
         """Refuse the waiting requests of a dead host and release its slots."""
@@ -320,12 +360,27 @@
         """Return the expected wait of a new request of a customer in seconds."""
         return self._backlog.expected_wait(self._share_key(customer))
 
+    def _find_delay(self, request, now):
+        """Return the seconds after which a request to refuse may return, or None."""
+        if not self._options.urgency:
+            late = now + self.expected_wait(request.customer) - request.deadline
+            if not request.deadline or late <= 0:
+                return None
+            return max(late, self._duration.seconds)
+        key = self._order.key(request, now)
+        return self._admission.find_delay(
+            request,
+            ahead=sum(waiting.key < key for waiting in self._waiting.values()),
+            slots=self.slots,
+            seconds=self._duration.seconds,
+            now=now,
+            engines=any(slots.limits.kv_tokens for slots in self._slots.values()),
+        )
+
     def _judge(self, request, now):
         """Return the `Refuse` of a request that cannot start in time, or None."""
-        late = now + self.expected_wait(request.customer) - request.deadline
-        if not self._options.refuse or not request.deadline or late <= 0:
-            return None
-        return Refuse(request, max(late, self._duration.seconds))
+        delay = self._find_delay(request, now) if self._options.refuse else None
+        return None if delay is None else Refuse(request, delay)
 
     def _preview_grant(self, request, now):
         """Return the `Grant` of a request if it were the only one, or None."""
@@ -358,7 +413,7 @@
             request=request,
             customer=customer,
             affinity=self._selection.affinity(request),
-            key=self._order.key(request.root, now),
+            key=self._order.key(request, now),
             submitted=now,
         )
         self._waiting[request.request_id] = waiting
@@ -446,6 +501,16 @@
         cost = prompt + output_tokens * self._output_cost
         self._add_service(request, cost - running.cost, now)
 
+    def _note_pace(self, running, limits, output_tokens, now):
+        """Record how long an engine took for a request that succeeded."""
+        if not limits.kv_tokens or not output_tokens:
+            return
+        request = running.request
+        prompt = running.cost - request.output_tokens * self._output_cost
+        expected = prompt / limits.prefill_rate
+        expected += request.expected_output * limits.decode_seconds
+        self._paces.note(running.upstream, now - running.started, expected)
+
     def _remove_from_held(self, request):
         held = self._held[request.holder]
         held.discard(request.request_id)
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -5,6 +5,8 @@
 REASON_CACHED = "cached"
 REASON_LEAST_LOADED = "least_loaded"
 REASON_MOVED = "moved"
+REASON_HOME = "home"
+"""The home of the queue chose the upstream."""
 REASON_KEPT = "kept_parts"
 
 
@@ -39,6 +41,8 @@
         An earlier request of the program has run.
     prompt_parts : tuple of (str, int), optional
         Id and tokens of each part of the prompt, in order.
+    expected_tokens : int, optional
+        The caller's estimate of the generated tokens; 0 if there is none.
     request_id : str, optional
         Id that is unique in the fleet; the holder sets it.
     holder : str, optional
@@ -58,9 +62,15 @@
     aim_at: float = 0.0
     started: bool = False
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    expected_tokens: int = 0
     request_id: str = ""
     holder: str = ""
 
+    @property
+    def expected_output(self):
+        """int: Tokens that it probably generates."""
+        return self.expected_tokens or self.output_tokens
+
     @property
     def total_tokens(self):
         """int: Tokens of KV memory that the request needs when it ends."""
@@ -147,6 +157,9 @@
         Whether requests may leave the holder of their prefix while it is full.
     refuse : bool, optional
         Whether requests that cannot meet their deadline are refused at once.
+    urgency : bool, optional
+        Whether priority and aim order the requests of all customers, rather than the
+        service that programs have attained; to be used without fair shares.
     tie_seed : str, optional
         Seed of the order among equally loaded upstreams; empty to order them
         by name.
@@ -163,4 +176,5 @@
     keep_seconds: float = 72.0
     move: bool = True
     refuse: bool = True
+    urgency: bool = False
     tie_seed: str = ""
