--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -251,19 +251,10 @@
         waiting = self._waiting.get(request.request_id)
         if waiting:
             self._dequeue(waiting)
-        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
-        cached = self._placement.cached(upstream, request)
-        kept = max(cached, self._placement.longest(among, request))
-        self._start(request, upstream, self._cost(request, cached), now)
+        grant = self._build_grant(request, upstream, REASON_HOME)
+        self._start(request, upstream, self._cost(request, grant.cached_tokens), now)
         self._placement.note_sent(upstream, request, now)
-        return Grant(
-            request=request,
-            upstream=upstream,
-            reason=REASON_HOME,
-            among=among,
-            cached_tokens=cached,
-            kept_tokens=kept,
-        )
+        return grant
 
     def release_holder(self, holder, now):
         """Refuse the waiting requests of a dead host and release its slots."""
@@ -394,9 +385,7 @@
         choice = self._selection.preview(waiting, now)
         if choice is None:
             return None
-        cached = self._placement.cached(choice.upstream, request)
-        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
-        return Grant(request, choice.upstream, choice.reason, among, cached)
+        return self._build_grant(request, choice.upstream, choice.reason)
 
     def _share_key(self, customer):
         return customer if self._options.fair else ALL_CUSTOMERS
@@ -443,27 +432,32 @@
         tag = self._queues.least_tag
         self._shares.advance(tag)
         self._dequeue(choice.waiting)
-        cached = self._placement.cached(choice.upstream, request)
-        among = tuple(n for n, s in self._slots.items() if s.is_up)
-        keepers = self._placement.find_keepers(request)
-        kept = [tokens for name, tokens in keepers.items() if name in among]
-        self._start(request, choice.upstream, self._cost(request, cached), now)
+        waited = now - choice.waiting.submitted
+        grant = self._build_grant(request, choice.upstream, choice.reason, waited)
+        cost = self._cost(request, grant.cached_tokens)
+        self._start(request, choice.upstream, cost, now)
         self._placement.note_sent(choice.upstream, request, now)
-        actions = [
-            Grant(
-                request=request,
-                upstream=choice.upstream,
-                reason=choice.reason,
-                among=among,
-                cached_tokens=cached,
-                waited=now - choice.waiting.submitted,
-                kept_tokens=max([cached, *kept]),
-            )
-        ]
+        actions = [grant]
         if choice.reason == REASON_MOVED:
             actions += self._release_moved_prefix(choice.waiting)
         return actions
 
+    def _build_grant(self, request, upstream, reason, waited=0.0):
+        """Return the `Grant` of a request that has not been sent yet."""
+        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
+        cached = self._placement.cached(upstream, request)
+        keepers = self._placement.find_keepers(request)
+        kept = [tokens for name, tokens in keepers.items() if name in among]
+        return Grant(
+            request=request,
+            upstream=upstream,
+            reason=reason,
+            among=among,
+            cached_tokens=cached,
+            waited=waited,
+            kept_tokens=max([cached, *kept]),
+        )
+
     def _release_moved_prefix(self, waiting):
         """Release the prefix that a moved program leaves on its former upstream."""
         program = waiting.request.program
