--- a/sapphireyard/scheduling/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -99,7 +99,7 @@
             running, pace = candidates[limits]
             step_tokens = limits.prefill_rate * limits.decode_seconds
             tokens = max(0, prompt - kept.get(limits.name, 0))
-            tokens += request.output_tokens * step_tokens
+            tokens += request.expected_output * step_tokens
             return pace * tokens + running * self._mean_read
 
         return min(candidates, key=cost).name
