Copies: a member that answers is not put out of the set

A host that has just started has not heard the heartbeats of all members yet and took those for gone; it replaced a sound one, whose records then counted no more. It now asks the member that it would replace, and leaves it if it answers. The new test failed before: the set was b, c, d, e instead of a, b, c, d.

--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -299,12 +299,17 @@
             logger.info("cannot read whether a loss is accepted: %s", error)
 
     async def _may_change(self, copies, changed, answered):
-        """Return whether enough members serve for the set to change."""
+        """Return whether enough members serve, and none that answers is put out."""
+        peers = self._runtime.peers
+        replaced = set(copies.members) - set(changed.members)
+        if replaced and await ask_disks(peers, replaced):
+            logger.info("%s answers and is not replaced", ", ".join(replaced))
+            return False
         needed = self._count_fences(copies)
         if len(changed.members) > len(copies.members):
             # One member more needs more others to join from, so none may be missing.
             needed = len(copies.members)
-            answered = await list_serving(self._runtime.peers, copies.members)
+            answered = await list_serving(peers, copies.members)
         if len(answered) >= needed:
             return True
         logger.info("%d of %d members have answered", len(answered), needed)
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -247,6 +247,15 @@
             await self.client.reserve("c/p", "t2", 100, 300, keep_seconds=LONG)
         self.assertEqual(caught.exception.code, "budget_exceeded")
 
+    async def test_member_that_answers_is_not_replaced(self):
+        """A host that has just started has not heard the heartbeats of all members."""
+        await self.start_copy("e", bootstrap=False)
+        self.copies["e"]._is_gone = lambda host: host == "a"
+        self.copies["e"]._join_at = float("-inf")
+        await asyncio.sleep(1.0)
+        _, copies = await self.copies["a"]._set.read()
+        self.assertEqual(sorted(copies.members), ["a", "b", "c", "d"])
+
     async def test_old_set_is_refused_and_the_new_one_followed(self):
         old = self.client.copies
         await self.copies["d"].retire()
