--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -98,6 +98,8 @@
         self._retiring = False
         self._newest_written_at = 0.0
         self._join_at = float("-inf")
+        self._watched = ()  # members one of which may have to be replaced
+        self._gone = set()
         runtime.peers.codec.register_module(generated_history)
         runtime.peers.register_stream(Reservation, self._serve_reservation)
         runtime.peers.register(SpendingQuery, self._serve_spending)
@@ -210,7 +212,10 @@
 
     async def _try_join(self):
         now = self._now()
-        if now < self._join_at:
+        gone = {name for name in self._watched if self._is_gone(name)}
+        has_lost_one = bool(gone - self._gone)
+        self._gone = gone
+        if now < self._join_at and not has_lost_one:
             return
         self._join_at = now + JOIN_RETRY_SECONDS
         stored, copies = await self._set.read()
@@ -230,6 +235,7 @@
         )
         if changed is None and not is_member:
             await self._recover(stored, copies)
+            self._watched = sorted(copies.members)
             self._join_at = now + SPARE_SECONDS
             return
         kept = copies if changed is None else changed
--- a/sapphireyard/history/survey.py
+++ b/sapphireyard/history/survey.py
@@ -5,7 +5,7 @@
 from sapphireyard.exceptions import CallError, PeerError
 from sapphireyard.history.generated_history import DiskQuery, RecordsQuery
 
-SURVEY_TIMEOUT_SECONDS = 0.5
+SURVEY_TIMEOUT_SECONDS = 0.3
 """Longest wait for hosts to tell whether they serve; they answer from memory."""
 END_POSITION = 2**62
 """Position after which no copy has records: a query from there returns none."""
--- a/tests/test_history_losses.py
+++ b/tests/test_history_losses.py
@@ -14,13 +14,18 @@
 from hypothesis import example, given, settings, strategies as st
 
 from sapphireyard.exceptions import CallError, StoreError
-from tests.history_world import KEEP_SECONDS, Disk, World
+from sapphireyard.history.service import GONE_SECONDS
+from tests.history_world import GOSSIP_SECONDS, KEEP_SECONDS, Disk, World
 from tests.virtual_loop import VirtualLoop
 
 EXAMPLES = 60
 RETIRE_SECONDS = 0.5
 """Interval between attempts to complete a retirement."""
 DOWN_SECONDS = 1.5
+JOIN_SECONDS = 1.0
+"""Longest time in which a host becomes a full member."""
+SILENCE_SECONDS = GONE_SECONDS + GOSSIP_SECONDS
+"""Time after which a lost host is known to be gone."""
 FLEETS = ((2, 3), (2, 6), (2, 7), (1, 3), (1, 4), (1, 5))
 """Disks that may be lost at once, and hosts."""
 
@@ -249,6 +254,42 @@
     def test_allowed_losses_in_any_order_lose_nothing_and_end(self, fleet, script):
         self.run_virtually(lambda folder: play(*fleet, script, folder))
 
+    def test_hosts_join_soon(self):
+        """A second after a loss is known; each case has losses to bear and hosts."""
+        cases = [
+            (1, 4, "emptied", JOIN_SECONDS),
+            (2, 3, "emptied", JOIN_SECONDS),
+            (2, 6, "emptied", JOIN_SECONDS),
+            (1, 4, "replaced", SILENCE_SECONDS + JOIN_SECONDS),
+            (2, 3, "replaced", SILENCE_SECONDS + JOIN_SECONDS),
+            (2, 6, "replaced", SILENCE_SECONDS + JOIN_SECONDS),
+        ]
+
+        async def lose_one(folder, tolerated, hosts, how):
+            world = LossWorld(folder, tolerated, hosts)
+            try:
+                await world.start()
+                await world.commit("x", 0)
+                now = asyncio.get_running_loop().time
+                lost_at = now()
+                await world.kill("a")
+                world.disks["a"].wipe()
+                if how == "emptied":
+                    await world.run("a")
+                else:
+                    world.retired.add("a")
+                    await world.add()
+                while not world.healthy:
+                    await asyncio.sleep(0.02)
+                return now() - lost_at
+            finally:
+                await world.stop()
+
+        for *case, seconds in cases:
+            with self.subTest(case):
+                took = self.run_virtually(lambda folder: lose_one(folder, *case))
+                self.assertLess(took, seconds)
+
     def test_histories_that_are_gone_for_good_are_not_reset_silently(self):
         """All disks are lost; what may be lost is refused until it is accepted."""
 
@@ -294,7 +335,7 @@
         asyncio.set_event_loop(loop)
         try:
             with tempfile.TemporaryDirectory() as folder:
-                loop.run_until_complete(scenario(Path(folder)))
+                return loop.run_until_complete(scenario(Path(folder)))
         finally:
             asyncio.set_event_loop(None)
             loop.close()
