Make room for accepted requests that need more than is left

A request that had been accepted waited for room, though callers that do not read could have been let go for it: they were only chosen once the limit was exceeded.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -205,9 +205,11 @@
         """Return the holds of callers that have bytes to read."""
         return [hold for hold in self._holds if hold.unread]
 
-    def choose_released(self, now):
+    def choose_released(self, now, *, needed=0):
         """Return the holds of the callers to let go, those that cost least first.
 
+        `needed` bytes more are to be kept for a request that was accepted.
+
         These are callers that have read nothing for long, that leave too much unread
         each, and, if all bytes together exceed the limit, as many as make room. While
         new requests are refused, callers that have read nothing for some seconds go
@@ -218,11 +220,10 @@
             key=lambda each: (each.cost, each.read_at, -each.unread, each.label)
         )
         chosen = [hold for hold in waiting if self._is_excessive(hold, now)]
-        leaving = chosen + [hold for hold in self._holds if hold.released]
-        left = self.total - sum(hold.size for hold in leaving)
-        for hold in waiting:
-            if hold in chosen:
-                continue
+        leaving = {*chosen, *(hold for hold in self._holds if hold.released)}
+        left = self.total + int(needed * BUFFER_OVERHEAD)
+        left -= sum(hold.size for hold in leaving)
+        for hold in [each for each in waiting if each not in leaving]:
             is_stalled = now - hold.read_at > PRESSED_SECONDS
             limit = self.limit * ADMISSION_SHARE if is_stalled else self.limit
             if left > limit:
@@ -230,12 +231,12 @@
                 left -= hold.size
         return chosen
 
-    def relieve(self, now):
+    def relieve(self, now, *, needed=0):
         """Let callers go as `choose_released` says, and log each."""
         for hold in self.list_unread():
             if hold.measure is not None:
                 self.note_unread(hold, hold.measure(), now)
-        for hold in self.choose_released(now):
+        for hold in self.choose_released(now, needed=needed):
             hold.released = True
             logger.info(
                 "caller let go",
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -123,6 +123,17 @@
         self.assertTrue(held.admits(0))
         self.assertEqual(held.choose_released(PRESSED_SECONDS + 0.2), [])
 
+    def test_room_is_made_for_accepted_requests(self):
+        held = HeldBytes(100 * MEBIBYTE)
+        reader = held.open("reader", now=0.0)
+        held.note_unread(reader, 16 * MEBIBYTE, 0.0, written=16 * MEBIBYTE)
+        held.keep(held.open("turn", now=0.0), 60 * MEBIBYTE)
+        cases = [(1 * MEBIBYTE, []), (8 * MEBIBYTE, [reader])]
+        for needed, expected in cases:
+            with self.subTest(needed=needed):
+                self.assertEqual(held.fits(needed), not expected)
+                self.assertEqual(held.choose_released(1.0, needed=needed), expected)
+
     def test_callers_are_let_go_once(self):
         """Their connections take a moment to close, and count until then."""
         held = HeldBytes(100 * MEBIBYTE)
