--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -26,6 +26,10 @@
     """
     Identity of the disk of each member, by host.
     """
+    lost_before: int = 0
+    """
+    Records written under sets before this version may be lost; 0 if none are.
+    """
 
 
 @dataclass
@@ -187,3 +191,7 @@
     """
     Revision of the store at which that was read; 0 for never.
     """
+    reserved: dict[str, int] = field(default_factory=dict)
+    """
+    Tokens of memory that the host's requests in flight need on each upstream.
+    """
