--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -18,16 +18,17 @@
 """Memory of a process that holds nothing for requests: code, tables and heartbeats."""
 CACHE_BYTES = 12 * MEBIBYTE
 """Memory of the cached texts of histories."""
-BUFFER_OVERHEAD = 1.25
-"""Memory of a buffer that grows, by the bytes in it."""
+BUFFER_OVERHEAD = 2.0
+"""Memory of a buffer, by the bytes in it: it grows in steps, is copied in part, and
+the allocator keeps what is freed."""
 REQUEST_BYTES = 32 * 1024
 """Memory of a request and its connections, without its body and answer."""
-MIN_HELD_BYTES = 8 * MEBIBYTE
+MIN_HELD_BYTES = 16 * MEBIBYTE
 """Bytes for requests on the smallest host: an answer of the largest size fits."""
 ADMISSION_SHARE = 0.75
 """Share of the bytes from which new requests are refused. The rest is for the answers
 of requests that have been accepted."""
-UNREAD_SHARE = 0.25
+UNREAD_SHARE = 0.5
 """Largest share of the bytes that one caller may leave unread."""
 STALLED_SECONDS = 30.0
 """Time without a byte read after which a caller counts as gone."""
@@ -205,9 +206,11 @@
         """Return the holds of callers that have bytes to read."""
         return [hold for hold in self._holds if hold.unread]
 
-    def choose_released(self, now):
+    def choose_released(self, now, *, needed=0):
         """Return the holds of the callers to let go, those that cost least first.
 
+        `needed` bytes more are to be kept for a request that was accepted.
+
         These are callers that have read nothing for long, that leave too much unread
         each, and, if all bytes together exceed the limit, as many as make room. While
         new requests are refused, callers that have read nothing for some seconds go
@@ -218,11 +221,10 @@
             key=lambda each: (each.cost, each.read_at, -each.unread, each.label)
         )
         chosen = [hold for hold in waiting if self._is_excessive(hold, now)]
-        leaving = chosen + [hold for hold in self._holds if hold.released]
-        left = self.total - sum(hold.size for hold in leaving)
-        for hold in waiting:
-            if hold in chosen:
-                continue
+        leaving = {*chosen, *(hold for hold in self._holds if hold.released)}
+        left = self.total + int(needed * BUFFER_OVERHEAD)
+        left -= sum(hold.size for hold in leaving)
+        for hold in [each for each in waiting if each not in leaving]:
             is_stalled = now - hold.read_at > PRESSED_SECONDS
             limit = self.limit * ADMISSION_SHARE if is_stalled else self.limit
             if left > limit:
@@ -230,12 +232,12 @@
                 left -= hold.size
         return chosen
 
-    def relieve(self, now):
+    def relieve(self, now, *, needed=0):
         """Let callers go as `choose_released` says, and log each."""
         for hold in self.list_unread():
             if hold.measure is not None:
                 self.note_unread(hold, hold.measure(), now)
-        for hold in self.choose_released(now):
+        for hold in self.choose_released(now, needed=needed):
             hold.released = True
             logger.info(
                 "caller let go",
