Keep requests in the regions that their route and customer allow

The configuration may name regions for a route and for a customer. They were ignored: placement and relays used any. Placement, retries and the choice of relays now keep to them; a request without a usable upstream there is refused at once.

Tests were seen to fail without the check in placement and the one of relays.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -91,6 +91,8 @@
     cold_until : float
         Monotonic seconds of this host until which it is cold. Each entry tells it
         anew, so that it does not count when upstreams are compared.
+    region : str
+        Region of its failure domain; empty if that is unknown.
     """
 
     name: str
@@ -101,6 +103,7 @@
     leaving: bool = False
     started_at: float = 0.0
     cold_until: float = field(default=0.0, compare=False)
+    region: str = ""
 
 
 @dataclass
@@ -119,6 +122,8 @@
         Body that the upstream receives.
     timeout : float
         Seconds left until the request's deadline.
+    regions : frozenset of str or None
+        Regions that the request may be sent to; None without a limit.
     """
 
     call: ProgramCall
@@ -126,6 +131,7 @@
     customer: str
     body: bytes
     timeout: float
+    regions: frozenset | None = None
 
 
 @dataclass
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -401,6 +401,7 @@
             aim_at=admitted.aim_at,
             started=admitted.continues_program,
             prompt_parts=call.prompt_parts,
+            regions=admitted.regions,
         )
 
     def build_dispatch(self, admitted, upstream, *, prefix=b""):
@@ -416,7 +417,12 @@
         timeout = admitted.deadline - admitted.sent_at
         body = prefix + admitted.body
         return Dispatch(
-            admitted.call, upstream, admitted.customer.name, body, max(0.0, timeout)
+            admitted.call,
+            upstream,
+            admitted.customer.name,
+            body,
+            max(0.0, timeout),
+            admitted.regions,
         )
 
     async def _refuse(self, reply, error):
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -51,6 +51,7 @@
 """A caller that waits longer than this for a slot has no time left."""
 UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
 """Why requests are refused, and their Retry-After: upstreams are probed again."""
+OUTSIDE_REGIONS = "no upstream in the allowed regions is usable", MAX_RETRY_SECONDS
 EVACUATED = "operators have evacuated all upstreams", MAX_RETRY_SECONDS
 
 
@@ -179,7 +180,10 @@
         if pool.refusal:
             raise _build_refusal(request.pool, *pool.refusal)
         self._update_grants(pool)
-        self._check_rates(pool, request)
+        allowed = self._list_allowed(pool, request)
+        if request.regions is not None:
+            _check_regions(pool, request, allowed)
+        self._check_rates(pool, request, allowed)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
         now = self._now()
@@ -313,16 +317,21 @@
         pool.grants_at = math.inf
         self._update_grants(pool)
 
-    def _check_rates(self, pool, request):
-        """Raise `CallError` if stated rates leave no upstream for a request in time."""
-        if not pool.limited:
-            return
-        staying = [
+    def _list_allowed(self, pool, request):
+        """Return the upstreams that may run a request, also those that are down."""
+        return [
             upstream
             for upstream in pool.upstreams.values()
-            if not upstream.leaving and not self.evacuations.covers(upstream)
+            if not upstream.leaving
+            and not self.evacuations.covers(upstream)
+            and request.allows(upstream.region)
         ]
-        upstreams = [u for u in staying if u.name not in request.excluded] or staying
+
+    def _check_rates(self, pool, request, allowed):
+        """Raise `CallError` if stated rates leave no upstream for a request in time."""
+        if not pool.limited:
+            return
+        upstreams = [u for u in allowed if u.name not in request.excluded] or allowed
         if any(upstream.name not in pool.limited for upstream in upstreams):
             return
         now = self._now()
@@ -479,13 +488,14 @@
     def _limits(self, upstream):
         engine = self._engines.get(upstream.service)
         if engine is None:
-            return UpstreamLimits(upstream.name, upstream.slots)
+            return UpstreamLimits(upstream.name, upstream.slots, region=upstream.region)
         return UpstreamLimits(
             upstream.name,
             min(upstream.slots, engine.slots) or engine.slots,
             kv_tokens=engine.kv_tokens,
             prefill_rate=PREFILL_RATE,
             decode_seconds=DECODE_SECONDS,
+            region=upstream.region,
         )
 
     @staticmethod
@@ -506,6 +516,13 @@
         return self._runtime.clock.monotonic()
 
 
+def _check_regions(pool, request, allowed):
+    """Raise `CallError` if no upstream in a request's regions is usable."""
+    state = pool.scheduler.state
+    if not any(state(upstream.name) is UpstreamState.UP for upstream in allowed):
+        raise _build_refusal(request.pool, *OUTSIDE_REGIONS)
+
+
 def _build_refusal(service, reason, retry_after):
     """Return the `CallError` for a service without a usable upstream."""
     return CallError("overloaded", f"{reason} of {service!r}", retry_after=retry_after)
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -137,7 +137,8 @@
         if len(dispatch.body) > MAX_RELAYED_BYTES:
             raise failure
         scarce = self._links.isolated or self._runtime.pools.is_scarce(upstream.service)
-        for host in self._rank_relays(upstream)[: ASKED_RELAYS if scarce else 1]:
+        relays = self._rank_relays(upstream, regions=dispatch.regions)
+        for host in relays[: ASKED_RELAYS if scarce else 1]:
             dispatch = replace(dispatch, timeout=max(0.0, deadline - self._now()))
             try:
                 return await stack.enter_async_context(
@@ -270,11 +271,12 @@
             return None
         return state.listening
 
-    def _rank_relays(self, upstream):
-        return rank_relays(
-            self._runtime.pools.list_relays(upstream.name, self._now()),
-            self._runtime.settings.failure_domain,
-        )
+    def _rank_relays(self, upstream, *, regions=None):
+        relays = self._runtime.pools.list_relays(upstream.name, self._now())
+        if regions is not None:
+            region_of = self._runtime.settings.regions
+            relays = [r for r in relays if region_of.get(r.failure_domain) in regions]
+        return rank_relays(relays, self._runtime.settings.failure_domain)
 
     def _log_relayed(self, message, context, outcome):
         self._runtime.metrics.count("relayed", outcome=_classify(outcome))
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -92,6 +92,12 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def regions(self):
+        """frozenset of str or None: Regions that it may be sent to; None for all."""
+        limits = [each for each in (self.route.regions, self.customer.regions) if each]
+        return frozenset.intersection(*limits) if limits else None
+
     @cached_property
     def digest(self):
         """str: Equal for all repeats of the request; needs the body."""
--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -78,6 +78,8 @@
         Seconds for which turns are kept; None if they are not kept.
     public : bool
         No key is needed.
+    regions : frozenset of str
+        Regions that its requests may be sent to; empty without a limit.
     """
 
     name: str
@@ -92,6 +94,7 @@
     attempts: int = 1
     retention: float | None = None
     public: bool = False
+    regions: frozenset = frozenset()
 
     def choose_service(self, key):
         """Return the name of the service for a request, chosen by weight.
@@ -119,11 +122,14 @@
         Requests allowed over all hosts; None without a limit.
     priority : int or None
         Overrides the priority of a route.
+    regions : frozenset of str
+        Regions that its requests may be sent to; empty without a limit.
     """
 
     name: str
     quota: QuotaRule | None = None
     priority: int | None = None
+    regions: frozenset = frozenset()
 
 
 @dataclass(frozen=True)
--- a/sapphireyard/scheduling/capacity.py
+++ b/sapphireyard/scheduling/capacity.py
@@ -32,6 +32,8 @@
         Prompt tokens prefilled per second.
     decode_seconds : float, optional
         Duration of one decode step.
+    region : str, optional
+        Region in which it runs.
     """
 
     name: str
@@ -39,6 +41,7 @@
     kv_tokens: int = 0
     prefill_rate: float = 8_000.0
     decode_seconds: float = 0.02
+    region: str = ""
 
     @property
     def output_cost(self):
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -38,6 +38,8 @@
         An earlier request of the program has run.
     prompt_parts : tuple of (str, int), optional
         Id and tokens of each part of the prompt, in order.
+    regions : frozenset of str, optional
+        Regions of the upstreams that may run it; None without a limit.
     request_id : str, optional
         Id that is unique in the fleet; the holder sets it.
     holder : str, optional
@@ -57,6 +59,7 @@
     aim_at: float = 0.0
     started: bool = False
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    regions: frozenset | None = None
     request_id: str = ""
     holder: str = ""
 
@@ -65,6 +68,10 @@
         """int: Tokens of KV memory that the request needs when it ends."""
         return self.prefix_tokens + self.new_tokens + self.output_tokens
 
+    def allows(self, region):
+        """Return whether an upstream in a region may run the request."""
+        return self.regions is None or region in self.regions
+
 
 @dataclass(frozen=True)
 class Grant:
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -87,7 +87,10 @@
         names = [
             name
             for name, slots in self._slots.items()
-            if slots.is_up and slots.limits.kv_tokens and name not in request.excluded
+            if slots.is_up
+            and slots.limits.kv_tokens
+            and name not in request.excluded
+            and request.allows(slots.limits.region)
         ]
         return self._placement.holder(request.program, names) or ANY
 
@@ -160,9 +163,15 @@
 
     def _is_allowed(self, waiting, slots):
         excluded = waiting.request.excluded
+        if not waiting.request.allows(slots.limits.region):
+            return False
         if slots.limits.name not in excluded:
             return True
-        up = (s.limits.name for s in self._slots.values() if s.is_up)
+        up = (
+            s.limits.name
+            for s in self._slots.values()
+            if s.is_up and waiting.request.allows(s.limits.region)
+        )
         return all(name in excluded for name in up)
 
     def _may_start(self, waiting, slots, aged, now):
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -248,6 +248,22 @@
         self.assertAlmostEqual(chosen.count("y") / 2000, 0.1, delta=0.03)
         self.assertEqual(chosen[0], route.choose_service("k0"))
 
+    def test_regions_and_cold_rates(self):
+        """Cases are the regions as written, and what they allow; empty for all."""
+        for written, regions in ((["e", "w"], {"e", "w"}), ([], set()), (None, set())):
+            with self.subTest(written):
+                configuration = build_configuration()
+                configuration["routes"][0]["allowed-regions"] = written
+                configuration["tenants"][0]["allowed-regions"] = written
+                configuration["services"][0] |= {"cold-start-s": 3, "cold-per-s": 29}
+                table = decode_configuration(configuration)
+                customer = configuration["tenants"][0]["name"]
+                service = configuration["services"][0]["name"]
+                self.assertEqual(table.routes[0].regions, regions)
+                self.assertEqual(table.customers[customer].regions, regions)
+                self.assertEqual(table.services[service].cold_rate, 29)
+                self.assertEqual(table.services[service].cold_seconds, 3)
+
     def test_limits_and_kinds(self):
         by_name = {route.name: route for route in self.table.routes}
         self.assertEqual(
@@ -282,9 +298,13 @@
                 upstream = decode_upstream("i-1", {**ENTRY, **changes})
                 self.assertEqual(upstream is not None, valid)
         upstream = decode_upstream(
-            "i-1", {**ENTRY, "cold-remaining-ms": 1500}, read_at=10.0
+            "i-1",
+            {**ENTRY, "cold-remaining-ms": 1500},
+            read_at=10.0,
+            regions={ENTRY["zone"]: "east"},
         )
         self.assertEqual(upstream.cold_until, 11.5)
+        self.assertEqual(upstream.region, "east")
         for spec in (None, "text", 5, {"service": "engine"}):
             with self.subTest(spec=spec):
                 self.assertIsNone(decode_upstream("i-1", spec))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -201,6 +201,28 @@
         self.assertFalse(caught.exception.sent)
         self.assertEqual(self.list_sent(), [])
 
+    async def test_body_goes_to_relays_in_its_regions_only(self):
+        """Host b is in region e, host c in region w."""
+        runtime = self.fleet["a"]
+        runtime.link.state = "refused"
+        runtime.settings.regions = {"b": "e", "c": "w"}
+        for host in HOSTS:
+            heartbeat = Heartbeat(host, 1, 2, "-", ENTRY, host, relays=True)
+            runtime.gossip.membership.record_heartbeat(
+                heartbeat, runtime.clock.monotonic()
+            )
+        call = ProgramCall("r1", "POST", "/book/1", "h", "key", 0.0, headers=())
+        for regions, relay in (("e", "b"), ("w", "c"), ("x", None)):
+            with self.subTest(regions):
+                dispatch = Dispatch(
+                    call, UPSTREAM, "c", b"body", 2.0, frozenset(regions)
+                )
+                try:
+                    async with runtime.sender.send(dispatch) as answer:
+                        self.assertEqual(answer.relay, relay)
+                except UpstreamFailed:
+                    self.assertIsNone(relay)
+
     async def test_body_larger_than_a_frame_is_not_relayed(self):
         self.fleet["a"].link.state = "refused"
         with self.assertRaises(UpstreamFailed) as caught:
