--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -14,10 +14,13 @@
 import mode
 
 from sapphireyard.exceptions import CallError
+from sapphireyard.exchange.loads import FleetLoads
+from sapphireyard.exchange.placements import record_placement
 from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     Grant,
@@ -26,6 +29,7 @@
     SlotRequest,
 )
 from sapphireyard.upstreams.cold import ColdUpstreams
+from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
@@ -66,9 +70,11 @@
 class _Pool:
     """One service: its scheduler and its upstreams."""
 
-    def __init__(self, host):
+    def __init__(self, host, parts):
         options = SchedulerOptions(hold_new=False, tie_seed=host)
-        self.scheduler = Scheduler([], options=options, max_upstreams=MAX_UPSTREAMS)
+        self.scheduler = Scheduler(
+            [], options=options, max_upstreams=MAX_UPSTREAMS, parts=parts
+        )
         self.upstreams = {}
         self.limited = set()
         self.grants_at = math.inf
@@ -95,6 +101,10 @@
         Upstreams that are cold.
     links : Links
         Upstreams to which this host can open connections.
+    parts : KeptParts
+        Parts of prompts that engines keep.
+    evidence : FleetEvidence
+        Results of upstreams at all hosts.
     evacuations : Evacuations
         Failure domains whose upstreams get no requests.
     """
@@ -107,19 +117,24 @@
         self._numbers = itertools.count(1)
         self._outliers = OutlierDetector(consecutive=FAILURES_TO_EJECT)
         self._engines = {}
-        self._running = {}
-        self._remote = {}
-        self._remote_load = {}
+        self._loads = FleetLoads()
         self._leaving = {}
         self.rates = UpstreamRates(runtime.host)
         self.cold = ColdUpstreams(self.rates)
         self.links = Links()
+        self.parts = KeptParts()
+        self.evidence = FleetEvidence(runtime.gossip.membership.failure_domain)
         self.evacuations = Evacuations(on_change=self._apply_all_states)
 
     @property
     def running(self):
         """dict of str to int: This host's requests in flight on each upstream."""
-        return dict(self._running)
+        return self._loads.count_running()
+
+    @property
+    def reserved(self):
+        """dict of str to int: Memory tokens that these requests need."""
+        return self._loads.count_tokens()
 
     def set_services(self, services):
         """Apply the services of a configuration."""
@@ -146,11 +161,13 @@
         self.rates.forget(now)
         self.links.set_upstreams({each.name: each.started_at for each in upstreams})
         for service in by_service.keys() | self._pools.keys():
-            pool = self._pools.setdefault(service, _Pool(self._runtime.host))
+            pool = self._pools.setdefault(
+                service, _Pool(self._runtime.host, self.parts)
+            )
             self._update(service, pool, by_service.get(service, {}))
 
     @asynccontextmanager
-    async def lease(self, request, *, upstream_hint=""):
+    async def lease(self, request, *, upstream_hint="", placed=None):
         """Hold a slot while the context lasts.
 
         Parameters
@@ -159,6 +176,8 @@
             Request for a slot; its pool is the service.
         upstream_hint : str, optional
             Upstream that served the program's last turn.
+        placed : dict, optional
+            Gets the fields of a log line that tell of the choice.
 
         Yields
         ------
@@ -170,20 +189,7 @@
         CallError
             ``overloaded``: no slot in time. Nothing was sent.
         """
-        pool = self._pools.get(request.pool)
-        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
-            raise CallError(
-                "overloaded",
-                f"service {request.pool!r} has no upstream",
-                retry_after=NO_UPSTREAM_RETRY_SECONDS,
-            )
-        if pool.refusal:
-            raise _build_refusal(request.pool, *pool.refusal)
-        self._update_grants(pool)
-        allowed = self._list_allowed(pool, request)
-        if request.regions is not None:
-            _check_regions(pool, request, allowed)
-        self._check_rates(pool, request, allowed)
+        pool = self._find_usable(request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
         now = self._now()
@@ -191,21 +197,52 @@
             pool.scheduler.learn_prefix(
                 upstream_hint, request.program, request.prefix_tokens, now
             )
-        name = await self._acquire(pool, request)
+        grant = await self._acquire(pool, request)
+        fields = record_placement(grant, self._runtime.metrics)
+        if placed is not None:
+            placed.update(fields)
+        name = grant.upstream
         upstream = pool.upstreams[name]
-        self._running[name] = self._running.get(name, 0) + 1
+        tokens = request.total_tokens if self._engines.get(request.pool) else 0
+        self._loads.acquire(name, tokens)
         self._outliers.note_sent(name, now)
         try:
             yield upstream
         finally:
-            self._running[name] -= 1
-            if not self._running[name]:
-                del self._running[name]
+            self._loads.release(name, tokens)
             actions = pool.scheduler.finish(
                 request.request_id, request.output_tokens, None, self._now()
             )
             self._execute(actions)
 
+    def preview(self, request):
+        """Return the `Preview` of a request.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``, as by `lease`.
+        """
+        return self._find_usable(request).scheduler.preview(request, self._now())
+
+    def _find_usable(self, request):
+        """Return the pool of a request; raise `CallError` if it can't be served."""
+        pool = self._pools.get(request.pool)
+        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
+            raise CallError(
+                "overloaded",
+                f"service {request.pool!r} has no upstream",
+                retry_after=NO_UPSTREAM_RETRY_SECONDS,
+            )
+        if pool.refusal:
+            raise _build_refusal(request.pool, *pool.refusal)
+        self._update_grants(pool)
+        allowed = self._list_allowed(pool, request)
+        if request.regions is not None:
+            _check_regions(pool, request, allowed)
+        self._check_rates(pool, request, allowed)
+        return pool
+
     def find(self, name):
         """Return the listed `Upstream` called `name`, or None."""
         pool = self._find_pool(name)
@@ -252,15 +289,43 @@
         now = self._now()
         if not ok and not self.links.is_up(upstream.name):
             return
+        if ok and self._outliers.is_restored_by(upstream.name):
+            self.evidence.note_restored(upstream.name, now)
         self._outliers.report(upstream.name, ok=ok, now=now)
+        self.evidence.report(upstream.name, ok=ok, now=now)
         if not ok:
             self._apply_states(upstream.service, now)
 
+    def report_doubtful(self, name):
+        """Record a failure that need not be the upstream's: silence or an error.
+
+        It is left out only if it fails far more than its peers.
+        """
+        if self.links.is_up(name):
+            self.evidence.report(name, ok=False, now=self._now())
+
+    def summarize_results(self, now):
+        """Return the results of upstreams for other hosts, as `FleetEvidence` does."""
+        return self.evidence.summarize(now, self._outliers.describe_ejected(now))
+
+    def list_probed(self):
+        """Return the upstreams whose next request is a probe after failures."""
+        return self._outliers.list_probed(self._now())
+
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
         if heartbeat.role == ENTRY:
-            self._replace_remote(heartbeat.host, heartbeat.running, now)
+            changed = self._loads.replace(
+                heartbeat.host, heartbeat.running, heartbeat.reserved
+            )
+            self._report_changed(changed, now)
+            self.evidence.merge(
+                heartbeat.host,
+                heartbeat.failure_domain,
+                heartbeat.upstream_results,
+                now,
+            )
 
     @mode.Service.task
     async def _watch(self):
@@ -357,7 +422,7 @@
             if waiter is None or waiter.future.done():
                 continue
             if isinstance(action, Grant):
-                waiter.future.set_result(action.upstream)
+                waiter.future.set_result(action)
                 continue
             retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
             retry_after = min(retry_after, MAX_RETRY_SECONDS)
@@ -400,6 +465,12 @@
     def _apply_states(self, service, now):
         pool = self._pools[service]
         staying = [name for name, u in pool.upstreams.items() if not u.leaving]
+        for name in self.evidence.find_outliers(staying, now):
+            if self._outliers.eject(name, now):
+                self._log_upstream(pool.upstreams[name], "ejected", source="fleet")
+        for name, until in self.evidence.find_left_out(staying, now).items():
+            if self._outliers.eject(name, now, until=until):
+                self._log_upstream(pool.upstreams[name], "ejected", source="others")
         allowed = [
             name
             for name in staying
@@ -455,32 +526,23 @@
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
         membership = self._runtime.gossip.membership
-        for host in list(self._remote):
+        for host in self._loads.hosts:
             member = membership.find(host)
             if member is None or not membership.is_live(member, now):
-                self._replace_remote(host, {}, now)
-                del self._remote[host]
-
-    def _replace_remote(self, host, running, now):
-        """Count the requests that another host has in flight now."""
-        before = self._remote.get(host, {})
-        self._remote[host] = running
-        for name in before.keys() | running.keys():
-            change = running.get(name, 0) - before.get(name, 0)
-            if change:
-                self._change_remote(name, change, now)
-
-    def _change_remote(self, name, change, now):
-        self._remote_load[name] = self._remote_load.get(name, 0) + change
-        pool = self._find_pool(name)
-        if pool is not None:
-            self._report_remote(pool, name, now)
-        if not self._remote_load[name]:
-            del self._remote_load[name]
+                self._report_changed(self._loads.drop(host), now)
+
+    def _report_changed(self, names, now):
+        """Tell schedulers of the changed load of other hosts."""
+        for name in names:
+            pool = self._find_pool(name)
+            if pool is not None:
+                self._report_remote(pool, name, now)
 
     def _report_remote(self, pool, name, now):
-        count = self._remote_load.get(name, 0)
-        self._execute(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+        load = self._loads.find_others(name)
+        self._execute(
+            pool.scheduler.report_load(name, load.requests, load.tokens, 0, 0, now)
+        )
 
     def _find_pool(self, name):
         return next((p for p in self._pools.values() if name in p.upstreams), None)
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -33,6 +33,8 @@
         Upstream chosen last.
     relay : str
         Host through which the last answer came; empty for a connection of this host.
+    answered : bool
+        The upstream chosen last has begun to answer, with an event if it streams.
     may_have_run : bool
         An upstream may have run it, even if a later one refuses it.
     body : bytes
@@ -47,6 +49,8 @@
         Host that counted it against the customer's rate; empty for this host.
     rate_state : dict
         State of the customer's rate at the last decision on it, for the log.
+    placed : dict
+        Why the last upstream was chosen, for the log.
     """
 
     call: object
@@ -58,6 +62,7 @@
     sent_at: float = 0.0
     upstream: str = ""
     relay: str = ""
+    answered: bool = False
     may_have_run: bool = False
     body: bytes = b""
     end: BodyEnd = field(default_factory=BodyEnd)
@@ -65,6 +70,7 @@
     marks: dict = field(default_factory=dict)
     token_host: str = ""
     rate_state: dict = field(default_factory=dict)
+    placed: dict = field(default_factory=dict)
 
     @property
     def time_limit(self):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 
 from sapphireyard.fleet.quotas import QuotaRule
+from sapphireyard.upstreams.outliers import EJECTION_SECONDS
+from sapphireyard.upstreams.retries import RetryBudget
 from tests.exchange_case import ExchangeTestCase, RecordingReply, build_table
 
 
@@ -129,6 +131,102 @@
                 self.assertEqual(self.runtime.pools.running, {})
                 self.assertEqual(len(self.sender.sent), 1)
 
+    async def test_upstreams_that_do_not_answer_are_left_out(self):
+        """They accept connections, so that only time tells."""
+        self.sender.script = ["hang"] * 3
+        now = self.runtime.clock.monotonic
+        for number in range(3):
+            self.reply = RecordingReply()
+            path = "/chat/1" if number else "/book/1"
+            await self.serve(path, request_id=f"r{number}", timeout=0.6)
+        evidence = self.runtime.pools.evidence
+        silent = {d.upstream.name for d in self.sender.sent}
+        self.assertEqual(set(evidence.summarize(now())), silent)
+        failures = [counts[0] for counts in evidence.summarize(now()).values()]
+        self.assertEqual(sum(failures), 3)
+
+    async def test_errors_of_upstreams(self):
+        """A repeatable request that got status 500 is sent to another upstream.
+
+        Cases are the path, the script, the status for the caller, and the sends.
+        """
+        cases = [
+            ("/view/1", ["error"], 200, 2),
+            ("/view/1", ["error", "error"], 500, 2),
+            ("/view/1", ["error", "lost"], 500, 2),
+            ("/view/1", ["error", "full"], 500, 2),
+            ("/view/1", ["full", "error"], 500, 2),
+            ("/book/1", ["error"], 500, 1),
+        ]
+        for path, script, status, sends in cases:
+            with self.subTest(path=path, script=script):
+                self.exchange._plain._retries = RetryBudget(ratio=1.0)
+                self.sender.script = list(script)
+                self.sender.sent.clear()
+                self.reply = RecordingReply()
+                self.assertEqual(await self.serve(path), status)
+                self.assertEqual(len(self.sender.sent), sends)
+
+    async def test_silent_upstreams(self):
+        """A repeatable request is sent to another upstream while there is time.
+
+        Cases are the path, the script, the status for the caller, and the sends.
+        """
+        cases = [
+            ("/view/1", ["hang"], 200, 2),
+            ("/view/1", ["hang", "hang"], 504, 2),
+            ("/view/1", ["error", "hang"], 504, 2),
+            ("/book/1", ["hang"], 504, 1),
+        ]
+        for path, script, status, sends in cases:
+            with self.subTest(path=path, script=script):
+                self.exchange._plain._retries = RetryBudget(ratio=1.0)
+                self.sender.script = list(script)
+                self.sender.sent.clear()
+                self.reply = RecordingReply()
+                self.assertEqual(await self.serve(path), status)
+                self.assertEqual(len(self.sender.sent), sends)
+
+    async def test_silent_upstream_keeps_a_request_without_a_retry(self):
+        """If the budget allows no other try, the first one has all the time."""
+        self.exchange._plain._retries = RetryBudget(ratio=0.0, floor=0.0)
+        self.exchange._plain._retries.may_retry("plain", 0.0)
+        self.sender.script = ["slow"]
+        self.assertEqual(await self.serve("/view/1"), 200)
+        self.assertEqual(len(self.sender.sent), 1)
+
+    async def test_retries_do_not_double_a_load(self):
+        """While all upstreams fail, half as many retries are sent as requests."""
+        self.sender.script = ["error"] * 1000
+        for number in range(100):
+            self.reply = RecordingReply()
+            await self.serve("/view/1", request_id=f"r{number}")
+        retries = len(self.sender.sent) - 100
+        self.assertLessEqual(retries, 65)
+        self.assertGreaterEqual(retries, 40)
+
+    async def test_request_in_a_queue_says_nothing_of_upstreams(self):
+        self.sender.script = ["full"] * 10
+        await self.serve("/short/1")
+        evidence = self.runtime.pools.evidence
+        self.assertEqual(evidence.summarize(self.runtime.clock.monotonic()), {})
+
+    async def test_unrepeatable_request_is_no_probe(self):
+        """An ejected upstream that is due for a probe gets repeatable requests only."""
+        pools = self.runtime.pools
+        await self.serve("/book/1", program="")
+        preferred = self.sender.sent.pop().upstream.name
+        past = self.runtime.clock.monotonic() - EJECTION_SECONDS - 0.1
+        pools._outliers.eject(preferred, past)
+        self.assertEqual(pools.list_probed(), [preferred])
+        for path, is_probe in (("/book/1", False), ("/view/1", True)):
+            self.reply = RecordingReply()
+            await self.serve(path, program="")
+            self.assertEqual(self.reply.status, 200)
+            sent = self.sender.sent.pop().upstream.name
+            self.assertEqual(sent == preferred, is_probe, path)
+        self.assertEqual(pools.list_probed(), [])
+
     async def test_unrepeatable_call_ends_though_its_caller_has_gone(self):
         for path, ends in (("/book/1", True), ("/view/1", False)):
             with self.subTest(path):
