--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -237,10 +237,10 @@
         if pool.refusal:
             raise _build_refusal(request.pool, *pool.refusal)
         self._update_grants(pool)
-        allowed = self._list_allowed(pool, request)
-        if request.regions is not None:
+        if request.regions is not None or pool.limited:
+            allowed = self._list_allowed(pool, request)
             _check_regions(pool, request, allowed)
-        self._check_rates(pool, request, allowed)
+            self._check_rates(pool, request, allowed)
         return pool
 
     def find(self, name):
@@ -394,8 +394,6 @@
 
     def _check_rates(self, pool, request, allowed):
         """Raise `CallError` if stated rates leave no upstream for a request in time."""
-        if not pool.limited:
-            return
         upstreams = [u for u in allowed if u.name not in request.excluded] or allowed
         if any(upstream.name not in pool.limited for upstream in upstreams):
             return
@@ -580,6 +578,8 @@
 
 def _check_regions(pool, request, allowed):
     """Raise `CallError` if no upstream in a request's regions is usable."""
+    if request.regions is None:
+        return
     state = pool.scheduler.state
     if not any(state(upstream.name) is UpstreamState.UP for upstream in allowed):
         raise _build_refusal(request.pool, *OUTSIDE_REGIONS)
