Test that a host is not ready before it has read the evacuations

Seen to fail with the feed left out of the readiness check. The test's store can leave calls for one kind of object unanswered; run_process takes further settings.

--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -24,7 +24,7 @@
     WAKE_TIMEOUT_SECONDS,
     EntryProcess,
 )
-from adapter.names import HOSTS_KIND  # noqa: E402
+from adapter.names import EVACUATIONS_KIND, HOSTS_KIND  # noqa: E402
 from adapter.settings import HostSettings  # noqa: E402
 
 STORE_SECONDS = 0.004
@@ -44,6 +44,7 @@
         self.calls = []
         self.available = None
         self.silent = False
+        self.unanswered = None
         self.entries = []
 
     async def create_object(self, kind, name, spec):
@@ -74,7 +75,7 @@
 
     async def _answer(self, call):
         self.calls.append(call)
-        if self.silent:
+        if self.silent or call.split()[1] == self.unanswered:
             await asyncio.sleep(1.0)
             self.available = False
             raise StoreUnavailable(call)
@@ -83,8 +84,11 @@
 
 
 class StandbyTest(unittest.TestCase):
-    def run_process(self, test):
-        """Run a test in virtual time, with the feeds of an entry process started."""
+    def run_process(self, test, **fields):
+        """Run a test in virtual time, with the feeds of an entry process started.
+
+        `fields` are further settings.
+        """
 
         async def main():
             settings = HostSettings(
@@ -105,6 +109,7 @@
                 address_seconds=5.0,
                 store_address="",
                 cores=1.0,
+                **fields,
             )
             self.store = FakeStore()
             runtime = Runtime(settings, self.store, clock=LoopClock())
@@ -115,7 +120,7 @@
                 register_stream=lambda message_class, handler: None,
             )
             self.process = EntryProcess(runtime)
-            feeds = (self.process._feed, self.process._upstreams_feed)
+            feeds = self.process._feeds
             for feed in feeds:
                 await feed.start()
             try:
@@ -232,6 +237,22 @@
 
         self.run_process(test)
 
+    def test_restarted_host_is_ready_once_evacuations_are_read(self):
+        async def test():
+            copies = SimpleNamespace(members={"s": "id"}, version=1)
+            history = SimpleNamespace(copies=copies, keeps_turns=True)
+            self.process._runtime.history = history
+            self.store.unanswered = EVACUATIONS_KIND
+            self.activate()
+            await asyncio.sleep(1.0)
+            self.assertTrue(self.process._runtime.configuration.fresh)
+            self.assertFalse(self.process.ready)
+            self.store.unanswered = None
+            await asyncio.sleep(1.0)
+            self.assertTrue(self.process.ready)
+
+        self.run_process(test, evacuation_seconds=5.0)
+
     def test_restarted_host_is_active_as_soon_as_it_has_read_the_others(self):
         """It does not wait for its next heartbeat, which a standby host sends late."""
 
