--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -178,6 +178,21 @@
             with self.subTest(name):
                 self.assertEqual(getattr(settings, name), value)
 
+    def test_bounds_of_cold_and_evacuated_upstreams(self):
+        """Cases are lines of the file, and the fields that result."""
+        cases = [
+            ("", (None, 1.0, 0.0, {})),
+            ("bounds.evacuate-ms=5000", (5.0, 1.0, 0.0, {})),
+            ("bounds.cold-over=1.5\nbounds.cold-slack=5", (None, 1.5, 5.0, {})),
+            ("zones.d-1=e\nzones.d-2=w", (None, 1.0, 0.0, {"d-1": "e", "d-2": "w"})),
+        ]
+        for lines, expected in cases:
+            with self.subTest(lines):
+                got = self.load(f"{SETTINGS}\n{lines}\n")
+                fields = got.evacuation_seconds, got.cold_over, got.cold_slack
+                regions = {"zone-a": "region", **expected[3]}
+                self.assertEqual((*fields, got.regions), (*expected[:3], regions))
+
     def test_all_findings_are_reported_together(self):
         faulty = SETTINGS.replace("node=front-a-1\n", "").replace(
             "machines=2", "machines=many"
