--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -99,6 +99,8 @@
     cold_until : float
         Monotonic seconds of this host until which it is cold. Each entry tells it
         anew, so that it does not count when upstreams are compared.
+    region : str
+        Region of its failure domain; empty if that is unknown.
     """
 
     name: str
@@ -109,6 +111,7 @@
     leaving: bool = False
     started_at: float = 0.0
     cold_until: float = field(default=0.0, compare=False)
+    region: str = ""
 
 
 @dataclass
@@ -127,6 +130,8 @@
         Body that the upstream receives.
     timeout : float
         Seconds left until the request's deadline.
+    regions : frozenset of str or None
+        Regions that the request may be sent to; None without a limit.
     """
 
     call: ProgramCall
@@ -134,6 +139,7 @@
     customer: str
     body: bytes
     timeout: float
+    regions: frozenset | None = None
 
 
 @dataclass
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -380,6 +380,7 @@
             started=admitted.continues_program,
             prompt_parts=call.prompt_parts,
             expected_tokens=call.expected_output_tokens,
+            regions=admitted.regions,
         )
 
     def build_dispatch(self, admitted, upstream, *, prefix=b""):
@@ -396,7 +397,12 @@
         timeout = admitted.deadline - admitted.sent_at
         body = prefix + admitted.body
         return Dispatch(
-            admitted.call, upstream, admitted.customer.name, body, max(0.0, timeout)
+            admitted.call,
+            upstream,
+            admitted.customer.name,
+            body,
+            max(0.0, timeout),
+            admitted.regions,
         )
 
     async def _refuse(self, reply, error):
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -43,6 +43,8 @@
         Id and tokens of each part of the prompt, in order.
     expected_tokens : int, optional
         The caller's estimate of the generated tokens; 0 if there is none.
+    regions : frozenset of str, optional
+        Regions of the upstreams that may run it; None without a limit.
     request_id : str, optional
         Id that is unique in the fleet; the holder sets it.
     holder : str, optional
@@ -63,6 +65,7 @@
     started: bool = False
     prompt_parts: tuple[tuple[str, int], ...] = ()
     expected_tokens: int = 0
+    regions: frozenset | None = None
     request_id: str = ""
     holder: str = ""
 
@@ -76,6 +79,10 @@
         """int: Tokens of KV memory that the request needs when it ends."""
         return self.prefix_tokens + self.new_tokens + self.output_tokens
 
+    def allows(self, region):
+        """Return whether an upstream in a region may run the request."""
+        return self.regions is None or region in self.regions
+
 
 @dataclass(frozen=True)
 class Grant:
