--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -7,8 +7,15 @@
 from collections import Counter
 
 from sapphireyard.answers import CLOSED
-from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exceptions import (
+    EXECUTED_UNKNOWN,
+    CallError,
+    UpstreamFailed,
+    UpstreamLate,
+)
+from sapphireyard.exchange.answers import NOT_RUN_STATUSES, find_silent_seconds
 from sapphireyard.exchange.calls import Dispatch
+from sapphireyard.exchange.plain import PlainService
 from sapphireyard.exchange.requests import AdmittedRequest
 from sapphireyard.exchange.routes import Customer
 from sapphireyard.fleet.crashes import CRASHES_TO_BAR
@@ -17,8 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-UNSENT_RETRIES = 3
-"""Retries after failed connections, in addition to the route's attempts."""
 QUEUE_WAIT_SHARE = 0.4
 """Share of the remaining time that a request may wait for a slot."""
 REFUSED_RETRY_SECONDS = 0.1
@@ -31,8 +36,6 @@
 the first token, so that a refused caller still has time to retry."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer of a plain service, which is buffered until it is complete."""
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that assure callers that a request has not run and never will."""
 CRASH_ID_BITS = 48
 """Large enough that the random ids of one request's crashes do not collide."""
 PUBLIC = Customer("")
@@ -69,6 +72,7 @@
         self._turns = turns
         self._tokens = tokens
         self._rate_waits = Counter()
+        self._plain = PlainService(runtime, sender, self)
         self._prepare = prepare
         self.open_requests = 0
         self.total_requests = 0
@@ -110,6 +114,7 @@
             await self._prepare()
         admitted = self._admit(call)
         outcome["admitted"] = admitted
+        reply.note_admitted(admitted)
         await self._take_quota(admitted)
         admitted.mark("rate", self._now())
         try:
@@ -140,7 +145,7 @@
             if admitted.route.streaming:
                 await self._turns.serve(admitted, reply)
             else:
-                await self._serve_buffered(admitted, reply)
+                await self._plain.serve(admitted, reply)
 
     async def _read_body(self, admitted):
         limit = self._runtime.configuration.table.limits.body_bytes
@@ -193,9 +198,7 @@
         customer = admitted.customer
         if not customer.name:
             return
-        opening = admitted.opens_program
-        max_wait = OPENING_QUOTA_WAIT_SECONDS if opening else QUOTA_WAIT_SECONDS
-        wait_until = min(self._now() + max_wait, admitted.deadline)
+        wait_until = self._now() + self.find_rate_patience(admitted)
         self._rate_waits[customer.name] += 1
         try:
             while wait := await self._tokens.take(admitted):
@@ -220,36 +223,16 @@
                     **self._runtime.quotas.describe(customer.name),
                 }
 
+    def find_rate_patience(self, admitted):
+        """Return the longest wait for the customer's rate in seconds."""
+        opening = admitted.opens_program
+        max_wait = OPENING_QUOTA_WAIT_SECONDS if opening else QUOTA_WAIT_SECONDS
+        return min(max_wait, admitted.deadline - self._now())
+
     def _refund(self, admitted):
         if admitted.customer.name:
             self._tokens.give_back(admitted)
 
-    async def _serve_buffered(self, admitted, reply):
-        """Send a request to a plain service; forward its answer once complete."""
-        excluded = []
-        error = None
-        unsent = 0
-        while admitted.sends < max(1, admitted.route.attempts):
-            try:
-                status, headers, answer = await self._attempt(admitted, excluded)
-            except UpstreamFailed as failure:
-                error = failure
-                unsent += not failure.sent
-                if unsent > UNSENT_RETRIES:
-                    break
-                if failure.sent and not admitted.route.repeatable:
-                    break
-                continue
-            except CallError as refusal:
-                if not admitted.may_have_run:
-                    raise
-                error = error or refusal
-                break
-            if answer is not None:
-                await reply.send_complete(status, headers, answer)
-                return
-        self.raise_failed(admitted, error)
-
     @staticmethod
     def raise_failed(admitted, error):
         """Raise the `CallError` for a request that no upstream answered.
@@ -273,40 +256,27 @@
             executed=EXECUTED_UNKNOWN,
         )
 
-    async def _attempt(self, admitted, excluded):
-        """Send the request to one upstream.
+    def watch_silence(self, admitted):
+        """Count the upstream chosen last as failing if it is silent, before a deadline.
+
+        The request goes on: it may not be repeated, or has no other try.
 
         Returns
         -------
-        status : int
-            HTTP status.
-        headers : tuple of (bytes, bytes)
-            Headers to forward.
-        body : bytes or None
-            None if the upstream refused the request.
+        asyncio.TimerHandle
+            To be cancelled when the request has ended.
         """
-        request = self.build_slot_request(admitted, excluded)
-        async with self._runtime.pools.lease(request) as upstream:
-            excluded.append(upstream.name)
-            dispatch = self.build_dispatch(admitted, upstream)
-            admitted.sends += 1
-            try:
-                async with self._sender.send(dispatch) as answer:
-                    self.record_answer(admitted, upstream, answer)
-                    if answer.refused:
-                        self._runtime.pools.report(upstream, ok=True)
-                        return answer.status, (), None
-                    data = await self.read_body(answer, upstream)
-            except UpstreamFailed as error:
-                self.record_failure(admitted, upstream, error)
-                raise
-            admitted.may_have_run = True
-            check_answer(answer)
-            self.record_success(admitted, upstream)
-            return answer.status, answer.headers, data
+        seconds = find_silent_seconds(admitted.deadline - self._now())
+        loop = asyncio.get_running_loop()
+        return loop.call_later(seconds, self._note_silent, admitted)
+
+    def _note_silent(self, admitted):
+        if not admitted.answered:
+            self._runtime.pools.report_doubtful(admitted.upstream)
 
     def record_answer(self, admitted, upstream, answer):
         """Record the head of an upstream's answer."""
+        admitted.answered = not admitted.route.streaming or answer.status != 200
         admitted.end = answer.end
         admitted.relay = answer.relay
         if answer.leaving:
@@ -316,9 +286,9 @@
                 upstream, answer.rate, sent_at=admitted.sent_at, now=self._now()
             )
 
-    async def read_body(self, answer, upstream):
+    async def read_body(self, admitted, answer, upstream):
         """Return the complete body; raise `UpstreamFailed` if there is none."""
-        data = await read_all(answer.chunks, MAX_ANSWER_BYTES)
+        data = await read_all(answer.chunks, MAX_ANSWER_BYTES, admitted.call.keep)
         await self.check_end(answer, upstream)
         return data
 
@@ -336,9 +306,12 @@
                 "upstream is down after an answer without a length", crashed=True
             )
 
-    def record_success(self, admitted, upstream):
-        """Record that an upstream completed a request."""
-        self._runtime.pools.report(upstream, ok=True)
+    def record_success(self, admitted, upstream, *, ok=True):
+        """Record that an upstream completed a request, if not `ok` with an error."""
+        if ok:
+            self._runtime.pools.report(upstream, ok=True)
+        else:
+            self._runtime.pools.report_doubtful(upstream.name)
         if self._runtime.crashes:
             self._runtime.crashes.clear(admitted.digest, self._now())
 
@@ -346,6 +319,9 @@
         """Record how an upstream failed a request."""
         admitted.sends -= not error.sent
         admitted.may_have_run |= error.sent
+        if isinstance(error, UpstreamLate):
+            self._runtime.pools.report_doubtful(upstream.name)
+            return
         self._runtime.pools.report(upstream, ok=False)
         if error.crashed:
             start_task(self._record_crash(admitted, upstream), name="crash")
@@ -386,6 +362,8 @@
         call = admitted.call
         now = self._now()
         max_wait = (admitted.deadline - now) * QUEUE_WAIT_SHARE
+        if not (admitted.route.repeatable or admitted.route.streaming):
+            excluded = [*excluded, *self._runtime.pools.list_probed()]
         name = call.session or call.program or call.request_id
         return SlotRequest(
             program=f"{admitted.customer.name}/{name}",
@@ -412,6 +390,7 @@
         """
         self._check_crashes(admitted)
         admitted.upstream = upstream.name
+        admitted.answered = False
         admitted.sent_at = self._now()
         admitted.mark("slot", admitted.sent_at)
         timeout = admitted.deadline - admitted.sent_at
@@ -460,6 +439,7 @@
                 **(admitted.marks if admitted else {}),
                 **(admitted.describe_end() if admitted else {}),
                 **(admitted.rate_state if admitted else {}),
+                **(admitted.placed if admitted else {}),
                 "version": self._runtime.configuration.table.version,
                 "version_age": round(self._runtime.configuration.age, 2),
                 **outcome,
@@ -480,25 +460,21 @@
     return CallError("upstream_failed", error.detail, executed=EXECUTED_UNKNOWN)
 
 
-async def read_all(chunks, limit):
-    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes."""
+async def read_all(chunks, limit, keep):
+    """Return the complete body; raise `UpstreamFailed` if it exceeds `limit` bytes.
+
+    ``await keep(size)`` counts the bytes, and takes them back if there is no body.
+    """
     parts = []
     size = 0
-    async for chunk in chunks:
-        size += len(chunk)
-        if size > limit:
-            raise UpstreamFailed(f"answer exceeds {limit} bytes")
-        parts.append(chunk)
+    try:
+        async for chunk in chunks:
+            size += len(chunk)
+            if size > limit:
+                raise UpstreamFailed(f"answer exceeds {limit} bytes")
+            await keep(len(chunk))
+            parts.append(chunk)
+    except UpstreamFailed:
+        await keep(-sum(map(len, parts)))
+        raise
     return b"".join(parts)
-
-
-def check_answer(answer):
-    """Raise `UpstreamFailed` for an answer that must not be forwarded.
-
-    A success must carry the upstream's signature. A status that tells callers that
-    the request has not run is valid only as a refusal by the upstream.
-    """
-    if 200 <= answer.status < 300 and not answer.signed:
-        raise UpstreamFailed("answer without a signature")
-    if answer.status in NOT_RUN_STATUSES:
-        raise UpstreamFailed(f"status {answer.status} without a refusal")
--- a/sapphireyard/exchange/generated_shared_queues.py
+++ b/sapphireyard/exchange/generated_shared_queues.py
@@ -60,3 +60,9 @@
 @dataclass
 class SharedSlotGrant:
     upstream: str
+    reason: str
+    """
+    Why that upstream was chosen.
+    """
+    cached_tokens: int = 0
+    kept_tokens: int = 0
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -8,17 +8,20 @@
 import itertools
 import logging
 import math
-from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import mode
 
 from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.exchange.loads import FleetLoads, remove_granted
+from sapphireyard.exchange.placements import record_placement
 from sapphireyard.exchange.shared_queues import SharedQueues
+from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
+from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     Grant,
@@ -26,6 +29,8 @@
     SchedulerOptions,
     SlotRequest,
 )
+from sapphireyard.upstreams.cold import ColdUpstreams
+from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
@@ -49,6 +54,9 @@
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 """A caller that waits longer than this for a slot has no time left."""
+UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
+"""Why requests are refused, and their Retry-After: upstreams are probed again."""
+EVACUATED = "operators have evacuated all upstreams", MAX_RETRY_SECONDS
 
 
 @dataclass
@@ -62,15 +70,17 @@
 class _Pool:
     """One service: its scheduler and its upstreams."""
 
-    def __init__(self, host):
+    def __init__(self, host, parts):
         options = SchedulerOptions(
             fair=False, urgency=True, hold_new=False, tie_seed=host
         )
-        self.scheduler = Scheduler([], options=options, max_upstreams=MAX_UPSTREAMS)
+        self.scheduler = Scheduler(
+            [], options=options, max_upstreams=MAX_UPSTREAMS, parts=parts
+        )
         self.upstreams = {}
         self.limited = set()
         self.grants_at = math.inf
-        self.unreachable = False
+        self.refusal = None
 
 
 class UpstreamPools(mode.Service):
@@ -88,9 +98,19 @@
     Attributes
     ----------
     rates : UpstreamRates
-        Rates that upstreams have stated.
+        Rates that upstreams have stated, or take while they are cold.
+    cold : ColdUpstreams
+        Upstreams that are cold.
     links : Links
         Upstreams to which this host can open connections.
+    parts : KeptParts
+        Parts of prompts that engines keep.
+    evidence : FleetEvidence
+        Results of upstreams at all hosts.
+    evacuations : Evacuations
+        Failure domains whose upstreams get no requests.
+    shared : SharedQueues
+        Common queues of all hosts.
     """
 
     def __init__(self, runtime):
@@ -101,32 +121,41 @@
         self._numbers = itertools.count(1)
         self._outliers = OutlierDetector(consecutive=FAILURES_TO_EJECT)
         self._engines = {}
-        self._running = {}
-        self._remote = {}
-        self._remote_load = {}
+        self._loads = FleetLoads()
         self._leaving = {}
-        self._granted = Counter()
-        self._shared = SharedQueues(runtime, self)
+        self._granted = FleetLoads()
+        self.shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
+        self.cold = ColdUpstreams(self.rates)
         self.links = Links()
+        self.parts = KeptParts()
+        self.evidence = FleetEvidence(runtime.gossip.membership.failure_domain)
+        self.evacuations = Evacuations(on_change=self._apply_all_states)
 
     @property
     def running(self):
         """dict of str to int: This host's requests in flight on each upstream."""
-        return dict(self._running)
+        return self._loads.count_running()
+
+    @property
+    def reserved(self):
+        """dict of str to int: Memory tokens that these requests need."""
+        return self._loads.count_tokens()
 
     @property
     def granted(self):
-        """dict of str to int: The part of `running` for which a home granted slots."""
-        return dict(+self._granted)
+        """FleetLoads: The part of the requests in flight that a home granted slots."""
+        return self._granted
 
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
-        self._shared.set_services(name for name in services if self._engines[name])
+        self.shared.set_services(name for name in services if self._engines[name])
+        self.cold.set_services(services)
         for pool in self._pools.values():
             for upstream in pool.upstreams.values():
                 pool.scheduler.add_upstream(self._limits(upstream))
+                self.cold.note_listed(upstream, self._now())
 
     def set_upstreams(self, upstreams):
         """Replace the list of upstreams; those not listed are removed."""
@@ -144,11 +173,13 @@
         self.rates.forget(now)
         self.links.set_upstreams({each.name: each.started_at for each in upstreams})
         for service in by_service.keys() | self._pools.keys():
-            pool = self._pools.setdefault(service, _Pool(self._runtime.host))
+            pool = self._pools.setdefault(
+                service, _Pool(self._runtime.host, self.parts)
+            )
             self._update(service, pool, by_service.get(service, {}))
 
     @asynccontextmanager
-    async def lease(self, request, *, upstream_hint=""):
+    async def lease(self, request, *, upstream_hint="", placed=None):
         """Hold a slot while the context lasts.
 
         Parameters
@@ -157,6 +188,8 @@
             Request for a slot; its pool is the service.
         upstream_hint : str, optional
             Upstream that served the program's last turn.
+        placed : dict, optional
+            Gets the fields of a log line that tell of the choice.
 
         Yields
         ------
@@ -168,29 +201,21 @@
         CallError
             ``overloaded``: no slot in time. Nothing was sent.
         """
-        pool = self._pools.get(request.pool)
-        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
-            raise CallError(
-                "overloaded",
-                f"service {request.pool!r} has no upstream",
-                retry_after=NO_UPSTREAM_RETRY_SECONDS,
-            )
-        if pool.unreachable:
-            raise _build_unreachable_error(request.pool)
-        self._update_grants(pool)
-        self._check_rates(pool, request)
+        pool = self._find_usable(request)
         # The scheduler serves this host only: ids are unique here, one holder will do.
         request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
-        async with self._hold_slot(pool, request, upstream_hint) as name:
-            upstream = pool.upstreams[name]
-            self._running[name] = self._running.get(name, 0) + 1
+        async with self._hold_slot(pool, request, upstream_hint) as grant:
+            fields = record_placement(grant, self._runtime.metrics)
+            if placed is not None:
+                placed.update(fields)
+            name = grant.upstream
+            tokens = request.total_tokens if self._engines.get(request.pool) else 0
+            self._loads.acquire(name, tokens)
             self._outliers.note_sent(name, self._now())
             try:
-                yield upstream
+                yield pool.upstreams[name]
             finally:
-                self._running[name] -= 1
-                if not self._running[name]:
-                    del self._running[name]
+                self._loads.release(name, tokens)
 
     @asynccontextmanager
     async def grant(self, request, *, upstream_hint=""):
@@ -198,8 +223,8 @@
 
         Yields
         ------
-        str
-            Name of the upstream.
+        Grant
+            The slot.
 
         Raises
         ------
@@ -209,16 +234,16 @@
             This host reaches no upstream of the service.
         """
         pool = self._pools.get(request.pool)
-        if pool is None or pool.unreachable or not pool.upstreams:
+        if pool is None or pool.refusal or not pool.upstreams:
             raise PeerError(f"no upstream of {request.pool!r} is reached here")
         now = self._now()
         if upstream_hint and request.prefix_tokens:
             pool.scheduler.learn_prefix(
                 upstream_hint, request.program, request.prefix_tokens, now
             )
-        name = await self._acquire(pool, request)
+        grant = await self._acquire(pool, request)
         try:
-            yield name
+            yield grant
         finally:
             self._finish(pool, request)
 
@@ -229,19 +254,19 @@
         used, slots = scheduler.used, 0 if pool.limited else scheduler.slots
         avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
         ask = replace(request, excluded=(*request.excluded, *avoided))
-        async with self._shared.hold(
+        async with self.shared.hold(
             ask, used=used if slots else 0, slots=slots, upstream_hint=upstream_hint
-        ) as name:
-            if name not in pool.upstreams:
-                async with self.grant(request, upstream_hint=upstream_hint) as name:
-                    yield name
+        ) as grant:
+            if grant is None or grant.upstream not in pool.upstreams:
+                async with self.grant(request, upstream_hint=upstream_hint) as grant:
+                    yield grant
                 return
-            scheduler.adopt(request, name, self._now())
-            self._granted[name] += 1
+            scheduler.adopt(request, grant.upstream, self._now())
+            self._granted.acquire(grant.upstream, request.total_tokens)
             try:
-                yield name
+                yield grant
             finally:
-                self._granted[name] -= 1
+                self._granted.release(grant.upstream, request.total_tokens)
                 self._finish(pool, request)
 
     def _finish(self, pool, request):
@@ -250,6 +275,31 @@
             pool.scheduler.finish(request.request_id, tokens, None, self._now())
         )
 
+    def preview(self, request):
+        """Return the `Preview` of a request.
+
+        Raises
+        ------
+        CallError
+            ``overloaded``, as by `lease`.
+        """
+        return self._find_usable(request).scheduler.preview(request, self._now())
+
+    def _find_usable(self, request):
+        """Return the pool of a request; raise `CallError` if it can't be served."""
+        pool = self._pools.get(request.pool)
+        if pool is None or not any(not u.leaving for u in pool.upstreams.values()):
+            raise CallError(
+                "overloaded",
+                f"service {request.pool!r} has no upstream",
+                retry_after=NO_UPSTREAM_RETRY_SECONDS,
+            )
+        if pool.refusal:
+            raise _build_refusal(request.pool, *pool.refusal)
+        self._update_grants(pool)
+        self._check_rates(pool, request)
+        return pool
+
     def find(self, name):
         """Return the listed `Upstream` called `name`, or None."""
         pool = self._find_pool(name)
@@ -296,33 +346,51 @@
         now = self._now()
         if not ok and not self.links.is_up(upstream.name):
             return
+        if ok and self._outliers.is_restored_by(upstream.name):
+            self.evidence.note_restored(upstream.name, now)
         self._outliers.report(upstream.name, ok=ok, now=now)
+        self.evidence.report(upstream.name, ok=ok, now=now)
         if not ok:
             self._apply_states(upstream.service, now)
 
+    def report_doubtful(self, name):
+        """Record a failure that need not be the upstream's: silence or an error.
+
+        It is left out only if it fails far more than its peers.
+        """
+        if self.links.is_up(name):
+            self.evidence.report(name, ok=False, now=self._now())
+
+    def summarize_results(self, now):
+        """Return the results of upstreams for other hosts, as `FleetEvidence` does."""
+        return self.evidence.summarize(now, self._outliers.describe_ejected(now))
+
+    def list_probed(self):
+        """Return the upstreams whose next request is a probe after failures."""
+        return self._outliers.list_probed(self._now())
+
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
-        if heartbeat.role != ENTRY:
-            return
-        running = heartbeat.running
-        if heartbeat.granted:
-            running = Counter(running)
-            running.subtract(
-                {
-                    name: count
-                    for name, count in heartbeat.granted.items()
-                    if self._is_home(name)
-                }
+        if heartbeat.role == ENTRY:
+            changed = self._loads.replace(
+                heartbeat.host,
+                *remove_granted(heartbeat, self._find_granted_here(heartbeat)),
+            )
+            self._report_changed(changed, now)
+            self.evidence.merge(
+                heartbeat.host,
+                heartbeat.failure_domain,
+                heartbeat.upstream_results,
+                now,
             )
-        self._replace_remote(heartbeat.host, running, now)
 
     @mode.Service.task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
             self._drop_silent(now)
-            self._shared.update(now)
+            self.shared.update(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
                 self._update_grants(pool)
@@ -349,6 +417,7 @@
         While requests wait, this is repeated when the next upstream may get one.
         """
         now = self._now()
+        self.rates.end_cold(now)
         next_wait = math.inf
         stated = [name for name in self.rates.limited if name in pool.upstreams]
         for name in pool.limited.union(stated):
@@ -376,7 +445,11 @@
         """Raise `CallError` if stated rates leave no upstream for a request in time."""
         if not pool.limited:
             return
-        staying = [u for u in pool.upstreams.values() if not u.leaving]
+        staying = [
+            upstream
+            for upstream in pool.upstreams.values()
+            if not upstream.leaving and not self.evacuations.covers(upstream)
+        ]
         upstreams = [u for u in staying if u.name not in request.excluded] or staying
         if any(upstream.name not in pool.limited for upstream in upstreams):
             return
@@ -403,7 +476,7 @@
             if waiter is None or waiter.future.done():
                 continue
             if isinstance(action, Grant):
-                waiter.future.set_result(action.upstream)
+                waiter.future.set_result(action)
                 continue
             retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
             retry_after = min(retry_after, MAX_RETRY_SECONDS)
@@ -427,22 +500,40 @@
             self._execute(pool.scheduler.remove_upstream(name, now))
         for name, upstream in upstreams.items():
             known = pool.upstreams.get(name)
+            self.cold.note_listed(upstream, now)
             if known == upstream:
                 continue
             if known is not None and known.started_at != upstream.started_at:
                 self._execute(pool.scheduler.remove_upstream(name, now))
             pool.upstreams[name] = upstream
             pool.scheduler.add_upstream(self._limits(upstream))
+            self._update_grants(pool)
             self._report_remote(pool, name, now)
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
         self._apply_states(service, now)
 
+    def _apply_all_states(self):
+        for service in self._pools:
+            self._apply_states(service, self._now())
+
     def _apply_states(self, service, now):
         pool = self._pools[service]
         staying = [name for name, u in pool.upstreams.items() if not u.leaving]
-        usable = self._list_usable(service, staying, now)
-        pool.unreachable = bool(staying) and not usable
-        if pool.unreachable:
+        for name in self.evidence.find_outliers(staying, now):
+            if self._outliers.eject(name, now):
+                self._log_upstream(pool.upstreams[name], "ejected", source="fleet")
+        for name, until in self.evidence.find_left_out(staying, now).items():
+            if self._outliers.eject(name, now, until=until):
+                self._log_upstream(pool.upstreams[name], "ejected", source="others")
+        allowed = [
+            name
+            for name in staying
+            if not self.evacuations.covers(pool.upstreams[name])
+        ]
+        usable = self._list_usable(service, allowed, now)
+        pool.refusal = None
+        if staying and not usable:
+            pool.refusal = UNREACHABLE if allowed else EVACUATED
             self._refuse_waiting(service, pool, now)
         for name, upstream in pool.upstreams.items():
             state = UpstreamState.UP
@@ -450,7 +541,11 @@
                 state = UpstreamState.LEAVING
             elif name not in usable:
                 state = UpstreamState.DOWN
-            if pool.scheduler.state(name) is not state:
+            before = pool.scheduler.state(name)
+            if before is not state:
+                if before is UpstreamState.DOWN:
+                    self.cold.note_back(upstream, now)
+                    self._update_grants(pool)
                 logger.info(
                     "upstream state",
                     extra={
@@ -475,47 +570,42 @@
         return reached.intersection(healthy) or reached
 
     def _refuse_waiting(self, service, pool, now):
-        """Refuse the requests that wait for a service that no host reaches."""
+        """Refuse the requests that wait for a service without a usable upstream."""
         for request_id, waiter in list(self._waiting.items()):
             if waiter.request.pool != service or waiter.future.done():
                 continue
-            waiter.future.set_exception(_build_unreachable_error(service))
+            waiter.future.set_exception(_build_refusal(service, *pool.refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
-    def _is_home(self, name):
-        """Return whether this host grants the slots of an upstream to all hosts."""
-        pool = self._find_pool(name)
-        return pool is not None and self._shared.is_home(pool.upstreams[name].service)
+    def _find_granted_here(self, heartbeat):
+        """Return the upstreams on which this host counts what it granted itself."""
+        return {
+            name
+            for name in heartbeat.granted
+            if (pool := self._find_pool(name)) is not None
+            and self.shared.is_home(pool.upstreams[name].service)
+        }
 
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
         membership = self._runtime.gossip.membership
-        for host in list(self._remote):
+        for host in self._loads.hosts:
             member = membership.find(host)
             if member is None or not membership.is_live(member, now):
-                self._replace_remote(host, {}, now)
-                del self._remote[host]
-
-    def _replace_remote(self, host, running, now):
-        """Count the requests that another host has in flight now."""
-        before = self._remote.get(host, {})
-        self._remote[host] = running
-        for name in before.keys() | running.keys():
-            change = running.get(name, 0) - before.get(name, 0)
-            if change:
-                self._change_remote(name, change, now)
-
-    def _change_remote(self, name, change, now):
-        self._remote_load[name] = self._remote_load.get(name, 0) + change
-        pool = self._find_pool(name)
-        if pool is not None:
-            self._report_remote(pool, name, now)
-        if not self._remote_load[name]:
-            del self._remote_load[name]
+                self._report_changed(self._loads.drop(host), now)
+
+    def _report_changed(self, names, now):
+        """Tell schedulers of the changed load of other hosts."""
+        for name in names:
+            pool = self._find_pool(name)
+            if pool is not None:
+                self._report_remote(pool, name, now)
 
     def _report_remote(self, pool, name, now):
-        count = self._remote_load.get(name, 0)
-        self._execute(pool.scheduler.report_load(name, count, 0, 0, 0, now))
+        load = self._loads.find_others(name)
+        self._execute(
+            pool.scheduler.report_load(name, load.requests, load.tokens, 0, 0, now)
+        )
 
     def _find_pool(self, name):
         return next((p for p in self._pools.values() if name in p.upstreams), None)
@@ -550,13 +640,6 @@
         return self._runtime.clock.monotonic()
 
 
-def _build_unreachable_error(service):
-    """Return the `CallError` for a service that no host reaches.
-
-    It is tried again with the next probes.
-    """
-    return CallError(
-        "overloaded",
-        f"no host reaches an upstream of {service!r}",
-        retry_after=PROBE_SECONDS,
-    )
+def _build_refusal(service, reason, retry_after):
+    """Return the `CallError` for a service without a usable upstream."""
+    return CallError("overloaded", f"{reason} of {service!r}", retry_after=retry_after)
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -7,8 +7,9 @@
 import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
+from sapphireyard.exchange.answers import check_answer
 from sapphireyard.exchange.events import EventReader
-from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES, check_answer
+from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
 from sapphireyard.history.client import ChainText
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.tasks import start_task
@@ -142,12 +143,16 @@
             admitted, excluded, prefix_tokens=chain.tokens
         )
         pools = self._runtime.pools
-        async with pools.lease(request, upstream_hint=chain.upstream) as upstream:
+        lease = pools.lease(
+            request, upstream_hint=chain.upstream, placed=admitted.placed
+        )
+        async with lease as upstream:
             excluded.append(upstream.name)
             dispatch = self.exchange.build_dispatch(
                 admitted, upstream, prefix=chain.text
             )
             admitted.sends += 1
+            watch = self.exchange.watch_silence(admitted)
             try:
                 async with self._sender.send(dispatch) as answer:
                     self.exchange.record_answer(admitted, upstream, answer)
@@ -157,7 +162,7 @@
                     admitted.may_have_run = True
                     check_answer(answer)
                     if answer.status != 200:
-                        data = await self.exchange.read_body(answer, upstream)
+                        data = await self.exchange.read_body(admitted, answer, upstream)
                         await reply.send_complete(answer.status, answer.headers, data)
                         pools.report(upstream, ok=answer.status < 500)
                         return False
@@ -166,6 +171,8 @@
             except UpstreamFailed as error:
                 self.exchange.record_failure(admitted, upstream, error)
                 raise
+            finally:
+                watch.cancel()
             self.exchange.record_success(admitted, upstream)
         if admitted.route.retention is not None:
             admitted.mark("last", self._runtime.clock.monotonic())
@@ -179,12 +186,14 @@
         async for chunk in answer.chunks:
             if is_first:
                 is_first = False
+                admitted.answered = True
                 if synced is not None:
                     await synced
                 await reply.start(answer.status, answer.headers)
                 admitted.mark("first", self._runtime.clock.monotonic())
             reader.feed(chunk)
             _check_size(reader)
+            await admitted.call.keep(len(chunk))
             await reply.write(chunk)
         if reader.partial:
             raise UpstreamFailed("stream ended inside an event")
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -26,6 +26,10 @@
     """
     Identity of the disk of each member, by host.
     """
+    lost_before: int = 0
+    """
+    Records written under sets before this version may be lost; 0 if none are.
+    """
 
 
 @dataclass
@@ -171,7 +175,31 @@
     """
     Upstreams to which the host can open no connection; empty if it is isolated.
     """
+    kept_parts: dict[str, list[int]] = field(default_factory=dict)
+    """
+    Parts of prompts that the host's requests have lately made upstreams read: digest and tokens by turns.
+    """
+    upstream_results: dict[str, list[float]] = field(default_factory=dict)
+    """
+    Recent results of upstreams that failed at any host: failures, all results, seconds since the last failure, and seconds for which the host still leaves the upstream out.
+    """
+    evacuated: list[str] = field(default_factory=list)
+    """
+    Failure domains whose upstreams are to get no requests.
+    """
+    evacuated_revision: int = 0
+    """
+    Revision of the store at which that was read; 0 for never.
+    """
+    reserved: dict[str, int] = field(default_factory=dict)
+    """
+    Tokens of memory that the host's requests in flight need on each upstream.
+    """
     granted: dict[str, int] = field(default_factory=dict)
     """
     The part of `running` for which another host, the home of the service's queue, granted the slot.
     """
+    granted_tokens: dict[str, int] = field(default_factory=dict)
+    """
+    The part of `reserved` for these requests.
+    """
--- a/sapphireyard/scheduling/pace.py
+++ b/sapphireyard/scheduling/pace.py
@@ -2,11 +2,16 @@
 
 SMOOTHING = 0.1
 """Weight of the newest request in the moving average."""
-MIN_RATIO, MAX_RATIO = 0.2, 20.0
+MIN_RATIO, MAX_RATIO = 0.2, 4.0
 """Bounds of the time that a request took, in expected times: below, it was not run;
 above, one request says little about the next."""
+MIN_EXPECTED_SECONDS = 0.02
+"""Expected time below which a request is mostly overhead."""
 CROWDING = 0.2
 """Fraction by which each other request on an engine makes one take longer."""
+FORGET_SECONDS = 5.0
+"""Time constant with which an upstream that runs nothing returns to the mean pace, so
+that one that was slow is tried again."""
 
 
 class UpstreamPaces:
@@ -19,17 +24,25 @@
     def __init__(self):
         self._ratios = {}
         self._mean = 1.0
+        self._aged_at = 0.0
 
     def note(self, name, seconds, expected):
         """Record a request that took `seconds` where `expected` were expected."""
-        ratio = seconds / expected if expected > 0 else 0.0
-        if ratio < MIN_RATIO:
+        if expected < MIN_EXPECTED_SECONDS or seconds < MIN_RATIO * expected:
             return
-        ratio = min(ratio, MAX_RATIO)
+        ratio = min(seconds / expected, MAX_RATIO)
         known = self._ratios.get(name, self._mean)
         self._ratios[name] = known + SMOOTHING * (ratio - known)
         self._mean = sum(self._ratios.values()) / len(self._ratios)
 
+    def age(self, idle, now):
+        """Let the upstreams in `idle`, which run nothing, return to the mean pace."""
+        share = min(1.0, max(0.0, now - self._aged_at) / FORGET_SECONDS)
+        self._aged_at = now
+        for name in idle:
+            if name in self._ratios:
+                self._ratios[name] += share * (self._mean - self._ratios[name])
+
     def forget(self, name):
         """Drop what is known of an upstream."""
         self._ratios.pop(name, None)
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -6,9 +6,10 @@
 from sapphireyard.scheduling.backlog import Backlog
 from sapphireyard.scheduling.capacity import MeanDuration, UpstreamSlots, UpstreamState
 from sapphireyard.scheduling.fairness import FairShares
-from sapphireyard.scheduling.order import ProgramOrder
+from sapphireyard.scheduling.order import OrderKey, ProgramOrder
 from sapphireyard.scheduling.pace import UpstreamPaces
 from sapphireyard.scheduling.placement import Placement
+from sapphireyard.scheduling.previews import Preview, view_upstream
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
     REASON_MOVED,
@@ -54,9 +55,13 @@
         Switches and weights.
     max_upstreams : int, optional
         Maximum number of upstreams in the group.
+    parts : KeptParts, optional
+        Parts of prompts that upstreams keep, shared by the schedulers of a host.
     """
 
-    def __init__(self, upstreams, *, options=None, max_upstreams=MAX_GROUP_SIZE):
+    def __init__(
+        self, upstreams, *, options=None, max_upstreams=MAX_GROUP_SIZE, parts=None
+    ):
         self._max_upstreams = max_upstreams
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
@@ -65,7 +70,9 @@
             self._order = UrgencyOrder()
         self._admission = QueueAdmission()
         self._paces = UpstreamPaces()
-        self._placement = Placement(keep_seconds=self._options.keep_seconds)
+        self._placement = Placement(
+            keep_seconds=self._options.keep_seconds, parts=parts
+        )
         self._queues = RequestQueues()
         self._slots = {}
         self._waiting = {}
@@ -133,6 +140,7 @@
         self._selection.unblock()
         if limits.name in self._slots:
             self._slots[limits.name].limits = limits
+            self._placement.resize(limits)
             return
         if len(self._slots) >= self._max_upstreams:
             raise ValueError(f"a group has at most {self._max_upstreams} upstreams")
@@ -165,12 +173,31 @@
             raise ValueError(
                 f"request {request.request_id} is waiting or running already"
             )
-        delay = self._find_delay(request, now) if self._options.refuse else None
-        if delay is not None:
-            return [Refuse(request, delay)]
+        refusal = self._judge(request, now)
+        if refusal is not None:
+            return [refusal]
         self._enqueue(request, now)
         return self._decide(now)
 
+    def preview(self, request, now):
+        """Return the `Preview` of a request: what `submit` would do, without doing it.
+
+        A request that could start waits nevertheless if others wait, whose order
+        `submit` would decide.
+        """
+        refusal = self._judge(request, now)
+        action = refusal
+        if refusal is None and not self._waiting:
+            action = self._preview_grant(request, now)
+        views = tuple(
+            view_upstream(
+                slots, request, kept_tokens=self._placement.cached(name, request)
+            )
+            for name, slots in self._slots.items()
+        )
+        wait = self.expected_wait(request.customer)
+        return Preview(action, len(self._waiting), wait, views)
+
     def cancel(self, request_id, now):
         """Remove a waiting request, or release its slot if it has one."""
         waiting = self._waiting.get(request_id)
@@ -298,6 +325,8 @@
 
     def tick(self, now):
         """Refuse requests whose deadline has passed, and start what can start."""
+        idle = [name for name, slots in self._slots.items() if not slots.running]
+        self._paces.age(idle, now)
         actions = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, request_id = heapq.heappop(self._deadlines)
@@ -320,22 +349,46 @@
         """Return the expected wait of a new request of a customer in seconds."""
         return self._backlog.expected_wait(self._share_key(customer))
 
-    def _find_delay(self, request, now):
-        """Return the seconds after which a request to refuse may return, or None."""
-        if not self._options.urgency:
-            late = now + self.expected_wait(request.customer) - request.deadline
-            if not request.deadline or late <= 0:
-                return None
-            return max(late, self._duration.seconds)
+    def _judge(self, request, now):
+        """Return the `Refuse` of a request that cannot start in time, or None."""
+        if not self._options.refuse:
+            return None
+        if self._options.urgency:
+            return self._judge_by_order(request, now)
+        late = now + self.expected_wait(request.customer) - request.deadline
+        if not request.deadline or late <= 0:
+            return None
+        return Refuse(request, max(late, self._duration.seconds))
+
+    def _judge_by_order(self, request, now):
+        """Return the `Refuse` of a request by what goes before it, or None."""
         key = self._order.key(request, now)
-        return self._admission.find_delay(
+        ahead = sum(waiting.key < key for waiting in self._waiting.values())
+        delay = self._admission.find_delay(
             request,
-            ahead=sum(waiting.key < key for waiting in self._waiting.values()),
+            ahead=ahead,
             slots=self.slots,
             seconds=self._duration.seconds,
             now=now,
             engines=any(slots.limits.kv_tokens for slots in self._slots.values()),
         )
+        return None if delay is None else Refuse(request, delay, ahead)
+
+    def _preview_grant(self, request, now):
+        """Return the `Grant` of a request if it were the only one, or None."""
+        waiting = WaitingRequest(
+            request=request,
+            customer=self._share_key(request.customer),
+            affinity=self._selection.affinity(request),
+            key=OrderKey(0, now, 0),
+            submitted=now,
+        )
+        choice = self._selection.preview(waiting, now)
+        if choice is None:
+            return None
+        cached = self._placement.cached(choice.upstream, request)
+        among = tuple(name for name, slots in self._slots.items() if slots.is_up)
+        return Grant(request, choice.upstream, choice.reason, among, cached)
 
     def _share_key(self, customer):
         return customer if self._options.fair else ALL_CUSTOMERS
@@ -383,15 +436,19 @@
         self._shares.advance(tag)
         self._dequeue(choice.waiting)
         cached = self._placement.cached(choice.upstream, request)
+        among = tuple(n for n, s in self._slots.items() if s.is_up)
+        kept = max(cached, self._placement.longest(among, request))
         self._start(request, choice.upstream, self._cost(request, cached), now)
+        self._placement.note_sent(choice.upstream, request, now)
         actions = [
             Grant(
                 request=request,
                 upstream=choice.upstream,
                 reason=choice.reason,
-                among=tuple(n for n, s in self._slots.items() if s.is_up),
+                among=among,
                 cached_tokens=cached,
                 waited=now - choice.waiting.submitted,
+                kept_tokens=kept,
             )
         ]
         if choice.reason == REASON_MOVED:
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -16,6 +16,7 @@
 )
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.exchange import Exchange
+from sapphireyard.exchange.held import HeldBytes
 from sapphireyard.exchange.pools import UpstreamPools
 from sapphireyard.exchange.routes import (
     Customer,
@@ -35,6 +36,7 @@
 
 EVENTS = [b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n"]
 WAIT_SECONDS = 5.0
+SLOW_SECONDS = 1.0
 
 
 def build_table(**quota):
@@ -79,6 +81,7 @@
     Steps of a script are ``complete``, which is the default, ``unreachable`` (no
     connection), ``lost`` (the connection breaks without an answer), ``hang`` (no
     answer), ``full`` (refused before a run), ``busy`` (status 503 after a run),
+    ``error`` (status 500), ``slow`` (complete after `SLOW_SECONDS`),
     ``unsigned`` (no signature) and ``cut`` (the body breaks off).
     """
 
@@ -97,12 +100,17 @@
             raise UpstreamFailed("no answer", crashed=True)
         if step == "hang":
             await asyncio.Event().wait()
+        if step == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
         if step == "full":
             yield UpstreamAnswer(503, refused=True, chunks=self.stream_parts([]))
             return
         if step == "busy":
             yield UpstreamAnswer(503, signed=True, chunks=self.stream_parts([b"busy"]))
             return
+        if step == "error":
+            yield UpstreamAnswer(500, signed=True, chunks=self.stream_parts([b"error"]))
+            return
         if step == "unsigned":
             yield UpstreamAnswer(200, chunks=self.stream_parts([b"x"]))
             return
@@ -208,6 +216,7 @@
             metrics=SimpleNamespace(count=lambda *a, **k: 0, record=lambda *a, **k: 0),
             quotas=FleetQuotas(started_at=clock.monotonic() - 60),
             crashes=CrashLedger(),
+            held=HeldBytes(),
             peers=SimpleNamespace(
                 codec=MessageCodec(),
                 register=lambda message_class, handler: None,
