--- a/sapphireyard/exchange/placements.py
+++ b/sapphireyard/exchange/placements.py
@@ -1,4 +1,8 @@
-"""Metrics and log fields that tell where a request was placed."""
+"""Metrics and log lines that tell where a request was placed, or why it was refused."""
+
+import logging
+
+logger = logging.getLogger(__name__)
 
 
 def record_placement(grant, metrics):
@@ -28,3 +32,38 @@
         "cached_tokens": grant.cached_tokens,
         "reread_tokens": again,
     }
+
+
+def record_refusal(refusal, scheduler, retry_after, metrics):
+    """Log and count a request that gets no slot.
+
+    Parameters
+    ----------
+    refusal : Refuse
+        The decision.
+    scheduler : Scheduler
+        Scheduler of the service that made it.
+    retry_after : float
+        Seconds that the caller is told.
+    metrics : Metrics
+        Counts refusals by pool and priority.
+    """
+    request = refusal.request
+    metrics.count("slot_refusals", pool=request.pool, priority=request.priority)
+    logger.info(
+        "request refused",
+        extra={
+            "decision": "refuse",
+            "pool": request.pool,
+            "program": request.program,
+            "host": request.holder,
+            "customer": request.customer,
+            "priority": request.priority,
+            "started": request.started,
+            "ahead": refusal.ahead,
+            "waiting": scheduler.waiting,
+            "used": scheduler.used,
+            "slots": scheduler.slots,
+            "retry_after": round(retry_after, 3),
+        },
+    )
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -15,7 +15,7 @@
 
 from sapphireyard.exceptions import CallError, PeerError
 from sapphireyard.exchange.loads import FleetLoads, remove_granted
-from sapphireyard.exchange.placements import record_placement
+from sapphireyard.exchange.placements import record_placement, record_refusal
 from sapphireyard.exchange.shared_queues import SharedQueues
 from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
@@ -480,6 +480,8 @@
                 continue
             retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
             retry_after = min(retry_after, MAX_RETRY_SECONDS)
+            scheduler = self._pools[action.request.pool].scheduler
+            record_refusal(action, scheduler, retry_after, self._runtime.metrics)
             waiter.future.set_exception(
                 CallError(
                     "overloaded",
--- a/sapphireyard/metrics.py
+++ b/sapphireyard/metrics.py
@@ -33,6 +33,7 @@
     Instrument(
         "reread_tokens", COUNTER, "1", "Prompt tokens read though kept elsewhere."
     ),
+    Instrument("slot_refusals", COUNTER, "1", "Requests refused without a slot."),
     Instrument("output_tokens", COUNTER, "1", "Tokens generated, by pool."),
     Instrument("refusals", COUNTER, "1", "Calls refused, by code."),
     Instrument("forwarded", COUNTER, "1", "Calls passed to another host."),
