Queue new programs that have time to wait or for which slots are free

New programs were refused by the queue's length alone: also while slots were free for them, as those ahead waited for the upstream that holds their prefix, and where a caller's aim leaves time to wait. The first turn may now also wait for 2.5% of the time until the program's aim, and free slots are taken off what is ahead. The end of the wait for a silent home no longer fails if the wait has just ended.

--- a/sapphireyard/exchange/shared_queues.py
+++ b/sapphireyard/exchange/shared_queues.py
@@ -69,7 +69,7 @@
         live = {each.name for each in hosts}
         loop = asyncio.get_running_loop()
         for scope, home in self._awaited.items():
-            if home not in live:
+            if home not in live and not scope.expired():
                 scope.reschedule(loop.time())
 
     def is_home(self, service):
--- a/sapphireyard/scheduling/admission.py
+++ b/sapphireyard/scheduling/admission.py
@@ -5,6 +5,9 @@
 QUEUE_SHARE = 0.1
 """Requests that may wait ahead of a new program, as a share of the slots. With more,
 each of its turns waits for longer than the slack of a tight aim."""
+AIM_SHARE = 0.025
+"""Share of the time until its aim for which the first turn of a program may wait, if
+that is more: programs with much time have many turns, or slack."""
 HASH_RANGE = 2**64
 
 
@@ -24,7 +27,7 @@
     def __init__(self, *, queue_share=QUEUE_SHARE):
         self._queue_share = queue_share
 
-    def find_delay(self, request, *, ahead, slots, seconds, now, engines=True):
+    def find_delay(self, request, *, ahead, slots, seconds, now, free=0, engines=True):
         """Return the seconds after which a refused request may return, or None.
 
         Parameters
@@ -39,6 +42,9 @@
             Mean time for which a slot is held.
         now : float
             Monotonic seconds.
+        free : int, optional
+            Slots that are free though requests wait, such as those that wait for the
+            upstream that holds their prefix.
         engines : bool, optional
             The upstreams are engines, which run programs of several turns. A request
             to any other is refused only if it cannot be served in time itself.
@@ -50,13 +56,13 @@
         """
         if not slots:
             return seconds if now + seconds > request.deadline > 0 else None
-        wait = ahead * seconds / slots
+        wait = max(0, ahead - free) * seconds / slots
         if request.deadline and now + wait > request.deadline:
             return wait
-        room = self._queue_share * slots
-        if not engines or request.started or ahead <= room:
+        bearable = max(self._queue_share * seconds, AIM_SHARE * (request.aim_at - now))
+        if not engines or request.started or wait <= bearable:
             return None
-        return (ahead - room) * seconds / slots + self._spread(request) * seconds
+        return wait - bearable + self._spread(request) * seconds
 
     def _spread(self, request):
         """Return a number from 0 to 1 by which refused programs return one by one."""
--- a/sapphireyard/scheduling/capacity.py
+++ b/sapphireyard/scheduling/capacity.py
@@ -103,6 +103,14 @@
         used = self.reserved + self.foreign_reserved
         return max(batch, used / self.limits.kv_tokens)
 
+    @property
+    def free(self):
+        """int: Requests that may start now, their memory aside."""
+        if not self.has_slot():
+            return 0
+        free = self.batch_limit - len(self.running) - self.foreign_running
+        return free if self.grants is None else min(free, self.grants)
+
     def has_slot(self):
         """Return whether one more request may run, its memory aside."""
         if not self.is_up or self.grants == 0:
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -370,6 +370,7 @@
             slots=self.slots,
             seconds=self._duration.seconds,
             now=now,
+            free=sum(slots.free for slots in self._slots.values()),
             engines=any(slots.limits.kv_tokens for slots in self._slots.values()),
         )
         return None if delay is None else Refuse(request, delay, ahead)
