--- a/sapphireyard/exchange/loads.py
+++ b/sapphireyard/exchange/loads.py
@@ -18,11 +18,6 @@
         """Return the difference of two loads."""
         return Load(self.requests - other.requests, self.tokens - other.tokens)
 
-    def without(self, count):
-        """Return the load without some of its requests, which are taken to be equal."""
-        left = max(0, self.requests - count)
-        return Load(left, self.tokens * left // max(1, self.requests))
-
 
 NO_LOAD = Load()
 
@@ -67,7 +62,7 @@
         """Return the `Load` of all other hosts on an upstream."""
         return self._others.get(name, NO_LOAD)
 
-    def replace(self, host, running, reserved, *, granted=None):
+    def replace(self, host, running, reserved):
         """Apply another host's report; return the upstreams whose load has changed.
 
         Parameters
@@ -77,15 +72,11 @@
         running, reserved : dict of str to int
             Its requests in flight on each upstream, and the tokens that they need; a
             host of an older build reports no tokens.
-        granted : dict of str to int, optional
-            The part of `running` that this host, as a home, counts already.
         """
         before = self._by_host.get(host, {})
         loads = {name: Load(count) for name, count in running.items()}
         for name, tokens in reserved.items():
             loads[name] = replace(loads.get(name, NO_LOAD), tokens=tokens)
-        for name, count in (granted or {}).items():
-            loads[name] = loads.get(name, NO_LOAD).without(count)
         self._by_host[host] = loads
         changed = []
         for name in before.keys() | loads.keys():
@@ -102,3 +93,27 @@
         changed = self.replace(host, {}, {})
         del self._by_host[host]
         return changed
+
+
+def remove_granted(heartbeat, names):
+    """Return another host's requests in flight, and the tokens that they need.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+        What the other host reports.
+    names : set of str
+        Upstreams without the requests for which a home granted the slot. The home
+        itself counts these, and it knows sooner when they end.
+    """
+
+    def remove(counts, granted):
+        return {
+            name: count - (granted.get(name, 0) if name in names else 0)
+            for name, count in counts.items()
+        }
+
+    return (
+        remove(heartbeat.running, heartbeat.granted),
+        remove(heartbeat.reserved, heartbeat.granted_tokens),
+    )
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -8,15 +8,14 @@
 import itertools
 import logging
 import math
-from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import mode
 
 from sapphireyard.exceptions import CallError, PeerError
-from sapphireyard.exchange.loads import FleetLoads
-from sapphireyard.exchange.placements import record_placement
+from sapphireyard.exchange.loads import FleetLoads, remove_granted
+from sapphireyard.exchange.placements import record_placement, record_refusal
 from sapphireyard.exchange.shared_queues import SharedQueues
 from sapphireyard.fleet.evacuations import Evacuations
 from sapphireyard.fleet.membership import ENTRY
@@ -111,6 +110,8 @@
         Results of upstreams at all hosts.
     evacuations : Evacuations
         Failure domains whose upstreams get no requests.
+    shared : SharedQueues
+        Common queues of all hosts.
     """
 
     def __init__(self, runtime):
@@ -123,8 +124,8 @@
         self._engines = {}
         self._loads = FleetLoads()
         self._leaving = {}
-        self._granted = Counter()
-        self._shared = SharedQueues(runtime, self)
+        self._granted = FleetLoads()
+        self.shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
         self.cold = ColdUpstreams(self.rates)
         self.links = Links()
@@ -144,13 +145,13 @@
 
     @property
     def granted(self):
-        """dict of str to int: The part of `running` for which a home granted slots."""
-        return dict(+self._granted)
+        """FleetLoads: The part of the requests in flight that a home granted slots."""
+        return self._granted
 
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
-        self._shared.set_services(name for name in services if self._engines[name])
+        self.shared.set_services(name for name in services if self._engines[name])
         self.cold.set_services(services)
         for pool in self._pools.values():
             for upstream in pool.upstreams.values():
@@ -209,12 +210,11 @@
             if placed is not None:
                 placed.update(fields)
             name = grant.upstream
-            upstream = pool.upstreams[name]
             tokens = request.total_tokens if self._engines.get(request.pool) else 0
             self._loads.acquire(name, tokens)
             self._outliers.note_sent(name, self._now())
             try:
-                yield upstream
+                yield pool.upstreams[name]
             finally:
                 self._loads.release(name, tokens)
 
@@ -257,19 +257,19 @@
         used, slots = scheduler.used, 0 if alone else scheduler.slots
         avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
         ask = replace(request, excluded=(*request.excluded, *avoided))
-        async with self._shared.hold(
+        async with self.shared.hold(
             ask, used=used if slots else 0, slots=slots, upstream_hint=upstream_hint
-        ) as name:
-            if not self._may_adopt(pool, name):
+        ) as grant:
+            if grant is None or not self._may_adopt(pool, grant.upstream):
                 async with self.grant(request, upstream_hint=upstream_hint) as grant:
                     yield grant
                 return
-            grant = scheduler.adopt(request, name, self._now())
-            self._granted[name] += 1
+            scheduler.adopt(request, grant.upstream, self._now())
+            self._granted.acquire(grant.upstream, request.total_tokens)
             try:
                 yield grant
             finally:
-                self._granted[name] -= 1
+                self._granted.release(grant.upstream, request.total_tokens)
                 self._finish(pool, request)
 
     @staticmethod
@@ -389,27 +389,25 @@
     def update_remote_load(self, member, now):
         """Update another entry host's requests in flight after its heartbeat."""
         heartbeat = member.heartbeat
-        if heartbeat.role != ENTRY:
-            return
-        granted = {
-            name: count
-            for name, count in heartbeat.granted.items()
-            if self._is_home(name)
-        }
-        changed = self._loads.replace(
-            heartbeat.host, heartbeat.running, heartbeat.reserved, granted=granted
-        )
-        self._report_changed(changed, now)
-        self.evidence.merge(
-            heartbeat.host, heartbeat.failure_domain, heartbeat.upstream_results, now
-        )
+        if heartbeat.role == ENTRY:
+            changed = self._loads.replace(
+                heartbeat.host,
+                *remove_granted(heartbeat, self._find_granted_here(heartbeat)),
+            )
+            self._report_changed(changed, now)
+            self.evidence.merge(
+                heartbeat.host,
+                heartbeat.failure_domain,
+                heartbeat.upstream_results,
+                now,
+            )
 
     @mode.Service.task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
             self._drop_silent(now)
-            self._shared.update(now)
+            self.shared.update(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
                 self._update_grants(pool)
@@ -502,6 +500,8 @@
                 continue
             retry_after = max(action.retry_after, MIN_RETRY_SECONDS)
             retry_after = min(retry_after, MAX_RETRY_SECONDS)
+            scheduler = self._pools[action.request.pool].scheduler
+            record_refusal(action, scheduler, retry_after, self._runtime.metrics)
             waiter.future.set_exception(
                 CallError(
                     "overloaded",
@@ -599,10 +599,14 @@
             waiter.future.set_exception(_build_refusal(service, *pool.refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
-    def _is_home(self, name):
-        """Return whether this host grants the slots of an upstream to all hosts."""
-        pool = self._find_pool(name)
-        return pool is not None and self._shared.is_home(pool.upstreams[name].service)
+    def _find_granted_here(self, heartbeat):
+        """Return the upstreams on which this host counts what it granted itself."""
+        return {
+            name
+            for name in heartbeat.granted
+            if (pool := self._find_pool(name)) is not None
+            and self.shared.is_home(pool.upstreams[name].service)
+        }
 
     def _drop_silent(self, now):
         """Stop counting the requests of hosts that are out of touch."""
--- a/sapphireyard/exchange/shared_queues.py
+++ b/sapphireyard/exchange/shared_queues.py
@@ -19,7 +19,7 @@
     SharedSlotGrant,
 )
 from sapphireyard.scheduling.queue_home import QueueHost, choose_queue_home, is_busy
-from sapphireyard.scheduling.scheduling import SlotRequest
+from sapphireyard.scheduling.scheduling import Grant, SlotRequest
 
 logger = logging.getLogger(__name__)
 
@@ -69,7 +69,7 @@
         live = {each.name for each in hosts}
         loop = asyncio.get_running_loop()
         for scope, home in self._awaited.items():
-            if home not in live:
+            if home not in live and not scope.expired():
                 scope.reschedule(loop.time())
 
     def is_home(self, service):
@@ -91,8 +91,8 @@
 
         Yields
         ------
-        str or None
-            Name of the upstream; None if this host is to grant the slot itself.
+        Grant or None
+            The slot; None if this host is to grant it itself.
 
         Raises
         ------
@@ -114,8 +114,15 @@
         try:
             async with scope:
                 self._awaited[scope] = home
-                grant = await anext(answers)
-                return grant.upstream
+                answer = await anext(answers)
+                return Grant(
+                    request,
+                    answer.upstream,
+                    answer.reason,
+                    (),
+                    cached_tokens=answer.cached_tokens,
+                    kept_tokens=answer.kept_tokens,
+                )
         except CallError as error:
             if error.code == "overloaded":
                 raise
@@ -160,7 +167,9 @@
         async with self._pools.grant(
             request, upstream_hint=message.upstream_hint
         ) as grant:
-            yield SharedSlotGrant(grant.upstream)
+            yield SharedSlotGrant(
+                grant.upstream, grant.reason, grant.cached_tokens, grant.kept_tokens
+            )
             await asyncio.sleep(HOLD_SECONDS)
 
     def _build_ask(self, request, upstream_hint):
--- a/sapphireyard/fleet/generated_fleet.py
+++ b/sapphireyard/fleet/generated_fleet.py
@@ -199,3 +199,7 @@
     """
     The part of `running` for which another host, the home of the service's queue, granted the slot.
     """
+    granted_tokens: dict[str, int] = field(default_factory=dict)
+    """
+    The part of `reserved` for these requests.
+    """
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -274,8 +274,9 @@
         if not standby:
             return
         heartbeat = self._build_heartbeat(now, True)
-        heartbeat.admitted = heartbeat.running = heartbeat.granted = {}
+        heartbeat.admitted = heartbeat.running = {}
         heartbeat.kept_parts = heartbeat.reserved = {}
+        heartbeat.granted = heartbeat.granted_tokens = {}
         heartbeat.full = False
         heartbeat.directory = self._describe_directory()
         encoder = HeartbeatEncoder(heartbeat)
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -329,6 +329,8 @@
 
     def tick(self, now):
         """Refuse requests whose deadline has passed, and start what can start."""
+        idle = [name for name, slots in self._slots.items() if not slots.running]
+        self._paces.age(idle, now)
         actions = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, request_id = heapq.heappop(self._deadlines)
@@ -351,27 +353,31 @@
         """Return the expected wait of a new request of a customer in seconds."""
         return self._backlog.expected_wait(self._share_key(customer))
 
-    def _find_delay(self, request, now):
-        """Return the seconds after which a request to refuse may return, or None."""
-        if not self._options.urgency:
-            late = now + self.expected_wait(request.customer) - request.deadline
-            if not request.deadline or late <= 0:
-                return None
-            return max(late, self._duration.seconds)
+    def _judge(self, request, now):
+        """Return the `Refuse` of a request that cannot start in time, or None."""
+        if not self._options.refuse:
+            return None
+        if self._options.urgency:
+            return self._judge_by_order(request, now)
+        late = now + self.expected_wait(request.customer) - request.deadline
+        if not request.deadline or late <= 0:
+            return None
+        return Refuse(request, max(late, self._duration.seconds))
+
+    def _judge_by_order(self, request, now):
+        """Return the `Refuse` of a request by what goes before it, or None."""
         key = self._order.key(request, now)
-        return self._admission.find_delay(
+        ahead = sum(waiting.key < key for waiting in self._waiting.values())
+        delay = self._admission.find_delay(
             request,
-            ahead=sum(waiting.key < key for waiting in self._waiting.values()),
+            ahead=ahead,
             slots=self.slots,
             seconds=self._duration.seconds,
             now=now,
+            free=sum(slots.free for slots in self._slots.values()),
             engines=any(slots.limits.kv_tokens for slots in self._slots.values()),
         )
-
-    def _judge(self, request, now):
-        """Return the `Refuse` of a request that cannot start in time, or None."""
-        delay = self._find_delay(request, now) if self._options.refuse else None
-        return None if delay is None else Refuse(request, delay)
+        return None if delay is None else Refuse(request, delay, ahead)
 
     def _preview_grant(self, request, now):
         """Return the `Grant` of a request if it were the only one, or None."""
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -117,10 +117,21 @@
 
 @dataclass(frozen=True)
 class Refuse:
-    """A request is refused and was not run; a retry may succeed later."""
+    """A request is refused and was not run; a retry may succeed later.
+
+    Parameters
+    ----------
+    request : SlotRequest
+        The request.
+    retry_after : float
+        Seconds after which it may be served.
+    ahead : int, optional
+        Waiting requests that go before it.
+    """
 
     request: SlotRequest
     retry_after: float
+    ahead: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -17,6 +17,7 @@
             ([(0.5, 1.0)] * 50, (0.5, 0.6)),
             ([(0.001, 1.0)] * 50, (1.0, 1.0)),
             ([(5.0, 0.0)] * 50, (1.0, 1.0)),
+            ([(0.1, 0.0025)] * 50, (1.0, 1.0)),
             ([(900.0, 1.0)], (1.0, 3.0)),
             ([(4.0, 1.0)] * 50 + [(1.0, 1.0)] * 50, (1.0, 1.1)),
         ]
@@ -38,6 +39,16 @@
         paces.forget("slow")
         self.assertEqual(paces.ratio("slow"), paces.ratio("new"))
 
+    def test_an_engine_that_was_slow_is_tried_again(self):
+        paces = UpstreamPaces()
+        paces.age([], 0.0)
+        for _ in range(100):
+            paces.note("sound", 1.0, 1.0)
+            paces.note("slow", 3.0, 1.0)
+        for tenth in range(1, 300):
+            paces.age(["slow"], tenth / 10)
+        self.assertAlmostEqual(paces.ratio("slow"), paces.ratio("new"), delta=0.1)
+
     def test_slow_engines_get_fewer_requests(self):
         """By numbers alone, an engine of a third of the speed gets as many."""
         names = ("fast", "slow")
