Weigh kept parts against paces only where engines are much slower

After paces were joined to the choice by kept parts, tests.test_platform_memory failed (run once, two of eight programs): learned paces of equal engines differ by some hundredths, which outweighed 900 kept tokens. Differences below half now count as none, as for programs that leave their engine. The test passes again (run once).

--- a/sapphireyard/scheduling/pace.py
+++ b/sapphireyard/scheduling/pace.py
@@ -5,6 +5,9 @@
 MIN_RATIO, MAX_RATIO = 0.2, 20.0
 """Bounds of the time that a request took, in expected times: below, it was not run;
 above, one request says little about the next."""
+MUCH_SLOWER = 1.5
+"""Ratio of paces from which engines count as uneven; load alone makes a pace differ by
+less."""
 CROWDING = 0.2
 """Fraction by which each other request on an engine makes one take longer."""
 
--- a/sapphireyard/scheduling/placement.py
+++ b/sapphireyard/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Prefixes held by the upstreams of a group, and the cost of moving a program."""
 
+from sapphireyard.scheduling.pace import MUCH_SLOWER
 from sapphireyard.scheduling.parts import KeptParts
 from sapphireyard.scheduling.prefixes import PrefixRecord
 
@@ -95,8 +96,11 @@
         kept = self._parts.find(request.prompt_parts)
         prompt = request.prefix_tokens + request.new_tokens
 
+        fastest = min(pace for _, pace in candidates.values())
+
         def cost(limits):
             running, pace = candidates[limits]
+            pace = pace / fastest if pace >= MUCH_SLOWER * fastest else 1.0
             step_tokens = limits.prefill_rate * limits.decode_seconds
             tokens = max(0, prompt - kept.get(limits.name, 0))
             tokens += request.expected_output * step_tokens
--- a/sapphireyard/scheduling/selection.py
+++ b/sapphireyard/scheduling/selection.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 from sapphireyard.limits.homes import score_host
+from sapphireyard.scheduling.pace import MUCH_SLOWER
 from sapphireyard.scheduling.queues import ANY, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
     REASON_CACHED,
@@ -15,9 +16,6 @@
 
 LOAD_DIGITS = 1
 """Digits by which paces differ; hosts break ties differently."""
-MUCH_SLOWER = 1.5
-"""Ratio of paces from which engines count as uneven; load alone makes a pace differ by
-less."""
 LOOKAHEAD_CUSTOMERS = 4
 """Customers considered when the requests of the least served cannot start."""
 
