--- a/sapphireyard/scheduling/pace.py
+++ b/sapphireyard/scheduling/pace.py
@@ -7,6 +7,9 @@
 above, one request says little about the next."""
 MIN_EXPECTED_SECONDS = 0.02
 """Expected time below which a request is mostly overhead."""
+MUCH_SLOWER = 1.5
+"""Ratio of paces from which engines count as uneven; load alone makes a pace differ by
+less."""
 CROWDING = 0.2
 """Fraction by which each other request on an engine makes one take longer."""
 FORGET_SECONDS = 5.0
