Judge a customer's rate once for each request

`admit` asked `find_wait` and then computed again whether tokens are scarce, for each request. Both use one function now. Behaviour is unchanged.

--- a/sapphireyard/fleet/quotas.py
+++ b/sapphireyard/fleet/quotas.py
@@ -156,14 +156,16 @@
             0 if the request is admitted, else the seconds after which a retry may
             succeed.
         """
-        wait = self.find_wait(customer, rule, now, opening=opening, urgent=urgent)
+        bucket = self._refill(customer, rule, now)
+        if rule is None:
+            self._count(customer, bucket, now)
+            return 0.0
+        wait, scarce = self._judge(bucket, rule, now, opening, urgent)
         if wait:
             return wait
-        bucket = self._buckets[customer]
-        if rule is not None:
-            if self._is_scarce(bucket, rule, now):
-                bucket.local_tokens -= 1.0
-            bucket.fleet_tokens -= 1.0
+        if scarce:
+            bucket.local_tokens -= 1.0
+        bucket.fleet_tokens -= 1.0
         self._count(customer, bucket, now)
         return 0.0
 
@@ -172,16 +174,7 @@
         bucket = self._refill(customer, rule, now)
         if rule is None:
             return 0.0
-        scarce = self._is_scarce(bucket, rule, now)
-        reserve = 0.0
-        if opening:
-            part = OPENING_SHARE if urgent else OPENING_SHARE + LESS_URGENT_SHARE
-            reserve = part * rule.burst * self._find_share(now)
-        if bucket.fleet_tokens < 1.0 + reserve or (
-            scarce and bucket.local_tokens < 1.0
-        ):
-            return self._retry_after(bucket, rule, reserve, scarce)
-        return 0.0
+        return self._judge(bucket, rule, now, opening, urgent)[0]
 
     def estimate_wait(self, rule, waiting):
         """Return the seconds until `waiting` more requests of this host get tokens."""
@@ -317,14 +310,26 @@
         )
         return bucket
 
-    def _is_scarce(self, bucket, rule, now):
-        """Return whether the hosts could exceed a rate between two heartbeats."""
-        free = 1.0 + SCARCE_SHARE * rule.burst * self._find_share(now)
-        rate = rule.rate * (self._admitting - 1)
-        return (
-            bucket.fleet_tokens < free
-            and rate * self._count_seconds > TOLERATED_OVERSHOOT
+    def _judge(self, bucket, rule, now, opening, urgent):
+        """Return the seconds until a token is free, and whether tokens are scarce.
+
+        They are if the hosts could exceed the rate between two heartbeats.
+        """
+        share = self._find_share(now)
+        scarce = (
+            bucket.fleet_tokens < 1.0 + SCARCE_SHARE * rule.burst * share
+            and rule.rate * (self._admitting - 1) * self._count_seconds
+            > TOLERATED_OVERSHOOT
         )
+        reserve = 0.0
+        if opening:
+            part = OPENING_SHARE if urgent else OPENING_SHARE + LESS_URGENT_SHARE
+            reserve = part * rule.burst * share
+        if bucket.fleet_tokens < 1.0 + reserve or (
+            scarce and bucket.local_tokens < 1.0
+        ):
+            return self._retry_after(bucket, rule, reserve, scarce), scarce
+        return 0.0, scarce
 
     def _find_share(self, now):
         """Return the part of the fleet that this host is in touch with.
