Build waiting requests in one place, and no grant for an adopted slot

`adopt` built a `Grant`, with a lookup of all keepers of the prompt, that nobody used: the host has the one of the home. Its reason is gone with it. A preview and a queued request were built by the same lines twice. Behaviour is unchanged.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -667,8 +667,7 @@
     """Raise `CallError` if no upstream in a request's regions is usable."""
     if request.regions is None:
         return
-    state = pool.scheduler.state
-    if not any(state(upstream.name) is UpstreamState.UP for upstream in allowed):
+    if not any(pool.scheduler.is_up(upstream.name) for upstream in allowed):
         raise _build_refusal(request.pool, *OUTSIDE_REGIONS)
 
 
--- a/sapphireyard/scheduling/scheduler.py
+++ b/sapphireyard/scheduling/scheduler.py
@@ -12,7 +12,6 @@
 from sapphireyard.scheduling.previews import Preview, view_upstream
 from sapphireyard.scheduling.queues import ANY, RequestQueues, WaitingRequest
 from sapphireyard.scheduling.scheduling import (
-    REASON_HOME,
     REASON_MOVED,
     Grant,
     Refuse,
@@ -66,9 +65,10 @@
         self._max_upstreams = max_upstreams
         self._options = options or SchedulerOptions()
         self._shares = FairShares()
-        self._order = ProgramOrder(first_level=self._options.first_level)
         if self._options.urgency:
             self._order = UrgencyOrder()
+        else:
+            self._order = ProgramOrder(first_level=self._options.first_level)
         self._admission = QueueAdmission()
         self._paces = UpstreamPaces()
         self._placement = Placement(
@@ -186,9 +186,8 @@
         A request that could start waits nevertheless if others wait, whose order
         `submit` would decide.
         """
-        refusal = self._judge(request, now)
-        action = refusal
-        if refusal is None and not self._waiting:
+        action = self._judge(request, now)
+        if action is None and not self._waiting:
             action = self._preview_grant(request, now)
         views = tuple(
             view_upstream(
@@ -245,16 +244,15 @@
         return self._decide(now)
 
     def adopt(self, request, upstream, now):
-        """Count a slot that was granted by another scheduler; return the `Grant`."""
+        """Count a slot that was granted by another scheduler."""
         if request.request_id in self._running or upstream not in self._slots:
-            return None
+            return
         waiting = self._waiting.get(request.request_id)
         if waiting:
             self._dequeue(waiting)
-        grant = self._build_grant(request, upstream, REASON_HOME)
-        self._start(request, upstream, self._cost(request, grant.cached_tokens), now)
+        cached = self._placement.cached(upstream, request)
+        self._start(request, upstream, self._cost(request, cached), now)
         self._placement.note_sent(upstream, request, now)
-        return grant
 
     def release_holder(self, holder, now):
         """Refuse the waiting requests of a dead host and release its slots."""
@@ -381,13 +379,7 @@
 
     def _preview_grant(self, request, now):
         """Return the `Grant` of a request if it were the only one, or None."""
-        waiting = WaitingRequest(
-            request=request,
-            customer=self._share_key(request.customer),
-            affinity=self._selection.affinity(request),
-            key=OrderKey(0, now, 0),
-            submitted=now,
-        )
+        waiting = self._build_waiting(request, OrderKey(0, now, 0), now)
         choice = self._selection.preview(waiting, now)
         if choice is None:
             return None
@@ -400,17 +392,20 @@
         prompt = request.prefix_tokens + request.new_tokens - cached
         return prompt + request.output_tokens * self._output_cost
 
-    def _enqueue(self, request, now):
-        customer = self._share_key(request.customer)
-        if not self._queues.has_customer(customer):
-            self._shares.activate(customer)
-        waiting = WaitingRequest(
+    def _build_waiting(self, request, key, now):
+        return WaitingRequest(
             request=request,
-            customer=customer,
+            customer=self._share_key(request.customer),
             affinity=self._selection.affinity(request),
-            key=self._order.key(request, now),
+            key=key,
             submitted=now,
         )
+
+    def _enqueue(self, request, now):
+        customer = self._share_key(request.customer)
+        if not self._queues.has_customer(customer):
+            self._shares.activate(customer)
+        waiting = self._build_waiting(request, self._order.key(request, now), now)
         self._waiting[request.request_id] = waiting
         self._backlog.add(customer)
         self._queues.add(waiting, self._shares.tag(customer))
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -5,8 +5,6 @@
 REASON_CACHED = "cached"
 REASON_LEAST_LOADED = "least_loaded"
 REASON_MOVED = "moved"
-REASON_HOME = "home"
-"""The home of the queue chose the upstream."""
 REASON_KEPT = "kept_parts"
 
 
