Update the grant of one upstream when one is listed or comes back

Each upstream that was listed or came back updated the grants of all limited ones, so a failure domain of many cold upstreams cost their number squared at its return. The grant of that upstream alone is updated before it may be chosen, and all of them once after the list. A list also no longer builds a scheduler for each known service only to drop it. Behaviour is unchanged; the gain was not measured.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -7,13 +7,17 @@
 import asyncio
 import itertools
 import logging
-import math
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import mode
 
 from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.exchange.grants import (
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
+    RateGrants,
+)
 from sapphireyard.exchange.loads import FleetLoads, remove_granted
 from sapphireyard.exchange.placements import record_placement, record_refusal
 from sapphireyard.exchange.shared_queues import SharedQueues
@@ -33,7 +37,7 @@
 from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
 from sapphireyard.upstreams.outliers import OutlierDetector
-from sapphireyard.upstreams.rates import UNLIMITED, UpstreamRates
+from sapphireyard.upstreams.rates import UpstreamRates
 
 logger = logging.getLogger(__name__)
 
@@ -51,9 +55,6 @@
 LEAVING_MEMORY_SECONDS = 3600.0
 """Time for which an upstream that has said that it is leaving, and is not listed any
 more, is remembered: longer than any takes to leave."""
-MIN_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 2.0
-"""A caller that waits longer than this for a slot has no time left."""
 UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
 """Why requests are refused, and their Retry-After: upstreams are probed again."""
 OUTSIDE_REGIONS = "no upstream in the allowed regions is usable", MAX_RETRY_SECONDS
@@ -71,7 +72,7 @@
 class _Pool:
     """One service: its scheduler and its upstreams."""
 
-    def __init__(self, host, parts):
+    def __init__(self, host, parts, rates, *, execute, clock):
         options = SchedulerOptions(
             fair=False, urgency=True, hold_new=False, tie_seed=host
         )
@@ -79,8 +80,9 @@
             [], options=options, max_upstreams=MAX_UPSTREAMS, parts=parts
         )
         self.upstreams = {}
-        self.limited = set()
-        self.grants_at = math.inf
+        self.grants = RateGrants(
+            rates, self.scheduler, self.upstreams, execute=execute, clock=clock
+        )
         self.refusal = None
 
 
@@ -174,10 +176,18 @@
         self.rates.forget(now)
         self.links.set_upstreams({each.name: each.started_at for each in upstreams})
         for service in by_service.keys() | self._pools.keys():
-            pool = self._pools.setdefault(
-                service, _Pool(self._runtime.host, self.parts)
-            )
-            self._update(service, pool, by_service.get(service, {}))
+            if service not in self._pools:
+                self._pools[service] = self._build_pool()
+            self._update(service, by_service.get(service, {}))
+
+    def _build_pool(self):
+        return _Pool(
+            self._runtime.host,
+            self.parts,
+            self.rates,
+            execute=self._execute,
+            clock=self._runtime.clock,
+        )
 
     @asynccontextmanager
     async def lease(self, request, *, upstream_hint="", placed=None):
@@ -253,7 +263,7 @@
         """Hold a slot that the home of the queue grants, or else this host."""
         scheduler = pool.scheduler
         # The home knows neither this host's part of stated rates nor allowed regions.
-        alone = pool.limited or request.regions is not None
+        alone = pool.grants.limited or request.regions is not None
         used, slots = scheduler.used, 0 if alone else scheduler.slots
         avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
         ask = replace(request, excluded=(*request.excluded, *avoided))
@@ -279,7 +289,7 @@
         It may have learned meanwhile that the upstream leaves, fails, is evacuated or
         has stated a rate.
         """
-        if name not in pool.upstreams or name in pool.limited:
+        if name not in pool.upstreams or name in pool.grants.limited:
             return False
         return pool.scheduler.is_up(name)
 
@@ -310,11 +320,11 @@
             )
         if pool.refusal:
             raise _build_refusal(request.pool, *pool.refusal)
-        self._update_grants(pool)
-        if request.regions is not None or pool.limited:
+        pool.grants.update()
+        if request.regions is not None or pool.grants.limited:
             allowed = self._list_allowed(pool, request)
             _check_regions(pool, request, allowed)
-            self._check_rates(pool, request, allowed)
+            pool.grants.check(request, allowed)
         return pool
 
     def find(self, name):
@@ -410,7 +420,7 @@
             self.shared.update(now)
             for service, pool in self._pools.items():
                 self._apply_states(service, now)
-                self._update_grants(pool)
+                pool.grants.update()
                 self._execute(pool.scheduler.tick(now))
             await asyncio.sleep(TICK_SECONDS)
 
@@ -420,7 +430,7 @@
         try:
             self._execute(pool.scheduler.submit(request, self._now()))
             if not future.done():
-                self._update_grants(pool)
+                pool.grants.update()
             return await future
         except asyncio.CancelledError:
             self._execute(pool.scheduler.cancel(request.request_id, self._now()))
@@ -428,36 +438,6 @@
         finally:
             self._waiting.pop(request.request_id, None)
 
-    def _update_grants(self, pool):
-        """Let upstreams get the requests that their stated rates allow now.
-
-        While requests wait, this is repeated when the next upstream may get one.
-        """
-        now = self._now()
-        self.rates.end_cold(now)
-        next_wait = math.inf
-        stated = [name for name in self.rates.limited if name in pool.upstreams]
-        for name in pool.limited.union(stated):
-            upstream = pool.upstreams[name]
-            grants = None
-            if self.rates.find_rate(upstream) == UNLIMITED:
-                pool.limited.discard(name)
-            else:
-                pool.limited.add(name)
-                wait = self.rates.find_wait(upstream, now)
-                grants = 0 if wait else 1
-                next_wait = min(next_wait, wait or next_wait)
-            if pool.scheduler.grants(name) != grants:
-                self._execute(pool.scheduler.set_grants(name, grants, now))
-        if not pool.scheduler.waiting or now + next_wait >= pool.grants_at:
-            return
-        pool.grants_at = now + next_wait
-        asyncio.get_running_loop().call_later(next_wait, self._renew_grants, pool)
-
-    def _renew_grants(self, pool):
-        pool.grants_at = math.inf
-        self._update_grants(pool)
-
     def _list_allowed(self, pool, request):
         """Return the upstreams that may run a request, also those that are down."""
         return [
@@ -468,24 +448,6 @@
             and request.allows(upstream.region)
         ]
 
-    def _check_rates(self, pool, request, allowed):
-        """Raise `CallError` if stated rates leave no upstream for a request in time."""
-        upstreams = [u for u in allowed if u.name not in request.excluded] or allowed
-        if any(upstream.name not in pool.limited for upstream in upstreams):
-            return
-        now = self._now()
-        waits = [self.rates.find_wait(upstream, now) for upstream in upstreams]
-        total = sum(self.rates.find_rate(upstream) for upstream in upstreams)
-        queue = pool.scheduler.waiting
-        wait = max(min(waits), queue / total if total else math.inf)
-        if now + wait <= request.deadline:
-            return
-        raise CallError(
-            "overloaded",
-            f"all upstreams of {request.pool!r} have stated rates that are used up",
-            retry_after=min(max(wait, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS),
-        )
-
     def _execute(self, actions):
         for action in actions:
             if not isinstance(action, (Grant, Refuse)):
@@ -514,11 +476,12 @@
         pool = self._pools[action.request.pool]
         self.rates.take(pool.upstreams[action.upstream], self._now())
 
-    def _update(self, service, pool, upstreams):
+    def _update(self, service, upstreams):
+        pool = self._pools[service]
         now = self._now()
         for name in pool.upstreams.keys() - upstreams.keys():
             self._log_upstream(pool.upstreams.pop(name), "gone")
-            pool.limited.discard(name)
+            pool.grants.limited.discard(name)
             self._execute(pool.scheduler.remove_upstream(name, now))
         for name, upstream in upstreams.items():
             known = pool.upstreams.get(name)
@@ -529,9 +492,10 @@
                 self._execute(pool.scheduler.remove_upstream(name, now))
             pool.upstreams[name] = upstream
             pool.scheduler.add_upstream(self._limits(upstream))
-            self._update_grants(pool)
+            pool.grants.update_upstream(name, now)
             self._report_remote(pool, name, now)
             self._log_upstream(upstream, "leaving" if upstream.leaving else "up")
+        pool.grants.update()
         self._apply_states(service, now)
 
     def _apply_all_states(self):
@@ -557,6 +521,7 @@
         if staying and not usable:
             pool.refusal = UNREACHABLE if allowed else EVACUATED
             self._refuse_waiting(service, pool, now)
+        is_any_back = False
         for name, upstream in pool.upstreams.items():
             state = UpstreamState.UP
             if upstream.leaving:
@@ -566,8 +531,9 @@
             before = pool.scheduler.state(name)
             if before is not state:
                 if before is UpstreamState.DOWN:
+                    is_any_back = True
                     self.cold.note_back(upstream, now)
-                    self._update_grants(pool)
+                    pool.grants.update_upstream(name, now)
                 logger.info(
                     "upstream state",
                     extra={
@@ -577,6 +543,8 @@
                     },
                 )
                 self._execute(pool.scheduler.set_state(name, state, now))
+        if is_any_back:
+            pool.grants.update()
 
     def _list_usable(self, service, staying, now):
         """Return the upstreams that may get requests, directly or through a relay."""
