Prepare the question to a home only when one is asked

Each request, also to plain services and on the home itself, counted all slots of its service and copied itself with a list of the upstreams to avoid, before it was known whether a home is asked. Behaviour is unchanged.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -26,6 +26,7 @@
 from sapphireyard.fleet.relays import list_relays
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
 from sapphireyard.scheduling.parts import KeptParts
+from sapphireyard.scheduling.queue_home import is_busy
 from sapphireyard.scheduling.scheduler import Scheduler
 from sapphireyard.scheduling.scheduling import (
     Grant,
@@ -262,14 +263,14 @@
     async def _hold_slot(self, pool, request, upstream_hint):
         """Hold a slot that the home of the queue grants, or else this host."""
         scheduler = pool.scheduler
-        # The home knows neither this host's part of stated rates nor allowed regions.
-        alone = pool.grants.limited or request.regions is not None
-        used, slots = scheduler.used, 0 if alone else scheduler.slots
+        home = self._find_home(pool, request)
+        if home is None:
+            async with self.grant(request, upstream_hint=upstream_hint) as grant:
+                yield grant
+            return
         avoided = [name for name in pool.upstreams if not scheduler.is_up(name)]
         ask = replace(request, excluded=(*request.excluded, *avoided))
-        async with self.shared.hold(
-            ask, used=used if slots else 0, slots=slots, upstream_hint=upstream_hint
-        ) as grant:
+        async with self.shared.hold(home, ask, upstream_hint=upstream_hint) as grant:
             if grant is None or not self._may_adopt(pool, grant.upstream):
                 async with self.grant(request, upstream_hint=upstream_hint) as grant:
                     yield grant
@@ -282,6 +283,17 @@
                 self._granted.release(grant.upstream, request.total_tokens)
                 self._finish(pool, request)
 
+    def _find_home(self, pool, request):
+        """Return the host to ask for a slot, or None if this host grants it."""
+        # A home knows neither this host's part of stated rates nor allowed regions.
+        if pool.grants.limited or request.regions is not None:
+            return None
+        home = self.shared.find_home(request.pool)
+        if home is None:
+            return None
+        slots = pool.scheduler.slots
+        return home if slots and is_busy(pool.scheduler.used, slots) else None
+
     @staticmethod
     def _may_adopt(pool, name):
         """Return whether this host may use an upstream that a home has chosen.
--- a/sapphireyard/exchange/shared_queues.py
+++ b/sapphireyard/exchange/shared_queues.py
@@ -18,7 +18,7 @@
     SharedSlotAsk,
     SharedSlotGrant,
 )
-from sapphireyard.scheduling.queue_home import QueueHost, choose_queue_home, is_busy
+from sapphireyard.scheduling.queue_home import QueueHost, choose_queue_home
 from sapphireyard.scheduling.scheduling import Grant, SlotRequest
 
 logger = logging.getLogger(__name__)
@@ -76,33 +76,34 @@
         """Return whether this host is the home of a service's queue."""
         return self._homes.get(service) == self._runtime.host
 
+    def find_home(self, service):
+        """Return the home of a service's queue if it is another host, else None."""
+        home = self._homes.get(service)
+        return None if home == self._runtime.host else home
+
     @asynccontextmanager
-    async def hold(self, request, *, used, slots, upstream_hint=""):
+    async def hold(self, home, request, *, upstream_hint=""):
         """Hold a slot that the home of a service grants.
 
         Parameters
         ----------
+        home : str
+            The home, from `find_home`.
         request : SlotRequest
             The request.
-        used, slots : int
-            Slots in use or waited for, as far as is known here, and all slots.
         upstream_hint : str, optional
             Upstream that served the program's last turn.
 
         Yields
         ------
         Grant or None
-            The slot; None if this host is to grant it itself.
+            The slot; None if the home did not answer.
 
         Raises
         ------
         CallError
             ``overloaded``: the home refused the request.
         """
-        home = self._homes.get(request.pool)
-        if home in (None, self._runtime.host) or not is_busy(used, slots):
-            yield None
-            return
         ask = self._build_ask(request, upstream_hint)
         stream = self._runtime.peers.stream(home, ask, timeout=HOLD_SECONDS)
         async with contextlib.aclosing(stream) as answers:
