Copy the fields of requests for slots and of their messages in one place

The common queue of a service on the platform wrote again what the product's own slots do: six fields between `SlotRequest` and a message, in both directions. All six places call `copy_fields`. Behaviour is unchanged.

--- a/sapphireyard/exchange/shared_queues.py
+++ b/sapphireyard/exchange/shared_queues.py
@@ -19,7 +19,7 @@
     SharedSlotGrant,
 )
 from sapphireyard.scheduling.queue_home import QueueHost, choose_queue_home
-from sapphireyard.scheduling.scheduling import Grant, SlotRequest
+from sapphireyard.scheduling.scheduling import Grant, SlotRequest, copy_fields
 
 logger = logging.getLogger(__name__)
 
@@ -148,13 +148,8 @@
         """Grant a slot to another host, and hold it while the exchange lasts."""
         now = self._now()
         request = SlotRequest(
-            program=message.program,
-            root=message.root,
-            customer=message.customer,
+            **copy_fields(message),
             pool=message.pool,
-            prefix_tokens=message.prefix_tokens,
-            new_tokens=message.new_tokens,
-            output_tokens=message.output_tokens,
             expected_tokens=message.expected_tokens,
             deadline=now + message.seconds_left,
             excluded=tuple(message.excluded),
@@ -176,13 +171,8 @@
     def _build_ask(self, request, upstream_hint):
         now = self._now()
         return SharedSlotAsk(
+            **copy_fields(request),
             pool=request.pool,
-            program=request.program,
-            root=request.root,
-            customer=request.customer,
-            prefix_tokens=request.prefix_tokens,
-            new_tokens=request.new_tokens,
-            output_tokens=request.output_tokens,
             expected_tokens=request.expected_tokens,
             seconds_left=round(request.deadline - now, 4),
             aim_seconds=round(request.aim_at - now, 4),
--- a/sapphireyard/scheduling/home_registry.py
+++ b/sapphireyard/scheduling/home_registry.py
@@ -13,7 +13,7 @@
     SlotReturn,
 )
 from sapphireyard.scheduling.groups import HomeFinder, split_groups
-from sapphireyard.scheduling.scheduling import SlotRequest
+from sapphireyard.scheduling.scheduling import SlotRequest, copy_fields
 from sapphireyard.scheduling.slot_homes import GroupHome
 from sapphireyard.streams.generated_messages import Done
 from sapphireyard.upstreams.completions import digest_program
@@ -89,14 +89,9 @@
         home = self._open_home(message.pool, message.group)
         now = self._runtime.clock.monotonic()
         request = SlotRequest(
+            **copy_fields(message),
             request_id=message.request_id,
-            program=message.program,
-            root=message.root,
-            customer=message.customer,
             pool=message.pool,
-            prefix_tokens=message.prefix_tokens,
-            new_tokens=message.new_tokens,
-            output_tokens=message.output_tokens,
             deadline=now + message.seconds_left if message.seconds_left else 0.0,
             excluded=tuple(message.excluded),
             holder=context.host,
--- a/sapphireyard/scheduling/scheduling.py
+++ b/sapphireyard/scheduling/scheduling.py
@@ -82,6 +82,22 @@
         return self.regions is None or region in self.regions
 
 
+MESSAGE_FIELDS = (
+    "program",
+    "root",
+    "customer",
+    "prefix_tokens",
+    "new_tokens",
+    "output_tokens",
+)
+"""Fields of a `SlotRequest` that all messages about slots have."""
+
+
+def copy_fields(source):
+    """Return the fields that a request for a slot and a message about it share."""
+    return {name: getattr(source, name) for name in MESSAGE_FIELDS}
+
+
 @dataclass(frozen=True)
 class Grant:
     """A request may be sent to `upstream`.
--- a/sapphireyard/scheduling/slot_holder.py
+++ b/sapphireyard/scheduling/slot_holder.py
@@ -4,6 +4,7 @@
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.scheduling.generated_slots import HeldSlot, SlotHeartbeat
+from sapphireyard.scheduling.scheduling import copy_fields
 
 LOCAL_RETRY_SECONDS = 1.0
 """Time after which to retry when the local bound is reached."""
@@ -30,14 +31,9 @@
         """Record that a request holds a slot of an upstream."""
         _, slots = self._groups.setdefault(group.key, (group, {}))
         slots[request.request_id] = HeldSlot(
+            **copy_fields(request),
             request_id=request.request_id,
             upstream=upstream,
-            program=request.program,
-            root=request.root,
-            customer=request.customer,
-            prefix_tokens=request.prefix_tokens,
-            new_tokens=request.new_tokens,
-            output_tokens=request.output_tokens,
         )
 
     def remove(self, group, request_id):
--- a/sapphireyard/scheduling/slot_homes.py
+++ b/sapphireyard/scheduling/slot_homes.py
@@ -6,7 +6,13 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.scheduling.capacity import UpstreamLimits, UpstreamState
 from sapphireyard.scheduling.scheduler import Scheduler
-from sapphireyard.scheduling.scheduling import Grant, Refuse, Release, SlotRequest
+from sapphireyard.scheduling.scheduling import (
+    Grant,
+    Refuse,
+    Release,
+    SlotRequest,
+    copy_fields,
+)
 from sapphireyard.scheduling.weighting import choose_options
 
 logger = logging.getLogger(__name__)
@@ -245,14 +251,9 @@
 
     def _adopt(self, holder, slot):
         request = SlotRequest(
+            **copy_fields(slot),
             request_id=slot.request_id,
-            program=slot.program,
-            root=slot.root,
-            customer=slot.customer,
             pool=self.group.pool,
-            prefix_tokens=slot.prefix_tokens,
-            new_tokens=slot.new_tokens,
-            output_tokens=slot.output_tokens,
             holder=holder,
         )
         self._scheduler.adopt(request, slot.upstream, self._now)
--- a/sapphireyard/scheduling/slots.py
+++ b/sapphireyard/scheduling/slots.py
@@ -13,7 +13,7 @@
 from sapphireyard.scheduling.generated_slots import ProgramGone, SlotAsk, SlotReturn
 from sapphireyard.scheduling.groups import pick_group
 from sapphireyard.scheduling.home_registry import HomeRegistry
-from sapphireyard.scheduling.scheduling import SlotRequest
+from sapphireyard.scheduling.scheduling import SlotRequest, copy_fields
 from sapphireyard.scheduling.slot_holder import HeldSlots, LocalFallback
 
 __all__ = ["Lease", "SlotRequest", "SlotService", "Upstream"]
@@ -234,15 +234,10 @@
                 RETRY_SECONDS, request.deadline - self._runtime.clock.monotonic()
             )
         ask = SlotAsk(
+            **copy_fields(request),
             request_id=request.request_id,
-            program=request.program,
-            root=request.root,
-            customer=request.customer,
             pool=request.pool,
             group=group.number,
-            prefix_tokens=request.prefix_tokens,
-            new_tokens=request.new_tokens,
-            output_tokens=request.output_tokens,
             seconds_left=left if request.deadline else 0.0,
             excluded=list(request.excluded),
         )
