--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -11,13 +11,13 @@
 import math
 from dataclasses import dataclass, field
 
+from sapphireyard.history.client import CACHE_BYTES
+
 logger = logging.getLogger(__name__)
 
 MEBIBYTE = 1024 * 1024
 PROCESS_BYTES = 72 * MEBIBYTE
 """Memory of a process that holds nothing for requests: code, tables and heartbeats."""
-CACHE_BYTES = 12 * MEBIBYTE
-"""Memory of the cached texts of histories."""
 BUFFER_OVERHEAD = 2.0
 """Memory of a buffer, by the bytes in it: it grows in steps, is copied in part, and
 the allocator keeps what is freed."""
--- a/sapphireyard/history/survey.py
+++ b/sapphireyard/history/survey.py
@@ -1,10 +1,13 @@
 """Questions to several history hosts at once."""
 
 import asyncio
+import logging
 
 from sapphireyard.exceptions import CallError, PeerError
 from sapphireyard.history.generated_history import DiskQuery, RecordsQuery
 
+logger = logging.getLogger(__name__)
+
 SURVEY_TIMEOUT_SECONDS = 0.3
 """Longest wait for hosts to tell whether they serve; they answer from memory."""
 END_POSITION = 2**62
@@ -31,5 +34,6 @@
     """Return the answer of a host, or None if it is away or refuses."""
     try:
         return await peers.ask(host, message, timeout=SURVEY_TIMEOUT_SECONDS)
-    except (PeerError, CallError):
+    except (PeerError, CallError) as error:
+        logger.info("%s counts as away: %s", host, error)
         return None
