--- a/sapphireyard/operators/_commands.py
+++ b/sapphireyard/operators/_commands.py
@@ -10,7 +10,6 @@
 
 DEFAULT_HISTORY_LIMIT = 20
 DEFAULT_TRACE_SECONDS = 2.0
-DEFAULT_CALLER_SECONDS = 3.0
 
 
 def _option(field, help_text, *, default="", **options):
@@ -176,8 +175,9 @@
         int, cappa.Arg(long=True, help="Tokens of the program's history.")
     ] = 0
     seconds: Annotated[
-        float, cappa.Arg(long=True, help="Time for which the caller waits.")
-    ] = DEFAULT_CALLER_SECONDS
+        float,
+        cappa.Arg(long=True, help="Time for which the caller waits; by default 3 s."),
+    ] = 0.0
 
 
 @cappa.command(
--- a/sapphireyard/operators/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -81,43 +81,49 @@
 
 async def _request_entry_host(options, method, path, body=None):
     """Send an operator's request to an entry host and return its JSON response."""
-    findings = []
+    findings = _check_address(options)
     key = os.environ.get(KEY_VARIABLE, "")
-    if not options.address:
-        findings.append(Finding("--address or SAPPHIREYARD_ADDRESS", "is required"))
     if not key:
         findings.append(Finding(KEY_VARIABLE, "an operator's key is required"))
     if findings:
         raise SettingsError(findings)
-    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        async with session.request(
-            method,
-            f"http://{options.address}/admin/v1/{path}",
-            json=body,
-            headers={"Authorization": f"Bearer {key}"},
-        ) as response:
-            answer = await response.json(content_type=None)
-            if response.status == 200:
-                return answer
-            raise SapphireyardError(f"{answer.get('code')}: {answer.get('detail')}")
+    headers = {"Authorization": f"Bearer {key}"}
+    path = f"admin/v1/{path}"
+    async with _send(options, method, path, json=body, headers=headers) as response:
+        answer = await response.json(content_type=None)
+        if response.status == 200:
+            return answer
+        raise SapphireyardError(f"{answer.get('code')}: {answer.get('detail')}")
 
 
 async def _request_administration(options, path, query):
     """Return the JSON answer of a host's administration address."""
-    if not options.address:
-        finding = Finding("--address or SAPPHIREYARD_ADDRESS", "is required")
-        raise SettingsError([finding])
+    if findings := _check_address(options):
+        raise SettingsError(findings)
+    async with _send(options, "GET", path, params=query) as response:
+        if response.status == 200:
+            return await response.json(content_type=None)
+        if response.status != 400:
+            raise SapphireyardError(f"{options.address} answered {response.status}")
+        answer = await response.json(content_type=None)
+        raise SettingsError([Finding(answer["code"], answer["detail"])])
+
+
+def _check_address(options):
+    """Return the findings on the address of the host to ask."""
+    if options.address:
+        return []
+    return [Finding("--address or SAPPHIREYARD_ADDRESS", "is required")]
+
+
+@asynccontextmanager
+async def _send(options, method, path, **arguments):
+    """Send a request to a host and yield its response."""
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
     url = f"http://{options.address}/{path}"
     async with aiohttp.ClientSession(timeout=timeout) as session:
-        async with session.get(url, params=query) as response:
-            if response.status == 200:
-                return await response.json(content_type=None)
-            if response.status != 400:
-                raise SapphireyardError(f"{options.address} answered {response.status}")
-            answer = await response.json(content_type=None)
-            raise SettingsError([Finding(answer["code"], answer["detail"])])
+        async with session.request(method, url, **arguments) as response:
+            yield response
 
 
 @singledispatch
