--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -155,6 +155,16 @@
         """Path: Folder of the processes' settings and logs."""
         return Path(self._folder.name)
 
+    def start_hosts(self, kind, role, ips, **options):
+        """Start a process for each address, each in a failure domain of its own.
+
+        They are called `kind` and their number; `options` as for `start_process`.
+        """
+        for number, ip in enumerate(ips, 1):
+            self.start_process(
+                f"{kind}-{number}", role, ip, failure_domain=f"d{number}", **options
+            )
+
     def start_process(
         self,
         name,
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -25,14 +25,8 @@
             self.site.store.put("servers", engine.name, engine.describe("engine"))
             self.engines.append(engine)
         self.site.store.put("config", "main", build_configuration())
-        for number, ip in enumerate(ENTRY_IPS, 1):
-            self.site.start_process(
-                f"entry-{number}", "entry", ip, failure_domain=f"d{number}"
-            )
-        for number, ip in enumerate(COPY_IPS, 1):
-            self.site.start_process(
-                f"copy-{number}", "history", ip, failure_domain=f"d{number}"
-            )
+        self.site.start_hosts("entry", "entry", ENTRY_IPS)
+        self.site.start_hosts("copy", "history", COPY_IPS)
         await self.site.wait_ready(*ENTRY_IPS)
         await self.site.wait_until(self.turns_are_served)
 
--- a/tests/test_platform_evacuation.py
+++ b/tests/test_platform_evacuation.py
@@ -23,14 +23,8 @@
             spec = {**upstream.describe("plain"), "zone": domain}
             self.site.store.put("servers", upstream.name, spec)
         self.site.store.put("config", "main", build_configuration())
-        for number, ip in enumerate(ENTRY_IPS, 1):
-            self.site.start_process(
-                f"entry-{number}",
-                "entry",
-                ip,
-                failure_domain=f"d{number}",
-                settings=[f"bounds.evacuate-ms={BOUND_SECONDS * 1000:g}"],
-            )
+        settings = [f"bounds.evacuate-ms={BOUND_SECONDS * 1000:g}"]
+        self.site.start_hosts("entry", "entry", ENTRY_IPS, settings=settings)
         await self.site.wait_until(self.both_are_used)
 
     async def send_all(self):
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -67,10 +67,7 @@
             self.site.start_process(
                 f"entry-{number}", "entry", ip, failure_domain=f"d{number}", **options
             )
-        for number, ip in enumerate(COPY_IPS, 1):
-            self.site.start_process(
-                f"copy-{number}", "history", ip, failure_domain=f"d{number}"
-            )
+        self.site.start_hosts("copy", "history", COPY_IPS)
         await self.site.wait_ready(*ENTRY_IPS)
         await self.site.wait_until(self.turns_are_served)
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -42,18 +42,8 @@
             await upstream.start()
             self.site.store.put("servers", upstream.name, upstream.describe(service))
         self.site.store.put("config", "main", build_configuration())
-        for number, ip in enumerate(ENTRY_IPS, 1):
-            self.site.start_process(
-                f"entry-{number}",
-                "entry",
-                ip,
-                failure_domain=f"d{number}",
-                **self.entry_options,
-            )
-        for number, ip in enumerate(COPY_IPS, 1):
-            self.site.start_process(
-                f"copy-{number}", "history", ip, failure_domain=f"d{number}"
-            )
+        self.site.start_hosts("entry", "entry", ENTRY_IPS, **self.entry_options)
+        self.site.start_hosts("copy", "history", COPY_IPS)
         await self.site.wait_ready(*ENTRY_IPS)
         await self.site.wait_until(self.all_copies_joined)
         await self.site.wait_until(self.turns_are_served)
@@ -196,22 +186,8 @@
             self.site.kill(f"copy-{number}")
         for number in (1, 2):
             self.site.kill(f"entry-{number}")
-        for number, ip in enumerate(ENTRY_IPS, 1):
-            self.site.start_process(
-                f"entry-{number}",
-                "entry",
-                ip,
-                failure_domain=f"d{number}",
-                bootstrap=False,
-            )
-        for number, ip in enumerate(COPY_IPS, 1):
-            self.site.start_process(
-                f"copy-{number}",
-                "history",
-                ip,
-                failure_domain=f"d{number}",
-                bootstrap=False,
-            )
+        self.site.start_hosts("entry", "entry", ENTRY_IPS, bootstrap=False)
+        self.site.start_hosts("copy", "history", COPY_IPS, bootstrap=False)
         await self.site.wait_ready(*ENTRY_IPS)
         await self.site.wait_until(self.turns_are_served)
         _, answer = await self.site.send_turn(
