--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,7 @@
     chat = harness.build_route(
         "chat", "streaming", "engine", retain=True, **{"retention-s": RETENTION_SECONDS}
     )
-    async with harness.Site(folder, fronts=2, stores=4) as site:
+    async with harness.Site(folder / "record.txt", fronts=2, stores=4) as site:
         site.store.put("config", "main", harness.build_state([chat]))
         engines = [
             await site.add_upstream("engine", events=("one", "two", "three"))
--- a/review/harness.py
+++ b/review/harness.py
@@ -143,7 +143,8 @@
     """A server of a service: it queues, runs and answers requests.
 
     It drops a request whose channel closes, checks `Expect-Instance`, echoes
-    `Request-Id` and signs its answers.
+    `Request-Id` and signs its answers. A faulty one sends a share of its answers again,
+    some time later.
     """
 
     name: str
@@ -155,6 +156,9 @@
     work_seconds: float = 0.05
     events: tuple = ()
     gap_seconds: float = 0.02
+    shed_share: float = 0.0
+    extra_share: float = 0.0
+    extra_seconds: float = 0.0
     arrived: list = field(default_factory=list)
     runs: list = field(default_factory=list)
     address: str = ""
@@ -206,11 +210,13 @@
         now = self.record.now
         run = Run(request_id, now, method, target, headers, body, arrived_at=now)
         self.arrived.append(run)
-        if self._waiting >= self.queue:
-            self.record.write(f"{self.name} is full, sheds {request_id}")
-            writer.write(
+        if self._waiting >= self.queue or random.random() < self.shed_share:
+            self.record.write(f"{self.name} sheds {request_id}")
+            self._send(
+                writer,
+                request_id,
                 f"HTTP/1.1 503 Service Unavailable\r\n{echo}Not-Executed: 1\r\n"
-                "Content-Length: 0\r\n\r\n".encode()
+                "Content-Length: 0\r\n\r\n".encode(),
             )
             return True
         work = asyncio.ensure_future(self._work(run, echo, writer))
@@ -257,6 +263,20 @@
         finally:
             self._free.release()
 
+    def _send(self, writer, request_id, answer):
+        """Send an answer, and perhaps a second copy of it later."""
+        writer.write(answer)
+        if random.random() < self.extra_share:
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                self.extra_seconds, self._repeat, writer, request_id, answer
+            )
+
+    def _repeat(self, writer, request_id, answer):
+        if not writer.is_closing():
+            self.record.write(f"{self.name} sends its answer to {request_id} again")
+            writer.write(answer)
+
     async def _stream(self, signature, writer):
         await asyncio.sleep(self.work_seconds)
         writer.write(
@@ -378,14 +398,14 @@
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case; `record.txt` is written there.
+    record_path : Path
+        File of the record.
     fronts, stores : int
         Machines with the roles `entry` and `history`, each in a zone of its own.
     """
 
-    def __init__(self, folder, *, fronts=2, stores=4):
-        self.record = Record(Path(folder) / "record.txt")
+    def __init__(self, record_path, *, fronts=2, stores=4):
+        self.record = Record(record_path)
         self.store = SiteStore()
         self.fronts = {f"front-{n}": f"127.0.1.{n}" for n in range(1, fronts + 1)}
         self.stores = {f"store-{n}": f"127.0.2.{n}" for n in range(1, stores + 1)}
@@ -618,20 +638,24 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
 
-    async def send_turn(self, front, text, *, previous="", program="", budget=100_000):
-        """Send a turn of a program on a new channel."""
+    def build_turn_headers(self, *, previous="", program="", program_ms=9000):
         program = program or self.new_id()[:6]
         headers = {
             "Model": "m",
             "Program-Id": program,
             "Session-Id": f"{program}1",
-            "Program-Deadline-Ms": "9000",
-            "Token-Budget": str(budget),
+            "Program-Deadline-Ms": str(int(program_ms)),
+            "Token-Budget": "100000",
             "Token-Count": "200,280",
             "Prompt-Prefix": f"{self.new_id()[:8]}:200",
         }
         if previous:
             headers["Previous-Turn"] = previous
+        return headers
+
+    async def send_turn(self, front, text, **options):
+        """Send a turn of a program on a new channel."""
+        headers = self.build_turn_headers(**options)
         return await self.send(front, "POST", "/chat/x", body=text, **headers)
 
 
