Withdrawals count as in force once most failure domains have read them

Callers saw: a key that was withdrawn just before the store stopped answering was accepted for as long as the outage lasted (test_process_store, once beside load: entry-0 answered 200).

Cause: in an outage a host goes on while more than half of the failure domains answer and none has a newer version. That holds only for versions that more than half have read, but a withdrawal was reported as done as soon as it was stored. If no host read it before the outage, all of them took the version before for the newest.

Change: a watcher of each failure domain leaves a receipt in the store when it has installed a version. A change is in force when more than half of the domains have left theirs. 'apply' and 'keys withdraw' wait for that, and end with status 4 if it does not come, so a withdrawal that is reported as done can't be missed by any majority.

The process test now waits for the change to be in force before it begins the outage, as the commands do; what it demands afterwards is unchanged.

--- a/sapphireyard/configuration/configuration.py
+++ b/sapphireyard/configuration/configuration.py
@@ -33,6 +33,7 @@
     encode_manifest,
     patch_manifest,
 )
+from sapphireyard.configuration.receipts import Receipts
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
@@ -84,6 +85,8 @@
         self._poll_seconds = poll_seconds
         self._bound = runtime.settings.withdrawal_seconds
         self._repository = ManifestRepository(runtime.store)
+        self._receipts = Receipts(runtime.store)
+        self._receipt_version = 0
         self._freshness = Freshness(self._bound)
         self._current = None
         self._manifest = None
@@ -208,6 +211,7 @@
                 MANIFEST_NAME, after_revision=None, timeout_seconds=0
             )
             await self._read_store()
+            await self._leave_receipt()
             self._revision = start.revision
             return
         result = await self._runtime.store.watch(
@@ -219,6 +223,7 @@
             await self._read_store()
         elif self._store_version == self.version:
             self._freshness.confirm(self.version, asked_at=asked_at, age=0)
+        await self._leave_receipt()
         self._revision = result.revision
 
     async def _read_store(self):
@@ -239,6 +244,20 @@
             self._notify_domain()
         self._freshness.confirm(manifest.version, asked_at=asked_at, age=0)
 
+    async def _leave_receipt(self):
+        """Tell operators that this failure domain has the current version."""
+        version = self.version
+        if version <= self._receipt_version:
+            return
+        domain = self._runtime.settings.failure_domain
+        await self._receipts.leave(domain, version)
+        self._receipt_version = version
+        logger.info(
+            "left a receipt for configuration version %d",
+            version,
+            extra={"decision": "receipt", "version": version, "domain": domain},
+        )
+
     async def _query_peer(self, host):
         """Query a peer for its version and install it if it is newer."""
         if host in self._pending_queries:
--- a/sapphireyard/operators/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -1,7 +1,7 @@
 """The operators' command line.
 
 Exit status: 0 done, 1 failed, 2 invalid input (every finding is printed),
-3 conflict with another change (which is shown).
+3 conflict with another change (which is shown), 4 stored, but not in force yet.
 """
 
 import asyncio
@@ -58,6 +58,7 @@
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_CONFLICT = 3
+EXIT_NOT_IN_FORCE = 4
 
 STANDARD_INPUT = "-"
 KEY_VARIABLE = "SAPPHIREYARD_KEY"
@@ -79,6 +80,23 @@
         await store.close()
 
 
+async def _wait_in_force(site):
+    """Wait until the last change is in force; return the exit status."""
+    try:
+        spread = await site.wait_in_force()
+    except StoreError as error:
+        _print_error(f"stored, but not known to be in force: {error}")
+        return EXIT_NOT_IN_FORCE
+    if spread.in_force:
+        return EXIT_DONE
+    _print_error(
+        f"stored, but only {len(spread.readers)} of {len(spread.domains)} failure"
+        " domains have read it: in an outage of the store the others go on with the"
+        " version before"
+    )
+    return EXIT_NOT_IN_FORCE
+
+
 async def _request_entry_host(options, method, path, body=None):
     """Send an operator's request to an entry host and return its JSON response."""
     findings = _check_address(options)
@@ -138,14 +156,15 @@
         manifest, changes = await site.apply(
             command.files, base_version=command.base_version
         )
+        status = await _wait_in_force(site) if changes else EXIT_DONE
     version = manifest.version if manifest is not None else 0
     if command.output == JSON:
         rows = [change.to_json() for change in changes]
         print_json({"version": version, "changes": rows})
-        return EXIT_DONE
+        return status
     print_changes(changes, output=TABLE)
     print(f"version {version} is current" if changes else "nothing to change")
-    return EXIT_DONE
+    return status
 
 
 @run_command.register
@@ -218,9 +237,10 @@
 async def _(command: Withdraw):
     async with _open_site(command) as site:
         row = await site.withdraw_key(command.name)
+        status = await _wait_in_force(site)
     rows = [{"key": row["digest"][:12], "state": row["state"]}]
     print_rows(rows, ["key", "state"], output=command.output)
-    return EXIT_DONE
+    return status
 
 
 @run_command.register
--- a/sapphireyard/operators/site.py
+++ b/sapphireyard/operators/site.py
@@ -1,10 +1,12 @@
 """Operators' changes to a site: its tables, keys and upstreams in the store."""
 
 import asyncio
+from dataclasses import dataclass
 
 from sapphireyard.configuration.changes import diff_tables
 from sapphireyard.configuration.keys import create_key, create_salt, digest_key
 from sapphireyard.configuration.manifests import TABLES, ManifestRepository
+from sapphireyard.configuration.receipts import Receipts, is_majority
 from sapphireyard.configuration.tables import (
     KEY_ACTIVE,
     KEY_WITHDRAWN,
@@ -21,6 +23,7 @@
     StoreConflict,
 )
 from sapphireyard.operators._table_files import load_files
+from sapphireyard.ownership.assignment_store import AssignmentStore
 
 MAX_WRITE_ATTEMPTS = 8
 """Maximum number of attempts to write a commutative change despite conflicts."""
@@ -28,10 +31,35 @@
 MAX_SEARCHED_VERSIONS = 1000
 """Maximum number of versions that are searched for a given version."""
 
+IN_FORCE_SECONDS = 5.0
+"""Longest wait for the receipts of a new version; hosts read it within a second."""
+
+POLL_SECONDS = 0.1
+"""Interval of the reads of receipts."""
+
 MIN_KEY_NAME_LENGTH = 6
 """Minimum number of characters that identify a key."""
 
 
+@dataclass(frozen=True)
+class Spread:
+    """How far a version has spread.
+
+    Parameters
+    ----------
+    readers, domains : tuple of str
+        Failure domains that have read the version, and all of the fleet.
+    """
+
+    readers: tuple
+    domains: tuple
+
+    @property
+    def in_force(self):
+        """bool: Whether no outage of the store can bring back an older version."""
+        return is_majority(self.readers, self.domains)
+
+
 class TableConflict(SapphireyardError):
     """Another operator's change was written first.
 
@@ -68,6 +96,8 @@
 
     def __init__(self, store, *, clock, author):
         self._repository = ManifestRepository(store)
+        self._receipts = Receipts(store)
+        self._assignments = AssignmentStore(store)
         self._clock = clock
         self._author = author
 
@@ -76,6 +106,36 @@
         manifest, _, tables = await self._repository.read_tables()
         return manifest, tables
 
+    async def wait_in_force(self, *, seconds=IN_FORCE_SECONDS):
+        """Wait until the current version is in force; return its `Spread`.
+
+        Parameters
+        ----------
+        seconds : float, optional
+            Longest wait; the version may not be in force afterwards.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer, so the spread is not known.
+        """
+        manifest, _ = await self._repository.read()
+        version = manifest.version if manifest is not None else 0
+        spread = await self._read_spread(version)
+        for _ in range(round(seconds / POLL_SECONDS)):
+            if spread.in_force:
+                break
+            await asyncio.sleep(POLL_SECONDS)
+            spread = await self._read_spread(version)
+        return spread
+
+    async def _read_spread(self, version):
+        assignment = await self._assignments.read()
+        members = assignment.members.values() if assignment is not None else ()
+        domains = {member.failure_domain for member in members}
+        readers = await self._receipts.list_readers(domains, version)
+        return Spread(tuple(readers), tuple(sorted(domains)))
+
     async def history(self, *, limit):
         """Return up to `limit` manifests, the newest first."""
         return await self._repository.history(limit=limit)
--- a/scripts/sites.py
+++ b/scripts/sites.py
@@ -6,8 +6,10 @@
 
 import aiohttp
 
+from sapphireyard.clocks import Clock
 from sapphireyard.configuration.keys import create_key, digest_key
 from sapphireyard.configuration.manifests import ManifestRepository
+from sapphireyard.operators.site import Site as OperatorSite
 from sapphireyard.ownership.assignment_store import AssignmentStore
 from sapphireyard.storage.objects import ObjectStore
 from scripts.client import ProgramClient
@@ -155,6 +157,12 @@
         manifest, _ = await ManifestRepository(self.store).read()
         return manifest
 
+    async def wait_in_force(self):
+        """Wait until the current version is in force, as operators do."""
+        site = OperatorSite(self.store, clock=Clock(), author="test")
+        spread = await site.wait_in_force()
+        assert spread.in_force, f"read by {spread.readers} of {spread.domains}"
+
     async def write_tables(self, tables):
         """Write tables and keys to the store; return the new version."""
         repository = ManifestRepository(self.store)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,6 +11,13 @@
 from sapphireyard.generated_settings import EntrySettings
 from sapphireyard.journal.generated_records import ProgramSnapshot
 from sapphireyard.journal.journal import JournalService
+from sapphireyard.ownership.assignment import (
+    ASSIGNMENT_NAME,
+    Assignment,
+    Member,
+    PartitionEntry,
+)
+from sapphireyard.ownership.assignment_codec import encode_assignment
 from sapphireyard.ownership.ownership import OwnershipService
 from sapphireyard.programs.programs import Programs
 from sapphireyard.runtime import Runtime
@@ -26,6 +33,17 @@
 RETRY_SECONDS = 0.005
 
 
+async def write_members(store, domains):
+    """Write an assignment with one member of each failure domain."""
+    members = {
+        f"h-{domain}": Member(f"h-{domain}", 1, "127.0.0.1:1", "127.0.0.1:2", domain)
+        for domain in domains
+    }
+    entry = PartitionEntry(f"h-{domains[0]}", 1, 1)
+    value = encode_assignment(Assignment(1, members, (entry,)))
+    await store.create(ASSIGNMENT_NAME, value)
+
+
 class VirtualClock(Clock):
     """A clock that tests set."""
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -25,8 +25,10 @@
 from sapphireyard.exceptions import CallError, PeerUnavailable, StoreConflict
 from sapphireyard.logs import KEY_PREFIX
 from sapphireyard.operators._table_files import load_files
+from sapphireyard.operators.site import Site
 from sapphireyard.streams.frames import MessageCodec
 from standins.memory import LOSE, MemoryStore
+from tests.fleet import write_members
 
 TABLES = {
     "routes": [
@@ -278,6 +280,27 @@
             with self.assertRaises(CallError):
                 hosts[0].check_fresh()
 
+    async def test_withdrawal_in_force_holds_in_an_outage(self):
+        for host, domain in zip(self.names, "abc", strict=True):
+            self.members[host].failure_domain = domain
+        await self.publish()
+        key = await self.issue_key()
+        hosts = [await self.start(name) for name in self.names]
+        await wait_for(lambda: all(host.version == 2 for host in hosts))
+        await write_members(self.store, "abc")
+        _, _, tables = await self.repository.read_tables()
+        tables["keys"][0]["state"] = "withdrawn"
+        await self.publish(tables)
+        spread = await Site(self.store, clock=self.clock, author="a").wait_in_force()
+        self.assertTrue(spread.in_force, spread)
+        with self.store.outage():
+            await self.advance_clock(15)
+            for host in hosts:
+                host.check_fresh()
+                with self.assertRaises(CallError) as caught:
+                    host.authenticate(key)
+                self.assertEqual(caught.exception.code, "key_withdrawn")
+
     async def test_delta_that_does_not_apply_is_replaced_by_the_full_manifest(self):
         await self.publish()
         hosts = [await self.start(name) for name in self.names]
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,10 +12,12 @@
 import yaml
 
 from sapphireyard.clocks import Clock
+from sapphireyard.configuration.receipts import Receipts
 from sapphireyard.exceptions import SettingsError
-from sapphireyard.operators import operator
+from sapphireyard.operators import operator, site as operators_site
 from sapphireyard.operators.site import Site, TableConflict
 from standins.memory import MemoryStore
+from tests.fleet import write_members
 
 POOLS = [{"name": "p", "upstreams": [{"name": "e1", "address": "127.0.0.1:9"}]}]
 ROUTES = [{"name": "chat", "kind": "model", "pool": "p", "repeatable": True}]
@@ -102,6 +104,36 @@
         for stored in self.store.objects:
             self.assertNotIn(given["key"].encode(), stored.value)
 
+    def withdraw(self, readers):
+        """Withdraw a key that some failure domains read of; return the result."""
+        self.store = MemoryStore()
+        self.run_command_line("apply", self.write(TABLES))
+        _, out, _ = self.run_command_line("keys", "give", "east", "--output", "json")
+        name = out.split('"name": "')[1][:12]
+
+        async def prepare():
+            await write_members(self.store, "abc")
+            for domain in readers:
+                await Receipts(self.store).leave(domain, 3)
+
+        with mock.patch.object(operators_site, "IN_FORCE_SECONDS", 0.0):
+            asyncio.run(prepare())
+            return self.run_command_line("keys", "withdraw", name)
+
+    def test_withdrawal_that_most_domains_have_not_read_is_reported(self):
+        cases = [
+            ((), 4, "0 of 3"),
+            (("a",), 4, "1 of 3"),
+            (("a", "b"), 0, ""),
+            ("abc", 0, ""),
+        ]
+        for readers, expected, text in cases:
+            with self.subTest(readers=readers):
+                status, out, errors = self.withdraw(readers)
+                self.assertEqual(status, expected)
+                self.assertIn("withdrawn", out)
+                self.assertIn(text, errors)
+
     def test_drain_of_an_upstream(self):
         self.run_command_line("apply", self.write(TABLES))
         for argv, state in (
--- a/tests/test_process_store.py
+++ b/tests/test_process_store.py
@@ -99,6 +99,7 @@
         await self.chat(client, "before")
         self.site.withdrawn.add("nyumbani")
         version = await self.site.write_tables(self.site.tables)
+        await self.site.wait_in_force()
         await self.set_outage("hang")
         starting = asyncio.ensure_future(self.site.start_entry(3))
         await asyncio.sleep(WITHDRAWAL_SECONDS + MARGIN_SECONDS)
--- /dev/null
+++ b/tests/test_receipts.py
@@ -0,0 +1,34 @@
+"""Receipts: a withdrawn key that no host had read of was accepted in an outage."""
+
+import unittest
+
+from sapphireyard.configuration.receipts import Receipts, is_majority
+from standins.memory import MemoryStore
+
+DOMAINS = ("a", "b", "c")
+
+
+class MajorityTest(unittest.TestCase):
+    def test_more_than_half_of_the_domains(self):
+        cases = [
+            ((), (), True),
+            ((), ("a",), False),
+            (("a",), ("a",), True),
+            (("a",), ("a", "b"), False),
+            (("a",), DOMAINS, False),
+            (("a", "b"), DOMAINS, True),
+            (("a", "b"), ("a", "b", "c", "d"), False),
+        ]
+        for readers, domains, expected in cases:
+            with self.subTest(readers=readers, domains=domains):
+                self.assertEqual(is_majority(readers, domains), expected)
+
+
+class ReceiptsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_receipts_never_go_back(self):
+        receipts = Receipts(MemoryStore())
+        for left, readers in ((3, ["a"]), (2, ["a"]), (4, ["a"])):
+            with self.subTest(left):
+                await receipts.leave("a", left)
+                self.assertEqual(await receipts.list_readers(DOMAINS, 3), readers)
+        self.assertEqual(await receipts.list_readers(DOMAINS, 5), [])
