--- a/sapphireyard/ownership/moves.py
+++ b/sapphireyard/ownership/moves.py
@@ -204,6 +204,21 @@
             for partition in partitions:
                 self.runtime.ownership.record_compaction(partition, assignment)
         self.runtime.ownership.adopt(assignment)
+        for partition in partitions:
+            entry = assignment.entries[partition]
+            logger.info(
+                "partition handed over",
+                extra={
+                    "decision": "move",
+                    "partition": partition,
+                    "target": target,
+                    "epoch_before": expected[partition].epoch,
+                    "epoch": entry.epoch,
+                    "owner": entry.host,
+                    "sources": len(entry.sources),
+                    "snapshot": snapshots.get(partition),
+                },
+            )
 
     def _is_compaction_due(self, partition):
         entry = self.runtime.ownership.assignment.entries[partition]
--- a/sapphireyard/ownership/ownership.py
+++ b/sapphireyard/ownership/ownership.py
@@ -227,7 +227,16 @@
         self._check_member()
         for partition in list(self._ready_epochs):
             if not self.is_ready(partition):
-                del self._ready_epochs[partition]
+                self.log.info(
+                    "partition given up",
+                    extra={
+                        "decision": "adopt",
+                        "partition": partition,
+                        "epoch": self._ready_epochs.pop(partition),
+                        "owner": assignment.entries[partition].host,
+                        "version": assignment.version,
+                    },
+                )
                 self.runtime.programs.drop(partition)
         members = assignment.members.values()
         self._holder.keep_only({(m.host, m.incarnation) for m in members})
@@ -326,6 +335,16 @@
                     self.runtime.programs.drop(partition)
                     continue
                 self._ready_epochs[partition] = entry.epoch
+                self.log.info(
+                    "partition recovered",
+                    extra={
+                        "decision": "recover",
+                        "partition": partition,
+                        "epoch": entry.epoch,
+                        "sources": entry.sources,
+                        "programs": len(self.runtime.programs.list_programs(partition)),
+                    },
+                )
                 self._notify_change()
 
     async def balance(self):
