Open sub-agents although the owner of their link is lost for a moment

Cause: the owner of a program links a new sub-agent in the partition of the sub-agent's own name, by asking that partition's owner once. If that host had just been killed, PeerUnavailable left the handler, and every error between hosts that leaves a handler is answered as an internal error with an unknown outcome.

Change: the owner is looked up and asked again until the call's deadline; writing a link twice does no harm. At the deadline the answer says that nothing was executed.

Failed before: the new table fails on the code before in 4 of 6 cases (PeerUnavailable three times, NotOwner once).

--- a/sapphireyard/callers/forwarder.py
+++ b/sapphireyard/callers/forwarder.py
@@ -9,6 +9,7 @@
     EXECUTED_NO,
     EXECUTED_UNKNOWN,
     CallError,
+    NotOwner,
     PeerUnavailable,
 )
 from sapphireyard.streams.generated_messages import ProgramElsewhere
@@ -21,8 +22,6 @@
 MAX_IMMEDIATE_HOPS = 8
 """Number of attempts after which redirected calls are delayed as well."""
 
-NOT_OWNER = "not_owner"
-
 
 class Forwarder:
     """Forwards calls to the owner of their program, even while ownership changes.
@@ -88,7 +87,7 @@
                     yield message
             attempt.finished = True
         except CallError as error:
-            if error.code != NOT_OWNER:
+            if error.code != NotOwner.CODE:
                 raise
         except PeerUnavailable as error:
             attempt.sent = error.sent
@@ -142,7 +141,7 @@
             try:
                 view = await self._runtime.peers.ask(owner, query, timeout=seconds_left)
             except CallError as error:
-                if error.code != NOT_OWNER:
+                if error.code != NotOwner.CODE:
                     raise
                 await asyncio.sleep(REROUTE_DELAY_SECONDS)
             except PeerUnavailable:
--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -184,8 +184,10 @@
         Name of the owner, as far as this host knows.
     """
 
+    CODE = "not_owner"
+
     def __init__(self, owner):
-        super().__init__("not_owner", f"the owner is {owner}", retry_after=0.0)
+        super().__init__(self.CODE, f"the owner is {owner}", retry_after=0.0)
         self.owner = owner
 
 
--- a/sapphireyard/programs/dispatcher.py
+++ b/sapphireyard/programs/dispatcher.py
@@ -18,6 +18,7 @@
     CallError,
     JournalSealed,
     NotOwner,
+    PeerError,
     StoreUnavailable,
 )
 from sapphireyard.journal.generated_records import (
@@ -53,6 +54,8 @@
 """How long a call waits for its predecessors to arrive."""
 
 QUERY_TIMEOUT_SECONDS = 5.0
+LINK_RETRY_SECONDS = 0.1
+"""Pause before a host that did not take a link is looked up and asked again."""
 ENDED_BY_CALLER = "ended by the caller"
 
 
@@ -245,7 +248,7 @@
             if parent is None:
                 raise CallError("program_unknown", f"no program {call.parent!r}")
             root = parent.root
-            await self._link(key, root, partition)
+            await self._link(key, root, partition, deadline)
         elif call.root != key:
             raise CallError("program_unknown", f"no program {call.program!r}")
         await self._wait_for_partition(root, deadline)
@@ -273,13 +276,40 @@
             "budget_seconds": limits.budget_seconds,
         }
 
-    async def _link(self, key, root, partition):
-        location = self._runtime.ownership.locate(key)
-        if location.partition == partition:
-            return
-        await self._runtime.peers.ask(
-            location.host, LinkProgram(key, root), timeout=QUERY_TIMEOUT_SECONDS
-        )
+    async def _link(self, key, root, partition, deadline):
+        """Leave a link to the root's partition in the partition of the program.
+
+        Its owner may be lost or be replaced meanwhile. A link can be written twice.
+        """
+        while True:
+            location = self._runtime.ownership.locate(key)
+            if location.partition == partition:
+                return
+            remaining = deadline - self._runtime.clock.monotonic()
+            if remaining <= 0:
+                raise CallError(
+                    "deadline_exceeded",
+                    f"{location.host} did not take the link to the program's root",
+                )
+            try:
+                await self._runtime.peers.ask(
+                    location.host,
+                    LinkProgram(key, root),
+                    timeout=min(remaining, QUERY_TIMEOUT_SECONDS),
+                )
+                return
+            except CallError as error:
+                if error.code != NotOwner.CODE:
+                    raise
+                reason = error
+            except PeerError as error:
+                reason = error
+            logger.info(
+                "program not linked: %s",
+                reason,
+                extra={"decision": "link", "program": key, "owner": location.host},
+            )
+            await asyncio.sleep(LINK_RETRY_SECONDS)
 
     async def _admit(self, request, program, partition):
         """Return the decision on a call, after waiting for its predecessors."""
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -198,6 +198,34 @@
                 await ownership.fetch("b")
             self.assertGreater(adopt.call_args.args[0].version, before)
 
+    async def test_sub_agent_opens_after_the_owner_of_its_link_was_lost(self):
+        """A call of a new sub-agent ended with status 500."""
+        lost = PeerUnavailable("b: refused", sent=False)
+        cases = [
+            ("answers", [None], None),
+            ("is lost once", [lost, None], None),
+            ("may have written it", [PeerUnavailable("b: silent"), None], None),
+            ("owns it no more", [NotOwner("c"), None], None),
+            ("never comes back", [lost] * 9, "deadline_exceeded"),
+            ("refuses", [CallError("store_unavailable", "")], "store_unavailable"),
+        ]
+        for name, outcomes, code in cases:
+            with self.subTest(name):
+                runtime = mock.MagicMock()
+                runtime.clock = Clock()
+                runtime.ownership.locate.return_value.partition = 2
+                runtime.peers.ask = mock.AsyncMock(side_effect=outcomes)
+                deadline = runtime.clock.monotonic() + 0.35
+                link = Dispatcher(runtime)._link("c/child", "c/root", 1, deadline)
+                if code is None:
+                    await link
+                    self.assertEqual(runtime.peers.ask.call_count, len(outcomes))
+                    continue
+                with self.assertRaises(CallError) as caught:
+                    await link
+                self.assertEqual(caught.exception.code, code)
+                self.assertEqual(caught.exception.executed, "no")
+
     async def test_owner_with_sealed_journal_redirects_calls(self):
         runtime = mock.MagicMock()
         runtime.ownership.wait_ready = mock.AsyncMock(side_effect=JournalSealed("a"))
