An odd entry in the store costs itself alone

Seen: an entry of an upstream nested 1,200 levels, or with `born` of 401 digits, ended every entry process at each start. A number of 6,000 digits stopped the list for good: nothing was served, new upstreams were not used and ended ones were kept. The address `::1:8080` was listed and failed all turns.

Cause: errors that decoders were not expected to raise, at two depths. Where bytes become values, `json.loads` took a page as a whole (`RecursionError`, and `ValueError` for long numbers, which counted as an outage). Where values become types, `float(born)` raised `OverflowError`, and the address was taken for valid by its last colon. Answers that lacked a field raised `KeyError` or `TypeError`. An exception of a task ends the process. The set of copies was read in the same way, and the object by which operators accept a loss, written as documented, raised `AttributeError` in all history hosts.

`test_invalid_upstream_entries_are_rejected` expects the error instead of None, for the same entries.

--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -65,6 +65,18 @@
     code = "store_unavailable"
 
 
+class StoreBusy(StoreUnavailable):
+    """The store refused a call beyond its rate; nothing was done."""
+
+    code = "store_busy"
+
+
+class StoreValueInvalid(StoreError):
+    """An object has a value that another writer left and that cannot be used."""
+
+    code = "store_value_invalid"
+
+
 class CommitInDoubt(StoreUnavailable):
     """A commit failed as the store was unavailable, but may still become durable.
 
--- a/sapphireyard/history/stored_set.py
+++ b/sapphireyard/history/stored_set.py
@@ -2,9 +2,11 @@
 
 import json
 import logging
-from dataclasses import asdict
+from dataclasses import asdict, fields
 
-from sapphireyard.exceptions import StoreConflict
+import msgspec
+
+from sapphireyard.exceptions import StoreConflict, StoreValueInvalid
 from sapphireyard.fleet.generated_fleet import CopySet
 
 logger = logging.getLogger(__name__)
@@ -15,6 +17,17 @@
 """Name of the object by which an operator accepts a loss: the set's version."""
 
 
+MAX_VERSION = 2**63 - 1
+"""Heartbeats carry versions in 64 bits."""
+KNOWN_FIELDS = frozenset(field.name for field in fields(CopySet))
+
+
+class AcceptedLoss(msgspec.Struct):
+    """What an operator writes to accept a loss."""
+
+    version: int
+
+
 class StoredSet:
     """Reads and changes the set of copies.
 
@@ -28,11 +41,20 @@
         self._store = store
 
     async def read(self):
-        """Return the stored object, or None, and the `CopySet`."""
+        """Return the stored object, or None, and the `CopySet`.
+
+        Raises
+        ------
+        StoreError
+            The set cannot be read, or is not one that this build understands.
+        """
         stored = await self._store.get(COPIES_OBJECT)
         if stored is None:
             return None, CopySet()
-        return stored, CopySet(**json.loads(stored.value))
+        try:
+            return stored, _decode_set(stored.value)
+        except (ValueError, RecursionError, msgspec.MsgspecError) as error:
+            raise StoreValueInvalid(f"invalid {COPIES_OBJECT}: {error}") from error
 
     async def write(self, stored, copies):
         """Write the set unless another host has changed it since it was read."""
@@ -57,7 +79,18 @@
         if stored is None:
             return 0
         try:
-            return int(json.loads(stored.value)["version"])
-        except (ValueError, KeyError, TypeError) as error:
+            return msgspec.json.decode(stored.value, type=AcceptedLoss).version
+        except (ValueError, RecursionError, msgspec.MsgspecError) as error:
             logger.warning("invalid %s: %r", ACCEPTED_LOSS_OBJECT, error)
             return 0
+
+
+def _decode_set(value):
+    found = msgspec.json.decode(value)
+    if isinstance(found, dict) and found.keys() - KNOWN_FIELDS:
+        raise ValueError("written by a newer build")
+    copies = msgspec.convert(found, CopySet)
+    for version in (copies.version, copies.lost_before):
+        if not 0 <= version <= MAX_VERSION:
+            raise ValueError("version out of range")
+    return copies
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 
 from aiohttp import web
 
@@ -11,6 +12,13 @@
 """Maximum number of objects per page."""
 
 
+class JsonText:
+    """A value that is answered as it was written, whether or not it can be decoded."""
+
+    def __init__(self, text):
+        self.text = text
+
+
 class SiteStoreFaults(StoreFaults):
     """Faults of the store.
 
@@ -23,6 +31,21 @@
     history_from: int = 0
 
 
+def _answer_json(value, *, status=200):
+    texts = []
+
+    def encode(part):
+        texts.append(part.text)
+        return f"\0{len(texts) - 1}\0"
+
+    body = json.dumps(value, default=encode)
+    for number, text in enumerate(texts):
+        body = body.replace(f'"\\u0000{number}\\u0000"', text)
+    return web.Response(
+        body=body.encode(), status=status, content_type="application/json"
+    )
+
+
 class SiteStore(StandIn):
     """The in-memory store; `calls` is the number of calls so far."""
 
@@ -57,6 +80,10 @@
         """Write an object, as an operator or an upstream does."""
         return self._write(kind, name, spec=spec)
 
+    def put_text(self, kind, name, text):
+        """Write an object with any JSON text, as another writer may."""
+        return self._write(kind, name, spec=JsonText(text))
+
     def remove(self, kind, name):
         """Remove an object."""
         item = self._objects.pop((kind, name))
@@ -103,7 +130,7 @@
         after = request.query.get("after", "")
         names = sorted(n for k, n in self._objects if k == kind and n > after)
         items = [self._objects[kind, name] for name in names[:PAGE_ITEMS]]
-        return web.json_response(
+        return _answer_json(
             {
                 "items": items,
                 "more-pages": len(names) > PAGE_ITEMS,
@@ -125,9 +152,7 @@
             ]
             remaining = deadline - loop.time()
             if events or remaining <= 0:
-                return web.json_response(
-                    {"events": events, "current-rev": self._revision}
-                )
+                return _answer_json({"events": events, "current-rev": self._revision})
             try:
                 await asyncio.wait_for(self._changed.wait(), remaining)
             except TimeoutError:
@@ -140,13 +165,13 @@
         item = self._objects.get(self._key(request))
         if item is None:
             return web.Response(status=404)
-        return web.json_response(item)
+        return _answer_json(item)
 
     async def _create(self, request):
         body = await request.json()
         key = request.match_info["kind"], body["metadata"]["name"]
         if key in self._objects:
-            return web.json_response(self._objects[key], status=409)
+            return _answer_json(self._objects[key], status=409)
         return self._answer(request, self._write(*key, spec=body.get("spec")))
 
     async def _put(self, request):
@@ -163,7 +188,7 @@
             return web.Response(status=404)
         expected = body.get("metadata", {}).get("revision")
         if expected is not None and expected != item["metadata"]["revision"]:
-            return web.json_response(item, status=409)
+            return _answer_json(item, status=409)
         return self._answer(request, self._write(*key, **{field: body.get(field)}))
 
     async def _delete(self, request):
@@ -173,14 +198,14 @@
             return web.Response(status=404)
         expected = request.query.get("revision")
         if expected is not None and int(expected) != item["metadata"]["revision"]:
-            return web.json_response(item, status=409)
+            return _answer_json(item, status=409)
         self.remove(*key)
         return self._answer(request, item)
 
     def _answer(self, request, item):
         if self.faults.consume_lost_answer():
             return drop_connection(request)
-        return web.json_response(item)
+        return _answer_json(item)
 
     @staticmethod
     def _key(request):
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -310,8 +310,12 @@
         ]
         for name, changes, valid in cases:
             with self.subTest(name):
-                upstream = decode_upstream("i-1", {**ENTRY, **changes})
-                self.assertEqual(upstream is not None, valid)
+                entry = {**ENTRY, **changes}
+                if valid:
+                    self.assertEqual(decode_upstream("i-1", entry).name, "i-1")
+                    continue
+                with self.assertRaises(ValueError):
+                    decode_upstream("i-1", entry)
         upstream = decode_upstream(
             "i-1",
             {**ENTRY, "cold-remaining-ms": 1500},
@@ -321,8 +325,8 @@
         self.assertEqual(upstream.cold_until, 11.5)
         self.assertEqual(upstream.region, "east")
         for spec in (None, "text", 5, {"service": "engine"}):
-            with self.subTest(spec=spec):
-                self.assertIsNone(decode_upstream("i-1", spec))
+            with self.subTest(spec=spec), self.assertRaises(ValueError):
+                decode_upstream("i-1", spec)
 
 
 if __name__ == "__main__":
