--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -11,6 +11,9 @@
 WRITE_TIMEOUT_SECONDS = 10.0
 """Longest time for which endless bytes wait for a peer that does not read."""
 
+LATE_SECONDS = 0.02
+"""Time in which late bytes arrive before the answer."""
+
 
 class End(Enum):
     """How the upstream ends a connection."""
@@ -32,12 +35,17 @@
 
 @dataclass
 class ScriptedUpstream:
-    """One upstream; every request gets the same answer.
+    """One upstream; every request gets the same answer if no other one is given.
 
     Parameters
     ----------
     steps : sequence of bytes, float, Endless or End
         What to send, seconds to pause, and how to end.
+    first_answers : list of sequences, optional
+        Steps for the next requests, before `steps` are used.
+    late : bytes, optional
+        Sent before each answer on a connection but the first: what an upstream sends
+        late of an earlier exchange.
 
     Attributes
     ----------
@@ -52,6 +60,8 @@
     """
 
     steps: tuple = ()
+    first_answers: list = field(default_factory=list)
+    late: bytes = b""
     address: str = ""
     connections: int = 0
     requests: int = 0
@@ -60,6 +70,11 @@
     _server: object = None
     _open: dict = field(default_factory=dict)
 
+    @property
+    def writers(self):
+        """list of StreamWriter: Open connections."""
+        return list(self._open.values())
+
     async def start(self, ip="127.0.0.1"):
         """Listen on a free port; return the address."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
@@ -79,18 +94,23 @@
         self._open[task] = writer
         try:
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-                while await self._answer(reader, writer):
-                    pass
+                is_first = True
+                while await self._answer(reader, writer, is_first):
+                    is_first = False
         finally:
             del self._open[task]
             writer.close()
 
-    async def _answer(self, reader, writer):
+    async def _answer(self, reader, writer, is_first):
         """Answer one request; return whether the connection stays open."""
         head = await reader.readuntil(b"\r\n\r\n")
         await reader.readexactly(_find_length(head))
         self.requests += 1
-        for step in self.steps:
+        if self.late and not is_first:
+            writer.write(self.late)
+            await asyncio.sleep(LATE_SECONDS)
+        steps = self.first_answers.pop(0) if self.first_answers else self.steps
+        for step in steps:
             if isinstance(step, bytes):
                 writer.write(step)
                 await writer.drain()
