exchange: a leaving upstream that is gone completes no answer

Seen by callers: streams and answers without a length whose leaving upstream was gone midway ended as complete (200, signature, last chunk), and such turns were stored.

Cause: Exchange.check_end took any orderly end for complete if the upstream was leaving or no longer listed. A process that is ended in the middle closes its connections like one that has finished.

Change: only an upstream that still accepts connections completes an answer that nothing else ends, leaving or not. An answer that a leaving upstream breaks off is not counted as a crash of the request.

test_last_answer_of_a_leaving_upstream_counts demanded the fault: it closed the listening socket, which is what a process that ends looks like, and wanted status 200. Its replacement wants 200 while the upstream listens and 502 once it is gone, for each way to learn that it leaves, and the same for streams and what turns store.

Measured: on the code before 3 subtests fail with "200 != 502" and 3 with "True != False"; tests.test_answer_ends and tests.test_crashes pass now (23 tests).

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -293,18 +293,17 @@
         return data
 
     async def check_end(self, answer, upstream):
-        """Raise `UpstreamFailed` if an upstream crashed while it answered.
+        """Raise `UpstreamFailed` if an upstream may have broken off its answer.
 
-        The connections of a crashed process may be closed in order. If nothing else
-        ends an answer, its upstream must still accept connections. A leaving upstream
-        may have stopped after its last answer.
+        The connections of a process that ends, in a crash or as planned, may be closed
+        in order. If nothing else ends an answer, its upstream must still accept
+        connections.
         """
-        if answer.end.outcome != CLOSED or self._runtime.pools.is_leaving(upstream):
+        if answer.end.outcome != CLOSED or await self._sender.is_listening(upstream):
             return
-        if not await self._sender.is_listening(upstream):
-            raise UpstreamFailed(
-                "upstream is down after an answer without a length", crashed=True
-            )
+        raise UpstreamFailed(
+            "upstream is down after an answer without a length", crashed=True
+        )
 
     def record_success(self, admitted, upstream, *, ok=True):
         """Record that an upstream completed a request, if not `ok` with an error."""
@@ -323,7 +322,8 @@
             self._runtime.pools.report_doubtful(upstream.name)
             return
         self._runtime.pools.report(upstream, ok=False)
-        if error.crashed:
+        # One that leaves and is gone has not been ended by the request.
+        if error.crashed and not self._runtime.pools.is_leaving(upstream):
             start_task(self._record_crash(admitted, upstream), name="crash")
 
     async def _record_crash(self, admitted, upstream):
