Keep the set of copies when expired turns are deleted

Callers saw: after a kill or a loss of power of all hosts, each with its disk, the copies of histories declared them lost.

Cause: a host knows its membership only by the CopySet record in its log, which purge_expired deleted with the file of the turns beside which it was written. No host served then, and plan_recovery took "every disk as known, none serving" for a loss.

Change: purge_expired appends the set and syncs it before it deletes the file that has it. It stays a record, so that a host that is rolled back and forth keeps the newest one and older builds can read it. Logs that have lost the record already: a host tells in DiskStatus whether its log names a set. One whose log names none, but whose disk the store names, has been a member; as many of these and of those that serve as a host joins from have all records, so they fetch each other's records and resume. A loss is declared only if fewer are left, never by members of older builds that do not tell. What was found on the disk, each deletion of files, and all answers behind a declared loss or a resumption are logged. Batches of records start at the first one that was kept, instead of stepping over all positions that were dropped since the start of the process.

The model tests missed it because their log never dropped a record and nothing expired in them. It deletes files now, and time can be skipped beyond the retention.

--- a/sapphireyard/history/copies.py
+++ b/sapphireyard/history/copies.py
@@ -17,6 +17,13 @@
 many hosts are away as disks may be lost, and each of today's failure domains has a
 copy."""
 
+SERVING = "serving"
+JOINING = "joining"
+FORGOTTEN = "forgotten"
+"""Standing of a host whose log names no set. A host that joins logs the set it joins
+from before the store names its disk, so such a host has been a member: a build that
+deleted this record with old turns has written its log."""
+
 
 def majority(copies):
     """Return how many of `copies` form a majority."""
@@ -100,32 +107,46 @@
     """
     if not copies.members:
         return None
-    serving = {}
-    joining = 0
-    for name, known in copies.members.items():
-        status = disks.get(name)
-        if status is None or status.disk != known:
-            continue
-        if status.serving:
-            serving[name] = known
-        else:
-            joining += 1
+    intact = _list_intact(copies, disks)
+    serving = {name: copies.members[name] for name in intact if disks[name].serving}
+    holders = list_holders(copies, disks)
     needed = fence_quorum(len(copies.members), tolerated=tolerated)
-    if len(serving) >= needed:
+    if len(holders) >= needed:
         return None
     is_silent = any(name not in disks for name in copies.members)
-    # A joining host needs another one that serves, unless it is the only member.
+    is_unclear = any(
+        not disks[each].serving and not disks[each].standing for each in intact
+    )
+    # A joining host needs one that has all its records, unless it is the only member.
     may_end = (
-        len(serving) + joining >= needed
-        if serving
-        else len(copies.members) == joining == 1
+        len(intact) >= needed if holders else len(copies.members) == len(intact) == 1
     )
-    if (is_silent or may_end) and accepted != copies.version:
+    if (is_silent or is_unclear or may_end) and accepted != copies.version:
         return None
     changed = _change(copies, {**serving, host: disk})
     return replace(changed, lost_before=changed.version)
 
 
+def list_holders(copies, disks):
+    """Return the members that have on their disks whatever they acknowledged.
+
+    Records of as many of them as a host joins from are complete, whether these serve
+    or not; one that is itself joining may lack some.
+
+    Parameters
+    ----------
+    copies : CopySet
+        The set in force.
+    disks : dict of str to DiskStatus
+        Answers of members.
+    """
+    return [
+        name
+        for name in _list_intact(copies, disks)
+        if disks[name].serving or disks[name].standing == FORGOTTEN
+    ]
+
+
 def explain_stay(copies, host, holders, *, tolerated):
     """Return why a host must keep its disk, or an empty string if it need not.
 
@@ -153,5 +174,14 @@
     return ""
 
 
+def _list_intact(copies, disks):
+    """Return the members that have answered with the disks that the set names."""
+    return [
+        name
+        for name, known in copies.members.items()
+        if name in disks and disks[name].disk == known
+    ]
+
+
 def _change(copies, members):
     return replace(copies, version=copies.version + 1, members=members)
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -210,6 +210,10 @@
     """
     As in that set.
     """
+    resuming: bool = False
+    """
+    A host that does not serve answers too
+    """
 
 
 @dataclass
@@ -233,6 +237,10 @@
     """
     The host answers as a member of the set.
     """
+    standing: str = ''
+    """
+    serving, joining, or forgotten: its log names no set of copies; empty in builds that do not tell.
+    """
 
 
 @dataclass
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -55,6 +55,17 @@
         self._flush_task = None
         self._failure = None
 
+    @property
+    def files(self):
+        """int: Files that hold records."""
+        paths = (each[0] for each in self._locations if not isinstance(each, bytes))
+        return len(set(paths))
+
+    @property
+    def first(self):
+        """int: Position of the oldest record that was not dropped."""
+        return self._first_position
+
     @property
     def end(self):
         """int: Position after the last record."""
@@ -157,26 +168,40 @@
         self._next_segment += 1
         sync_folder(self._folder)
 
-    def drop_before(self, position):
-        """Delete the files whose records all precede a position."""
-        keep = set()
+    def find_kept(self, position):
+        """Return the first position that `drop_before` would keep.
+
+        Files are deleted as a whole, and not the one that is written.
+        """
+        keep = {self._segment_path}
         for location in self._locations[max(0, position - self._first_position) :]:
             if not isinstance(location, bytes):
                 keep.add(location[0])
-        dropped = 0
-        while dropped < len(self._locations):
-            location = self._locations[dropped]
-            if (
-                isinstance(location, bytes)
-                or location[0] in keep
-                or location[0] == self._segment_path
-            ):
-                break
-            dropped += 1
-        for path in {location[0] for location in self._locations[:dropped]}:
+        for number, location in enumerate(self._locations):
+            if isinstance(location, bytes) or location[0] in keep:
+                return self._first_position + number
+        return self.end
+
+    def drop_before(self, position):
+        """Delete the files whose records all precede a position."""
+        dropped = self.find_kept(position) - self._first_position
+        if not dropped:
+            return
+        paths = {location[0] for location in self._locations[:dropped]}
+        for path in paths:
             path.unlink(missing_ok=True)
         del self._locations[:dropped]
         self._first_position += dropped
+        logger.info(
+            "files deleted",
+            extra={
+                "decision": "purge",
+                "files": len(paths),
+                "records": dropped,
+                "first": self._first_position,
+                "end": self.end,
+            },
+        )
 
 
 def sync_folder(folder):
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -19,8 +19,12 @@
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history import generated_history
 from sapphireyard.history.copies import (
+    FORGOTTEN,
+    JOINING,
+    SERVING,
     explain_stay,
     fence_quorum,
+    list_holders,
     plan_join,
     plan_leave,
     plan_recovery,
@@ -41,7 +45,7 @@
     TurnCommit,
     TurnSynced,
 )
-from sapphireyard.history.log import RecordLog, read_identity
+from sapphireyard.history.log import LogFailed, RecordLog, read_identity
 from sapphireyard.history.state import HistoryState
 from sapphireyard.history.stored_set import StoredSet
 from sapphireyard.history.survey import ask_disks, list_serving
@@ -94,6 +98,7 @@
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
         self._disk_id = ""
+        self._set_position = None
         self._serving = False
         self._retiring = False
         self._newest_written_at = 0.0
@@ -120,6 +125,12 @@
         """bool: Whether this host answers as a member of the set."""
         return self._serving
 
+    @property
+    def _standing(self):
+        if self._serving:
+            return SERVING
+        return FORGOTTEN if self._set_position is None else JOINING
+
     @property
     def _tolerated(self):
         return self._runtime.settings.tolerated_losses
@@ -133,9 +144,13 @@
             "history opened",
             extra={
                 "decision": "open",
+                "disk": self._disk_id,
+                "files": self._log.files,
                 "records": self._log.end,
                 "set_version": self._copies.version,
-                "settled": self._serving,
+                "members": self._copies.members,
+                "standing": self._standing,
+                "newest_written_at": self._newest_written_at,
             },
         )
         if self._serving:
@@ -158,12 +173,23 @@
 
     @mode.Service.timer(PURGE_SECONDS)
     async def _purge_regularly(self):
-        self.purge_expired()
+        try:
+            await self.purge_expired()
+        except LogFailed as error:
+            logger.error("nothing is deleted: %s", error)
 
-    def purge_expired(self):
-        """Drop expired turns and spending, and delete files that are not needed."""
+    async def purge_expired(self):
+        """Drop expired turns and spending, and delete files that are not needed.
+
+        The set of copies does not expire: a host that lost it could not tell after a
+        restart that it is a member. It is written again before its file goes.
+        """
         needed = self._state.expire(self._now())
-        self._log.drop_before(self._log.end if needed is None else needed)
+        kept = self._log.find_kept(self._log.end if needed is None else needed)
+        if self._set_position is not None and self._set_position < kept:
+            self._append_set()
+            await self._log.sync()
+        self._log.drop_before(kept)
 
     def update_copies(self, copies):
         """Adopt a newer set that another host already uses."""
@@ -249,7 +275,7 @@
                 return
             # Also after a restart, it is known which set this host joins from.
             self._copies = copies
-            self._append(copies)
+            self._append_set()
             await self._log.sync()
             await self._set.write(stored, changed)
             copies = changed
@@ -259,9 +285,11 @@
     async def _recover(self, stored, copies):
         """Begin a new set if histories are gone for good."""
         disks = await ask_disks(self._runtime.peers, copies.members)
-        disks[self._runtime.host] = DiskStatus(self._disk_id, self._serving)
-        options = {"accepted": copies.version, "tolerated": self._tolerated}
         host = self._runtime.host
+        disks[host] = DiskStatus(self._disk_id, self._serving, self._standing)
+        if await self._resume(copies, disks):
+            return
+        options = {"accepted": copies.version, "tolerated": self._tolerated}
         if plan_recovery(copies, host, self._disk_id, disks, **options) is None:
             return
         options["accepted"] = await self._set.read_accepted_loss()
@@ -273,6 +301,7 @@
                     "decision": "recovery",
                     "set_version": copies.version,
                     "silent": sorted(set(copies.members) - set(disks)),
+                    "disks": _describe_disks(disks),
                 },
             )
             return
@@ -281,14 +310,44 @@
             extra={
                 "decision": "recovery",
                 "set_version": copies.version,
-                "members": sorted(copies.members),
-                "answered": sorted(disks),
+                "members": copies.members,
+                "disks": _describe_disks(disks),
+                "accepted": options["accepted"],
                 "serving": sorted(set(changed.members) - {host}),
             },
         )
         await self._set.write(stored, changed)
         await self._fence_and_join(changed, {})
 
+    async def _resume(self, copies, disks):
+        """Serve again with others whose logs name no set; return whether it did.
+
+        As none of them serves, none can let another one join. Those that do not serve
+        acknowledge nothing, so that all that counts is among their records.
+        """
+        host = self._runtime.host
+        holders = list_holders(copies, disks)
+        needed = self._count_fences(copies)
+        if copies.members.get(host) != self._disk_id or len(holders) < needed:
+            return False
+        others = [name for name in holders if name != host]
+        needed -= host in holders
+        reached = await self._fetch_all(others, copies, {}, len(others), resuming=True)
+        logger.warning(
+            "resuming a set of which too few members serve",
+            extra={
+                "decision": "resume",
+                "set_version": copies.version,
+                "disks": _describe_disks(disks),
+                "fetched_from": sorted(reached),
+                "needed": needed,
+            },
+        )
+        if len(reached) < needed:
+            return False
+        await self._adopt(copies)
+        return self._serving
+
     @mode.Service.timer(SPARE_SECONDS)
     async def _end_recovery(self):
         """End the time in which records may be lost once an operator accepts it."""
@@ -344,7 +403,7 @@
         )
         return True
 
-    async def _fetch_all(self, hosts, copies, positions, needed):
+    async def _fetch_all(self, hosts, copies, positions, needed, *, resuming=False):
         """Copy the records of as many of several hosts as are needed.
 
         Returns the position reached at each of those that answered first. The others
@@ -352,7 +411,8 @@
         """
         tasks = {
             start_task(
-                self._fetch(host, copies, positions.get(host, 0)), name="records"
+                self._fetch(host, copies, positions.get(host, 0), resuming=resuming),
+                name="records",
             ): host
             for host in hosts
         }
@@ -370,10 +430,12 @@
                 task.cancel()
         return reached
 
-    async def _fetch(self, host, copies, position, written_after=0.0):
+    async def _fetch(
+        self, host, copies, position, written_after=0.0, *, resuming=False
+    ):
         try:
             while True:
-                query = build_query(position, copies, written_after)
+                query = build_query(position, copies, written_after, resuming=resuming)
                 batch = await self._runtime.peers.ask(
                     host, query, timeout=BATCH_TIMEOUT_SECONDS
                 )
@@ -397,7 +459,7 @@
         if copies.version < self._copies.version:
             return
         self._copies = copies
-        self._append(copies)
+        self._append_set()
         await self._log.sync()
         # A newer set may have been adopted during the sync.
         self._serving = self._copies.members.get(self._runtime.host) == self._disk_id
@@ -445,9 +507,9 @@
         return Chain(True, False, last.customer, last.upstream, last.tokens, text)
 
     async def _serve_records(self, message, context):
-        if not self._serving:
+        if not self._serving and not (message.resuming and self._disk_id):
             raise CallError("history_unavailable", "this copy is not a member")
-        if message.set_version > self._copies.version:
+        if self._serving and message.set_version > self._copies.version:
             await self._adopt(
                 CopySet(message.set_version, message.members, message.lost_before)
             )
@@ -456,7 +518,7 @@
     async def _serve_disk(self, message, context):
         if not self._disk_id:
             raise CallError("history_unavailable", "the disk has not been read yet")
-        return DiskStatus(self._disk_id, self._serving)
+        return DiskStatus(self._disk_id, self._serving, self._standing)
 
     async def _serve_batch(self, message, context):
         self._apply_batch(message)
@@ -473,6 +535,9 @@
                 f"the set of copies is at version {self._copies.version}",
             )
 
+    def _append_set(self):
+        self._set_position = self._append(self._copies)
+
     def _append(self, record):
         self._newest_written_at = max(
             self._newest_written_at, getattr(record, "written_at", 0.0)
@@ -483,6 +548,7 @@
         record = self._unpack(payload)
         if isinstance(record, CopySet):
             self._copies = record
+            self._set_position = position
             return
         self._newest_written_at = max(self._newest_written_at, record.written_at)
         self._state.apply(record, position, self._now())
@@ -498,8 +564,8 @@
     def _read_batch(self, after, written_after):
         records = []
         size = 0
-        position = after
-        end = min(self._log.end, after + BATCH_RECORDS)
+        position = max(after, self._log.first)
+        end = min(self._log.end, position + BATCH_RECORDS)
         while position < end and size < BATCH_BYTES:
             payload = self._log.read(position)
             position += 1
@@ -521,3 +587,11 @@
 
     def _unpack(self, payload):
         return self._codec.load(*msgpack.unpackb(payload))
+
+
+def _describe_disks(disks):
+    """Return what hosts have answered about their disks, for the log."""
+    return {
+        host: f"{status.disk} {status.standing or status.serving}"
+        for host, status in sorted(disks.items())
+    }
--- a/sapphireyard/history/transfer.py
+++ b/sapphireyard/history/transfer.py
@@ -57,8 +57,13 @@
         return True
 
 
-def build_query(position, copies, written_after=0.0):
+def build_query(position, copies, written_after=0.0, *, resuming=False):
     """Return a query that announces a set; an empty one changes nothing."""
     return RecordsQuery(
-        position, written_after, copies.version, copies.members, copies.lost_before
+        position,
+        written_after,
+        copies.version,
+        copies.members,
+        copies.lost_before,
+        resuming,
     )
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import msgpack
+
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError, PeerUnavailable, StoreError
 from sapphireyard.fleet import generated_fleet
@@ -27,26 +29,40 @@
 JOIN_SECONDS = 8.0
 """Time after which all hosts that can join have joined."""
 KEEP_SECONDS = 1000.0
+PURGE_SECONDS = 12.0
+"""Time within which copies have deleted what has expired."""
+FILE_RECORDS = 4
+"""Records in a file of a simulated log."""
 BUDGET = 300
 TURN_TOKENS = 100
 
 
 class LoopClock(Clock):
-    """A clock with the time of the virtual loop."""
+    """A clock with the time of the virtual loop, and the time skipped by a world."""
+
+    def __init__(self, world):
+        self._world = world
 
     def monotonic(self):
-        return asyncio.get_running_loop().time()
+        return asyncio.get_running_loop().time() + self._world.skipped
 
     def wall(self):
         return 1e9 + self.monotonic()
 
 
 class Disk:
-    """The durable records of one host."""
+    """The durable records of one host, each with the number of its file."""
 
     def __init__(self, folder):
         self.folder = folder
         self.records = []
+        self.next_file = 0
+
+    def forget_set(self):
+        """Lose the records that name the set, as with builds that deleted them."""
+        self.records = [
+            each for each in self.records if msgpack.unpackb(each[1])[0] != "CopySet"
+        ]
 
     def wipe(self):
         """Lose all records."""
@@ -60,37 +76,64 @@
     def __init__(self, disk):
         self._disk = disk
         self._records = []
+        self._file = 0
+        self._synced_end = 0
+        self.first = 0
         self.killed = False
 
     @property
     def end(self):
-        return len(self._records)
+        return self.first + len(self._records)
+
+    @property
+    def files(self):
+        return len({file for file, _ in self._records})
 
     def open(self):
         self._records = list(self._disk.records)
-        yield from enumerate(self._records)
+        self._synced_end = self.end
+        self._start_file()
+        yield from enumerate(payload for _, payload in self._records)
 
     def append(self, payload):
-        self._records.append(payload)
+        if sum(file == self._file for file, _ in self._records) >= FILE_RECORDS:
+            self._start_file()
+        self._records.append((self._file, payload))
         return self.end - 1
 
     def read(self, position):
-        return self._records[position]
+        index = position - self.first
+        return self._records[index][1] if 0 <= index < len(self._records) else None
 
     async def sync(self):
         wanted = self.end
         await asyncio.sleep(SYNC_SECONDS)
         if self.killed:
             raise LogFailed("killed")
-        if wanted > len(self._disk.records):
-            self._disk.records = self._records[:wanted]
+        if wanted > self._synced_end:
+            self._synced_end = wanted
+            self._disk.records = self._records[: max(0, wanted - self.first)]
+
+    def find_kept(self, position):
+        later = self._records[max(0, position - self.first) :]
+        kept = min([self._file, *(file for file, _ in later)])
+        return self.first + sum(file < kept for file, _ in self._records)
 
     def drop_before(self, position):
-        """Keep all records; positions never change in the simulation."""
+        dropped = self.find_kept(position) - self.first
+        files = {file for file, _ in self._records[:dropped]}
+        self.first += dropped
+        del self._records[:dropped]
+        durable = self._disk.records
+        self._disk.records = [each for each in durable if each[0] not in files]
 
     def close(self):
         """There is nothing to close."""
 
+    def _start_file(self):
+        self._file = self._disk.next_file
+        self._disk.next_file += 1
+
 
 class Network:
     """The running hosts, the disconnected pairs, and since when they are so."""
@@ -185,7 +228,7 @@
     def __init__(self, name, world):
         self.host = name
         self.incarnation = 1
-        self.clock = LoopClock()
+        self.clock = LoopClock(world)
         self.store = world.store
         self.settings = SimpleNamespace(
             data_folder=str(world.disks[name].folder) if name in world.disks else "",
@@ -230,6 +273,7 @@
         self.texts = {}
         self.granted = {}
         self.retired = set()
+        self.skipped = 0.0
         self._numbers = 0
 
     async def start(self):
@@ -256,7 +300,8 @@
 
     async def _gossip_forever(self):
         while True:
-            self.network.record_disconnected(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time() + self.skipped
+            self.network.record_disconnected(now)
             parties = {**self.services, **self.clients}
             for one, sender in parties.items():
                 for other, receiver in parties.items():
@@ -387,13 +432,26 @@
             return
         self.granted.setdefault(program, {})[turn] = TURN_TOKENS
 
+    async def age(self):
+        """Let all records expire, and wait until copies have deleted their files."""
+        self.skipped += KEEP_SECONDS + 1.0
+        self.texts.clear()
+        self.granted.clear()
+        await asyncio.sleep(PURGE_SECONDS)
+
     async def heal(self):
-        """End all faults; every acknowledged turn must be readable."""
+        """End all faults; every acknowledged turn must be readable.
+
+        No more disks were lost than allowed, so that no loss may have been declared.
+        """
         self.network.cuts.clear()
         self.network.lossy.clear()
         for name in list(self.disks):
             await self.run(name)
         await self.wait_for_joins()
+        lost = {name for name, c in self.clients.items() if c.copies.lost_before}
+        if lost:
+            raise AssertionError(f"histories count as lost at {sorted(lost)}")
         for entry in ENTRIES:
             for name in self.texts:
                 await self._check(entry, name, must_answer=True)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -154,9 +154,11 @@
                 self.assertEqual(not reason, may_leave, reason)
 
     def test_recovery_begins_only_when_a_loss_is_certain(self):
-        """Each case has the state of each member: serving, joining, lost or away.
+        """Each case has the state of each member.
 
-        Two disks may be lost; the expected members are those of the new set.
+        A member is serving, joining, lost, away, has forgotten the set or does not
+        tell, as hosts of older builds. Two disks may be lost; the expected members are
+        those of the new set.
         """
         cases = [
             ("a lost b lost c lost", 0, "x"),
@@ -174,6 +176,16 @@
             ("a joining", 0, None),
             ("a lost", 0, "x"),
             ("", 0, None),
+            ("a forgotten b forgotten c forgotten", 0, None),
+            ("a forgotten b forgotten c forgotten d forgotten", 0, None),
+            ("a lost b lost c forgotten", 0, None),
+            ("a lost b lost c forgotten d forgotten e forgotten f forgotten", 0, None),
+            ("a lost b lost c joining d forgotten e forgotten f serving", 0, None),
+            ("a lost b lost c lost d forgotten e joining f joining", 0, None),
+            ("a lost b lost c lost d lost e forgotten f forgotten", 0, "x"),
+            ("a lost b lost c lost d lost e forgotten f serving", 0, "fx"),
+            ("a lost b lost c lost d untold", 0, None),
+            ("a lost b lost c lost d untold", 7, "x"),
         ]
         for states, accepted, expected in cases:
             with self.subTest((states, accepted)):
@@ -182,7 +194,9 @@
                 copies = CopySet(7, dict.fromkeys(pairs, "old"))
                 disks = {
                     name: DiskStatus(
-                        "new" if state == "lost" else "old", state == "serving"
+                        "new" if state == "lost" else "old",
+                        state == "serving",
+                        "" if state == "untold" else state,
                     )
                     for name, state in pairs.items()
                     if state != "away"
--- a/tests/test_history_losses.py
+++ b/tests/test_history_losses.py
@@ -149,6 +149,9 @@
     st.tuples(
         st.just("add"),
     ),
+    st.tuples(
+        st.just("age"),
+    ),
     st.tuples(st.just("store"), st.booleans()),
     st.tuples(st.just("sleep"), st.sampled_from((0.02, 0.3, 1.2, 3.0, 6.0))),
 )
@@ -167,6 +170,9 @@
                 await asyncio.sleep(0.01)
             elif name == "sleep":
                 await asyncio.sleep(*arguments)
+            elif name == "age":
+                await asyncio.gather(*running)
+                await world.age()
             elif name == "store":
                 world.store.unavailable = not arguments[0]
             elif name == "retire":
@@ -234,6 +240,18 @@
     ("sleep", 3.0),
 ]
 
+POWER_CUT_AFTER_THE_RETENTION = [
+    *[("commit", "x", 0)] * 5,
+    ("sleep", 0.2),
+    ("age",),
+    ("commit", "x", 0),
+    ("sleep", 0.2),
+    ("power_cut", [0]),
+    ("sleep", 6.0),
+    ("commit", "y", 1),
+]
+"""All lose power, one its disk, after the files that named the set were deleted."""
+
 A_MEMBER_IS_GONE = [("replace", 0), ("sleep", 3.0)]
 """The host that comes must not wait for the one that is gone."""
 
@@ -250,6 +268,8 @@
     @example((1, 5), RETIREMENTS_IN_SERIES)
     @example((2, 3), HOST_ADDED_BESIDE_LOST_DISKS)
     @example((2, 3), A_MEMBER_IS_GONE)
+    @example((1, 4), POWER_CUT_AFTER_THE_RETENTION)
+    @example((2, 6), POWER_CUT_AFTER_THE_RETENTION)
     @given(st.sampled_from(FLEETS), st.lists(steps, min_size=5, max_size=25))
     def test_allowed_losses_in_any_order_lose_nothing_and_end(self, fleet, script):
         self.run_virtually(lambda folder: play(*fleet, script, folder))
@@ -290,6 +310,44 @@
                 took = self.run_virtually(lambda folder: lose_one(folder, *case))
                 self.assertLess(took, seconds)
 
+    def test_hosts_that_forgot_the_set_resume_without_a_loss(self):
+        """Their logs are those of builds that deleted the set with old turns.
+
+        Each case has the losses to bear, hosts, and the hosts whose disks are lost.
+        """
+        cases = [
+            (1, 4, ""),
+            (1, 4, "a"),
+            (2, 3, ""),
+            (2, 3, "ab"),
+            (2, 6, "bc"),
+            (1, 1, ""),
+        ]
+
+        async def forget(folder, tolerated, hosts, lost):
+            world = LossWorld(folder, tolerated, hosts)
+            try:
+                await world.start()
+                for number in range(5):
+                    await world.commit("x", number)
+                await world.kill_all()
+                for name, disk in world.disks.items():
+                    disk.forget_set()
+                    if name in lost:
+                        disk.wipe()
+                await world.heal()
+                self.assertTrue(world.healthy)
+                if hosts > 1:
+                    await world.serve_new()
+                await world.kill_all()
+                await world.heal()
+            finally:
+                await world.stop()
+
+        for case in cases:
+            with self.subTest(case):
+                self.run_virtually(lambda folder: forget(folder, *case))
+
     def test_histories_that_are_gone_for_good_are_not_reset_silently(self):
         """All disks are lost; what may be lost is refused until it is accepted."""
 
--- a/tests/test_history_machine.py
+++ b/tests/test_history_machine.py
@@ -42,6 +42,9 @@
     st.tuples(
         st.just("kill_all"),
     ),
+    st.tuples(
+        st.just("age"),
+    ),
     st.tuples(
         st.just("heal"),
     ),
@@ -59,6 +62,9 @@
                 action = getattr(world, name)(*arguments)
                 running.append(asyncio.ensure_future(action))
                 await asyncio.sleep(LATENCY_SECONDS)
+            elif name == "age":
+                await asyncio.gather(*running)
+                await world.age()
             elif name == "lossy":
                 world.network.lossy.add(*arguments)
             elif name == "restore_network":
@@ -118,6 +124,19 @@
 ]
 """No further disk is lost until the hosts are back."""
 
+ALL_KILLED_AFTER_THE_RETENTION = [
+    *[("commit", "x", 0)] * 5,
+    ("sleep", 0.2),
+    ("age",),
+    ("commit", "x", 0),
+    ("spend", 0),
+    ("sleep", 0.2),
+    ("kill_all",),
+    ("heal",),
+    ("commit", "y", 1),
+]
+"""The files in which copies first wrote the set are deleted before all are killed."""
+
 
 class HistoryMachineTest(unittest.TestCase):
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
@@ -125,6 +144,7 @@
     @example(POWER_LOST_WITH_THE_DISKS)
     @example(POWER_LOST_AFTER_A_RETIREMENT)
     @example(POWER_LOST_BEFORE_REPLACEMENTS)
+    @example(ALL_KILLED_AFTER_THE_RETENTION)
     @given(st.lists(steps, min_size=10, max_size=40))
     def test_nothing_acknowledged_is_lost_or_denied(self, script):
         loop = VirtualLoop()
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -161,7 +161,7 @@
                 await self.client.commit(turn)
                 for name, copy in self.copies.items():
                     self.hosts[name].clock.jump = copies
-                    copy.purge_expired()
+                    await copy.purge_expired()
                 chain = await self.client.read_chain(f"turn-{number}")
                 self.assertEqual(chain.text, 2 * f"<turn-{number}>".encode())
 
@@ -170,7 +170,7 @@
         await self.client.commit(build_turn("long", keep_seconds=175.0))
         for name, copy in self.copies.items():
             self.hosts[name].clock.advance = 100.0
-            copy.purge_expired()
+            await copy.purge_expired()
         self.assertTrue((await self.client.read_chain("long")).text)
         with self.assertRaises(CallError) as caught:
             await self.client.read_chain("short")
@@ -316,6 +316,35 @@
             while self.copies["a"]._state.find_turn("one") is None:
                 await asyncio.sleep(0.02)
 
+    async def test_set_outlives_the_turns_beside_which_it_was_written(self):
+        """All copies are killed at once when their first files are deleted."""
+        for name in sorted(self.copies):
+            await self.restart_copy(name)
+        await self.client.commit(build_turn("old", keep_seconds=75.0))
+        for name in sorted(self.copies):
+            await self.restart_copy(name)
+        await self.client.commit(build_turn("new"))
+        async with asyncio.timeout(WAIT_SECONDS):
+            for name, copy in self.copies.items():
+                while not copy._log.first:  # a repair may fetch the old turn again
+                    self.hosts[name].clock.advance += 100.0
+                    await copy.purge_expired()
+                    await asyncio.sleep(0.02)
+        names = sorted(self.copies)
+        for name in names:
+            await self.stop_copy(name)
+        for name in names:
+            await self.start_copy(name, bootstrap=False)
+            self.assertTrue(self.copies[name].serving, name)
+        self.client._cache.clear()
+        self.assertTrue((await self.client.read_chain("new")).text)
+
+    async def restart_copy(self, name):
+        """Restart a copy, which begins a new file."""
+        await self.stop_copy(name)
+        await self.start_copy(name, bootstrap=False)
+        await self.wait_until_serving(name)
+
     async def test_copy_without_its_disk_answers_nothing_before_it_joined(self):
         await self.client.commit(build_turn("one"))
         await self.stop_copy("a")
