Let a message that is too long fail its own request only

Cause: a host wrote frames of any length, and the receiver ended the connection, which all requests between the two hosts share, for one that was too long (FrameReader). The same happened for an answer or a message without an answer that could not be decoded, for example of a newer build, though its frame was sound.

Change: encode_frame refuses a message that does not fit before anything of it is written: a request fails at its sender, an answer with an error to its request, and a message without an answer is dropped with a log line. An answer that cannot be decoded fails its request, which is cancelled at the other end; a message without an answer is dropped. A frame that violates the protocol still ends the connection.

On the code before, the new tests of test_peers fail: "'peer_unavailable' != 'message_too_large'", and the request beside it ends with PeerUnavailable.

--- a/sapphireyard/streams/connections.py
+++ b/sapphireyard/streams/connections.py
@@ -11,7 +11,13 @@
 import logging
 
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
-from sapphireyard.streams.frames import FrameError, FrameKind, FrameReader, encode_frame
+from sapphireyard.streams.frames import (
+    FrameError,
+    FrameKind,
+    FrameReader,
+    MessageTooLarge,
+    encode_frame,
+)
 from sapphireyard.streams.generated_messages import Failure
 from sapphireyard.tasks import start_task
 
@@ -126,9 +132,9 @@
         request_id = next(self._ids)
         self._used_at = asyncio.get_running_loop().time()
         answers = _Answers(lambda: self._send(FrameKind.CREDIT, request_id, 1))
-        self._outgoing[request_id] = answers
         name, fields = self._peers.codec.dump(message)
         self._send(FrameKind.REQUEST, request_id, name, fields, timeout)
+        self._outgoing[request_id] = answers
         try:
             yield answers
         finally:
@@ -153,8 +159,7 @@
         elif kind == FrameKind.REQUEST:
             self._receive_request(request_id, *rest[:3])
         elif kind == FrameKind.TELL:
-            message = self._peers.codec.load(*rest[:2])
-            self._peers.receive_tell(self, message)
+            self._receive_tell(*rest[:2])
         elif kind in (FrameKind.CANCEL, FrameKind.CREDIT):
             self._receive_control(kind, request_id)
         elif kind in (FrameKind.ITEM, FrameKind.END, FrameKind.FAIL):
@@ -185,6 +190,14 @@
         self._incoming[request_id] = task
         task.add_done_callback(lambda _: self._incoming.pop(request_id, None))
 
+    def _receive_tell(self, name, fields):
+        try:
+            message = self._peers.codec.load(name, fields)
+        except FrameError as error:
+            logger.warning("message of %s dropped: %s", self.host, error)
+            return
+        self._peers.receive_tell(self, message)
+
     def _receive_control(self, kind, request_id):
         task = self._incoming.get(request_id)
         if task is None:
@@ -198,12 +211,20 @@
         answers = self._outgoing.get(request_id)
         if answers is None:
             return
-        if kind == FrameKind.ITEM:
-            answers.add(self._peers.codec.load(*rest[:2]))
-        elif kind == FrameKind.END:
+        if kind == FrameKind.END:
             answers.end()
+            return
+        try:
+            message = self._peers.codec.load(*rest[:2])
+        except FrameError as error:  # its frame is sound: other requests go on
+            logger.warning("answer of %s: %s", self.host, error)
+            answers.fail(error)
+            self._send(FrameKind.CANCEL, request_id)
+            return
+        if kind == FrameKind.ITEM:
+            answers.add(message)
         else:
-            failure = self._peers.codec.load(*rest[:2])
+            failure = message
             answers.fail(
                 CallError(
                     failure.code,
@@ -279,6 +300,9 @@
             self._fail(error.code, error.detail, error.executed, error.retry_after)
         except TimeoutError:
             self._fail("deadline_exceeded", "no answer before the deadline")
+        except MessageTooLarge as error:
+            logger.error("answer to %s: %s", name, error)
+            self._fail("internal_error", str(error))
         except PeerError as error:
             self._fail("internal_error", str(error))
         except Exception:
--- a/sapphireyard/streams/frames.py
+++ b/sapphireyard/streams/frames.py
@@ -41,6 +41,13 @@
     code = "frame_error"
 
 
+class MessageTooLarge(PeerError):
+    """A message that does not fit into a frame; nothing of it was sent."""
+
+    code = "message_too_large"
+    sent = False
+
+
 class MessageCodec:
     """Converts instances of generated message classes to plain maps and back.
 
@@ -110,8 +117,18 @@
 
 
 def encode_frame(*parts):
-    """Return the bytes of one frame."""
+    """Return the bytes of one frame.
+
+    Raises
+    ------
+    MessageTooLarge
+        The receiver would end the connection, and with it all other requests.
+    """
     payload = msgpack.packb(parts)
+    if len(payload) > MAX_FRAME_BYTES:
+        raise MessageTooLarge(
+            f"a message of {len(payload)} bytes is longer than {MAX_FRAME_BYTES} bytes"
+        )
     return HEADER.pack(len(payload)) + payload
 
 
--- a/sapphireyard/streams/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -15,7 +15,7 @@
 from sapphireyard.exceptions import PeerError, PeerUnavailable
 from sapphireyard.streams import generated_messages
 from sapphireyard.streams.connections import Connection
-from sapphireyard.streams.frames import MessageCodec
+from sapphireyard.streams.frames import MessageCodec, MessageTooLarge
 from sapphireyard.streams.generated_messages import Hello
 from sapphireyard.tasks import start_task
 
@@ -242,7 +242,10 @@
         except PeerUnavailable as error:
             logger.debug("message to %s dropped: %s", host, error)
             return
-        connection.tell(message)
+        try:
+            connection.tell(message)
+        except MessageTooLarge as error:
+            logger.error("%s to %s: %s", type(message).__name__, host, error)
 
     async def _connect(self, host):
         connection = self._connections.get(host)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import gc
+import sys
 import unittest
+from dataclasses import dataclass
 from types import SimpleNamespace
 from unittest import mock
 
-from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
 from sapphireyard.streams import peers as peers_module
+from sapphireyard.streams.frames import MAX_FRAME_BYTES, MessageTooLarge
 from sapphireyard.streams.generated_messages import (
     AnswerChunk,
     Done,
@@ -22,6 +25,11 @@
 WAIT_SECONDS = 10.0
 
 
+@dataclass
+class Unknown:
+    """A message that only one of two hosts knows."""
+
+
 def build_peers(host, **options):
     settings = SimpleNamespace(peer_address="127.0.0.1:0")
     runtime = SimpleNamespace(
@@ -55,6 +63,10 @@
             raise PeerUnavailable("a third host does not answer")
         if message.program == "slow":
             await asyncio.sleep(0.05)
+        if message.program == "large":
+            return ProgramView(body="x" * MAX_FRAME_BYTES)
+        if message.program == "unknown":
+            return Unknown()
         return ProgramView(body=f"{context.host}:{message.program}")
 
     async def count(self, message, context):
@@ -95,6 +107,36 @@
                     await self.ask(program)
                 self.assertEqual(caught.exception.status, status)
 
+    async def test_message_that_fails_leaves_other_requests_alone(self):
+        """Cases are the request, and its error."""
+        unknown = InspectProgram("c", "unknown")
+        large = InspectProgram("c", "x" * MAX_FRAME_BYTES)
+        cases = [
+            (InspectProgram("c", "large"), CallError, "internal_error"),
+            (unknown, PeerError, "frame_error"),
+            (large, MessageTooLarge, "message_too_large"),
+        ]
+        self.b.codec.register_module(sys.modules[__name__])
+        for message, error, code in cases:
+            with self.subTest(code):
+                other = asyncio.ensure_future(self.ask("slow"))
+                await asyncio.sleep(0.01)
+                with self.assertRaises(error) as caught:
+                    await self.a.ask("b", message, timeout=WAIT_SECONDS)
+                self.assertEqual(caught.exception.code, code)
+                self.assertEqual((await other).body, "a:slow")
+
+    async def test_message_without_an_answer_that_fails_leaves_requests_alone(self):
+        """Cases are messages that are too long, and of a kind that is unknown."""
+        self.a.codec.register_module(sys.modules[__name__])
+        await self.ask("x")
+        for message in (InspectProgram("c", "x" * MAX_FRAME_BYTES), Unknown()):
+            with self.subTest(type(message).__name__):
+                other = asyncio.ensure_future(self.ask("slow"))
+                await asyncio.sleep(0.01)
+                self.a.tell("b", message)
+                self.assertEqual((await other).body, "a:slow")
+
     async def test_unread_stream_pauses_at_its_window_and_is_cancelled(self):
         stream = self.a.stream("b", LinkProgram("p", "r"), timeout=WAIT_SECONDS)
         async with contextlib.aclosing(stream) as answers:
