A soak of the platform's deployment as real processes

The soak covered the own interface only. This one runs the programs of the deploy file, callers that keep their connections, upstreams that come and go, and the store, on loopback; faults of hosts, store and upstreams come in series and overlap.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup generate check test demo soak
+.PHONY: setup generate check test demo soak site-soak
 
 setup: $(VENV)/.ready
 
@@ -32,3 +32,6 @@
 
 soak: setup
 	$(BIN)/python -m scripts.soak --seed $(SEED) --seconds $(SECONDS)
+
+site-soak: setup
+	$(BIN)/python -m scripts.site_soak --seed $(SEED) --seconds $(SECONDS)
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -1,16 +1,12 @@
 """The faults of the soak, in an order that follows from a seed."""
 
 import asyncio
-import random
 import signal
 import time
-from collections import Counter
 
 from sapphireyard.configuration.keys import create_key
 from sapphireyard.exceptions import StoreError
-
-PAUSE_SECONDS = (0.3, 2.0)
-"""Shortest and longest pause between two faults."""
+from scripts.fault_series import FaultSeries
 
 FREEZE_SECONDS = (0.3, 5.0)
 OUTAGE_SECONDS = (0.5, 6.0)
@@ -24,7 +20,7 @@
 """Entry hosts that are left without a fault at any time."""
 
 
-class FaultInjector:
+class FaultInjector(FaultSeries):
     """Injects one fault after the other; several may overlap.
 
     Parameters
@@ -40,11 +36,8 @@
     """
 
     def __init__(self, site, checker, *, seed, only=""):
+        super().__init__(checker, seed=seed)
         self._site = site
-        self._checker = checker
-        self._random = random.Random(f"faults {seed}")
-        self._counts = Counter()
-        self._tasks = set()
         self._tables_lock = asyncio.Lock()
         self._faulty = set()
         kinds = {
@@ -64,29 +57,6 @@
         names = only.split(",") if only else list(kinds)
         self._kinds = {name: kinds[name] for name in names}
 
-    def describe(self):
-        """Return the counts in one line."""
-        return ", ".join(f"{name} {n}" for name, n in sorted(self._counts.items()))
-
-    async def inject(self):
-        """Start one fault, then pause."""
-        name = self._random.choice(list(self._kinds))
-        self._counts[name] += 1
-        task = asyncio.ensure_future(self._kinds[name]())
-        self._tasks.add(task)
-        task.add_done_callback(self._finish_task)
-        await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
-
-    def _finish_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._checker.record_violation("finished", f"fault: {task.exception()!r}")
-
-    async def finish(self):
-        """Wait until the faults under way have ended and undone their changes."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
-
     def _choose_entry(self):
         """Return an entry host without a fault, or "" if too few are left."""
         names = [n for n in self._site.live_entries() if n not in self._faulty]
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -125,15 +125,15 @@
 
     Attributes
     ----------
-    outage : {'none', 'refuse', 'hang', 'drop'}
-        Effect on each call: status 503, no response, or an aborted connection.
+    outage : {'none', 'refuse', 'limit', 'hang', 'drop'}
+        Effect on each call: status 503 or 429, no response, or an aborted connection.
     delay_seconds : float
         Delay before each call.
     lose_answers : int
         Number of upcoming writes that take effect but whose response is lost.
     """
 
-    outage: Literal["none", "refuse", "hang", "drop"] = "none"
+    outage: Literal["none", "refuse", "limit", "hang", "drop"] = "none"
     delay_seconds: float = 0.0
     lose_answers: int = 0
 
@@ -153,6 +153,8 @@
         """Apply the outage to a call; return None if there is none."""
         if self.outage == "refuse":
             return web.Response(status=503)
+        if self.outage == "limit":
+            return web.Response(status=429)
         if self.outage == "drop":
             return drop_connection(request)
         if self.outage == "hang":
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
+import weakref
 
 from aiohttp import web
 
-from standins._serving import StandIn, StoreFaults, drop_connection
+from standins._serving import StandIn, StoreFaults, drop_connection, hang
 
 PAGE_ITEMS = 500
 """Maximum number of objects per page."""
@@ -24,7 +25,15 @@
 
 
 class SiteStore(StandIn):
-    """The in-memory store; `calls` is the number of calls so far."""
+    """The in-memory store.
+
+    Attributes
+    ----------
+    calls : int
+        Number of calls so far.
+    page_items : int
+        Maximum number of objects per page.
+    """
 
     faults_class = SiteStoreFaults
 
@@ -34,7 +43,10 @@
         self._revisions = itertools.count(2)
         self._revision = 1
         self._changed = asyncio.Event()
+        self._connections = weakref.WeakSet()
+        self._silent = weakref.WeakSet()
         self.calls = 0
+        self.page_items = PAGE_ITEMS
         super().__init__()
 
     def add_routes(self, router):
@@ -50,9 +62,20 @@
 
     async def apply_faults(self, request):
         self.calls += 1
+        if request.transport is not None:
+            self._connections.add(request.transport)
         await self.faults.delay()
+        await self._hang_if_silent(request)
         return await self.faults.apply_outage(request)
 
+    def silence_connections(self):
+        """Answer nothing more on the connections that are open now."""
+        self._silent |= self._connections
+
+    async def _hang_if_silent(self, request):
+        if request.transport in self._silent:
+            await hang()
+
     def put(self, kind, name, spec):
         """Write an object, as an operator or an upstream does."""
         return self._write(kind, name, spec=spec)
@@ -102,11 +125,11 @@
             return await self._watch(request, kind)
         after = request.query.get("after", "")
         names = sorted(n for k, n in self._objects if k == kind and n > after)
-        items = [self._objects[kind, name] for name in names[:PAGE_ITEMS]]
+        items = [self._objects[kind, name] for name in names[: self.page_items]]
         return web.json_response(
             {
                 "items": items,
-                "more-pages": len(names) > PAGE_ITEMS,
+                "more-pages": len(names) > self.page_items,
                 "current-rev": self._revision,
             }
         )
@@ -124,6 +147,7 @@
                 if each == kind and revision > after
             ]
             remaining = deadline - loop.time()
+            await self._hang_if_silent(request)
             if events or remaining <= 0:
                 return web.json_response(
                     {"events": events, "current-rev": self._revision}
--- a/standins/site_upstream.py
+++ b/standins/site_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 from dataclasses import dataclass, field
 
 COMPLETE = "whole"
@@ -46,7 +47,15 @@
 
 @dataclass
 class ReceivedRequest:
-    """A request as received by the upstream."""
+    """A request as received by the upstream.
+
+    Attributes
+    ----------
+    at, finished_at : float
+        Monotonic seconds at which it arrived and at which its answer had been sent.
+    answer : str
+        Kind of its answer if it was executed.
+    """
 
     method: str
     target: str
@@ -54,6 +63,9 @@
     body: bytes
     reader: asyncio.StreamReader = field(repr=False, default=None)
     cancelled: bool = False
+    at: float = field(default_factory=time.monotonic)
+    answer: str = ""
+    finished_at: float = None
 
 
 @dataclass
@@ -72,6 +84,8 @@
         Delay before the first byte.
     gap_seconds : float, optional
         Delay before each event.
+    headers : list of str, optional
+        Further lines of the head of each answer.
 
     Attributes
     ----------
@@ -86,6 +100,7 @@
     answers: list = field(default_factory=lambda: [COMPLETE])
     delay_seconds: float = 0.0
     gap_seconds: float = 0.0
+    headers: list = field(default_factory=list)
     received: list = field(default_factory=list)
     executed: list = field(default_factory=list)
     connections: int = 0
@@ -140,9 +155,12 @@
             head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             writer.write(head.encode())
             return True
+        request.answer = answer
         self.executed.append(request)
         await asyncio.sleep(self.delay_seconds)
-        return await self._answer(answer, request, writer)
+        goes_on = await self._answer(answer, request, writer)
+        request.finished_at = time.monotonic()
+        return goes_on
 
     async def _answer(self, answer, request, writer):
         if answer in (RESET, CRASH):
@@ -245,6 +263,7 @@
             lines.append("Content-Type: text/event-stream")
         elif length is not None:
             lines.append(f"Content-Length: {length}")
+        lines += self.headers
         writer.write("\r\n".join([*lines, "", ""]).encode())
 
     @staticmethod
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -150,6 +150,11 @@
         """int: Port of the entry hosts' interface for callers."""
         return self._port + 1
 
+    @property
+    def directory_port(self):
+        """int: Port of the entry hosts' directory."""
+        return self._port + 3
+
     @property
     def folder(self):
         """Path: Folder of the processes' settings and logs."""
@@ -176,10 +181,12 @@
         script=SERVE,
         environ=(),
         settings=(),
+        unread=False,
     ):
         """Start a process, or restart one that was killed.
 
-        `settings` are further lines of its settings file.
+        `settings` are further lines of its settings file. If `unread`, nobody reads
+        what it prints.
         """
         folder = Path(self._folder.name) / name
         folder.mkdir(exist_ok=True)
@@ -210,7 +217,7 @@
                 [sys.executable, str(script), role],
                 cwd=ROOT,
                 env=environ,
-                stdout=output,
+                stdout=subprocess.PIPE if unread else output,
                 stderr=subprocess.STDOUT,
             )
 
@@ -223,6 +230,8 @@
         process = self._processes.pop(name)
         process.kill()
         process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
 
     def signal(self, name, signal_number):
         """Send a signal to a process."""
