A slot that is lost between its grant and its use is not used

Callers got status 500 if the upstream of the slot that they had been granted was removed before their request went on, and requests were sent to upstreams that had just been listed as leaving, said so, or could not be reached any more.

Cause: a grant sets the result of a future; the request that waits for it goes on in a later step of the event loop, and lease() looked up the upstream only then, without a check. Whatever arrived in between was ignored: the list of upstreams, an answer with a notice, a lost link. Slots granted by the home of a queue were checked already. This was a known limit, found by reading the code.

Now lease() checks a granted slot where it is about to be used, gives it back and waits for another one.

The test fails without the change in all four cases: KeyError 'engine-1' (removed), and True is not false (the slot of a leaving or unreachable upstream is used).

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -214,20 +214,36 @@
             ``overloaded``: no slot in time. Nothing was sent.
         """
         pool = self._find_usable(request)
-        # The scheduler serves this host only: ids are unique here, one holder will do.
-        request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
-        async with self._hold_slot(pool, request, upstream_hint) as grant:
-            fields = record_placement(grant, self._runtime.metrics)
-            if placed is not None:
-                placed.update(fields)
-            name = grant.upstream
-            tokens = request.total_tokens if self._engines.get(request.pool) else 0
-            self._loads.acquire(name, tokens)
-            self._outliers.note_sent(name, self._now())
-            try:
-                yield pool.upstreams[name]
-            finally:
-                self._loads.release(name, tokens)
+        while True:
+            # The scheduler serves this host only: ids are unique here, one holder will
+            # do.
+            request_id = f"{next(self._numbers)}"
+            request = replace(request, request_id=request_id, holder="here")
+            async with self._hold_slot(pool, request, upstream_hint) as grant:
+                if self._is_usable(pool, grant.upstream):
+                    fields = record_placement(grant, self._runtime.metrics)
+                    if placed is not None:
+                        placed.update(fields)
+                    async with self._count(pool, request, grant) as upstream:
+                        yield upstream
+                    return
+            logger.info(
+                "slot of an upstream that has left meanwhile",
+                extra={"decision": "upstream", "upstream": grant.upstream},
+            )
+            pool = self._find_usable(request)
+
+    @asynccontextmanager
+    async def _count(self, pool, request, grant):
+        """Count a request in flight while the context lasts; yield its upstream."""
+        name = grant.upstream
+        tokens = request.total_tokens if self._engines.get(request.pool) else 0
+        self._loads.acquire(name, tokens)
+        self._outliers.note_sent(name, self._now())
+        try:
+            yield pool.upstreams[name]
+        finally:
+            self._loads.release(name, tokens)
 
     @asynccontextmanager
     async def grant(self, request, *, upstream_hint=""):
@@ -301,9 +317,16 @@
         It may have learned meanwhile that the upstream leaves, fails, is evacuated or
         has stated a rate.
         """
-        if name not in pool.upstreams or name in pool.grants.limited:
-            return False
-        return pool.scheduler.is_up(name)
+        return name not in pool.grants.limited and UpstreamPools._is_usable(pool, name)
+
+    @staticmethod
+    def _is_usable(pool, name):
+        """Return whether an upstream may still be used, some time after its grant.
+
+        Between a grant and the next step of the request that waited for it, a new list
+        or an answer may tell that the upstream is gone, leaves or fails.
+        """
+        return name in pool.upstreams and pool.scheduler.is_up(name)
 
     def _finish(self, pool, request):
         tokens = request.output_tokens
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from types import SimpleNamespace
 
 from sapphireyard.exceptions import CallError
@@ -216,6 +217,48 @@
             async with await self.lease():
                 pass
 
+    async def test_slot_that_is_lost_before_its_request_goes_on_is_not_used(self):
+        """Cases are what happens to engine-1 right after it was granted.
+
+        The request waits for another slot, and gets that of engine-2.
+        """
+        others = [Upstream(f"engine-{n}", "engine", "-", slots=8) for n in (2, 3)]
+        gone = self.runtime.pools.find("engine-1")
+        pools = self.runtime.pools
+        cases = [
+            ("removed", lambda: pools.set_upstreams(others)),
+            (
+                "listed as leaving",
+                lambda: pools.set_upstreams([replace(gone, leaving=True), *others]),
+            ),
+            ("said that it leaves", lambda: pools.note_leaving(gone)),
+            ("out of reach", lambda: self.cut_off("engine-1")),
+        ]
+        for name, happen in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                pools = self.runtime.pools
+                held = {"engine-1": [], "engine-2": [], "engine-3": []}
+                for _ in range(3 * SLOTS):
+                    lease = await self.lease()
+                    held[(await lease.__aenter__()).name].append(lease)
+                deadline = self.runtime.clock.monotonic() + 5.0
+                lease = await self.lease(deadline=deadline)
+                waiting = asyncio.ensure_future(lease.__aenter__())
+                await asyncio.sleep(0.05)
+                await held["engine-1"].pop().__aexit__(None, None, None)
+                happen()
+                await asyncio.sleep(0.05)
+                self.assertFalse(waiting.done())
+                await held["engine-2"].pop().__aexit__(None, None, None)
+                async with asyncio.timeout(1.0):
+                    self.assertEqual((await waiting).name, "engine-2")
+
+    def cut_off(self, name):
+        now = self.runtime.clock.monotonic()
+        self.runtime.pools.links.note_failed(name, now, now)
+        self.runtime.pools._apply_states("engine", now)
+
     async def test_upstream_that_said_that_it_leaves_gets_nothing_more(self):
         """Only a restart, which changes its start time, makes it usable again.
 
