Refuse a slot's heartbeat at a home that has no configuration yet

Cause: a host that starts serves its peers before it has read a first configuration, and the home of a group looked the pool up in it.

Change: such a host is not the home of any group. Failed before: AttributeError 'NoneType' object has no attribute 'pools'.

--- a/sapphireyard/scheduling/home_registry.py
+++ b/sapphireyard/scheduling/home_registry.py
@@ -146,7 +146,8 @@
         self._apply_configuration()
         key = f"{pool_name}/{number}"
         owner = self._finder.find(key)
-        pool = self._runtime.configuration.current.pools.get(pool_name)
+        current = self._runtime.configuration.current
+        pool = current.pools.get(pool_name) if current is not None else None
         groups = self.split(pool) if pool else ()
         if owner != self._runtime.host or number >= len(groups):
             raise NotHome(owner)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 from sapphireyard.configuration.generated_tables import PoolRow
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import CallError, NotHome
 from sapphireyard.ownership.assignment import Member
 from sapphireyard.scheduling.capacity import UpstreamState
 from sapphireyard.scheduling.generated_slots import SlotHeartbeat
@@ -151,6 +151,14 @@
         self.addCleanup(holding.task.cancel)
         return holding
 
+    async def test_home_without_a_configuration_is_asked(self):
+        """The message to a host that had just started failed with AttributeError."""
+        hosts = Hosts(make_pool())
+        hosts.runtimes[hosts.home].configuration.current = None
+        peers = hosts.runtimes[hosts.others[0]].peers
+        with self.assertRaises(NotHome):
+            await peers.ask(hosts.home, SlotHeartbeat("models", 0), timeout=1)
+
     async def test_grants_up_to_the_batch_then_queues(self):
         hosts = await self.start(batch_size=2)
         with self.assertLogs("sapphireyard.scheduling.slot_homes", "INFO") as logs:
