Hand a partition over once, with the state that its entry names

Cause: a planned stop hands over all partitions while a move for balance, which began before, may still wait for running calls of the same partitions. When that wait ends, the stop has handed the partition over and its programs are gone from memory. The conditional write can't catch this, as the expectation was read too late.

Partitions that were given up meanwhile are left out, with a log line.

Failed before: tests.test_ownership's test_planned_stop_during_a_move_keeps_programs ('unexpectedly None' for a program that was acknowledged). Now tests.test_ownership, test_ownership_machine, test_takeover, test_ownership_service: all passed.

--- a/sapphireyard/ownership/moves.py
+++ b/sapphireyard/ownership/moves.py
@@ -50,6 +50,7 @@
         self.runtime = runtime
         self._assignments = assignments
         self._moving = set()
+        self._claimed = set()
 
     @property
     def moving(self):
@@ -104,6 +105,17 @@
         target : str
             The new owner; this host itself to replace only the sources.
         """
+        claimed = [p for p in partitions if p not in self._claimed]
+        self._claimed.update(claimed)
+        try:
+            return await self._move_claimed(claimed, target, quiesce_seconds)
+        finally:
+            self._claimed.difference_update(claimed)
+
+    async def _move_claimed(self, partitions, target, quiesce_seconds):
+        """Hand over partitions that no other move is handing over."""
+        if not partitions:
+            return 0
         offer = await self._offer(partitions, target)
         if not offer.accepted:
             return 0
@@ -111,13 +123,14 @@
         if not quiesced:
             return 0
         self._moving.update(quiesced)
-        moved = len(quiesced)
+        moved = 0
         try:
-            snapshots = await self._write_snapshots(quiesced)
-            await self._write_move(quiesced, target, snapshots, offer)
+            snapshots, expected = await self._write_snapshots(quiesced)
+            if expected:
+                await self._write_move(expected, target, snapshots, offer)
+                moved = len(expected)
         except (StoreUnavailable, JournalSealed) as error:
             logger.warning("move to %s abandoned: %s", target, error)
-            moved = 0
         self._moving.difference_update(quiesced)
         for partition in quiesced:
             await self.runtime.programs.resume(partition)
@@ -151,39 +164,56 @@
         return True
 
     async def _write_snapshots(self, partitions):
-        """Commit snapshots of partitions; return their ranges by partition.
+        """Commit snapshots of the partitions that this host still serves.
 
         Waits for earlier commits first, since their records are lost to the
-        new owner unless the snapshots include them.
+        new owner unless the snapshots include them. Partitions that were given up
+        meanwhile are left out: their programs are gone from this host's memory.
+
+        Returns
+        -------
+        snapshots : dict
+            `JournalRange` of each snapshot by partition; partitions without programs
+            are absent.
+        expected : dict
+            The `PartitionEntry` that each snapshot replaces, by partition.
         """
         await self.runtime.journal.barrier()
-        entries = self.runtime.ownership.assignment.entries
+        ownership = self.runtime.ownership
+        expected = {
+            partition: ownership.assignment.entries[partition]
+            for partition in partitions
+            if ownership.is_ready(partition)
+        }
+        if given_up := [p for p in partitions if p not in expected]:
+            logger.warning(
+                "partitions were given up while they were to be moved",
+                extra={"decision": "move", "partitions": given_up},
+            )
         commits = {}
-        for partition in partitions:
+        for partition, entry in expected.items():
             records = self.runtime.programs.snapshot(partition)
             if records:
                 commits[partition] = self.runtime.journal.commit(
-                    records,
-                    partition=partition,
-                    needs_store=True,
-                    epoch=entries[partition].epoch,
+                    records, partition=partition, needs_store=True, epoch=entry.epoch
                 )
         positions = await asyncio.gather(*commits.values())
-        return {
+        snapshots = {
             partition: JournalRange(
                 position.host,
                 position.incarnation,
                 position.first,
                 position.number,
-                entries[partition].epoch,
-                any(source.uncertain for source in entries[partition].sources),
+                expected[partition].epoch,
+                any(source.uncertain for source in expected[partition].sources),
             )
             for partition, position in zip(commits, positions)
         }
+        return snapshots, expected
 
-    async def _write_move(self, partitions, target, snapshots, offer):
-        old = self.runtime.ownership.assignment
-        expected = {partition: old.entries[partition] for partition in partitions}
+    async def _write_move(self, expected, target, snapshots, offer):
+        """Assign partitions whose entries are as expected to the target."""
+        partitions = list(expected)
         since = offer.journal_next
         if target == self.runtime.host:
             since = self.runtime.journal.next_number
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -128,6 +128,9 @@
     def drop(self, partition):
         self.numbers.pop(partition, None)
 
+    def list_programs(self, partition):
+        return self.snapshot(partition)
+
     async def quiesce(self, partition):
         pass
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sapphireyard.exceptions import CallError, JournalSealed, NotOwner, StoreConflict
 from sapphireyard.journal.collector import find_needed
@@ -237,6 +238,49 @@
             await fleet.add("a")
             self.check_served(fleet, keys)
 
+    async def test_planned_stop_during_a_move_keeps_programs(self):
+        """Acknowledged calls were gone after a planned stop of their owner.
+
+        A move for balance waits for running calls when the stop begins. The stop hands
+        over the same partitions, but has to wait for another one.
+        """
+        async with run_fleet(self.store, "a") as fleet:
+            keys = await open_programs(fleet)
+            for host in "bc":
+                await fleet.add(host)
+            await fleet.sync()
+            runtime = fleet.runtimes["a"]
+            moves_begin, busy_ends = asyncio.Event(), asyncio.Event()
+            busy = runtime.ownership.owned[-1]
+
+            async def quiesce(partition):
+                if partition == busy:
+                    await busy_ends.wait()
+
+            with mock.patch.object(
+                runtime.programs, "quiesce", lambda _: moves_begin.wait()
+            ):
+                moving = asyncio.ensure_future(runtime.ownership.balance())
+                await asyncio.sleep(0.01)
+            with (
+                mock.patch.object(runtime.programs, "quiesce", quiesce),
+                mock.patch("sapphireyard.ownership.ownership.QUIESCE_SECONDS", 0.02),
+            ):
+                leaving = asyncio.ensure_future(runtime.ownership.leave(timeout=60))
+                for _ in range(20):
+                    await fleet.sync()
+                    await asyncio.sleep(0.005)
+                moves_begin.set()
+                await moving
+                busy_ends.set()
+                while not leaving.done():
+                    await fleet.sync()
+                    await asyncio.sleep(0.005)
+            self.assertTrue(await leaving)
+            await fleet.kill("a")
+            await fleet.sync()
+            self.check_served(fleet, keys)
+
     async def test_lost_answers_at_each_step_of_a_move(self):
         for kind in (LOSE, DROP):
             for operation in ("update", "create"):
