Refuse what a stopping host cannot finish, and answer what is open

Cause: EntryProcess.drain accepted work until 0.7 s before SIGKILL, and CallerInterface.on_stop cancelled what was open 0.1 s later. In between, idle connections were marked as closing first and closed some steps of the event loop later: what they read meanwhile was dropped.

Change: a host that stops takes all requests for 3 s, in which callers may still have its address, then only those whose time limit ends before it does. Others get 503 `draining` before anything is counted or sent, with a Retry-After of 0.1 s if other hosts serve callers, else until the host can be back. Requests of other hosts' callers (relays) are taken by their time limit from the start.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -60,6 +60,8 @@
 
     Attributes
     ----------
+    closing : Closing or None
+        The last seconds of this host; None until it is to stop.
     open_requests : int
         Requests that are not answered yet.
     total_requests : int
@@ -74,9 +76,29 @@
         self._rate_waits = Counter()
         self._plain = PlainService(runtime, sender, self)
         self._prepare = prepare
+        self._scopes = {}
+        self.closing = None
         self.open_requests = 0
         self.total_requests = 0
 
+    @property
+    def taken(self):
+        """list of AdmittedRequest: Requests that were not refused at once, and run."""
+        return list(self._scopes.values())
+
+    def end_open(self):
+        """End the requests that are still open; return them as `AdmittedRequest`.
+
+        Their callers get an error, or the end of the connection if their answer has
+        begun.
+        """
+        self.closing.ended = True
+        now = asyncio.get_running_loop().time()
+        for scope in self._scopes:
+            if not scope.expired():
+                scope.reschedule(now)
+        return self.taken
+
     async def serve(self, call, reply):
         """Answer a request; raises nothing but a cancellation."""
         self.open_requests += 1
@@ -94,7 +116,8 @@
             outcome["code"] = "caller_gone"
             outcome["detail"] = str(error)
         except asyncio.CancelledError:
-            outcome["code"] = "caller_gone"
+            ended = self.closing is not None and self.closing.ended
+            outcome["code"] = "host_stopped" if ended else "caller_gone"
             raise
         except Exception:
             outcome["code"] = "internal_error"
@@ -115,7 +138,7 @@
         admitted = self._admit(call)
         outcome["admitted"] = admitted
         reply.note_admitted(admitted)
-        await self._take_quota(admitted)
+        await self._take_quota_in_time(admitted)
         admitted.mark("rate", self._now())
         try:
             admitted.body = await self._read_body(admitted)
@@ -126,22 +149,44 @@
             else:  # goes on without its caller
                 await asyncio.shield(start_task(serving, name="call"))
         except TimeoutError as error:
-            if not admitted.sends:
-                raise CallError(
-                    "overloaded",
-                    f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
-                ) from error
-            raise CallError(
-                "deadline_exceeded",
-                f"no answer from {admitted.upstream} in time",
-                executed=EXECUTED_UNKNOWN,
+            raise self._build_late_error(
+                admitted,
+                f"no slot of {admitted.service!r} within {admitted.time_limit:g} s",
             ) from error
         finally:
             if not admitted.sends:
                 self._refund(admitted)
 
+    @contextlib.asynccontextmanager
+    async def _limit(self, admitted):
+        """Raise `TimeoutError` at the deadline of a request, or when the host stops."""
+        if self.closing is not None and self.closing.ended:
+            raise TimeoutError("the host has stopped")
+        async with asyncio.timeout_at(self._loop_time(admitted.deadline)) as scope:
+            self._scopes[scope] = admitted
+            try:
+                yield
+            finally:
+                del self._scopes[scope]
+
+    def _build_late_error(self, admitted, detail, *, code="overloaded"):
+        """Return the `CallError` for a request that did not end in time.
+
+        `code` and `detail` are for a request that was not sent by its deadline.
+        """
+        if admitted.sends:
+            return CallError(
+                "deadline_exceeded",
+                f"no answer from {admitted.upstream} in time",
+                executed=EXECUTED_UNKNOWN,
+            )
+        now = self._now()
+        if self.closing is not None and now < admitted.deadline:
+            return self.closing.build_refusal(now)
+        return CallError(code, detail)
+
     async def _serve_by_deadline(self, admitted, reply):
-        async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
+        async with self._limit(admitted):
             if admitted.route.streaming:
                 await self._turns.serve(admitted, reply)
             else:
@@ -150,12 +195,13 @@
     async def _read_body(self, admitted):
         limit = self._runtime.configuration.table.limits.body_bytes
         try:
-            async with asyncio.timeout_at(self._loop_time(admitted.deadline)):
+            async with self._limit(admitted):
                 return await admitted.call.read_body(limit)
         except TimeoutError as error:
-            raise CallError(
-                "body_late",
+            raise self._build_late_error(
+                admitted,
                 f"the body did not arrive within {admitted.time_limit:g} s",
+                code="body_late",
             ) from error
 
     def _admit(self, call):
@@ -176,6 +222,8 @@
         deadline = call.arrived_at + min(seconds, route.timeout)
         if deadline <= now:
             raise CallError("overloaded", "the caller's deadline has passed")
+        if self.closing is not None and not self.closing.takes(deadline, now):
+            raise self.closing.build_refusal(now)
         key = call.program or call.request_id
         return AdmittedRequest(
             call, route, customer, route.choose_service(key), deadline
@@ -189,6 +237,15 @@
             )
         return customer
 
+    async def _take_quota_in_time(self, admitted):
+        try:
+            async with self._limit(admitted):
+                await self._take_quota(admitted)
+        except TimeoutError as error:
+            raise self._build_late_error(
+                admitted, f"no token of {admitted.customer.name!r} in time"
+            ) from error
+
     async def _take_quota(self, admitted):
         """Take a token of the customer's rate, waiting for it if need be.
 
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    closing : Closing or None
+        The last seconds of this host; None until it is to stop.
     open_requests : int
         Requests of other hosts that are not answered yet.
     """
@@ -70,6 +72,7 @@
         super().__init__()
         self._runtime = runtime
         self._direct = direct
+        self.closing = None
         self.open_requests = 0
         runtime.peers.codec.register_module(generated_relays)
         runtime.peers.register_stream(RelayedRequest, self._serve_request)
@@ -197,7 +200,7 @@
     async def _serve_request(self, message, context):
         """Send another host's request over this host's own link."""
         upstream = self._runtime.pools.find(message.upstream)
-        refusal = self._find_refusal(upstream, len(message.body))
+        refusal = self._find_refusal(upstream, message)
         if refusal:
             self._log_relayed(message, context, refusal)
             yield RelayedFailure(refusal, sent=False)
@@ -219,8 +222,11 @@
             held.close(hold)
             self._log_relayed(message, context, outcome)
 
-    def _find_refusal(self, upstream, size):
-        """Return why requests for an upstream are not relayed, or an empty string."""
+    def _find_refusal(self, upstream, message):
+        """Return why a request for an upstream is not relayed, or an empty string."""
+        now = self._now()
+        if self.closing and not self.closing.takes(now + message.timeout, now):
+            return "host is leaving"
         if upstream is None:
             return "upstream is not listed here"
         if self._runtime.pools.is_leaving(upstream):
@@ -229,7 +235,7 @@
             return "failure domain is evacuated"
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
-        if not self._runtime.held.admits(size):
+        if not self._runtime.held.admits(len(message.body)):
             return "no memory for the request"
         return ""
 
--- /dev/null
+++ b/tests/test_platform_stop.py
@@ -0,0 +1,140 @@
+"""Planned stops of entry hosts while callers have nowhere else to go."""
+
+import asyncio
+import random
+import signal
+import time
+
+from tests.platform_site import Answer
+from tests.test_platform_processes import ENTRY_IPS, PlatformTestCase
+
+GRACE_SECONDS = 5.0
+EXCUSED_SECONDS = 3.0
+"""A request sent until then may be cut off at the end of the time to stop."""
+CALLERS = 16
+WORK_SECONDS = 0.25
+BUDGETS_SECONDS = (1.0, 1.5, 3.0)
+BUDGET_MARGIN_SECONDS = 0.1
+"""A request that has used up its budget but for this may end at its deadline."""
+
+
+class Caller:
+    """Sends one request after the other on kept connections, until it is told to end.
+
+    Attributes
+    ----------
+    results : list of (float, str, Answer)
+        When each request was sent, its id and its answer, which is not complete if
+        the connection ended before.
+    """
+
+    def __init__(self, number, port, seed):
+        self._number = number
+        self._port = port
+        self._random = random.Random(seed)
+        self._connection = None
+        self._sent = 0
+        self.results = []
+
+    async def run(self):
+        while True:
+            sent_at = time.monotonic()
+            self._sent += 1
+            request_id = f"{self._number:08x}{self._sent:08x}"
+            budget = self._random.choice(BUDGETS_SECONDS)
+            try:
+                async with asyncio.timeout(4.0):
+                    answer = await self._send(request_id, budget)
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                answer = Answer(0, {}, b"", False)
+                self._close()
+                if time.monotonic() > sent_at + budget - BUDGET_MARGIN_SECONDS:
+                    continue
+            self.results.append((sent_at, request_id, answer))
+            await asyncio.sleep(self._random.uniform(0.0, 0.05))
+
+    async def _send(self, request_id, budget):
+        if self._connection is None:
+            ip = self._random.choice(ENTRY_IPS)
+            self._connection = await asyncio.open_connection(ip, self._port)
+        reader, writer = self._connection
+        kind = self._random.choice(("view", "book", "live"))
+        writer.write(
+            f"POST /{kind}/x HTTP/1.1\r\nHost: site.example\r\n"
+            f"Request-Id: {request_id}\r\nCredential: key-of-the-first\r\n"
+            f"Deadline-Ms: {budget * 1000:g}\r\nModel: m\r\nToken-Count: 100,100\r\n"
+            "Content-Length: 4\r\n\r\nbody".encode()
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode().rstrip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        if "transfer-encoding" in headers:
+            body = await reader.readuntil(b"0\r\n\r\n")
+        else:
+            body = await reader.readexactly(int(headers["content-length"]))
+        if headers.get("connection") == "close":
+            self._close()
+        return Answer(int(first.split()[1]), headers, body)
+
+    def _close(self):
+        if self._connection is not None:
+            self._connection[1].close()
+            self._connection = None
+
+
+class OverlappingStopTest(PlatformTestCase):
+    entry_options = {
+        "settings": (f"bounds.grace-s={GRACE_SECONDS:g}", "bounds.ttl_max_s=3")
+    }
+
+    async def test_late_requests_are_not_cut_off_when_all_hosts_leave(self):
+        self.plain.delay_seconds = WORK_SECONDS
+        self.engine.gap_seconds = WORK_SECONDS
+        self.site.store.put("servers", "i-plain", self.plain.describe("plain"))
+        callers = [
+            Caller(number, self.site.caller_port, number) for number in range(CALLERS)
+        ]
+        tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+        await asyncio.sleep(1.0)
+        stopped_at = time.monotonic()
+        processes = [self.site.process(name) for name in ("entry-1", "entry-2")]
+        for process in processes:
+            process.send_signal(signal.SIGTERM)
+        await self.site.wait_until(
+            lambda: all(process.poll() is not None for process in processes)
+        )
+        seconds = time.monotonic() - stopped_at
+        for task in tasks:
+            task.cancel()
+        executed = {
+            request.headers["request-id"]
+            for upstream in (self.plain, self.engine)
+            for request in upstream.executed
+        }
+        results = [result for caller in callers for result in caller.results]
+        cut = [
+            (sent_at - stopped_at, request_id)
+            for sent_at, request_id, answer in results
+            if request_id in executed
+            and not answer.complete
+            and sent_at > stopped_at + EXCUSED_SECONDS
+        ]
+        self.assertEqual(cut, [])
+        self.assertEqual([process.returncode for process in processes], [0, 0])
+        self.assertLess(seconds, GRACE_SECONDS)
+        refused = [each for _, _, each in results if each.status == 503]
+        self.assertTrue(refused)
+        for answer in refused:
+            self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+        ran_and_refused = [
+            request_id
+            for _, request_id, answer in results
+            if answer.status == 503 and request_id in executed
+        ]
+        self.assertEqual(ran_and_refused, [])
+        late = [
+            answer.status
+            for sent_at, _, answer in results
+            if sent_at > stopped_at + EXCUSED_SECONDS and answer.complete
+        ]
+        self.assertIn(200, late)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,6 +15,7 @@
     Upstream,
     UpstreamAnswer,
 )
+from sapphireyard.exchange.closing import Closing
 from sapphireyard.exchange.held import MEBIBYTE, HeldBytes
 from sapphireyard.exchange.pools import UpstreamPools
 from sapphireyard.exchange.relays import MAX_RELAYED_BYTES, RelaySender
@@ -193,6 +194,22 @@
         self.assertFalse(caught.exception.sent)
         self.assertEqual(self.list_sent(), [])
 
+    async def test_host_that_stops_relays_only_what_it_can_finish(self):
+        """Cases are the seconds until the host stops, and whether it relays."""
+        for seconds, relays in ((1.0, False), (3.0, True)):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.fleet["a"].link.state = self.fleet["c"].link.state = "refused"
+                sender = self.fleet["b"].sender
+                sender.closing = Closing(Clock().monotonic() + seconds)
+                if relays:
+                    await self.send()
+                    continue
+                with self.assertRaises(UpstreamFailed) as caught:
+                    await self.send()
+                self.assertFalse(caught.exception.sent)
+                self.assertEqual(self.list_sent(), [])
+
     async def test_evacuated_upstream_gets_nothing_through_a_relay(self):
         """The host that asks has not heard of the evacuation."""
         self.fleet["a"].link.state = "refused"
