answers: a connection that this host closes completes no answer

Seen: an answer without a length that was under way when its host closed the connection, as it does when it stops, ended as complete, with what had come so far, and such turns were stored. Answers with a length or chunks got no end at all: their requests waited for their deadline.

Cause: aiohttp's ResponseHandler.close forgets the body before connection_lost could report an error to it, and the parser then ends a body without a length in order.

Change: StrictConnection.close and abort make an open body an error for its reader.

Whether a caller of a stopping host could see such an answer depends on the order in which its parts stop; it was found by reading, not in a report.

Measured: on the code before test_answer_that_a_stop_cuts_off_does_not_look_complete fails with "True is not false" for both paths without a length; the other cases run into the time-out of the test case (8.2 s instead of 0.5 s).

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -49,15 +49,16 @@
 
 
 class BodyReset(aiohttp.ClientPayloadError):
-    """The connection was reset before the end of a body."""
+    """A connection was reset, or closed by this host, before the end of a body."""
 
 
 class StrictConnection(ResponseHandler):
-    """A client connection on which a reset does not end a body.
+    """A client connection on which only an orderly end by the peer ends a body.
 
     aiohttp takes any end of the connection for the end of a body that has neither a
-    length nor chunks. It also reads without limit what carries no body: interim
-    answers, trailers, extensions of chunks, and whatever follows an answer.
+    length nor chunks, also if this host closes it, as when it stops; the reader of
+    another body then waits on. It also reads without limit what carries no body:
+    interim answers, trailers, extensions of chunks, and whatever follows an answer.
     """
 
     _stray_bytes = 0
@@ -73,6 +74,19 @@
         if self._parser is not None:
             self._receive(rest)
 
+    def close(self):
+        self._break_body("connection closed by this host")
+        super().close()
+
+    def abort(self):
+        self._break_body("connection aborted by this host")
+        super().abort()
+
+    def _break_body(self, reason):
+        """Make a body that has not ended an error for its reader."""
+        if self._is_reading_body():
+            self._payload.set_exception(BodyReset(reason))
+
     def _is_reading_body(self):
         return self._payload is not None and not self._payload.is_eof()
 
@@ -95,12 +109,13 @@
     def _give_up(self, reason):
         if self.transport is None:
             return
+        self._break_body(reason)
         self.set_exception(aiohttp.ClientPayloadError(reason))
         self.transport.abort()
 
     def connection_lost(self, exc):
-        if exc is not None and self._is_reading_body():
-            self._payload.set_exception(BodyReset(f"connection reset: {exc!r}"))
+        if exc is not None:
+            self._break_body(f"connection reset: {exc!r}")
         super().connection_lost(exc)
 
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -141,6 +141,29 @@
                 self.assertFalse(self.runtime.crashes, "counted as a crash")
 
 
+class StoppedHostTest(AnswerTestCase):
+    """Answers that are under way when their host closes its connections."""
+
+    async def test_answer_that_a_stop_cuts_off_does_not_look_complete(self):
+        """Cases are the head, which gives the framing, and the beginning of the body.
+
+        The upstream goes on listening.
+        """
+        event = EVENTS[0]
+        cases = [(HEAD, event), (LENGTH_HEAD, event), (CHUNKED_HEAD, chunk(event))]
+        for path in ("/chat/1", "/book/1"):
+            for head, body in cases:
+                with self.subTest(path=path, head=head):
+                    await self.asyncSetUp()
+                    steps = (head, body, 4 * PAUSE_SECONDS, End.STAY)
+                    answering = asyncio.ensure_future(self.answer(*steps, path=path))
+                    await asyncio.sleep(2 * PAUSE_SECONDS)
+                    await self.sender.on_stop()
+                    await answering
+                    self.assertFalse(self.complete and self.reply.status == 200)
+                    self.assertEqual(self.runtime.history.turns, [])
+
+
 class BrokenOffStreamTest(AnswerTestCase):
     """Streams that end with their connection and are broken off."""
 
