--- a/sapphireyard/exchange/answers.py
+++ b/sapphireyard/exchange/answers.py
@@ -4,6 +4,8 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that assure callers that a request has not run and never will."""
+FIRST_FINAL_STATUS = 200
+"""Lowest status of an answer that is not an interim one."""
 SERVER_ERROR = 500
 """Lowest status that tells of an error of the upstream."""
 SILENT_SHARE = 0.4
@@ -20,9 +22,12 @@
 def check_answer(answer):
     """Raise `UpstreamFailed` for an answer that must not be forwarded.
 
-    A success must carry the upstream's signature. A status that tells callers that
-    the request has not run is valid only as a refusal by the upstream.
+    An interim answer, such as one that switches protocols, answers no request. A
+    success must carry the upstream's signature. A status that tells callers that the
+    request has not run is valid only as a refusal by the upstream.
     """
+    if answer.status < FIRST_FINAL_STATUS:
+        raise UpstreamFailed(f"status {answer.status} is no final answer")
     if 200 <= answer.status < 300 and not answer.signed:
         raise UpstreamFailed("answer without a signature")
     if answer.status in NOT_RUN_STATUSES:
