--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -299,6 +299,24 @@
 
         self.run_process(test)
 
+    def test_outage_before_a_pause_does_not_let_a_request_use_the_old_list(self):
+        """The store is back, but no call of this host has told it so."""
+
+        async def test():
+            await self.wake()
+            await asyncio.sleep(1.0)
+            self.store.silent = True
+            await asyncio.sleep(AWAKE_SECONDS + 5.0)
+            self.assertIs(self.store.available, False)
+            self.beat()
+            await asyncio.sleep(30.0)
+            self.store.silent = False
+            for _ in range(2):
+                self.assertLess(await self.wake(), 0.1)
+                self.assertTrue(self.process._upstreams_feed.answered)
+
+        self.run_process(test)
+
 
 if __name__ == "__main__":
     unittest.main()
