An upstream that has left meanwhile gets no request through relays

A host that could not connect to an upstream handed the request to other hosts, one after the other, without looking whether the upstream had left since it was chosen, was restarted under its name, or its failure domain was evacuated; the other host may not have heard of it.

RelaySender passes all requests of this host and of those that it relays for, so it checks there, right before an own connection is used or a relay is asked. Such a request counts as not sent and is not held against the upstream. The log of each request tells how old the list of upstreams was when it was placed (list_age) and when the head of the answer came (head_ms), and that of a relay its own list's age; so late requests to upstreams can be told apart: an old list, a long way to the upstream, or a relay.

The test fails without the change in all four cases: UpstreamFailed not raised.

--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -142,6 +142,13 @@
     """An upstream did not begin to answer while another one could be tried."""
 
 
+class UpstreamLeft(UpstreamFailed):
+    """An upstream may not be used any more, and got nothing of the request."""
+
+    def __init__(self, detail):
+        super().__init__(detail, sent=False)
+
+
 class CallError(SapphireyardError):
     """An error answer to a caller.
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -12,6 +12,7 @@
     CallError,
     UpstreamFailed,
     UpstreamLate,
+    UpstreamLeft,
 )
 from sapphireyard.exchange.answers import NOT_RUN_STATUSES, find_silent_seconds
 from sapphireyard.exchange.calls import Dispatch
@@ -279,6 +280,7 @@
         admitted.answered = not admitted.route.streaming or answer.status != 200
         admitted.end = answer.end
         admitted.relay = answer.relay
+        admitted.mark("head", self._now())
         if answer.leaving:
             self._runtime.pools.note_leaving(upstream)
         if answer.rate is not None:
@@ -322,6 +324,8 @@
         if isinstance(error, UpstreamLate):
             self._runtime.pools.report_doubtful(upstream.name)
             return
+        if isinstance(error, UpstreamLeft):
+            return
         self._runtime.pools.report(upstream, ok=False)
         if error.crashed:
             start_task(self._record_crash(admitted, upstream), name="crash")
@@ -394,6 +398,7 @@
         admitted.answered = False
         admitted.sent_at = self._now()
         admitted.mark("slot", admitted.sent_at)
+        admitted.placed["list_age"] = round(self._runtime.pools.list_age, 2)
         timeout = admitted.deadline - admitted.sent_at
         body = prefix + admitted.body
         return Dispatch(
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -127,6 +127,7 @@
         self._engines = {}
         self._loads = FleetLoads()
         self._leaving = {}
+        self._listed_at = None
         self._granted = FleetLoads()
         self.shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
@@ -151,6 +152,15 @@
         """FleetLoads: The part of the requests in flight that a home granted slots."""
         return self._granted
 
+    @property
+    def list_age(self):
+        """float: Seconds since the list of upstreams was up to date; -1 if never."""
+        return -1.0 if self._listed_at is None else self._now() - self._listed_at
+
+    def note_listed(self, at):
+        """Record that the list of upstreams was up to date at a moment."""
+        self._listed_at = at
+
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
@@ -389,6 +399,22 @@
         known = pool.upstreams.get(upstream.name) if pool else None
         return known is None or known.leaving
 
+    def explain_unusable(self, upstream):
+        """Return why an upstream may get no request; empty if it may.
+
+        The last check before a request is sent, some time after the upstream was
+        chosen: at this host, or at another one that it asked.
+        """
+        pool = self._pools.get(upstream.service)
+        known = pool.upstreams.get(upstream.name) if pool else None
+        if known is None or known.started_at != upstream.started_at:
+            return "upstream is not listed here"
+        if known.leaving:
+            return "upstream is leaving"
+        if self.evacuations.covers(known):
+            return "failure domain is evacuated"
+        return ""
+
     def is_scarce(self, service):
         """Return whether this host reaches less than half of a service's upstreams."""
         upstreams = self._pools[service].upstreams.values()
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -14,7 +14,13 @@
 import mode
 
 from sapphireyard.answers import BROKEN, LISTENING, REFUSED, BodyEnd
-from sapphireyard.exceptions import EXECUTED_NO, CallError, PeerError, UpstreamFailed
+from sapphireyard.exceptions import (
+    EXECUTED_NO,
+    CallError,
+    PeerError,
+    UpstreamFailed,
+    UpstreamLeft,
+)
 from sapphireyard.exchange import generated_relays
 from sapphireyard.exchange.calls import (
     Dispatch,
@@ -145,13 +151,14 @@
                     self._send_through(host, dispatch)
                 )
             except UpstreamFailed as error:
-                if error.sent:
+                if error.sent or isinstance(error, UpstreamLeft):
                     raise
                 failure = error
         raise failure
 
     @asynccontextmanager
     async def _send_directly(self, dispatch):
+        self._check_usable(dispatch.upstream)
         name = dispatch.upstream.name
         tried_at = self._now()
         self._links.note_pending(name, 1, tried_at)
@@ -169,6 +176,11 @@
         finally:
             self._links.note_pending(name, -1, self._now())
 
+    def _check_usable(self, upstream):
+        reason = self._runtime.pools.explain_unusable(upstream)
+        if reason:
+            raise UpstreamLeft(reason)
+
     async def _note_chunks(self, chunks, upstream):
         async for chunk in chunks:
             self._links.note_heard(upstream, self._now())
@@ -176,6 +188,7 @@
 
     @asynccontextmanager
     async def _send_through(self, host, dispatch):
+        self._check_usable(dispatch.upstream)
         messages = self._runtime.peers.stream(
             host, _encode_request(dispatch), timeout=dispatch.timeout
         )
@@ -223,10 +236,9 @@
         """Return why requests for an upstream are not relayed, or an empty string."""
         if upstream is None:
             return "upstream is not listed here"
-        if self._runtime.pools.is_leaving(upstream):
-            return "upstream is leaving"
-        if self._runtime.pools.evacuations.covers(upstream):
-            return "failure domain is evacuated"
+        reason = self._runtime.pools.explain_unusable(upstream)
+        if reason:
+            return reason
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
         if not self._runtime.held.admits(size):
@@ -294,6 +306,7 @@
                 "from": context.host,
                 "upstream": message.upstream,
                 "outcome": outcome,
+                "list_age": round(self._runtime.pools.list_age, 2),
             },
         )
 
--- a/scripts/site_soak.py
+++ b/scripts/site_soak.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 import shutil
 import sys
@@ -54,6 +55,8 @@
 
 async def run(options):
     """Run the soak; print the result and return the violations of each rule."""
+    # The store's stand-in reports each connection that a killed process leaves.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     site = PlatformSite()
     await site.start()
     fleet = Fleet(site.store, random.Random(f"upstreams {options.seed}"))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from types import SimpleNamespace
 
 from sapphireyard.answers import BROKEN, COMPLETE, LISTENING, REFUSED, SILENT, BodyEnd
@@ -33,9 +34,11 @@
     def __init__(self):
         self.state = "up"
         self.sent = []
+        self.on_send = lambda: None
 
     @asynccontextmanager
     async def send(self, dispatch):
+        self.on_send()
         if self.state == "refused":
             raise UpstreamFailed("no connection", sent=False)
         self.sent.append(dispatch)
@@ -193,6 +196,29 @@
         self.assertFalse(caught.exception.sent)
         self.assertEqual(self.list_sent(), [])
 
+    async def test_upstream_that_leaves_while_relays_are_tried_gets_nothing(self):
+        """Cases are what a host learns while it fails to connect.
+
+        The relays have not heard of it.
+        """
+        restarted = replace(UPSTREAM, started_at=2.0)
+        cases = [
+            ("removed", lambda pools: pools.set_upstreams([])),
+            ("restarted", lambda pools: pools.set_upstreams([restarted])),
+            ("leaving", lambda pools: pools.note_leaving(UPSTREAM)),
+            ("evacuated", lambda pools: pools.evacuations.apply([""], 1)),
+        ]
+        for name, learn in cases:
+            with self.subTest(name):
+                self.setUp()
+                host = self.fleet["a"]
+                host.link.state = "refused"
+                host.link.on_send = lambda: learn(host.pools)
+                with self.assertRaises(UpstreamFailed) as caught:
+                    await self.send()
+                self.assertFalse(caught.exception.sent)
+                self.assertEqual(self.list_sent(), [])
+
     async def test_evacuated_upstream_gets_nothing_through_a_relay(self):
         """The host that asks has not heard of the evacuation."""
         self.fleet["a"].link.state = "refused"
