Keep a process going whatever becomes of its output

Seen: a process whose standard output was closed ended at once, with status 1. A log line with a lone surrogate, as from a request id that is not UTF-8, raised in the code that logged: such a request got a bare 500. After a reader had been away for longer than 64 KiB of lines, no line was ever written again.

Cause: the handler set a closed descriptor to non-blocking mode; it encoded without handling errors, outside of any try; and a full buffer was never offered to the descriptor again. With descriptor 1 closed a socket could have become standard output.

Change: descriptors 0 to 2 are reserved at the start. The handler raises nothing and writes what is pending before it drops a line. Errors that end a process or a thread, those the interpreter ignores, and warnings go to the log, so that nothing is written to standard error, which may block. Pending lines are offered once more at the exit. Request headers that are no text get 400.

--- a/sapphireyard/logs.py
+++ b/sapphireyard/logs.py
@@ -4,10 +4,13 @@
 a key is redacted.
 """
 
+import contextlib
 import json
 import logging
 import os
 import re
+import sys
+import threading
 import time
 from collections import deque
 
@@ -181,7 +184,18 @@
         os.set_blocking(descriptor, False)
 
     def emit(self, record):
-        """Write a record, or count it as dropped."""
+        """Write a record, or count it as dropped; never raises."""
+        try:
+            self._emit(record)
+        except Exception:
+            self.dropped += 1
+
+    def flush(self):
+        """Write what a blocked descriptor has left, as far as it takes it."""
+        with contextlib.suppress(OSError):
+            self._write_pending()
+
+    def _emit(self, record):
         second = int(record.created)
         if second != self._second:
             self._second, self._written = second, 0
@@ -192,24 +206,29 @@
         line = self.format(record)
         if self.dropped:
             line = f'{{"dropped_lines": {self.dropped}}}\n{line}'
-        self._write(line.encode() + b"\n")
+        self._write(line.encode(errors="backslashreplace") + b"\n")
 
     def _write(self, data):
-        data = self._pending + data
-        if len(data) > MAX_PENDING_BYTES:
-            self.dropped += 1
-            return
         try:
-            written = os.write(self._descriptor, data)
-        except BlockingIOError:
-            written = 0
-        except OSError:
+            if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+                self._write_pending()
+            if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+                self.dropped += 1
+                return
+            self._pending += data
+            self._write_pending()
+        except OSError:  # nobody reads the descriptor any more
+            self._pending = b""
             self.dropped += 1
             return
-        self._pending = data[written:]
         if not self._pending:
             self.dropped = 0
 
+    def _write_pending(self):
+        with contextlib.suppress(BlockingIOError):
+            written = os.write(self._descriptor, self._pending)
+            self._pending = self._pending[written:]
+
 
 def configure_stdout_logging(*, host, level=logging.INFO, descriptor=1):
     """Send JSON lines to standard output, rate-limited and without blocking."""
@@ -221,3 +240,43 @@
     # "adapter" is the package that adapts sapphireyard to the platform.
     for name in (PACKAGE, MAIN_MODULE, "adapter"):
         logging.getLogger(name).setLevel(level)
+    log_unhandled_errors()
+
+
+def log_unhandled_errors():
+    """Log what the interpreter would write to standard error.
+
+    That may block, or raise, if nobody reads it.
+    """
+    logger = logging.getLogger(__name__)
+    logging.captureWarnings(True)
+
+    def log(error_class, error, traceback, **fields):
+        logger.critical(
+            "unhandled error",
+            exc_info=(error_class, error, traceback),
+            extra={"decision": "fault", **fields},
+        )
+
+    def log_from_thread(args):
+        name = args.thread.name if args.thread else ""
+        log(args.exc_type, args.exc_value, args.exc_traceback, thread=name)
+
+    def log_ignored(args):
+        log(args.exc_type, args.exc_value, args.exc_traceback, source=args.err_msg)
+
+    sys.excepthook = log
+    threading.excepthook = log_from_thread
+    sys.unraisablehook = log_ignored
+
+
+def reserve_standard_descriptors():
+    """Open the descriptors 0 to 2 that are closed, so that no socket gets them.
+
+    What is written to standard output or error would be sent through it.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # takes the lowest free descriptor
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -41,6 +41,14 @@
                 lambda name=name: '"version": 2' in self.site.read_log(name)
             )
 
+    async def test_request_id_that_is_no_text_gets_a_whole_answer(self):
+        head = HEAD.replace(b"00000000000000aa", b"caf\xe9")
+        request = b"GET /view/x HTTP/1.1\r\n" + head + b"Connection: close\r\n\r\n"
+        answer = await self.site.send_raw(ENTRY_IPS[0], request)
+        self.assertRegex(answer, rb"^HTTP/1.1 400 ")
+        length = int(re.search(rb"Content-Length: (\d+)", answer)[1])
+        self.assertEqual(len(answer.partition(b"\r\n\r\n")[2]), length)
+
     async def test_ambiguous_framing_reaches_no_upstream(self):
         """Each is answered with 400 or a closed connection; no upstream receives it."""
         length = b"Content-Length: %d" % len(SMUGGLED)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -76,8 +76,11 @@
         self.assertEqual(signal.getsignal(signal.SIGTERM), signal.SIG_IGN)
 
 
-class EarlySignalTest(unittest.TestCase):
-    """Signals a process while it waits for the first byte of its settings."""
+class SingleHostTestCase(unittest.TestCase):
+    """Runs one process without a store.
+
+    It may be stopped while it waits for the first byte of its settings.
+    """
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -139,6 +142,8 @@
             self.assertLess(time.monotonic(), deadline, log)
             time.sleep(0.05)
 
+
+class EarlySignalTest(SingleHostTestCase):
     def test_reload_while_a_process_starts_does_not_end_it(self):
         for role in ROLES:
             with self.subTest(role):
