An odd entry of a host ends no process

Seen: one entry among those of the hosts whose `address` is empty or has no number as its port ended all entry and history processes at their next heartbeat, and again at each start.

Cause: the registry took any text for an address. `Gossip._send_payload` split and converted it in the task that sends heartbeats (`ValueError`); a port above 65535 would have closed the datagram socket for good.

The fixture of `tests.test_registry` used host names as addresses; it has IPv4 addresses now, its checks are the same.

--- a/sapphireyard/addresses.py
+++ b/sapphireyard/addresses.py
@@ -20,16 +20,13 @@
     address = ipaddress.IPv4Address(ip)
     if address.is_unspecified:
         raise ValueError("address is unspecified")
-    port = int(port_text) if port_text.isascii() and port_text.isdigit() else 0
-    if not 0 < port <= MAX_PORT or str(port) != port_text:
-        raise ValueError(f"port {port_text!r} is not a number from 1 to {MAX_PORT}")
-    return ip, port
+    return ip, parse_port(port_text)
 
 
-def is_address(text):
-    """Return whether a text has the form ``IP:PORT``."""
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
+def parse_port(text):
+    """Return the number of a port; raise `ValueError` unless it is canonical."""
+    valid = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_PORT))
+    port = int(text) if valid else 0
+    if not 0 < port <= MAX_PORT or str(port) != text:
+        raise ValueError(f"port is not a number from 1 to {MAX_PORT}")
+    return port
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -13,6 +13,7 @@
 
 import mode
 
+from sapphireyard.addresses import parse_port
 from sapphireyard.exceptions import PeerError
 from sapphireyard.fleet.datagrams import HeartbeatEncoder, decode_heartbeat
 from sapphireyard.fleet.generated_fleet import Heartbeat
@@ -191,8 +192,11 @@
         self._send_payload(self.membership.find_address(host), payload)
 
     def _send_payload(self, address, payload):
-        ip, port = address.rsplit(":", 1)
-        self._transport.sendto(payload, (ip, int(port)))
+        ip, _, port = address.rpartition(":")
+        try:
+            self._transport.sendto(payload, (ip, parse_port(port)))
+        except ValueError as error:
+            logger.warning("no heartbeat to %.40s: %s", address, error)
 
     def _is_full(self, host):
         """Return whether the next heartbeat to a host has all totals."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -21,6 +21,8 @@
 )
 
 HOSTS = 9
+ADDRESS = "10.0.0.1:7780"
+CALLER_ADDRESS = "10.0.0.1:80"
 STORE_SECONDS = 0.004
 KNOWN_SECONDS = 8.0
 """Time within which hosts that start together know each other, if reads may return the
@@ -105,7 +107,7 @@
 
     async def start(self, name, *, leads=False):
         """Start the registry of a host."""
-        profile = HostProfile(name, f"{name}:1", ENTRY, "a", f"{name}:80", 1.0)
+        profile = HostProfile(name, ADDRESS, ENTRY, "a", CALLER_ADDRESS, 1.0)
         membership = Membership(name, "a")
         membership.own = profile
         runtime = SimpleNamespace(
@@ -154,7 +156,7 @@
     def test_restarted_host_knows_the_others_at_once(self):
         async def test():
             for name in ("a", "b"):
-                profile = {"host": name, "address": f"{name}:1", "role": ENTRY}
+                profile = {"host": name, "address": ADDRESS, "role": ENTRY}
                 self.store.write(name, {**profile, "failure_domain": "a"})
             await asyncio.sleep(60.0)
             registry = await self.start("a")
@@ -176,7 +178,7 @@
 
     def test_entry_of_a_host_that_is_gone_is_removed_by_the_first_host(self):
         async def test():
-            entry = {"address": "c:1", "role": ENTRY, "failure_domain": "a"}
+            entry = {"address": ADDRESS, "role": ENTRY, "failure_domain": "a"}
             for name in ("silent", "heard"):
                 self.store.write(name, {**entry, "host": name})
             await self.start("a", leads=True)
@@ -185,7 +187,7 @@
             for number in range(int(2 * REMOVAL_SECONDS + READ_SECONDS)):
                 if number < REMOVAL_SECONDS:
                     self.assertIn("silent", self.store.entries)
-                heartbeat = Heartbeat("heard", 1, number + 1, "c:1", ENTRY, "a")
+                heartbeat = Heartbeat("heard", 1, number + 1, ADDRESS, ENTRY, "a")
                 membership.record_heartbeat(heartbeat, LoopClock().monotonic())
                 await asyncio.sleep(1.0)
             self.assertNotIn("silent", self.store.entries)
