Odd messages are rejected with the errors of their decoders

Seen: with seeded mutations, decoders raised errors that their callers do not expect: a frame with a map as the key of a map, or a list as the name of its message (`TypeError`), a datagram nested 20,000 levels (`RecursionError`), a configuration with a number of 401 digits (accepted; it fails later, where a heartbeat or a calculation needs 64 bits). A heartbeat with NaN or infinity as its load or age was accepted, and such a number spreads to whatever is calculated from it.

Cause: the same as of the odd entries, one step further: what decodes is not what the code behind it can use.

--- a/sapphireyard/fleet/datagrams.py
+++ b/sapphireyard/fleet/datagrams.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -19,6 +20,9 @@
 ANSWER_INDEX = FIELDS.index("answer") + 1
 """Position of the answer in the array, after the version."""
 
+NUMBERS = ("cores", "effort", "store_age", "configuration_age", "call_rate")
+MAX_LOGGED_TEXT = 200
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -46,12 +50,31 @@
     Raises
     ------
     PeerError
-        The datagram has another format, or its fields have other types.
+        The datagram has another format, or its fields have other types or values
+        that cannot be used.
     """
     try:
         version, *values = msgspec.msgpack.decode(payload, type=list)
         if version != FORMAT:
-            raise PeerError(f"datagram of format {version!r}, not {FORMAT}")
-        return msgspec.convert(dict(zip(FIELDS, values)), Heartbeat)
-    except (ValueError, msgspec.MsgspecError) as error:
-        raise PeerError(f"invalid datagram: {error}") from error
+            raise PeerError(f"datagram of another format than {FORMAT}")
+        heartbeat = msgspec.convert(dict(zip(FIELDS, values)), Heartbeat)
+        _check(heartbeat)
+    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
+        text = str(error)[:MAX_LOGGED_TEXT]
+        raise PeerError(f"invalid datagram: {text}") from error
+    return heartbeat
+
+
+def _check(heartbeat):
+    """Raise `ValueError` for values that no host can use."""
+    for name in NUMBERS:
+        if not math.isfinite(getattr(heartbeat, name)):
+            raise ValueError(f"{name} is not finite")
+    for values in heartbeat.upstream_rates.values():
+        if any(map(math.isnan, values)):  # infinity is no limit
+            raise ValueError("upstream_rates has a value that is not a number")
+    for values in heartbeat.upstream_results.values():
+        if not all(map(math.isfinite, values)):
+            raise ValueError("upstream_results has a number that is not finite")
+    if not all(heartbeat.crashes.values()):
+        raise ValueError("crashes has an entry without its age")
--- a/sapphireyard/streams/frames.py
+++ b/sapphireyard/streams/frames.py
@@ -79,6 +79,8 @@
         FrameError
             The class is unknown or the fields don't fit it.
         """
+        if not isinstance(name, str):
+            raise FrameError("message without a name")
         adapter = self._adapters.get(name) or self._build_adapter(name)
         try:
             return adapter.validate_python(values)
@@ -161,7 +163,12 @@
 def _unpack(payload):
     try:
         frame = msgpack.unpackb(payload, strict_map_key=False)
-    except (ValueError, msgpack.exceptions.UnpackException) as error:
+    except (
+        ValueError,
+        TypeError,  # a map has a key that cannot be one
+        RecursionError,
+        msgpack.exceptions.UnpackException,
+    ) as error:
         raise FrameError("frame is not msgpack") from error
     if not isinstance(frame, list) or len(frame) < 2:
         raise FrameError("frame has no kind or no request id")
