exchange: a request ends with its caller until an upstream has it

Cause: Exchange._serve shielded the whole of PlainService.serve from the caller's leaving, so that waiting for a slot and retries after refusals went on too, while the outer part refunded the token as nothing had been sent yet.

Change: the caller's leaving cancels the request unless an upstream has been handed it. One that has goes on alone and is not sent again; its end is logged, and the token comes back if it turns out that nothing was sent.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -5,6 +5,7 @@
 import logging
 import secrets
 from collections import Counter
+from functools import partial
 
 from sapphireyard.answers import CLOSED
 from sapphireyard.exceptions import (
@@ -123,8 +124,8 @@
             serving = self._serve_by_deadline(admitted, reply)
             if admitted.route.streaming or admitted.route.repeatable:
                 await serving
-            else:  # goes on without its caller
-                await asyncio.shield(start_task(serving, name="call"))
+            else:
+                await self._serve_detachable(admitted, serving)
         except TimeoutError as error:
             if not admitted.sends:
                 raise CallError(
@@ -147,6 +148,40 @@
             else:
                 await self._plain.serve(admitted, reply)
 
+    async def _serve_detachable(self, admitted, serving):
+        """Serve a request that may not be repeated.
+
+        Its caller's leaving ends it, unless an upstream may be running it: then it
+        goes on alone, until that upstream has answered or refused it.
+        """
+        task = start_task(serving, name="call")
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            admitted.abandoned = True
+            if admitted.in_flight:
+                task.add_done_callback(partial(self._end_abandoned, admitted))
+            else:
+                task.cancel()
+            raise
+
+    def _end_abandoned(self, admitted, task):
+        """Record the end of a request that went on without its caller."""
+        if not admitted.sends:
+            self._refund(admitted)
+        error = None if task.cancelled() else task.exception()
+        logger.info(
+            "request ended without its caller",
+            extra={
+                "decision": "abandoned",
+                "request_id": admitted.call.request_id,
+                "upstream": admitted.upstream,
+                "sends": admitted.sends,
+                "cancelled": task.cancelled(),
+                "detail": str(error or ""),
+            },
+        )
+
     async def _read_body(self, admitted):
         limit = self._runtime.configuration.table.limits.body_bytes
         try:
--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -45,6 +45,8 @@
         granted = False
         self._retries.note_request(admitted.service, self._now())
         while admitted.sends < max(1, admitted.route.attempts):
+            if admitted.abandoned:
+                raise ConnectionResetError("the caller left before a further send")
             is_retry = admitted.may_have_run and not granted
             if is_retry and not self._may_retry(admitted):
                 break
@@ -127,6 +129,7 @@
             excluded.append(upstream.name)
             dispatch = self._exchange.build_dispatch(admitted, upstream)
             admitted.sends += 1
+            admitted.in_flight = True
             try:
                 async with self._limit_try(admitted):
                     async with self._sender.send(dispatch) as answer:
@@ -140,6 +143,8 @@
             except UpstreamFailed as error:
                 self._exchange.record_failure(admitted, upstream, error)
                 raise
+            finally:
+                admitted.in_flight = False
             admitted.may_have_run = True
             check_answer(answer)
             self._exchange.record_success(
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -37,6 +37,10 @@
         The upstream chosen last has begun to answer, with an event if it streams.
     may_have_run : bool
         An upstream may have run it, even if a later one refuses it.
+    in_flight : bool
+        An upstream has been handed it and has neither answered nor refused it.
+    abandoned : bool
+        Its caller has left.
     body : bytes
         Body sent by the caller.
     end : BodyEnd
@@ -64,6 +68,8 @@
     relay: str = ""
     answered: bool = False
     may_have_run: bool = False
+    in_flight: bool = False
+    abandoned: bool = False
     body: bytes = b""
     end: BodyEnd = field(default_factory=BodyEnd)
     reader: EventReader | None = None
