exchange: the log tells a host's own stop from a caller that left

Both ended a request as caller_gone, so that the reports of requests that ended without an answer could not be told apart. A request that is cut off while its caller is connected has the code "stopped" now.

test_log_tells_a_stop_from_a_caller_that_left fails on the code before, which has no Reply.connected.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -222,6 +222,11 @@
     def finished(self):
         """bool: Whether the answer is complete; its caller may not have read it."""
 
+    @property
+    def connected(self):
+        """bool: Whether the caller's connection is open, as far as this host knows."""
+        return True
+
     def note_admitted(self, admitted):
         """Record the `AdmittedRequest` that this answers."""
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -95,7 +95,7 @@
             outcome["code"] = "caller_gone"
             outcome["detail"] = str(error)
         except asyncio.CancelledError:
-            outcome["code"] = "caller_gone"
+            outcome["code"] = "stopped" if reply.connected else "caller_gone"
             raise
         except Exception:
             outcome["code"] = "internal_error"
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -3,10 +3,16 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from unittest import mock
 
 from sapphireyard.exceptions import UpstreamFailed
 from sapphireyard.exchange.calls import Upstream, UpstreamAnswer
-from tests.exchange_case import ExchangeTestCase, ScriptedSender, build_table
+from tests.exchange_case import (
+    ExchangeTestCase,
+    RecordingReply,
+    ScriptedSender,
+    build_table,
+)
 
 SETTLE_SECONDS = 0.02
 PATH = "/book/1"
@@ -72,6 +78,19 @@
         self.assertEqual([d.call.request_id for d in self.sender.sent], ["r1"])
         self.assertEqual(self.runtime.pools.running, {})
 
+    async def test_log_tells_a_stop_from_a_caller_that_left(self):
+        for connected, code in ((True, "stopped"), (False, "caller_gone")):
+            with self.subTest(code):
+                await self.asyncSetUp()
+                serving = await self.start("r1")
+                with (
+                    mock.patch.object(RecordingReply, "connected", connected),
+                    self.assertLogs("sapphireyard.exchange.exchange") as logs,
+                ):
+                    await self.leave(serving)
+                (line,) = [r for r in logs.records if r.msg == "request ended"]
+                self.assertEqual(line.code, code)
+
     async def test_request_that_got_its_slot_as_its_caller_left_is_not_sent(self):
         first = await self.start("r1")
         waiting = await self.start("r2")
