--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -111,6 +111,30 @@
         await self.check_second_request()
         self.assertEqual(self.reply.status, 200)
 
+    async def test_connection_is_not_reused_when_its_upstream_may_close_it(self):
+        """A request that meets the close may have run.
+
+        Cases are the header that states the idle time in seconds, the pause before the
+        next request, and whether that gets another connection.
+        """
+        cases = [
+            ("Keep-Alive: timeout=1", 0.1, False),
+            ("Keep-Alive: timeout=1", 0.6, True),
+            ("Keep-Alive: max=9, timeout=1", 0.6, True),
+            ("Keep-Alive: timeout=0", 0.1, True),
+            ("Keep-Alive: timeout=5", 0.6, False),
+            ("Keep-Alive: timeout=soon", 0.6, False),
+            ("X-Y: z", 0.6, False),
+        ]
+        for header, seconds, is_new in cases:
+            with self.subTest(header=header, seconds=seconds):
+                await self.asyncSetUp()
+                for pause in (seconds, 0.0):
+                    answer = build_head("r1", EMPTY, header)
+                    await self.answer(answer, End.STAY, path="/book/1")
+                    await asyncio.sleep(pause)
+                self.assertEqual(self.upstream.connections, 1 + is_new)
+
     async def test_refused_requests_leave_a_connection_to_others(self):
         """A shedding upstream takes few connections; another one gets the retries."""
         other = ScriptedUpstream(first_answers=self.upstream.first_answers)
