Read histories from the copies in parts

Cause: a copy answered with the text of the whole chain in one message, above the limit of a frame, so that the reader ended its connections to all copies.

Change: a query states the largest part that its sender takes. The copy then answers with the size and the first part, and with further parts as messages of the same stream, each read from the log when it is sent: beside the part, a copy keeps nothing for the request. The reader asks the nearest copy, then all; only the first one that has the chain sends the rest, and the others are asked again if it breaks off, also midway. Queries of older builds state no part and get one message as before; the single message of an older copy is a whole chain.

--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -10,9 +10,9 @@
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.fleet.membership import SILENCE_SECONDS
 from sapphireyard.history import generated_history
+from sapphireyard.history.chains import ChainStream, open_any
 from sapphireyard.history.copies import fence_quorum, write_quorum
 from sapphireyard.history.generated_history import (
-    ChainQuery,
     Reservation,
     ReservationSynced,
     Settlement,
@@ -108,9 +108,17 @@
             },
         )
 
-    async def read_chain(self, turn):
+    async def read_chain(self, turn, *, admit=lambda size: None):
         """Return the `ChainText` of a turn and all turns before it.
 
+        Parameters
+        ----------
+        turn : str
+            The last turn.
+        admit : callable, optional
+            Called with the bytes of the text before most of it is read; raises an
+            error if there is no room.
+
         Raises
         ------
         CallError
@@ -120,9 +128,11 @@
         cached = self._cache.get(turn)
         if cached is not None:
             self._cache.move_to_end(turn)
+            admit(len(cached.text))
             return cached
-        answer = await self._retry_on_change(lambda copies: self._read(copies, turn))
-        chain = ChainText(answer.customer, answer.text, answer.upstream, answer.tokens)
+        chain = await self._retry_on_change(
+            lambda copies: self._read(copies, turn, admit)
+        )
         self.cache(turn, chain)
         return chain
 
@@ -283,41 +293,42 @@
             raise
         raise PeerError(f"{host} did not confirm that the reservation is durable")
 
-    async def _read(self, copies, turn):
-        """Return the `Chain` of a turn from the nearest copy, or else from any."""
-        ordered = self._order_copies(copies)
-        if ordered:
-            with contextlib.suppress(PeerError, CallError):
-                answer = await self._read_at(
-                    ordered[0], copies, turn, NEAREST_TIMEOUT_SECONDS
-                )
-                if answer.found:
-                    return answer
-        return await self._read_from_any(ordered, copies, turn)
-
-    async def _read_from_any(self, hosts, copies, turn):
-        """Ask all copies until one has the turn or enough of them lack it."""
-        tasks = [
-            start_task(
-                self._read_at(host, copies, turn, ANSWER_TIMEOUT_SECONDS), name="read"
-            )
-            for host in hosts
-        ]
-        absent = 0
-        errors = []
-        try:
-            for next_answer in asyncio.as_completed(tasks):
+    async def _read(self, copies, turn, admit):
+        """Return the `ChainText` of a turn from the nearest copy, or else from any."""
+        hosts = self._order_copies(copies)
+        failed = []
+        nearest = hosts[:1]
+        while len(failed) <= len(hosts):
+            asked = [host for host in nearest or hosts if host not in failed]
+            stream = await self._open(copies, asked, turn, is_last=not nearest)
+            nearest = ()
+            if stream is None:
+                continue
+            async with contextlib.aclosing(stream):
+                admit(stream.size)
                 try:
-                    answer = await next_answer
+                    text = await stream.read_text()
                 except (PeerError, CallError) as error:
-                    errors.append(error)
+                    logger.info("chain not read from %s: %s", stream.host, error)
+                    failed.append(stream.host)
                     continue
-                if answer.found:
-                    return answer
-                absent += answer.absent
-        finally:
-            for task in tasks:
-                task.cancel()
+            head = stream.head
+            return ChainText(head.customer, text, head.upstream, head.tokens)
+        raise _build_unavailable(f"turn {turn!r} was not read whole", ())
+
+    async def _open(self, copies, hosts, turn, *, is_last):
+        """Return an open `ChainStream` of one of several copies.
+
+        Returns None if none has the turn, unless all that are left were asked.
+        """
+        streams = [
+            ChainStream(self._runtime.peers, host, copies.version, turn)
+            for host in hosts
+        ]
+        timeout = ANSWER_TIMEOUT_SECONDS if is_last else NEAREST_TIMEOUT_SECONDS
+        stream, absent, errors = await open_any(streams, timeout)
+        if stream is not None or not is_last:
+            return stream
         members = len(copies.members)
         tolerated = self._runtime.settings.tolerated_losses
         if members and absent >= fence_quorum(members, tolerated=tolerated):
@@ -332,10 +343,6 @@
             errors,
         )
 
-    async def _read_at(self, host, copies, turn, timeout):
-        query = ChainQuery(copies.version, turn)
-        return await self._runtime.peers.ask(host, query, timeout=timeout)
-
     def _order_copies(self, copies):
         """Return the members in the order in which to ask them."""
         membership = self._runtime.gossip.membership
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -159,12 +159,16 @@
 
     set_version: int
     turn: str
+    part_bytes: int = 0
+    """
+    Largest text in one message; 0 for all of it in a single one, as older builds expect it.
+    """
 
 
 @dataclass
 class Chain:
     """
-    Answer to a ChainQuery.
+    Answer to a ChainQuery, or the first message of it.
     """
 
     found: bool = False
@@ -182,6 +186,19 @@
     Tokens of the whole chain as an engine reads it.
     """
     text: bytes = ''
+    size: int = 0
+    """
+    Bytes of the whole text, the rest of which follows in ChainParts; 0 if the text is whole, as from older builds.
+    """
+
+
+@dataclass
+class ChainPart:
+    """
+    The next part of the text of a chain.
+    """
+
+    text: bytes
 
 
 @dataclass
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -92,18 +92,18 @@
         self._locations.append(payload)
         return self.end - 1
 
-    def read(self, position):
-        """Return the payload at a position, or None if it was dropped."""
+    def read(self, position, start=0, size=None):
+        """Return a payload, or `size` bytes of it from `start`; None if dropped."""
         index = position - self._first_position
         if not 0 <= index < len(self._locations):
             return None
         location = self._locations[index]
         if isinstance(location, bytes):
-            return location
-        path, offset, size = location
+            return location[start:] if size is None else location[start : start + size]
+        path, offset, length = location
         with open(path, "rb") as file:
-            file.seek(offset)
-            return file.read(size)
+            file.seek(offset + start)
+            return file.read(length - start if size is None else size)
 
     async def sync(self):
         """Return once all records appended so far are durable.
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -31,6 +31,7 @@
 )
 from sapphireyard.history.generated_history import (
     Chain,
+    ChainPart,
     ChainQuery,
     DiskQuery,
     DiskStatus,
@@ -110,7 +111,7 @@
         runtime.peers.register(SpendingQuery, self._serve_spending)
         runtime.peers.register(Settlement, self._serve_settlement)
         runtime.peers.register(TurnCommit, self._serve_commit)
-        runtime.peers.register(ChainQuery, self._serve_chain)
+        runtime.peers.register_stream(ChainQuery, self._serve_chain)
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
         runtime.peers.register(DiskQuery, self._serve_disk)
@@ -501,10 +502,32 @@
         self._check(message.set_version)
         chain = self._state.find_chain(message.turn)
         if chain is None:
-            return Chain(absent=self._state.find_turn(message.turn) is None)
-        text = b"".join(self._read_turn_text(turn.position) for turn in chain)
+            yield Chain(absent=self._state.find_turn(message.turn) is None)
+            return
         last = chain[-1]
-        return Chain(True, False, last.customer, last.upstream, last.tokens, text)
+        size = sum(turn.size for turn in chain)
+        part_bytes = message.part_bytes or max(size, 1)
+        head = Chain(True, False, last.customer, last.upstream, last.tokens, b"", size)
+        async with contextlib.aclosing(self._read_parts(chain, part_bytes)) as parts:
+            yield replace(head, text=await anext(parts, b""))
+            async for part in parts:
+                yield ChainPart(part)
+
+    async def _read_parts(self, chain, part_bytes):
+        """Yield the text of a chain in parts; no more than one is kept at a time."""
+        part = b""
+        for turn in chain:
+            for start, size in self._locate_texts(turn.position):
+                end = start + size
+                while start < end:
+                    wanted = min(part_bytes - len(part), end - start)
+                    part += self._read_record(turn.position, start, wanted)
+                    start += wanted
+                    if len(part) == part_bytes:
+                        yield part
+                        part = b""
+        if part:
+            yield part
 
     async def _serve_records(self, message, context):
         if not self._serving and not (message.resuming and self._disk_id):
@@ -578,9 +601,20 @@
             size += len(payload)
         return RecordBatch(position, records)
 
-    def _read_turn_text(self, position):
-        turn = self._unpack(self._log.read(position))
-        return turn.input + turn.output
+    def _locate_texts(self, position):
+        """Return where a record has the input and the output of its turn, with sizes.
+
+        The same bytes elsewhere in the record serve as well.
+        """
+        payload = self._read_record(position)
+        turn = self._unpack(payload)
+        return [(payload.find(text), len(text)) for text in (turn.input, turn.output)]
+
+    def _read_record(self, position, start=0, size=None):
+        payload = self._log.read(position, start, size)
+        if payload is None:
+            raise CallError("history_unavailable", "a turn expires while it is read")
+        return payload
 
     def _now(self):
         return self._runtime.clock.monotonic()
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -26,6 +26,8 @@
         As in `Turn`.
     tokens : int
         Tokens of the prompt and the answer together.
+    size : int
+        Bytes of its texts.
     expires_at : float
         Monotonic seconds of this host.
     """
@@ -35,6 +37,7 @@
     customer: str
     upstream: str
     tokens: int
+    size: int
     expires_at: float
 
 
@@ -125,6 +128,7 @@
             turn.customer,
             turn.upstream,
             turn.context_tokens,
+            len(turn.input) + len(turn.output),
             expires_at,
         )
         self._extend_chain(turn.previous, expires_at)
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -101,9 +101,12 @@
         self._records.append((self._file, payload))
         return self.end - 1
 
-    def read(self, position):
+    def read(self, position, start=0, size=None):
         index = position - self.first
-        return self._records[index][1] if 0 <= index < len(self._records) else None
+        if not 0 <= index < len(self._records):
+            return None
+        payload = self._records[index][1]
+        return payload[start:] if size is None else payload[start : start + size]
 
     async def sync(self):
         wanted = self.end
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import random
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
@@ -12,7 +14,9 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import HISTORY, Membership
+from sapphireyard.history.chains import PART_BYTES, ChainStream
 from sapphireyard.history.client import HistoryClient
+from sapphireyard.history.generated_history import ChainQuery
 from sapphireyard.history.service import HistoryService
 from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
@@ -151,6 +155,59 @@
             await self.client.read_chain("three")
         self.assertEqual(caught.exception.code, "turn_unknown")
 
+    async def test_chain_longer_than_a_frame_is_read_beside_other_requests(self):
+        """Each case has the sizes of the texts of a chain's turns."""
+        cases = [
+            (0,),
+            (1, PART_BYTES - 1, 1),
+            (PART_BYTES, 0, 2 * PART_BYTES + 1),
+            (3_000_000, 3_000_000, 3_000_000),
+        ]
+        for number, sizes in enumerate(cases):
+            with self.subTest(sizes):
+                previous, expected = "", b""
+                for turn, size in enumerate(sizes):
+                    text = random.Random(turn).randbytes(size)
+                    name = f"long-{number}-{turn}"
+                    await self.client.commit(
+                        replace(build_turn(name, previous), input=text)
+                    )
+                    previous = name
+                    expected += text + f"<{name}>".encode()
+                commits = asyncio.gather(
+                    *(self.client.commit(build_turn(f"{number}-{n}")) for n in range(9))
+                )
+                sizes_asked = []
+                chain = await self.client.read_chain(previous, admit=sizes_asked.append)
+                await commits
+                self.assertEqual(chain.text, expected)
+                self.assertEqual(sizes_asked, [len(expected)])
+
+    async def test_chain_is_read_on_from_another_copy(self):
+        """The nearest copy breaks off midway; only one at a time sends the chain."""
+        text = bytes(40 * PART_BYTES)
+        await self.client.commit(replace(build_turn("long"), input=text))
+        nearest = self.copies["a"]
+        read = nearest._read_record
+
+        def fail(position, start=0, size=None):
+            if start > 10 * PART_BYTES:
+                raise CallError("history_unavailable", "the disk fails")
+            return read(position, start, size)
+
+        with mock.patch.object(nearest, "_read_record", fail):
+            chain = await self.client.read_chain("long")
+        self.assertEqual(len(chain.text), len(text) + len("<long>"))
+
+    async def test_chain_is_whole_for_builds_that_expect_one_message(self):
+        """Those do not ask for parts; they read the first message only."""
+        await self.client.commit(build_turn("one"))
+        text = bytes(3 * PART_BYTES)
+        await self.client.commit(replace(build_turn("two", "one"), input=text))
+        query = ChainQuery(self.client.copies.version, "two")
+        answer = await self.hosts["entry"].peers.ask("a", query, timeout=WAIT_SECONDS)
+        self.assertEqual(answer.text, b"<one><one>" + text + b"<two>")
+
     async def test_jumps_of_the_time_of_day_lose_no_turn(self):
         """Each case has the jumps in seconds of the writer's and the copies' clocks."""
         cases = [(0, 3600), (0, -3600), (3600, 0), (-3600, 0), (-3600, 3600)]
@@ -353,7 +410,9 @@
                 path.unlink()
         await self.start_copy("a", bootstrap=False)
         with self.assertRaises(CallError) as caught:
-            await self.client._read_at("a", self.client.copies, "none", 1.0)
+            peers = self.hosts["entry"].peers
+            version = self.client.copies.version
+            await ChainStream(peers, "a", version, "none").open(1.0)
         self.assertEqual(caught.exception.code, "history_unavailable")
         await self.wait_until_serving("a")
         self.assertIsNotNone(self.copies["a"]._state.find_turn("one"))
