A turn that has run outlasts lost connections to its copies

Callers saw streams broken off before their end though the engine had sent all of it: history_unavailable, '2 copies have answered, 3 are needed; connection to history-3 ended'.

Cause: each copy was asked once to store a turn. A connection that ended, or one to a copy that was just restarting, counted as this copy's final answer; with two of four the turn failed at once, with up to a second of its time left. A copy that did not answer for 0.7 s is disconnected, which on a busy machine befalls several at a time.

Now a turn is sent again to such a copy until its time is up; a copy keeps it once.

The test fails without the change in three of six cases: '2 copies have answered, 3 are needed; connection to a ended'.

--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from sapphireyard.exceptions import CallError, PeerError
+from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.fleet.membership import SILENCE_SECONDS
 from sapphireyard.history import generated_history
@@ -29,6 +29,8 @@
 """Longest wait for enough copies; a disk sync takes 1 to 5 ms."""
 RETRY_SECONDS = 0.3
 """Retry-After while too few copies answer: several heartbeats."""
+COMMIT_RETRY_SECONDS = 0.05
+"""Pause before a turn is sent again to a copy whose connection was lost."""
 CHANGE_TIMEOUT_SECONDS = 0.3
 """Longest wait to learn of a set that copies already use: three heartbeats."""
 COPIES_CHANGED = "copies_changed"
@@ -231,9 +233,29 @@
 
     async def _commit(self, copies, turn):
         message = TurnCommit(copies.version, turn)
-        tasks = self._ask_members(copies, message, name="turn")
+        tasks = [
+            start_task(self._commit_at(host, message), name="turn")
+            for host in copies.members
+        ]
         await gather_quorum(tasks, self._quorum(copies), ANSWER_TIMEOUT_SECONDS)
 
+    async def _commit_at(self, host, message):
+        """Store a turn at a copy, and again if the connection to it is lost.
+
+        Nothing else can be done with a turn that has run; a copy keeps it once.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + ANSWER_TIMEOUT_SECONDS
+        while True:
+            timeout = max(0.0, deadline - loop.time())
+            try:
+                return await self._runtime.peers.ask(host, message, timeout=timeout)
+            except PeerUnavailable as error:
+                if loop.time() + COMMIT_RETRY_SECONDS >= deadline:
+                    raise
+                logger.info("turn is sent to %s again: %s", host, error)
+            await asyncio.sleep(COMMIT_RETRY_SECONDS)
+
     def _ask_members(self, copies, message, *, name):
         """Start a request to each member of a set; return the tasks."""
         return [
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from sapphireyard.clocks import Clock
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import CallError, PeerUnavailable
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history.client import HistoryClient, gather_quorum
 from sapphireyard.history.copies import (
@@ -395,6 +395,57 @@
                 self.assertEqual(client.keeps_turns, keeps_turns)
 
 
+class BreakingPeers:
+    """Loses the connection to some hosts a number of times, then connects."""
+
+    def __init__(self, breaks):
+        self.codec = SimpleNamespace(register_module=lambda module: None)
+        self.breaks = dict(breaks)
+        self.stored = []
+
+    async def ask(self, host, message, *, timeout):
+        if self.breaks.get(host):
+            self.breaks[host] -= 1
+            raise PeerUnavailable(f"connection to {host} ended")
+        self.stored.append(host)
+
+
+class CommitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_turn_outlasts_lost_connections_to_its_copies(self):
+        """Cases are how often connections to copies a to d are lost, and the result.
+
+        Three of the four copies have to store a turn.
+        """
+        forever = 1000
+        cases = [
+            ({}, True),
+            ({"a": 1, "b": 1}, True),
+            ({"a": 1, "b": 3, "c": 1, "d": 2}, True),
+            ({"a": forever}, True),
+            ({"a": forever, "b": 2}, True),
+            ({"a": forever, "b": forever}, False),
+        ]
+        for breaks, stored in cases:
+            with self.subTest(breaks):
+                membership = SimpleNamespace(silent_for=lambda host, now: 0.0)
+                runtime = SimpleNamespace(
+                    peers=BreakingPeers(breaks),
+                    clock=Clock(),
+                    settings=SimpleNamespace(tolerated_losses=1),
+                    gossip=SimpleNamespace(membership=membership),
+                )
+                client = HistoryClient(runtime)
+                client.update_copies(CopySet(1, {name: name for name in "abcd"}))
+                turn = build_turn("t1")
+                if not stored:
+                    with self.assertRaises(CallError) as caught:
+                        await client.commit(turn)
+                    self.assertEqual(caught.exception.code, "history_unavailable")
+                    continue
+                await client.commit(turn)
+                self.assertGreaterEqual(len(runtime.peers.stored), 3)
+
+
 class QuorumTest(unittest.IsolatedAsyncioTestCase):
     async def test_errors_after_a_cancellation_are_retrieved(self):
         """The loop must not report any of them as never retrieved."""
