--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -65,6 +65,18 @@
     code = "store_unavailable"
 
 
+class StoreBusy(StoreUnavailable):
+    """The store refused a call beyond its rate; nothing was done."""
+
+    code = "store_busy"
+
+
+class StoreValueInvalid(StoreError):
+    """An object has a value that another writer left and that cannot be used."""
+
+    code = "store_value_invalid"
+
+
 class CommitInDoubt(StoreUnavailable):
     """A commit failed as the store was unavailable, but may still become durable.
 
@@ -191,8 +203,10 @@
         Name of the owner, as far as this host knows.
     """
 
+    CODE = "not_owner"
+
     def __init__(self, owner):
-        super().__init__("not_owner", f"the owner is {owner}", retry_after=0.0)
+        super().__init__(self.CODE, f"the owner is {owner}", retry_after=0.0)
         self.owner = owner
 
 
