--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -193,6 +193,17 @@
                 regions = {"zone-a": "region", **expected[3]}
                 self.assertEqual((*fields, got.regions), (*expected[:3], regions))
 
+    def test_bounds_of_leaving_upstreams(self):
+        """Cases are lines of the file, and the seconds that result."""
+        cases = [
+            ("", (2.0, 0.0)),
+            ("bounds.drain-ms=1500\nheartbeat-ms=1200", (1.5, 1.2)),
+        ]
+        for lines, expected in cases:
+            with self.subTest(lines):
+                got = self.load(f"{SETTINGS}\n{lines}\n")
+                self.assertEqual((got.drain_seconds, got.report_seconds), expected)
+
     def test_all_findings_are_reported_together(self):
         faulty = SETTINGS.replace("node=front-a-1\n", "").replace(
             "machines=2", "machines=many"
