Bound the memory of hosts that read long histories

Callers saw: when 40 programs with 2 MB of history each went on at the same moment at an entry host that lacked them, streams ended without their end, turns got 502 "2 copies have answered, 3 are needed", and all hosts concerned went above the memory that their settings state (150 and 160 MB), for which a machine ends a process.

Cause: HeldBytes did not count histories, and copies assembled all chains at once.

Change: the text of a history counts from the first message of a copy on, which has its size and none of a long text. A turn without room is refused at once with Retry-After, before its engine has it. Since a history that no idle host could hold would end a conversation, and a turn that does not fit into a message to the copies could not be kept, both are refused with 413 when the turn arrives, with a quarter kept free for its output. A copy sends four long chains at a time, read part by part, so that heads of others and confirmations of commits go between them.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -155,6 +155,11 @@
         """int: Requests for which bytes are kept."""
         return len(self._holds)
 
+    @property
+    def largest(self):
+        """float: Bytes of the largest body and history that a request may have."""
+        return self.limit * ADMISSION_SHARE / BUFFER_OVERHEAD
+
     def open(self, label, *, now, release=None, measure=None):
         """Return a new `Hold` for a request."""
         hold = Hold(label, release=release, measure=measure, read_at=now)
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -10,8 +10,10 @@
 from sapphireyard.exchange.answers import check_answer
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
+from sapphireyard.exchange.held import RETRY_SECONDS
 from sapphireyard.history.client import ChainText
 from sapphireyard.history.generated_history import Turn
+from sapphireyard.streams.frames import MAX_FRAME_BYTES
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
@@ -23,6 +25,11 @@
 """Retries after failed connections, in addition to the route's attempts."""
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest event of a stream."""
+MAX_TURN_BYTES = MAX_FRAME_BYTES - 64 * 1024
+"""Largest input and output of a kept turn, which copies get in one message."""
+OUTPUT_SHARE = 0.25
+"""Share of the largest turn, and of the largest history, that is kept free for the
+output of a turn when it is accepted."""
 COMMIT_TIMEOUT_SECONDS = 2.0
 """Longest time for which the end of a complete answer is held back."""
 
@@ -45,8 +52,16 @@
 
     async def serve(self, admitted, reply):
         """Run one turn and answer it."""
+        held = self._runtime.held
+        hold = held.open(admitted.call.request_id, now=self._runtime.clock.monotonic())
+        try:
+            await self._serve(admitted, reply, hold)
+        finally:
+            held.close(hold)
+
+    async def _serve(self, admitted, reply, hold):
         keep_seconds = self._keep_seconds(admitted)
-        chain, synced = await self._prepare(admitted, keep_seconds)
+        chain, synced = await self._prepare(admitted, keep_seconds, hold)
         admitted.mark("history", self._runtime.clock.monotonic())
         reader = admitted.reader = EventReader()
         committed = False
@@ -62,15 +77,15 @@
                     keep_seconds=keep_seconds,
                 )
 
-    async def _prepare(self, admitted, keep_seconds):
+    async def _prepare(self, admitted, keep_seconds, hold):
         """Return the chain before a turn, and the task that syncs its reservation.
 
         The task is None if there is no budget.
         """
         call = admitted.call
         if call.token_budget is None:
-            return await self._read_chain(admitted), None
-        reading = start_task(self._read_chain(admitted), name="chain")
+            return await self._read_chain(admitted, hold), None
+        reading = start_task(self._read_chain(admitted, hold), name="chain")
         try:
             synced = await self._runtime.history.reserve(
                 self._program(admitted),
@@ -87,11 +102,19 @@
             )
             raise
 
-    async def _read_chain(self, admitted):
+    async def _read_chain(self, admitted, hold):
         turn = admitted.call.previous_turn
-        if not turn or admitted.route.retention is None:
+        if admitted.route.retention is None:
             return ChainText(admitted.customer.name)
-        chain = await self._runtime.history.read_chain(turn)
+        if not turn:
+            self._check_room(admitted, 0)
+            return ChainText(admitted.customer.name)
+
+        def admit(size):
+            self._check_room(admitted, size)
+            self._keep_chain(hold, size)
+
+        chain = await self._runtime.history.read_chain(turn, admit=admit)
         if chain.customer != admitted.customer.name:
             logger.info(
                 "turn of another customer",
@@ -106,6 +129,44 @@
             raise CallError("turn_unknown", f"there is no turn {turn!r}")
         return chain
 
+    def _check_room(self, admitted, size):
+        """Refuse a turn whose history could not be continued, before it runs."""
+        body = len(admitted.body)
+        free = 1 - OUTPUT_SHARE
+        if body > MAX_TURN_BYTES * free:
+            raise CallError(
+                "request_too_large",
+                f"a kept turn may have {int(MAX_TURN_BYTES * free)} bytes: got {body}",
+            )
+        largest = self._runtime.held.largest * free
+        if size + body > largest:
+            raise CallError(
+                "request_too_large",
+                f"a history may have {int(largest)} bytes: got {size + body}",
+            )
+
+    def _keep_chain(self, hold, size):
+        """Count the text of a history; raise `CallError` if there is no room now."""
+        held = self._runtime.held
+        missing = size - hold.kept
+        if not held.admits(missing):
+            logger.info(
+                "no memory for a history",
+                extra={
+                    "decision": "held",
+                    "request_id": hold.label,
+                    "size": size,
+                    "total": held.total,
+                    "limit": held.limit,
+                },
+            )
+            raise CallError(
+                "overloaded",
+                f"{held.total} bytes are kept for other requests",
+                retry_after=RETRY_SECONDS,
+            )
+        held.keep(hold, missing)
+
     async def _run(self, admitted, chain, synced, reply, reader):
         """Send the turn until an engine runs it; return whether it was committed."""
         excluded = []
@@ -193,6 +254,8 @@
                 admitted.mark("first", self._runtime.clock.monotonic())
             reader.feed(chunk)
             _check_size(reader)
+            if admitted.route.retention is not None:
+                _check_kept_size(admitted, reader)
             await admitted.call.keep(len(chunk))
             await reply.write(chunk)
         if reader.partial:
@@ -250,3 +313,9 @@
         raise UpstreamFailed(f"an event exceeds {MAX_EVENT_BYTES} bytes")
     if reader.total_bytes > MAX_ANSWER_BYTES:
         raise UpstreamFailed(f"stream exceeds {MAX_ANSWER_BYTES} bytes")
+
+
+def _check_kept_size(admitted, reader):
+    """Raise `UpstreamFailed` for a turn that copies could not keep."""
+    if len(admitted.body) + len(reader.output) > MAX_TURN_BYTES:
+        raise UpstreamFailed(f"a kept turn exceeds {MAX_TURN_BYTES} bytes")
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -73,6 +73,8 @@
 """Size of a batch of records; well below the largest frame."""
 BATCH_RECORDS = 200
 """Records examined for one batch; a copy serves no other request meanwhile."""
+LONG_READS = 4
+"""Chains of several messages that are sent at a time; other answers go between them."""
 PURGE_SECONDS = 5.0
 REPAIR_OVERLAP_SECONDS = 15.0
 """A restarted host also fetches records up to this much older than its newest one."""
@@ -98,6 +100,7 @@
         self._transfer = RecordTransfer(runtime.peers, self._log, self._read_batch)
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
+        self._long_reads = asyncio.Semaphore(LONG_READS)
         self._disk_id = ""
         self._set_position = None
         self._serving = False
@@ -506,14 +509,16 @@
             return
         last = chain[-1]
         size = sum(turn.size for turn in chain)
-        part_bytes = message.part_bytes or max(size, 1)
         head = Chain(True, False, last.customer, last.upstream, last.tokens, b"", size)
-        async with contextlib.aclosing(self._read_parts(chain, part_bytes)) as parts:
-            yield replace(head, text=await anext(parts, b""))
-            async for part in parts:
+        if not message.part_bytes or size <= message.part_bytes:
+            yield replace(head, text=b"".join(self._read_parts(chain, max(size, 1))))
+            return
+        yield head
+        async with self._long_reads:
+            for part in self._read_parts(chain, message.part_bytes):
                 yield ChainPart(part)
 
-    async def _read_parts(self, chain, part_bytes):
+    def _read_parts(self, chain, part_bytes):
         """Yield the text of a chain in parts; no more than one is kept at a time."""
         part = b""
         for turn in chain:
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -175,14 +175,16 @@
         self.synced.set()
         self.committed = asyncio.Event()
         self.committed.set()
+        self.text = b"before:"
         self.turns = []
         self.settled = []
         self.refuse = None
 
-    async def read_chain(self, turn):
+    async def read_chain(self, turn, *, admit):
         if turn == "foreign":
             return ChainText("other", b"secret")
-        return ChainText("c", b"before:", "up-1", 50)
+        admit(len(self.text))
+        return ChainText("c", self.text, "up-1", 50)
 
     async def reserve(self, program, turn, tokens, budget, *, keep_seconds):
         if self.refuse:
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -16,6 +16,18 @@
 SLOW_CALLERS = 200
 BULK_EVENTS = ("x" * 500_000,) * 12
 """6 MB: an entry host has room for a few such answers."""
+HISTORIES = 40
+HISTORY_BYTES = 2_000_000
+HISTORIES_MEMORY_MB = {"entry": 150, "copy": 160}
+PARALLEL = 4
+WAIT_SECONDS = 20.0
+BODY_BYTES = 4 * 1024 * 1024
+
+
+def read_peak(process):
+    """Return the most memory that a process has used, in MB."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024 / 1e6
 
 
 class MemoryTest(PlatformTestCase):
@@ -57,20 +69,14 @@
         await loop.sock_sendall(caller, head.encode())
         return caller
 
-    def read_peak(self):
-        """Return the most memory that the entry host has used, in MB."""
-        process = self.site.process("entry-1")
-        status = Path(f"/proc/{process.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024 / 1e6
-
     async def test_slow_readers_do_not_exhaust_the_memory(self):
         started = self.site.process("entry-1")
-        idle = self.read_peak()
+        idle = read_peak(self.site.process("entry-1"))
         for wave in range(4):
             for number in range(SLOW_CALLERS // 4):
                 await self.connect(0xB0000 + wave * SLOW_CALLERS + number)
             await asyncio.sleep(1.0)
-        peak = self.read_peak()
+        peak = read_peak(self.site.process("entry-1"))
         log = self.site.read_log("entry-1")
         self.assertIs(started.poll(), None)
         self.assertLess(peak, MEMORY_MB)
@@ -78,3 +84,59 @@
         self.assertNotIn("MemoryError", log)
         self.assertIn("bytes are kept", log)
         await self.site.wait_until(self.turns_are_served)
+
+
+class HistoriesMemoryTest(PlatformTestCase):
+    """Long histories that go on at the same moment at a host that lacks them."""
+
+    entry_options = {"settings": (f"limits.memory-mb={HISTORIES_MEMORY_MB['entry']}",)}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        limits = {"max-header-bytes": 16384, "max-body-bytes": BODY_BYTES}
+        configuration = build_configuration(2, limits=limits)
+        configuration["tenants"][0]["rate-per-s"] = 0
+        self.site.store.put("config", "main", configuration)
+        await self.site.wait_until(
+            lambda: all(
+                '"version": 2' in self.site.read_log(f"entry-{n}") for n in (1, 2)
+            )
+        )
+        self.turns = []
+        self.refused = 0
+
+    async def begin(self, number):
+        """Run the first turns of some programs, one after the other."""
+        for program in range(number, HISTORIES, PARALLEL):
+            text = bytes([program]) * HISTORY_BYTES
+            self.turns.append(await self.complete(ENTRY_IPS[0], f"p{program}", text))
+
+    async def complete(self, ip, program, text, previous=""):
+        """Retry a turn until its answer is complete; return its id."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                turn, answer = await self.site.send_turn(
+                    ip, text, previous=previous, program=program
+                )
+                if answer.status == 200 and answer.complete:
+                    return turn
+                self.assertEqual(answer.status, 503)
+                self.refused += 1
+                await asyncio.sleep(float(answer.headers["Retry-After"]))
+
+    async def test_histories_that_go_on_at_once_do_not_exhaust_the_memory(self):
+        await asyncio.gather(*map(self.begin, range(PARALLEL)))
+        self.engine.received.clear()
+        self.engine.executed.clear()
+        await asyncio.gather(
+            *(
+                self.complete(ENTRY_IPS[1], f"q{number}", b"and then", turn)
+                for number, turn in enumerate(self.turns)
+            )
+        )
+        for kind, count in (("entry", 2), ("copy", 4)):
+            for number in range(1, count + 1):
+                process = self.site.process(f"{kind}-{number}")
+                with self.subTest(f"{kind}-{number}"):
+                    self.assertIs(process.poll(), None)
+                    self.assertLess(read_peak(process), HISTORIES_MEMORY_MB[kind])
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -6,6 +6,7 @@
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.events import EventReader
+from sapphireyard.exchange.held import MEBIBYTE, HeldBytes
 from tests.exchange_case import EVENTS, ExchangeTestCase
 
 
@@ -112,13 +113,43 @@
                 self.assertEqual(self.reply.log[-1], ("abort",))
 
     async def test_failed_reservation_does_not_wait_for_the_chain(self):
-        async def never(turn):
+        async def never(turn, *, admit):
             await asyncio.Event().wait()
 
         self.runtime.history.read_chain = never
         self.runtime.history.refuse = "history_unavailable"
         self.assertEqual(await self.turn(previous_turn="t0"), 503)
 
+    async def test_history_that_has_no_room_is_refused_before_it_runs(self):
+        """Each case has the memory for requests, what others keep, and the history.
+
+        A busy host refuses for a while, and a history that no host could continue is
+        refused for good. The body has 4 bytes.
+        """
+        cases = [
+            (100, 0, 20, 200),
+            (100, 40, 20, 503),
+            (100, 0, 30, 413),
+            (16, 0, 4, 200),
+            (16, 0, 5, 413),
+        ]
+        for limit, kept, size, status in cases:
+            with self.subTest((limit, kept, size)):
+                await self.asyncSetUp()
+                held = self.runtime.held = HeldBytes(limit * MEBIBYTE)
+                other = held.open("other", now=0.0)
+                held.keep(other, int(kept * MEBIBYTE))
+                before = held.total
+                self.runtime.history.text = b"x" * (size * MEBIBYTE)
+                answered = await self.turn(previous_turn="t0")
+                self.assertEqual(answered, status)
+                self.assertEqual(held.total, before)
+                if status == 200:
+                    self.assertGreater(held.highest, before + size * MEBIBYTE)
+                    continue
+                self.assertEqual(self.sender.sent, [])
+                self.assertEqual(self.runtime.history.settled, [("r1", 0)])
+
     async def test_chain_that_is_not_found_gives_the_tokens_back(self):
         await self.turn(previous_turn="foreign")
         self.assertEqual(self.runtime.history.settled, [("r1", 0)])
