A settings file that cannot be read is reported as invalid

Seen in tests: bytes that are not UTF-8, or a name with both a value and fields of its own, raised `UnicodeDecodeError`, `TypeError` and `AttributeError`. At the start the process ended without saying which field it was; while it ran, the task that looks for changes of the file ended, so that a new address of the store was not used any more. `nan` and `inf` were accepted as bounds.

--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -213,6 +213,29 @@
         places = [finding.place for finding in caught.exception.findings]
         self.assertEqual(sorted(places), ["fault-tolerance.machines", "node"])
 
+    def test_odd_settings_are_findings(self):
+        """Cases are bytes at the end of the file, and the place of the finding."""
+        cases = [
+            (b"\xff\xfe=1", ""),
+            (b"node.x=1", "node.x"),
+            (b"bounds=1\nbounds.x.y=2", "bounds"),
+            (b"bounds.drain-ms=nan", "bounds.drain-ms"),
+            (b"bounds.contact-ms=inf", "bounds.contact-ms"),
+            (b"bounds.grace-s=1e400", "bounds.grace-s"),
+            (b"bounds.grace-s=" + b"9" * 6000, "bounds.grace-s"),
+            (b"limits.max-fds=" + b"9" * 6000, "limits.max-fds"),
+            (b"heartbeat-ms=-1", "heartbeat-ms"),
+        ]
+        for data, place in cases:
+            with self.subTest(data[:20]), tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "settings.conf"
+                path.write_bytes(SETTINGS.encode() + data)
+                with self.assertRaises(SettingsError) as caught:
+                    load_settings(path, role="entry")
+                (finding,) = caught.exception.findings
+                self.assertTrue(finding.place.startswith(place), finding.place)
+                self.assertLess(len(str(finding)), 300)
+
     def test_parse_lines(self):
         cases = [
             ("a.b=1=2", {"a": {"b": "1=2"}}),
