--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -154,6 +154,13 @@
     """An upstream did not begin to answer while another one could be tried."""
 
 
+class UpstreamLeft(UpstreamFailed):
+    """An upstream may not be used any more, and got nothing of the request."""
+
+    def __init__(self, detail):
+        super().__init__(detail, sent=False)
+
+
 class CallError(SapphireyardError):
     """An error answer to a caller.
 
@@ -196,8 +203,10 @@
         Name of the owner, as far as this host knows.
     """
 
+    CODE = "not_owner"
+
     def __init__(self, owner):
-        super().__init__("not_owner", f"the owner is {owner}", retry_after=0.0)
+        super().__init__(self.CODE, f"the owner is {owner}", retry_after=0.0)
         self.owner = owner
 
 
--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -127,6 +127,7 @@
         self._engines = {}
         self._loads = FleetLoads()
         self._leaving = {}
+        self._listed_at = None
         self._granted = FleetLoads()
         self.shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
@@ -151,6 +152,15 @@
         """FleetLoads: The part of the requests in flight that a home granted slots."""
         return self._granted
 
+    @property
+    def list_age(self):
+        """float: Seconds since the list of upstreams was up to date; -1 if never."""
+        return -1.0 if self._listed_at is None else self._now() - self._listed_at
+
+    def note_listed(self, at):
+        """Record that the list of upstreams was up to date at a moment."""
+        self._listed_at = at
+
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._engines = {name: service.engine for name, service in services.items()}
@@ -214,20 +224,36 @@
             ``overloaded``: no slot in time. Nothing was sent.
         """
         pool = self._find_usable(request)
-        # The scheduler serves this host only: ids are unique here, one holder will do.
-        request = replace(request, request_id=f"{next(self._numbers)}", holder="here")
-        async with self._hold_slot(pool, request, upstream_hint) as grant:
-            fields = record_placement(grant, self._runtime.metrics)
-            if placed is not None:
-                placed.update(fields)
-            name = grant.upstream
-            tokens = request.total_tokens if self._engines.get(request.pool) else 0
-            self._loads.acquire(name, tokens)
-            self._outliers.note_sent(name, self._now())
-            try:
-                yield pool.upstreams[name]
-            finally:
-                self._loads.release(name, tokens)
+        while True:
+            # The scheduler serves this host only: ids are unique here, one holder will
+            # do.
+            request_id = f"{next(self._numbers)}"
+            request = replace(request, request_id=request_id, holder="here")
+            async with self._hold_slot(pool, request, upstream_hint) as grant:
+                if self._is_usable(pool, grant.upstream):
+                    fields = record_placement(grant, self._runtime.metrics)
+                    if placed is not None:
+                        placed.update(fields)
+                    async with self._count(pool, request, grant) as upstream:
+                        yield upstream
+                    return
+            logger.info(
+                "slot of an upstream that has left meanwhile",
+                extra={"decision": "upstream", "upstream": grant.upstream},
+            )
+            pool = self._find_usable(request)
+
+    @asynccontextmanager
+    async def _count(self, pool, request, grant):
+        """Count a request in flight while the context lasts; yield its upstream."""
+        name = grant.upstream
+        tokens = request.total_tokens if self._engines.get(request.pool) else 0
+        self._loads.acquire(name, tokens)
+        self._outliers.note_sent(name, self._now())
+        try:
+            yield pool.upstreams[name]
+        finally:
+            self._loads.release(name, tokens)
 
     @asynccontextmanager
     async def grant(self, request, *, upstream_hint=""):
@@ -301,9 +327,16 @@
         It may have learned meanwhile that the upstream leaves, fails, is evacuated or
         has stated a rate.
         """
-        if name not in pool.upstreams or name in pool.grants.limited:
-            return False
-        return pool.scheduler.is_up(name)
+        return name not in pool.grants.limited and UpstreamPools._is_usable(pool, name)
+
+    @staticmethod
+    def _is_usable(pool, name):
+        """Return whether an upstream may still be used, some time after its grant.
+
+        Between a grant and the next step of the request that waited for it, a new list
+        or an answer may tell that the upstream is gone, leaves or fails.
+        """
+        return name in pool.upstreams and pool.scheduler.is_up(name)
 
     def _finish(self, pool, request):
         tokens = request.output_tokens
@@ -366,6 +399,22 @@
         known = pool.upstreams.get(upstream.name) if pool else None
         return known is None or known.leaving
 
+    def explain_unusable(self, upstream):
+        """Return why an upstream may get no request; empty if it may.
+
+        The last check before a request is sent, some time after the upstream was
+        chosen: at this host, or at another one that it asked.
+        """
+        pool = self._pools.get(upstream.service)
+        known = pool.upstreams.get(upstream.name) if pool else None
+        if known is None or known.started_at != upstream.started_at:
+            return "upstream is not listed here"
+        if known.leaving:
+            return "upstream is leaving"
+        if self.evacuations.covers(known):
+            return "failure domain is evacuated"
+        return ""
+
     def is_scarce(self, service):
         """Return whether this host reaches less than half of a service's upstreams."""
         upstreams = self._pools[service].upstreams.values()
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -14,7 +14,13 @@
 import mode
 
 from sapphireyard.answers import BROKEN, LISTENING, REFUSED, BodyEnd
-from sapphireyard.exceptions import EXECUTED_NO, CallError, PeerError, UpstreamFailed
+from sapphireyard.exceptions import (
+    EXECUTED_NO,
+    CallError,
+    PeerError,
+    UpstreamFailed,
+    UpstreamLeft,
+)
 from sapphireyard.exchange import generated_relays
 from sapphireyard.exchange.calls import (
     Dispatch,
@@ -62,6 +68,8 @@
 
     Attributes
     ----------
+    closing : Closing or None
+        The last seconds of this host; None until it is to stop.
     open_requests : int
         Requests of other hosts that are not answered yet.
     """
@@ -70,6 +78,7 @@
         super().__init__()
         self._runtime = runtime
         self._direct = direct
+        self.closing = None
         self.open_requests = 0
         runtime.peers.codec.register_module(generated_relays)
         runtime.peers.register_stream(RelayedRequest, self._serve_request)
@@ -145,13 +154,14 @@
                     self._send_through(host, dispatch)
                 )
             except UpstreamFailed as error:
-                if error.sent:
+                if error.sent or isinstance(error, UpstreamLeft):
                     raise
                 failure = error
         raise failure
 
     @asynccontextmanager
     async def _send_directly(self, dispatch):
+        self._check_usable(dispatch.upstream)
         name = dispatch.upstream.name
         tried_at = self._now()
         self._links.note_pending(name, 1, tried_at)
@@ -169,6 +179,11 @@
         finally:
             self._links.note_pending(name, -1, self._now())
 
+    def _check_usable(self, upstream):
+        reason = self._runtime.pools.explain_unusable(upstream)
+        if reason:
+            raise UpstreamLeft(reason)
+
     async def _note_chunks(self, chunks, upstream):
         async for chunk in chunks:
             self._links.note_heard(upstream, self._now())
@@ -176,6 +191,7 @@
 
     @asynccontextmanager
     async def _send_through(self, host, dispatch):
+        self._check_usable(dispatch.upstream)
         messages = self._runtime.peers.stream(
             host, _encode_request(dispatch), timeout=dispatch.timeout
         )
@@ -197,7 +213,7 @@
     async def _serve_request(self, message, context):
         """Send another host's request over this host's own link."""
         upstream = self._runtime.pools.find(message.upstream)
-        refusal = self._find_refusal(upstream, len(message.body))
+        refusal = self._find_refusal(upstream, message)
         if refusal:
             self._log_relayed(message, context, refusal)
             yield RelayedFailure(refusal, sent=False)
@@ -219,17 +235,19 @@
             held.close(hold)
             self._log_relayed(message, context, outcome)
 
-    def _find_refusal(self, upstream, size):
-        """Return why requests for an upstream are not relayed, or an empty string."""
+    def _find_refusal(self, upstream, message):
+        """Return why a request for an upstream is not relayed, or an empty string."""
+        now = self._now()
+        if self.closing and not self.closing.takes(now + message.timeout, now):
+            return "host is leaving"
         if upstream is None:
             return "upstream is not listed here"
-        if self._runtime.pools.is_leaving(upstream):
-            return "upstream is leaving"
-        if self._runtime.pools.evacuations.covers(upstream):
-            return "failure domain is evacuated"
+        reason = self._runtime.pools.explain_unusable(upstream)
+        if reason:
+            return reason
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
-        if not self._runtime.held.admits(size):
+        if not self._runtime.held.admits(len(message.body)):
             return "no memory for the request"
         return ""
 
@@ -294,6 +312,7 @@
                 "from": context.host,
                 "upstream": message.upstream,
                 "outcome": outcome,
+                "list_age": round(self._runtime.pools.list_age, 2),
             },
         )
 
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -19,14 +19,19 @@
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history import generated_history
 from sapphireyard.history.copies import (
+    FORGOTTEN,
+    JOINING,
+    SERVING,
     explain_stay,
     fence_quorum,
+    list_holders,
     plan_join,
     plan_leave,
     plan_recovery,
 )
 from sapphireyard.history.generated_history import (
     Chain,
+    ChainPart,
     ChainQuery,
     DiskQuery,
     DiskStatus,
@@ -41,7 +46,7 @@
     TurnCommit,
     TurnSynced,
 )
-from sapphireyard.history.log import RecordLog, read_identity
+from sapphireyard.history.log import LogFailed, RecordLog, read_identity
 from sapphireyard.history.state import HistoryState
 from sapphireyard.history.stored_set import StoredSet
 from sapphireyard.history.survey import ask_disks, list_serving
@@ -94,6 +99,7 @@
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
         self._disk_id = ""
+        self._set_position = None
         self._serving = False
         self._retiring = False
         self._newest_written_at = 0.0
@@ -105,7 +111,7 @@
         runtime.peers.register(SpendingQuery, self._serve_spending)
         runtime.peers.register(Settlement, self._serve_settlement)
         runtime.peers.register(TurnCommit, self._serve_commit)
-        runtime.peers.register(ChainQuery, self._serve_chain)
+        runtime.peers.register_stream(ChainQuery, self._serve_chain)
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
         runtime.peers.register(DiskQuery, self._serve_disk)
@@ -120,6 +126,12 @@
         """bool: Whether this host answers as a member of the set."""
         return self._serving
 
+    @property
+    def _standing(self):
+        if self._serving:
+            return SERVING
+        return FORGOTTEN if self._set_position is None else JOINING
+
     @property
     def _tolerated(self):
         return self._runtime.settings.tolerated_losses
@@ -133,9 +145,13 @@
             "history opened",
             extra={
                 "decision": "open",
+                "disk": self._disk_id,
+                "files": self._log.files,
                 "records": self._log.end,
                 "set_version": self._copies.version,
-                "settled": self._serving,
+                "members": self._copies.members,
+                "standing": self._standing,
+                "newest_written_at": self._newest_written_at,
             },
         )
         if self._serving:
@@ -158,12 +174,23 @@
 
     @mode.Service.timer(PURGE_SECONDS)
     async def _purge_regularly(self):
-        self.purge_expired()
+        try:
+            await self.purge_expired()
+        except LogFailed as error:
+            logger.error("nothing is deleted: %s", error)
 
-    def purge_expired(self):
-        """Drop expired turns and spending, and delete files that are not needed."""
+    async def purge_expired(self):
+        """Drop expired turns and spending, and delete files that are not needed.
+
+        The set of copies does not expire: a host that lost it could not tell after a
+        restart that it is a member. It is written again before its file goes.
+        """
         needed = self._state.expire(self._now())
-        self._log.drop_before(self._log.end if needed is None else needed)
+        kept = self._log.find_kept(self._log.end if needed is None else needed)
+        if self._set_position is not None and self._set_position < kept:
+            self._append_set()
+            await self._log.sync()
+        self._log.drop_before(kept)
 
     def update_copies(self, copies):
         """Adopt a newer set that another host already uses."""
@@ -249,7 +276,7 @@
                 return
             # Also after a restart, it is known which set this host joins from.
             self._copies = copies
-            self._append(copies)
+            self._append_set()
             await self._log.sync()
             await self._set.write(stored, changed)
             copies = changed
@@ -259,9 +286,11 @@
     async def _recover(self, stored, copies):
         """Begin a new set if histories are gone for good."""
         disks = await ask_disks(self._runtime.peers, copies.members)
-        disks[self._runtime.host] = DiskStatus(self._disk_id, self._serving)
-        options = {"accepted": copies.version, "tolerated": self._tolerated}
         host = self._runtime.host
+        disks[host] = DiskStatus(self._disk_id, self._serving, self._standing)
+        if await self._resume(copies, disks):
+            return
+        options = {"accepted": copies.version, "tolerated": self._tolerated}
         if plan_recovery(copies, host, self._disk_id, disks, **options) is None:
             return
         options["accepted"] = await self._set.read_accepted_loss()
@@ -273,6 +302,7 @@
                     "decision": "recovery",
                     "set_version": copies.version,
                     "silent": sorted(set(copies.members) - set(disks)),
+                    "disks": _describe_disks(disks),
                 },
             )
             return
@@ -281,14 +311,44 @@
             extra={
                 "decision": "recovery",
                 "set_version": copies.version,
-                "members": sorted(copies.members),
-                "answered": sorted(disks),
+                "members": copies.members,
+                "disks": _describe_disks(disks),
+                "accepted": options["accepted"],
                 "serving": sorted(set(changed.members) - {host}),
             },
         )
         await self._set.write(stored, changed)
         await self._fence_and_join(changed, {})
 
+    async def _resume(self, copies, disks):
+        """Serve again with others whose logs name no set; return whether it did.
+
+        As none of them serves, none can let another one join. Those that do not serve
+        acknowledge nothing, so that all that counts is among their records.
+        """
+        host = self._runtime.host
+        holders = list_holders(copies, disks)
+        needed = self._count_fences(copies)
+        if copies.members.get(host) != self._disk_id or len(holders) < needed:
+            return False
+        others = [name for name in holders if name != host]
+        needed -= host in holders
+        reached = await self._fetch_all(others, copies, {}, len(others), resuming=True)
+        logger.warning(
+            "resuming a set of which too few members serve",
+            extra={
+                "decision": "resume",
+                "set_version": copies.version,
+                "disks": _describe_disks(disks),
+                "fetched_from": sorted(reached),
+                "needed": needed,
+            },
+        )
+        if len(reached) < needed:
+            return False
+        await self._adopt(copies)
+        return self._serving
+
     @mode.Service.timer(SPARE_SECONDS)
     async def _end_recovery(self):
         """End the time in which records may be lost once an operator accepts it."""
@@ -344,7 +404,7 @@
         )
         return True
 
-    async def _fetch_all(self, hosts, copies, positions, needed):
+    async def _fetch_all(self, hosts, copies, positions, needed, *, resuming=False):
         """Copy the records of as many of several hosts as are needed.
 
         Returns the position reached at each of those that answered first. The others
@@ -352,7 +412,8 @@
         """
         tasks = {
             start_task(
-                self._fetch(host, copies, positions.get(host, 0)), name="records"
+                self._fetch(host, copies, positions.get(host, 0), resuming=resuming),
+                name="records",
             ): host
             for host in hosts
         }
@@ -370,10 +431,12 @@
                 task.cancel()
         return reached
 
-    async def _fetch(self, host, copies, position, written_after=0.0):
+    async def _fetch(
+        self, host, copies, position, written_after=0.0, *, resuming=False
+    ):
         try:
             while True:
-                query = build_query(position, copies, written_after)
+                query = build_query(position, copies, written_after, resuming=resuming)
                 batch = await self._runtime.peers.ask(
                     host, query, timeout=BATCH_TIMEOUT_SECONDS
                 )
@@ -397,7 +460,7 @@
         if copies.version < self._copies.version:
             return
         self._copies = copies
-        self._append(copies)
+        self._append_set()
         await self._log.sync()
         # A newer set may have been adopted during the sync.
         self._serving = self._copies.members.get(self._runtime.host) == self._disk_id
@@ -439,15 +502,37 @@
         self._check(message.set_version)
         chain = self._state.find_chain(message.turn)
         if chain is None:
-            return Chain(absent=self._state.find_turn(message.turn) is None)
-        text = b"".join(self._read_turn_text(turn.position) for turn in chain)
+            yield Chain(absent=self._state.find_turn(message.turn) is None)
+            return
         last = chain[-1]
-        return Chain(True, False, last.customer, last.upstream, last.tokens, text)
+        size = sum(turn.size for turn in chain)
+        part_bytes = message.part_bytes or max(size, 1)
+        head = Chain(True, False, last.customer, last.upstream, last.tokens, b"", size)
+        async with contextlib.aclosing(self._read_parts(chain, part_bytes)) as parts:
+            yield replace(head, text=await anext(parts, b""))
+            async for part in parts:
+                yield ChainPart(part)
+
+    async def _read_parts(self, chain, part_bytes):
+        """Yield the text of a chain in parts; no more than one is kept at a time."""
+        part = b""
+        for turn in chain:
+            for start, size in self._locate_texts(turn.position):
+                end = start + size
+                while start < end:
+                    wanted = min(part_bytes - len(part), end - start)
+                    part += self._read_record(turn.position, start, wanted)
+                    start += wanted
+                    if len(part) == part_bytes:
+                        yield part
+                        part = b""
+        if part:
+            yield part
 
     async def _serve_records(self, message, context):
-        if not self._serving:
+        if not self._serving and not (message.resuming and self._disk_id):
             raise CallError("history_unavailable", "this copy is not a member")
-        if message.set_version > self._copies.version:
+        if self._serving and message.set_version > self._copies.version:
             await self._adopt(
                 CopySet(message.set_version, message.members, message.lost_before)
             )
@@ -456,7 +541,7 @@
     async def _serve_disk(self, message, context):
         if not self._disk_id:
             raise CallError("history_unavailable", "the disk has not been read yet")
-        return DiskStatus(self._disk_id, self._serving)
+        return DiskStatus(self._disk_id, self._serving, self._standing)
 
     async def _serve_batch(self, message, context):
         self._apply_batch(message)
@@ -473,6 +558,9 @@
                 f"the set of copies is at version {self._copies.version}",
             )
 
+    def _append_set(self):
+        self._set_position = self._append(self._copies)
+
     def _append(self, record):
         self._newest_written_at = max(
             self._newest_written_at, getattr(record, "written_at", 0.0)
@@ -483,6 +571,7 @@
         record = self._unpack(payload)
         if isinstance(record, CopySet):
             self._copies = record
+            self._set_position = position
             return
         self._newest_written_at = max(self._newest_written_at, record.written_at)
         self._state.apply(record, position, self._now())
@@ -498,8 +587,8 @@
     def _read_batch(self, after, written_after):
         records = []
         size = 0
-        position = after
-        end = min(self._log.end, after + BATCH_RECORDS)
+        position = max(after, self._log.first)
+        end = min(self._log.end, position + BATCH_RECORDS)
         while position < end and size < BATCH_BYTES:
             payload = self._log.read(position)
             position += 1
@@ -512,12 +601,31 @@
             size += len(payload)
         return RecordBatch(position, records)
 
-    def _read_turn_text(self, position):
-        turn = self._unpack(self._log.read(position))
-        return turn.input + turn.output
+    def _locate_texts(self, position):
+        """Return where a record has the input and the output of its turn, with sizes.
+
+        The same bytes elsewhere in the record serve as well.
+        """
+        payload = self._read_record(position)
+        turn = self._unpack(payload)
+        return [(payload.find(text), len(text)) for text in (turn.input, turn.output)]
+
+    def _read_record(self, position, start=0, size=None):
+        payload = self._log.read(position, start, size)
+        if payload is None:
+            raise CallError("history_unavailable", "a turn expires while it is read")
+        return payload
 
     def _now(self):
         return self._runtime.clock.monotonic()
 
     def _unpack(self, payload):
         return self._codec.load(*msgpack.unpackb(payload))
+
+
+def _describe_disks(disks):
+    """Return what hosts have answered about their disks, for the log."""
+    return {
+        host: f"{status.disk} {status.standing or status.serving}"
+        for host, status in sorted(disks.items())
+    }
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from sapphireyard.clocks import Clock
-from sapphireyard.exceptions import CallError
+from sapphireyard.exceptions import CallError, PeerUnavailable
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history.client import HistoryClient, gather_quorum
 from sapphireyard.history.copies import (
@@ -154,9 +154,11 @@
                 self.assertEqual(not reason, may_leave, reason)
 
     def test_recovery_begins_only_when_a_loss_is_certain(self):
-        """Each case has the state of each member: serving, joining, lost or away.
+        """Each case has the state of each member.
 
-        Two disks may be lost; the expected members are those of the new set.
+        A member is serving, joining, lost, away, has forgotten the set or does not
+        tell, as hosts of older builds. Two disks may be lost; the expected members are
+        those of the new set.
         """
         cases = [
             ("a lost b lost c lost", 0, "x"),
@@ -174,6 +176,16 @@
             ("a joining", 0, None),
             ("a lost", 0, "x"),
             ("", 0, None),
+            ("a forgotten b forgotten c forgotten", 0, None),
+            ("a forgotten b forgotten c forgotten d forgotten", 0, None),
+            ("a lost b lost c forgotten", 0, None),
+            ("a lost b lost c forgotten d forgotten e forgotten f forgotten", 0, None),
+            ("a lost b lost c joining d forgotten e forgotten f serving", 0, None),
+            ("a lost b lost c lost d forgotten e joining f joining", 0, None),
+            ("a lost b lost c lost d lost e forgotten f forgotten", 0, "x"),
+            ("a lost b lost c lost d lost e forgotten f serving", 0, "fx"),
+            ("a lost b lost c lost d untold", 0, None),
+            ("a lost b lost c lost d untold", 7, "x"),
         ]
         for states, accepted, expected in cases:
             with self.subTest((states, accepted)):
@@ -182,7 +194,9 @@
                 copies = CopySet(7, dict.fromkeys(pairs, "old"))
                 disks = {
                     name: DiskStatus(
-                        "new" if state == "lost" else "old", state == "serving"
+                        "new" if state == "lost" else "old",
+                        state == "serving",
+                        "" if state == "untold" else state,
                     )
                     for name, state in pairs.items()
                     if state != "away"
@@ -395,6 +409,57 @@
                 self.assertEqual(client.keeps_turns, keeps_turns)
 
 
+class BreakingPeers:
+    """Loses the connection to some hosts a number of times, then connects."""
+
+    def __init__(self, breaks):
+        self.codec = SimpleNamespace(register_module=lambda module: None)
+        self.breaks = dict(breaks)
+        self.stored = []
+
+    async def ask(self, host, message, *, timeout):
+        if self.breaks.get(host):
+            self.breaks[host] -= 1
+            raise PeerUnavailable(f"connection to {host} ended")
+        self.stored.append(host)
+
+
+class CommitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_turn_outlasts_lost_connections_to_its_copies(self):
+        """Cases are how often connections to copies a to d are lost, and the result.
+
+        Three of the four copies have to store a turn.
+        """
+        forever = 1000
+        cases = [
+            ({}, True),
+            ({"a": 1, "b": 1}, True),
+            ({"a": 1, "b": 3, "c": 1, "d": 2}, True),
+            ({"a": forever}, True),
+            ({"a": forever, "b": 2}, True),
+            ({"a": forever, "b": forever}, False),
+        ]
+        for breaks, stored in cases:
+            with self.subTest(breaks):
+                membership = SimpleNamespace(silent_for=lambda host, now: 0.0)
+                runtime = SimpleNamespace(
+                    peers=BreakingPeers(breaks),
+                    clock=Clock(),
+                    settings=SimpleNamespace(tolerated_losses=1),
+                    gossip=SimpleNamespace(membership=membership),
+                )
+                client = HistoryClient(runtime)
+                client.update_copies(CopySet(1, {name: name for name in "abcd"}))
+                turn = build_turn("t1")
+                if not stored:
+                    with self.assertRaises(CallError) as caught:
+                        await client.commit(turn)
+                    self.assertEqual(caught.exception.code, "history_unavailable")
+                    continue
+                await client.commit(turn)
+                self.assertGreaterEqual(len(runtime.peers.stored), 3)
+
+
 class QuorumTest(unittest.IsolatedAsyncioTestCase):
     async def test_errors_after_a_cancellation_are_retrieved(self):
         """The loop must not report any of them as never retrieved."""
--- a/tests/test_upstreams_feed.py
+++ b/tests/test_upstreams_feed.py
@@ -147,7 +147,9 @@
             runtime = SimpleNamespace(
                 store=self.store,
                 clock=LoopClock(),
-                pools=SimpleNamespace(set_upstreams=self.note_listed),
+                pools=SimpleNamespace(
+                    set_upstreams=self.note_listed, note_listed=lambda at: None
+                ),
                 settings=SimpleNamespace(
                     contact_seconds=CONTACT_SECONDS,
                     drain_seconds=DRAIN_SECONDS,
