--- a/tests/test_platform_odd_requests.py
+++ b/tests/test_platform_odd_requests.py
@@ -37,6 +37,7 @@
     b"\xc3\xa4",
     b"\xd9\xa3",
     b"a:" + b"1" * 400 + b",b:nan,:,::",
+    b"\xff:10,\xed\xa0\x80:20",
     b"," * 5000,
     b"1,2,3",
     b'"',
