Wait for what a start lacks, and restart background tasks that fail

Seen on: a process ended at once, and again at each restart, with settings that were still being written ("settings: provider: Field required"), a port that the process before still held, or a data folder that could not be written. Any unexpected error of a background task ended the process as well: an odd entry of the store, a full disk (LogFailed, raised while joining the copies), an address of a heartbeat that cannot be sent to.

Cause: nothing was retried at the start; mode.Service ends the whole process when one task raises. 10 tasks and 2 timers on the platform's path were declared so.

| task | what it did before an unexpected error, and does again after it | | --- | --- | | Gossip._beat | heartbeats | | UpstreamPools._watch, RelaySender._probe_links | states and links of upstreams | | feeds (2), HostRegistry, RetirementFeed | follow the store | | ConnectionSweep, CallerInterface._relieve | close idle and slow connections | | HistoryService: _maintain, 2 timers | join the copies, purge, end of a recovery |

Change: lasting_task and lasting_timer log the error and go on, after 0.1 s to 5 s. A process waits for settings (5 s, then status 2 as before), and without limit for its addresses and its data folder, as ending would not help; a stop meanwhile ends it with status 0. Settings that are no text, or in which a value is also a section, are rejected like other invalid ones.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -34,6 +34,7 @@
     SchedulerOptions,
     SlotRequest,
 )
+from sapphireyard.tasks import lasting_task
 from sapphireyard.upstreams.cold import ColdUpstreams
 from sapphireyard.upstreams.evidence import FleetEvidence
 from sapphireyard.upstreams.links import PROBE_SECONDS, Links
@@ -424,7 +425,7 @@
                 now,
             )
 
-    @mode.Service.task
+    @lasting_task
     async def _watch(self):
         while not self.should_stop:
             now = self._now()
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -33,7 +33,7 @@
     RelayedRequest,
 )
 from sapphireyard.fleet.relays import rank_relays
-from sapphireyard.tasks import start_task
+from sapphireyard.tasks import lasting_task, start_task
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
             return False
         return None if reaction is None else True
 
-    @mode.Service.task
+    @lasting_task
     async def _probe_links(self):
         while not self.should_stop:
             for name in self._links.choose_probes(self._now()):
--- a/sapphireyard/fleet/gossip.py
+++ b/sapphireyard/fleet/gossip.py
@@ -18,6 +18,7 @@
 from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.membership import ENTRY, HISTORY, Membership
 from sapphireyard.fleet.rotation import list_expected
+from sapphireyard.tasks import lasting_task
 
 logger = logging.getLogger(__name__)
 
@@ -131,7 +132,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    @mode.Service.task
+    @lasting_task
     async def _beat(self):
         while not self.should_stop:
             self._due.clear()
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -23,6 +23,8 @@
 """Size from which a new file is started; files are only deleted as a whole."""
 SEGMENT_SUFFIX = ".records"
 IDENTITY_FILE = "identity"
+PROBE_FILE = "probe"
+PROBE_BYTES = 4096
 
 
 class LogFailed(SapphireyardError):
@@ -204,6 +206,13 @@
     return identity
 
 
+def check_writable(folder):
+    """Write a file to a folder and remove it; raise `OSError` if that fails."""
+    path = Path(folder) / PROBE_FILE
+    path.write_bytes(bytes(PROBE_BYTES))
+    path.unlink()
+
+
 def _read_segment(path):
     """Yield (offset, payload) of the records of a file up to the first torn one."""
     data = path.read_bytes()
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -41,7 +41,7 @@
     TurnCommit,
     TurnSynced,
 )
-from sapphireyard.history.log import RecordLog, read_identity
+from sapphireyard.history.log import RecordLog, check_writable, read_identity
 from sapphireyard.history.state import HistoryState
 from sapphireyard.history.stored_set import StoredSet
 from sapphireyard.history.survey import ask_disks, list_serving
@@ -51,7 +51,7 @@
     build_query,
 )
 from sapphireyard.streams.frames import MessageCodec
-from sapphireyard.tasks import start_task
+from sapphireyard.tasks import lasting_task, lasting_timer, start_task
 
 logger = logging.getLogger(__name__)
 
@@ -69,6 +69,7 @@
 BATCH_RECORDS = 200
 """Records examined for one batch; a copy serves no other request meanwhile."""
 PURGE_SECONDS = 5.0
+FOLDER_RETRY_SECONDS = 1.0
 REPAIR_OVERLAP_SECONDS = 15.0
 """A restarted host also fetches records up to this much older than its newest one."""
 
@@ -125,7 +126,7 @@
         return self._runtime.settings.tolerated_losses
 
     async def on_start(self):
-        self._disk_id = read_identity(self._runtime.settings.data_folder)
+        await self._prepare_folder()
         for position, payload in self._log.open():
             self._replay(payload, position)
         self._serving = self._copies.members.get(self._runtime.host) == self._disk_id
@@ -141,12 +142,26 @@
         if self._serving:
             self.add_future(self._repair())
 
+    async def _prepare_folder(self):
+        """Read the identity of the disk, and wait while the disk cannot be written."""
+        folder = self._runtime.settings.data_folder
+        while True:
+            try:
+                self._disk_id = read_identity(folder)
+                return check_writable(folder)
+            except OSError as error:
+                logger.error(
+                    "data folder cannot be used yet",
+                    extra={"decision": "open", "folder": folder, "error": str(error)},
+                )
+            await self.sleep(FOLDER_RETRY_SECONDS)
+
     async def on_stop(self):
         with contextlib.suppress(SapphireyardError):
             await self._log.sync()
         self._log.close()
 
-    @mode.Service.task
+    @lasting_task
     async def _maintain(self):
         while not self.should_stop:
             if not self._serving:
@@ -156,7 +171,7 @@
                     logger.info("could not join the set of copies: %s", error)
             await self.sleep(MAINTAIN_SECONDS)
 
-    @mode.Service.timer(PURGE_SECONDS)
+    @lasting_timer(PURGE_SECONDS)
     async def _purge_regularly(self):
         self.purge_expired()
 
@@ -289,7 +304,7 @@
         await self._set.write(stored, changed)
         await self._fence_and_join(changed, {})
 
-    @mode.Service.timer(SPARE_SECONDS)
+    @lasting_timer(SPARE_SECONDS)
     async def _end_recovery(self):
         """End the time in which records may be lost once an operator accepts it."""
         if not self._serving or not self._copies.lost_before:
