Keep signals to the exit in the binaries of the own interface

Seen: a second SIGTERM or a SIGHUP while such a process exits ended it with the status of the signal; without a reader of standard output it ended at its start.

Cause: as on the platform, handlers belonged to the event loop and went with it; print() raised BrokenPipeError.

Not done: signals during the imports of these binaries, and standard error that blocks.

--- a/sapphireyard/archive.py
+++ b/sapphireyard/archive.py
@@ -125,14 +125,14 @@
                 logger.warning("another archive uses the name %s", settings.host)
 
 
-async def run(settings):
+async def run(settings, signals):
     """Run an archive until it is asked to stop; return the exit status."""
     runtime = Runtime(settings, ObjectStore(settings.store))
     runtime.peers = Peers(runtime)
     service = ArchiveService(runtime)
     await runtime.peers.listen()
     return await run_service(
-        service, runtime, find_address=lambda: runtime.peers.address
+        service, runtime, signals, find_address=lambda: runtime.peers.address
     )
 
 
--- a/sapphireyard/control.py
+++ b/sapphireyard/control.py
@@ -308,13 +308,13 @@
     return runtime
 
 
-async def run(settings):
+async def run(settings, signals):
     """Run a control process until it is asked to stop; return the exit status."""
     runtime = build_runtime(settings)
     service = ControlService(runtime)
     await runtime.peers.listen()
     return await run_service(
-        service, runtime, find_address=lambda: runtime.peers.address
+        service, runtime, signals, find_address=lambda: runtime.peers.address
     )
 
 
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -136,13 +136,14 @@
     return runtime
 
 
-async def run(settings):
+async def run(settings, signals):
     """Run an entry host until it is asked to stop; return the exit status."""
     runtime = build_runtime(settings)
     service = EntryService(runtime)
     return await run_service(
         service,
         runtime,
+        signals,
         find_address=lambda: runtime.gateway.address,
         drain=service.drain,
     )
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -181,3 +181,39 @@
                         process.send_signal(number)
                     time.sleep(0.001)
                 self.assertEqual(process.returncode, 0)
+
+
+class OwnInterfaceTest(unittest.TestCase):
+    def start(self, **options):
+        process = subprocess.Popen(
+            [sys.executable, "-m", "sapphireyard.control", "--host", "control-1"]
+            + ["--failure-domain", "a", "--peer-address", "127.0.0.1:0"]
+            + ["--store", "http://127.0.0.1:1"],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            **options,
+        )
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_signals_until_the_exit_do_not_change_the_status(self):
+        process = self.start(stdout=subprocess.PIPE)
+        self.addCleanup(process.stdout.close)
+        self.assertIn(b"listening on", process.stdout.readline())
+        while process.poll() is None:
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                process.send_signal(number)
+            time.sleep(0.001)
+        self.assertEqual(process.returncode, 0)
+
+    def test_output_without_a_reader_does_not_end_a_process(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        process = self.start(stdout=writer)
+        os.close(writer)
+        line = b"cannot write to standard output"
+        self.assertTrue(any(line in each for each in process.stderr))
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(TIMEOUT_SECONDS), 0)
