answers: a stray answer answers no other request, for all clients

aiohttp keeps a connection on which bytes follow an answer, and gives an answer that it has read by then to the next request; that request's own answer then waits for the one after it, and so on for as long as the connection lives. Only PlatformSender checked for it. Services and engines behind the own interface, the object API and the platform's store did not: a list of upstreams or a configuration could be an answer behind, for good.

The checks move to StrictConnection, which these clients use; the object API's does now.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -1,13 +1,18 @@
 """How answers over HTTP end: complete, broken off, or with their connection."""
 
 import asyncio
+import logging
+import select
 from dataclasses import dataclass
 from functools import partial
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
+logger = logging.getLogger(__name__)
+
 LENGTH = "length"
 CHUNKED = "chunked"
 CONNECTION = "connection"
@@ -53,15 +58,57 @@
 
 
 class StrictConnection(ResponseHandler):
-    """A client connection on which only an orderly end by the peer ends a body.
+    """A client connection that takes no other bytes for an answer, or for its end.
+
+    Bytes that follow an answer belong to no request: their connection is not reused,
+    while aiohttp would give them to the next request.
 
     aiohttp takes any end of the connection for the end of a body that has neither a
     length nor chunks, also if this host closes it, as when it stops; the reader of
     another body then waits on. It also reads without limit what carries no body:
     interim answers, trailers, extensions of chunks, and whatever follows an answer.
+
+    Attributes
+    ----------
+    total_requests : int
+        Requests that it has carried.
     """
 
-    _stray_bytes = 0
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._stray_bytes = 0
+        self._opened_at = loop.time()
+        self._poll = select.poll()
+        self.total_requests = 0
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        # Encrypted connections carry more than answers.
+        if transport.get_extra_info("sslcontext") is None:
+            connection = transport.get_extra_info("socket")
+            self._poll.register(connection.fileno(), select.POLLIN)
+
+    def set_response_params(self, **options):
+        # aiohttp calls this when it has chosen the connection for a request.
+        self.total_requests += 1
+        super().set_response_params(**options)
+
+    def is_connected(self):
+        """Return whether a request may be sent on this connection."""
+        if not super().is_connected():
+            return False
+        if self.should_close or self._has_stray_input():
+            self._log_dropped("bytes or an end after the last answer")
+            self.transport.abort()
+            return False
+        return True
+
+    def describe(self):
+        """Return the state of the connection, as fields of a log line."""
+        return {
+            "connection_requests": self.total_requests,
+            "connection_seconds": round(self._loop.time() - self._opened_at, 3),
+        }
 
     def data_received(self, data):
         # An error of the parser discards the heads that it has read from the same
@@ -75,6 +122,8 @@
             self._receive(rest)
 
     def close(self):
+        if self._buffer or self._tail:
+            self._log_dropped("bytes after an answer")
         self._break_body("connection closed by this host")
         super().close()
 
@@ -87,6 +136,27 @@
         if self._is_reading_body():
             self._payload.set_exception(BodyReset(reason))
 
+    def _has_stray_input(self):
+        """Return whether bytes, or the end of the connection, follow the last answer.
+
+        The parser may have read the beginning of a head, and the system may hold
+        bytes that the loop has not read.
+        """
+        if self._parser is not None:
+            try:
+                begun = self._parser.feed_eof()
+            except (aiohttp.ClientError, HttpProcessingError, ValueError):
+                return True
+            if begun is not None:
+                return True
+        return bool(self._poll.poll(0))
+
+    def _log_dropped(self, reason):
+        logger.info(
+            "connection not reused",
+            extra={"decision": "drop", "reason": reason, **self.describe()},
+        )
+
     def _is_reading_body(self):
         return self._payload is not None and not self._payload.is_eof()
 
--- a/sapphireyard/storage/objects.py
+++ b/sapphireyard/storage/objects.py
@@ -8,7 +8,7 @@
 import aiohttp
 from yarl import URL
 
-from sapphireyard.answers import CONNECTION, find_framing
+from sapphireyard.answers import CONNECTION, build_connector, find_framing
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable, WatchExpired
 from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 
@@ -151,7 +151,7 @@
             tracing.on_connection_create_start.append(_refuse_second_attempt)
             tracing.on_connection_reuseconn.append(_refuse_second_attempt)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=CONNECTIONS),
+                connector=build_connector(limit=CONNECTIONS),
                 trace_configs=[tracing],
                 auto_decompress=False,
             )
