exchange: a request that waits for a connection ends with its caller, too

A request that may not be repeated counted as handed to an upstream while its host still connected to that, up to 0.5 s, and was sent after its caller had left.

test_request_that_waits_for_a_connection_ends_with_its_caller covers it.

A connection that is closed on purpose is no longer logged as having stray bytes.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -97,11 +97,12 @@
         """Return whether a request may be sent on this connection."""
         if not super().is_connected():
             return False
-        if self.should_close or self._has_stray_input():
+        if not (self.should_close or self._has_stray_input()):
+            return True
+        if not self._should_close:
             self._log_dropped("bytes or an end after the last answer")
-            self.transport.abort()
-            return False
-        return True
+        self.transport.abort()
+        return False
 
     def describe(self):
         """Return the state of the connection, as fields of a log line."""
--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -114,6 +114,19 @@
     region: str = ""
 
 
+@dataclass
+class Handover:
+    """Whether an upstream may have got a request.
+
+    Parameters
+    ----------
+    begun : bool
+        Bytes of it may have been sent, perhaps by another host.
+    """
+
+    begun: bool = False
+
+
 @dataclass
 class Dispatch:
     """A request to be sent to an upstream.
@@ -132,6 +145,8 @@
         Seconds left until the request's deadline.
     regions : frozenset of str or None
         Regions that the request may be sent to; None without a limit.
+    handover : Handover
+        Shared by all copies; set by the sender.
     """
 
     call: ProgramCall
@@ -140,6 +155,7 @@
     body: bytes
     timeout: float
     regions: frozenset | None = None
+    handover: Handover = field(default_factory=Handover)
 
 
 @dataclass
@@ -187,6 +203,9 @@
     def send(self, dispatch):
         """Return an async context manager that yields an `UpstreamAnswer`.
 
+        Begins the handover of the dispatch before anything is sent: a request that may
+        not be repeated is cancelled with its caller until then.
+
         Raises
         ------
         UpstreamFailed
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -138,7 +138,7 @@
                 executed=EXECUTED_UNKNOWN,
             ) from error
         finally:
-            if not admitted.sends:
+            if not (admitted.sends or admitted.abandoned):
                 self._refund(admitted)
 
     async def _serve_by_deadline(self, admitted, reply):
@@ -151,22 +151,21 @@
     async def _serve_detachable(self, admitted, serving):
         """Serve a request that may not be repeated.
 
-        Its caller's leaving ends it, unless an upstream may be running it: then it
-        goes on alone, until that upstream has answered or refused it.
+        Its caller's leaving ends it, unless an upstream may have it: then it goes on
+        alone, until that upstream has answered or refused it.
         """
         task = start_task(serving, name="call")
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
             admitted.abandoned = True
-            if admitted.in_flight:
-                task.add_done_callback(partial(self._end_abandoned, admitted))
-            else:
+            task.add_done_callback(partial(self._end_abandoned, admitted))
+            if not admitted.in_flight:
                 task.cancel()
             raise
 
     def _end_abandoned(self, admitted, task):
-        """Record the end of a request that went on without its caller."""
+        """Record the end of a request after its caller has left."""
         if not admitted.sends:
             self._refund(admitted)
         error = None if task.cancelled() else task.exception()
--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -129,7 +129,7 @@
             excluded.append(upstream.name)
             dispatch = self._exchange.build_dispatch(admitted, upstream)
             admitted.sends += 1
-            admitted.in_flight = True
+            admitted.handover = dispatch.handover
             try:
                 async with self._limit_try(admitted):
                     async with self._sender.send(dispatch) as answer:
@@ -143,8 +143,11 @@
             except UpstreamFailed as error:
                 self._exchange.record_failure(admitted, upstream, error)
                 raise
+            except asyncio.CancelledError:
+                admitted.sends -= not dispatch.handover.begun
+                raise
             finally:
-                admitted.in_flight = False
+                admitted.handover = None
             admitted.may_have_run = True
             check_answer(answer)
             self._exchange.record_success(
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -176,6 +176,7 @@
 
     @asynccontextmanager
     async def _send_through(self, host, dispatch):
+        dispatch.handover.begun = True
         messages = self._runtime.peers.stream(
             host, _encode_request(dispatch), timeout=dispatch.timeout
         )
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 
 from sapphireyard.answers import BodyEnd
+from sapphireyard.exchange.calls import Handover
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.routes import Customer, Route
 from sapphireyard.fleet.crashes import digest_request
@@ -37,8 +38,9 @@
         The upstream chosen last has begun to answer, with an event if it streams.
     may_have_run : bool
         An upstream may have run it, even if a later one refuses it.
-    in_flight : bool
-        An upstream has been handed it and has neither answered nor refused it.
+    handover : Handover or None
+        Whether the upstream chosen last may have got it; None once that has answered,
+        refused it or failed.
     abandoned : bool
         Its caller has left.
     body : bytes
@@ -68,7 +70,7 @@
     relay: str = ""
     answered: bool = False
     may_have_run: bool = False
-    in_flight: bool = False
+    handover: Handover | None = None
     abandoned: bool = False
     body: bytes = b""
     end: BodyEnd = field(default_factory=BodyEnd)
@@ -78,6 +80,11 @@
     rate_state: dict = field(default_factory=dict)
     placed: dict = field(default_factory=dict)
 
+    @property
+    def in_flight(self):
+        """bool: Whether an upstream may have it and has neither answered nor failed."""
+        return self.handover is not None and self.handover.begun
+
     @property
     def time_limit(self):
         """float: Seconds from the arrival to the deadline."""
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -93,6 +93,7 @@
     async def send(self, dispatch):
         step = self.script.pop(0) if self.script else "complete"
         if step != "unreachable":
+            dispatch.handover.begun = True
             self.sent.append(dispatch)
         if step == "unreachable":
             raise UpstreamFailed("no connection", sent=False)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -29,8 +29,10 @@
     @asynccontextmanager
     async def send(self, dispatch):
         self.entered += 1
-        await self.released.wait()
         step = self.script.pop(0) if self.script else "complete"
+        dispatch.handover.begun = step != "connecting"
+        await self.released.wait()
+        dispatch.handover.begun = True
         if step == "unreachable":
             raise UpstreamFailed("no connection", sent=False)
         self.sent.append(dispatch)
@@ -103,6 +105,16 @@
         self.assertLessEqual(self.sender.entered, 2)
         self.assertEqual(self.runtime.pools.running, {})
 
+    async def test_request_that_waits_for_a_connection_ends_with_its_caller(self):
+        before = self.count_tokens()
+        self.sender.script = ["connecting"]
+        await self.leave(await self.start("r1"))
+        self.assertEqual(self.count_tokens(), before)
+        self.assertEqual(self.runtime.pools.running, {})
+        self.sender.released.set()
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.assertEqual(self.sender.sent, [])
+
     async def test_request_handed_to_an_upstream_goes_on_without_its_caller(self):
         """Its caller leaves while the upstream has it.
 
