Let a failing disk neither end a history host nor stop its event loop

The log began each file (open, sync of its folder) on the event loop, after a sync in a thread: while the disk is slow the host answers nobody and misses heartbeats. 2. After one failed write a copy refused all writes until it was restarted; if the failure met the start of a file, the closed file was written to, a TypeError for each request. 3. LogFailed, and a set of copies in the store with a field that a newer build added, crashed the service when the host was joining, as they were not among the errors it expects; a full disk at the start, or a file with another name, ended the start. 4. A stop closed the file while a thread might still be writing to it.

Change: files are begun in the thread. What failed is written again to another file, once a second; nothing is acknowledged or appended until that succeeds. LogFailed is a refusal that the caller's host gets as such. An unreadable set counts as a store that fails. Files of other names are left out with a warning. A stop ends with RecordLog.finish, which waits for writes on their way and refuses later records.

On the code before, the new tests fail: "the event loop waits for the disk", "TypeError: 'NoneType' object cannot be interpreted as an integer" for each record after a full disk, and "True is not false" (the service has crashed) for both cases of a join.

--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from sapphireyard.exceptions import SapphireyardError
+from sapphireyard.exceptions import CallError
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
@@ -23,12 +23,17 @@
 """Size from which a new file is started; files are only deleted as a whole."""
 SEGMENT_SUFFIX = ".records"
 IDENTITY_FILE = "identity"
+RETRY_SECONDS = 1.0
+"""Interval between attempts to write after a failure, for example of a full disk."""
 
 
-class LogFailed(SapphireyardError):
-    """A write to the disk failed; nothing more can be made durable here."""
+class LogFailed(CallError):
+    """A write to the disk failed; nothing can be made durable here for now."""
 
-    code = "log_failed"
+    def __init__(self, detail):
+        super().__init__(
+            "history_unavailable", f"the disk of a copy: {detail}", retry_after=None
+        )
 
 
 class RecordLog:
@@ -49,7 +54,9 @@
         self._first_position = 0
         self._pending = []
         self._file = None
+        self._segment_path = None
         self._segment_size = 0
+        self._closed = False
         self._next_segment = 0
         self._synced_end = 0
         self._flush_task = None
@@ -75,18 +82,20 @@
         """Read all files and yield (position, payload) of their records."""
         self._folder.mkdir(parents=True, exist_ok=True)
         sync_folder(self._folder.parent)
-        for path in sorted(self._folder.glob(f"*{SEGMENT_SUFFIX}")):
+        for path in _list_segments(self._folder):
             self._next_segment = int(path.stem) + 1
             for offset, payload in _read_segment(path):
                 self._locations.append((path, offset, len(payload)))
                 yield self.end - 1, payload
         self._synced_end = self.end
-        self._start_segment()
+        try:
+            self._start_segment()
+        except OSError as error:
+            logger.error("no file could be started, the first write tries: %s", error)
 
     def append(self, payload):
         """Add a record; return its position. `sync` makes it durable."""
-        if self._failure is not None:
-            raise LogFailed(str(self._failure))
+        self._check()
         record = HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
         self._pending.append((record, payload))
         self._locations.append(payload)
@@ -117,9 +126,17 @@
         while self._synced_end < wanted:
             if self._failure is not None:
                 raise LogFailed(str(self._failure))
-            if self._flush_task is None:
-                self._flush_task = start_task(self._flush(), name="log flush")
-            await asyncio.shield(self._flush_task)
+            await asyncio.shield(self._start_flush())
+
+    async def finish(self):
+        """Make all records durable and close the log; later ones are refused."""
+        self._closed = True
+        try:
+            await self.sync()
+        finally:
+            while self._flush_task is not None:
+                await asyncio.shield(self._flush_task)
+            self.close()
 
     def close(self):
         """Close the file; unsynced records may be lost."""
@@ -127,8 +144,23 @@
             os.close(self._file)
             self._file = None
 
+    def _check(self):
+        if self._closed:
+            raise LogFailed("the log is closed")
+        if self._failure is not None:
+            raise LogFailed(str(self._failure))
+
+    def _start_flush(self):
+        if self._flush_task is None:
+            self._flush_task = start_task(self._flush(), name="log flush")
+        return self._flush_task
+
     async def _flush(self):
-        """Write and sync the pending records as one batch, in a thread."""
+        """Write and sync the pending records as one batch, in a thread.
+
+        What failed is written again, to another file, as the old one may end with a
+        torn record. Until then nothing is appended, so that memory is bounded.
+        """
         batch, self._pending = self._pending, []
         begin = self.end - len(batch)
         loop = asyncio.get_running_loop()
@@ -136,20 +168,36 @@
             data = b"".join(record for record, _ in batch)
             await loop.run_in_executor(None, self._write, data)
         except OSError as error:
+            self._pending = batch + self._pending
             self._failure = error
             logger.error("log could not be written to the disk: %s", error)
+            loop.call_later(RETRY_SECONDS, self._retry)
             return
         finally:
             self._flush_task = None
+        if self._failure is not None:
+            logger.info("log is written again")
+            self._failure = None
         self._record_written(batch, begin)
         if self._segment_size >= self._segment_bytes:
-            self._start_segment()
+            self.close()
+
+    def _retry(self):
+        if not self._closed:
+            self._start_flush()
 
     def _write(self, data):
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self._file, view) :]
-        os.fdatasync(self._file)
+        """Write and sync; runs in a thread, as each call waits for the disk."""
+        if self._file is None:
+            self._start_segment()
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[os.write(self._file, view) :]
+            os.fdatasync(self._file)
+        except OSError:
+            self.close()
+            raise
 
     def _record_written(self, batch, begin):
         for number, (record, payload) in enumerate(batch):
@@ -160,13 +208,16 @@
         self._synced_end = begin + len(batch)
 
     def _start_segment(self):
-        self.close()
-        self._segment_path = self._folder / f"{self._next_segment:08d}{SEGMENT_SUFFIX}"
-        flags = os.O_CREAT | os.O_WRONLY | os.O_APPEND | os.O_TRUNC
-        self._file = os.open(self._segment_path, flags, 0o644)
-        self._segment_size = 0
+        path = self._folder / f"{self._next_segment:08d}{SEGMENT_SUFFIX}"
         self._next_segment += 1
-        sync_folder(self._folder)
+        flags = os.O_CREAT | os.O_WRONLY | os.O_APPEND | os.O_TRUNC
+        file = os.open(path, flags, 0o644)
+        try:
+            sync_folder(self._folder)
+        except OSError:
+            os.close(file)
+            raise
+        self._file, self._segment_path, self._segment_size = file, path, 0
 
     def find_kept(self, position):
         """Return the first position that `drop_before` would keep.
@@ -229,6 +280,15 @@
     return identity
 
 
+def _list_segments(folder):
+    """Return the files with records in their order."""
+    found = sorted(folder.glob(f"*{SEGMENT_SUFFIX}"))
+    segments = [path for path in found if path.stem.isdecimal() and path.is_file()]
+    for path in set(found) - set(segments):
+        logger.warning("%s is no file of this log", path)
+    return segments
+
+
 def _read_segment(path):
     """Yield (offset, payload) of the records of a file up to the first torn one."""
     data = path.read_bytes()
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -1,7 +1,6 @@
 """A host that keeps a copy of all histories and of the spending of programs."""
 
 import asyncio
-import contextlib
 import logging
 from dataclasses import replace
 from pathlib import Path
@@ -12,7 +11,6 @@
 from sapphireyard.exceptions import (
     CallError,
     PeerError,
-    SapphireyardError,
     StoreError,
 )
 from sapphireyard.fleet import generated_fleet
@@ -161,9 +159,10 @@
             self.add_future(self._repair())
 
     async def on_stop(self):
-        with contextlib.suppress(SapphireyardError):
-            await self._log.sync()
-        self._log.close()
+        try:
+            await self._log.finish()
+        except LogFailed as error:
+            logger.error("records are lost at the stop: %s", error)
 
     @mode.Service.task
     async def _maintain(self):
@@ -179,8 +178,8 @@
     async def _purge_regularly(self):
         try:
             await self.purge_expired()
-        except LogFailed as error:
-            logger.error("nothing is deleted: %s", error)
+        except (LogFailed, OSError) as error:
+            logger.error("files are not deleted: %s", error)
 
     async def purge_expired(self):
         """Drop expired turns and spending, and delete files that are not needed.
@@ -364,8 +363,8 @@
                 copies = replace(copies, version=copies.version + 1, lost_before=0)
                 await self._set.write(stored, copies)
                 await self._adopt(copies)
-        except StoreError as error:
-            logger.info("cannot read whether a loss is accepted: %s", error)
+        except (StoreError, CallError) as error:
+            logger.info("cannot end the time after a loss: %s", error)
 
     async def _may_change(self, copies, changed, answered):
         """Return whether enough members serve, and none that answers is put out."""
--- a/sapphireyard/history/stored_set.py
+++ b/sapphireyard/history/stored_set.py
@@ -4,7 +4,7 @@
 import logging
 from dataclasses import asdict
 
-from sapphireyard.exceptions import StoreConflict
+from sapphireyard.exceptions import StoreConflict, StoreError
 from sapphireyard.fleet.generated_fleet import CopySet
 
 logger = logging.getLogger(__name__)
@@ -28,11 +28,20 @@
         self._store = store
 
     async def read(self):
-        """Return the stored object, or None, and the `CopySet`."""
+        """Return the stored object, or None, and the `CopySet`.
+
+        Raises
+        ------
+        StoreError
+            The store does not answer, or the object is not one that this build reads.
+        """
         stored = await self._store.get(COPIES_OBJECT)
         if stored is None:
             return None, CopySet()
-        return stored, CopySet(**json.loads(stored.value))
+        try:
+            return stored, CopySet(**json.loads(stored.value))
+        except (ValueError, TypeError) as error:
+            raise StoreError(f"invalid {COPIES_OBJECT}: {error}") from error
 
     async def write(self, stored, copies):
         """Write the set unless another host has changed it since it was read."""
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -130,8 +130,8 @@
         durable = self._disk.records
         self._disk.records = [each for each in durable if each[0] not in files]
 
-    def close(self):
-        """There is nothing to close."""
+    async def finish(self):
+        await self.sync()
 
     def _start_file(self):
         self._file = self._disk.next_file
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,10 +1,12 @@
 """Copies of histories: the log, the state, the set of copies, and its quorums."""
 
 import asyncio
+import errno
 import gc
 import itertools
 import os
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
@@ -323,6 +325,102 @@
         self.assertEqual(log.read(35), b"record 35")
 
 
+class FailingDiskTest(unittest.IsolatedAsyncioTestCase):
+    """Faults of the disk, where calls wait or fail in the thread that makes them."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.log = RecordLog(self.folder, segment_bytes=100)
+        list(self.log.open())
+        self.addCleanup(self.log.close)
+
+    def read_all(self):
+        log = RecordLog(self.folder)
+        payloads = [payload for _, payload in log.open()]
+        log.close()
+        return payloads
+
+    async def test_slow_disk_does_not_stop_the_event_loop(self):
+        """Each case has the call that takes long; each record begins a new file."""
+        for name in ("os.open", "os.write", "os.fdatasync", "os.fsync"):
+            with self.subTest(name):
+                call = getattr(os, name.removeprefix("os."))
+
+                def wait(*arguments, call=call):
+                    if threading.current_thread() is threading.main_thread():
+                        self.fail("the event loop waits for the disk")
+                    return call(*arguments)
+
+                for number in range(3):
+                    self.log.append(bytes(200))
+                    with mock.patch(f"sapphireyard.history.log.{name}", wait):
+                        await self.log.sync()
+
+    async def test_disk_that_was_full_is_written_again(self):
+        """Each case has the call that fails; nothing is acknowledged meanwhile.
+
+        A record whose sync failed may be there twice, which changes no state.
+        """
+        for name in ("os.open", "os.write", "os.fdatasync", "os.fsync"):
+            with self.subTest(name):
+                kept = self.read_all()
+                full, first, second = (f"{name} {n}".encode() * 30 for n in range(3))
+                self.log.append(full)
+                await self.log.sync()  # the next record begins a file
+                error = OSError(errno.ENOSPC, "disk full")
+                with mock.patch(f"sapphireyard.history.log.{name}", side_effect=error):
+                    self.log.append(first)
+                    for _ in range(2):
+                        with self.assertRaises(CallError) as caught:
+                            await self.log.sync()
+                        self.assertEqual(caught.exception.status, 503)
+                    with self.assertRaises(CallError):
+                        self.log.append(b"refused")
+                with mock.patch("sapphireyard.history.log.RETRY_SECONDS", 0.01):
+                    self.log._retry()
+                    async with asyncio.timeout(WAIT_SECONDS):
+                        while self.log._failure is not None:
+                            await asyncio.sleep(0.01)
+                self.log.append(second)
+                await self.log.sync()
+                found = list(dict.fromkeys(self.read_all()))
+                self.assertEqual(found, [*dict.fromkeys(kept), full, first, second])
+
+    async def test_log_that_is_finished_has_what_was_appended(self):
+        """A stop waits for a write on its way, and takes no record after it."""
+        self.log.append(b"first")
+        writing = asyncio.ensure_future(self.log.sync())
+        await asyncio.sleep(0)
+        self.log.append(b"second")
+        await self.log.finish()
+        await writing
+        with self.assertRaises(CallError):
+            self.log.append(b"third")
+        self.assertEqual(self.read_all(), [b"first", b"second"])
+
+    async def test_foreign_files_do_not_stop_the_start(self):
+        self.log.append(b"first")
+        await self.log.finish()
+        (self.folder / "old.records").write_bytes(b"x")
+        (self.folder / "00000099.records").mkdir()
+        (self.folder / "00000098.records").write_bytes(b"\xff" * 40)
+        self.assertEqual(self.read_all(), [b"first"])
+
+    async def test_full_disk_does_not_stop_the_start(self):
+        error = OSError(errno.ENOSPC, "disk full")
+        self.log.append(b"first")
+        await self.log.finish()
+        with mock.patch("sapphireyard.history.log.os.open", side_effect=error):
+            log = RecordLog(self.folder)
+            with mock.patch("sapphireyard.history.log.sync_folder"):
+                self.assertEqual([payload for _, payload in log.open()], [b"first"])
+        log.append(b"second")
+        await log.finish()
+        self.assertEqual(self.read_all(), [b"first", b"second"])
+
+
 class CyclicPeers:
     """Four copies that receive five reservations in cyclic orders.
 
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -1,8 +1,10 @@
 """Copies of histories and their client, over real streams."""
 
 import asyncio
+import contextlib
 import itertools
 import random
+import shutil
 import tempfile
 import unittest
 from dataclasses import replace
@@ -17,6 +19,7 @@
 from sapphireyard.history.chains import PART_BYTES, ChainStream
 from sapphireyard.history.client import HistoryClient
 from sapphireyard.history.generated_history import ChainQuery
+from sapphireyard.history.log import LogFailed
 from sapphireyard.history.service import HistoryService
 from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
@@ -402,6 +405,36 @@
         await self.start_copy(name, bootstrap=False)
         await self.wait_until_serving(name)
 
+    async def test_copy_that_cannot_join_yet_goes_on(self):
+        """Each case has what fails for a while: its disk, or the set in the store."""
+
+        def fill_disk(service):
+            error = LogFailed("disk full")
+            return mock.patch.object(service._log, "sync", side_effect=error)
+
+        def write_odd_set(service):
+            newer = SimpleNamespace(value=b'{"version": 9, "later": 1}', version=1)
+            get = mock.AsyncMock(return_value=newer)
+            return mock.patch.object(self.store, "get", get)
+
+        for fail in (fill_disk, write_odd_set):
+            with self.subTest(fail.__name__):
+                await self.stop_copy("a")
+                shutil.rmtree(self.folder / "a")
+                start = HistoryService.on_start
+                failing = contextlib.ExitStack()
+
+                async def start_failing(service, fail=fail, failing=failing):
+                    await start(service)
+                    failing.enter_context(fail(service))
+
+                with mock.patch.object(HistoryService, "on_start", start_failing):
+                    await self.start_copy("a", bootstrap=False)
+                await asyncio.sleep(0.6)
+                failing.close()
+                self.assertFalse(self.copies["a"].crashed)
+                await self.wait_until_serving("a")
+
     async def test_copy_without_its_disk_answers_nothing_before_it_joined(self):
         await self.client.commit(build_turn("one"))
         await self.stop_copy("a")
