Ask the copies for a newer set instead of waiting for a heartbeat

Callers saw: a stream could end without its end, though its engine had answered whole, when copies of histories joined or left at that moment.

Cause: the end of a turn that meets a newer set waited 0.3 s for a heartbeat that tells of it. Copies send one every 0.3 s, as datagrams that may be lost or late on a busy machine. Only one change was followed; stops, retirements and joins in series make several.

--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -233,6 +233,13 @@
     """
 
 
+@dataclass
+class SetQuery:
+    """
+    Asks a copy for the set that it uses, a CopySet.
+    """
+
+
 @dataclass
 class DiskQuery:
     """
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -39,6 +39,7 @@
     Reservation,
     ReservationCounted,
     ReservationSynced,
+    SetQuery,
     Settlement,
     SpendingQuery,
     TurnCommit,
@@ -108,6 +109,7 @@
         self._watched = ()  # members one of which may have to be replaced
         self._gone = set()
         runtime.peers.codec.register_module(generated_history)
+        runtime.peers.codec.register_module(generated_fleet)
         runtime.peers.register_stream(Reservation, self._serve_reservation)
         runtime.peers.register(SpendingQuery, self._serve_spending)
         runtime.peers.register(Settlement, self._serve_settlement)
@@ -116,6 +118,7 @@
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
         runtime.peers.register(DiskQuery, self._serve_disk)
+        runtime.peers.register(SetQuery, self._serve_set)
 
     @property
     def copies(self):
@@ -542,6 +545,10 @@
             )
         return self._read_batch(message.after, message.written_after)
 
+    async def _serve_set(self, message, context):
+        self._check(self._copies.version)
+        return self._copies
+
     async def _serve_disk(self, message, context):
         if not self._disk_id:
             raise CallError("history_unavailable", "the disk has not been read yet")
