--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -18,7 +18,7 @@
 from sapphireyard.fleet.membership import HISTORY, Membership
 from sapphireyard.history.chains import PART_BYTES, ChainStream
 from sapphireyard.history.client import HistoryClient
-from sapphireyard.history.generated_history import ChainQuery, TurnCommit
+from sapphireyard.history.generated_history import Chain, ChainQuery, TurnCommit
 from sapphireyard.history.log import LogFailed
 from sapphireyard.history.service import HistoryService
 from sapphireyard.streams.peers import Peers
@@ -202,6 +202,21 @@
             chain = await self.client.read_chain("long")
         self.assertEqual(len(chain.text), len(text) + len("<long>"))
 
+    async def test_chain_of_builds_that_answer_with_one_message_is_whole(self):
+        """Those ignore the size of parts and tell none of the whole."""
+        text = bytes(3 * PART_BYTES)
+
+        async def serve(message, context):
+            return Chain(True, False, "c", "e", 42, text)
+
+        for name in self.copies:
+            peers = self.hosts[name].peers
+            del peers._stream_handlers[ChainQuery]
+            peers.register(ChainQuery, serve)
+        sizes = []
+        chain = await self.client.read_chain("one", admit=sizes.append)
+        self.assertEqual((chain.text, sizes), (text, [len(text)]))
+
     async def test_chain_is_whole_for_builds_that_expect_one_message(self):
         """Those do not ask for parts; they read the first message only."""
         await self.client.commit(build_turn("one"))
