--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -127,7 +127,7 @@
         self._engines = {}
         self._loads = FleetLoads()
         self._leaving = {}
-        self._listed_at = None
+        self._find_list_age = lambda: -1.0
         self._granted = FleetLoads()
         self.shared = SharedQueues(runtime, self)
         self.rates = UpstreamRates(runtime.host)
@@ -154,12 +154,12 @@
 
     @property
     def list_age(self):
-        """float: Seconds since the list of upstreams was up to date; -1 if never."""
-        return -1.0 if self._listed_at is None else self._now() - self._listed_at
+        """float: Seconds since the list of upstreams was up to date; -1 if unknown."""
+        return self._find_list_age()
 
-    def note_listed(self, at):
-        """Record that the list of upstreams was up to date at a moment."""
-        self._listed_at = at
+    def follow_list(self, find_age):
+        """Set the function that returns the age of the list of upstreams."""
+        self._find_list_age = find_age
 
     def set_services(self, services):
         """Apply the services of a configuration."""
