--- a/scripts/site_checker.py
+++ b/scripts/site_checker.py
@@ -10,12 +10,12 @@
 from time import monotonic
 
 from scripts.site_callers import REFUSED, REPEATABLE, TURN
+from scripts.site_upstreams import DRAIN_SECONDS
 
 CONTACT_SECONDS = 3.0
 CATCH_UP_SECONDS = 4.3
 MAX_LOST_COPIES = 1
 """History hosts that may be lost at the same time while turns are served."""
-DRAIN_SECONDS = 2.0
 GRACE_SECONDS = 8.0
 CONFIG_APPLY_SECONDS = 2.0
 LOSS_SLACK_SECONDS = 0.2
--- a/scripts/site_upstreams.py
+++ b/scripts/site_upstreams.py
@@ -16,6 +16,8 @@
 SERVICES = {"engine": 4, "plain": 4}
 """Upstreams of each service at the start of a run."""
 EVENTS = 5
+DRAIN_SECONDS = 2.0
+"""Time for which upstreams serve at least after the store has accepted their leave."""
 LAPSE_SECONDS = 3.6
 """Silence after which the entry of an upstream is removed: three check-ins of 1.2 s."""
 REUSE_SECONDS = 2.0
@@ -116,39 +118,39 @@
 
     async def drain(self):
         """An upstream reports that it is leaving, serves for a while and exits."""
-        upstream = self._choose()
-        if self._random.random() < 0.5:
-            upstream.say_leaving()
-        self._put(upstream, state="draining")
-        upstream.left_at = monotonic()
-        await self._serve_on()
-        self._store.remove("servers", upstream.name)
-        upstream.end()
-        await self._replace(upstream)
+        await self._leave(reports=True, says=self._random.random() < 0.5)
 
     async def remove(self):
         """An upstream is removed without a report, serves for a while and exits."""
-        upstream = self._choose()
-        self._store.remove("servers", upstream.name)
-        upstream.left_at = monotonic()
-        await self._serve_on()
-        upstream.end()
-        await self._replace(upstream)
+        await self._leave()
 
     async def announce(self):
         """An upstream says in its answers that it is leaving; later it is removed."""
+        await self._leave(says=True, seconds=self._random.uniform(0.5, 6.0))
+
+    async def _leave(self, *, reports=False, says=False, seconds=0.0):
         upstream = self._choose()
-        upstream.say_leaving()
-        await asyncio.sleep(self._random.uniform(0.5, 6.0))
-        self._store.remove("servers", upstream.name)
+        if upstream is None:
+            return
+        if says:
+            upstream.say_leaving()
+        await asyncio.sleep(seconds)
+        if reports:
+            self._put(upstream, state="draining")
+        else:
+            self._store.remove("servers", upstream.name)
         upstream.left_at = monotonic()
-        await self._serve_on()
+        await asyncio.sleep(DRAIN_SECONDS + self._random.uniform(0.3, 6.0))
+        if reports:
+            self._store.remove("servers", upstream.name)
         upstream.end()
         await self._replace(upstream)
 
     async def crash(self):
         """An upstream crashes; its entry lapses, or it is back before."""
         upstream = self._choose()
+        if upstream is None:
+            return
         upstream.end(crashed=True)
         if self._random.random() < 0.5:
             await asyncio.sleep(LAPSE_SECONDS)
@@ -161,21 +163,21 @@
     async def disturb(self):
         """An upstream refuses a request, breaks one off, or ends a body by a close."""
         upstream = self._choose()
+        if upstream is None:
+            return
         kinds = [NO_CAPACITY, RESET, UNFRAMED]
         upstream.answers = [*self._random.choices(kinds, k=3), COMPLETE]
         self._busy.discard(upstream.name)
 
     def _choose(self):
-        """Return an upstream that nothing else happens to."""
+        """Return an upstream that nothing else happens to; None if there is none."""
         free = [u for u in self.all if u.ended_at is None and u.name not in self._busy]
+        if not free:
+            return None
         upstream = self._random.choice(free)
         self._busy.add(upstream.name)
         return upstream
 
-    async def _serve_on(self):
-        """Wait as upstreams do that the store has accepted as leaving."""
-        await asyncio.sleep(2.0 + self._random.uniform(0.3, 6.0))
-
     async def _replace(self, upstream):
         """Start another upstream, perhaps at the same address for another service."""
         await asyncio.sleep(REUSE_SECONDS)
