--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,6 @@
 """Tests the client of the platform's store against a stand-in over HTTP."""
 
+import asyncio
 import sys
 import unittest
 from unittest import mock
@@ -50,6 +51,34 @@
             sorted(item.name for item in changes.deleted),
         )
 
+    async def test_connections_that_fell_silent_cost_one_call(self):
+        """Cases are how many idle connections were open when all fell silent."""
+        for idle in (1, 2, 5):
+            with self.subTest(idle):
+                await self.asyncSetUp()
+                self.site.put("k", "a", "old")
+                await asyncio.gather(
+                    *(self.store.list_objects("k") for _ in range(idle))
+                )
+                self.site.silence_connections()
+                with self.assertRaises(StoreUnavailable):
+                    await self.store.list_objects("k")
+                objects, _ = await self.store.list_objects("k")
+                self.assertEqual([item.spec for item in objects], ["old"])
+
+    async def test_watch_in_progress_outlasts_another_call_without_an_answer(self):
+        _, revision = await self.store.list_objects("k")
+        watch = asyncio.ensure_future(
+            self.store.watch_objects("k", revision=revision, seconds=2.0)
+        )
+        await asyncio.sleep(0.1)
+        self.site.faults = self.site.faults.merge({"outage": "hang"})
+        with self.assertRaises(StoreUnavailable):
+            await self.store.list_objects("k")
+        self.site.faults = self.site.faults.merge({"outage": "none"})
+        self.site.put("k", "a", "new")
+        self.assertEqual([item.spec for item in (await watch).changed], ["new"])
+
     async def test_watch_returns_the_last_change_of_an_object(self):
         """Cases are the changes of an object in order, and whether it exists then."""
         cases = [
