--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -112,13 +112,13 @@
             )
         )
 
-    def start(self, role):
+    def start(self, role, *, script=SERVE):
         """Start a process; return it and its settings, which it is about to read."""
         self.path.unlink(missing_ok=True)
         os.mkfifo(self.path)
         with open(self.folder / "log", "wb") as output:
             process = subprocess.Popen(
-                [sys.executable, str(SERVE), role],
+                [sys.executable, str(script), role],
                 cwd=ROOT,
                 env={**os.environ, "SAPPHIREYARD_NODE_FILE": str(self.path)},
                 stdout=output,
@@ -182,6 +182,15 @@
                     time.sleep(0.001)
                 self.assertEqual(process.returncode, 0)
 
+    def test_service_that_does_not_stop_delays_no_exit(self):
+        script = ROOT / "tests" / "stuck_history.py"
+        process, settings = self.start("history", script=script)
+        self.finish_settings(settings, "history", changed_port=2)
+        self.wait_logged('"started"')
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(TIMEOUT_SECONDS), 0)
+        self.wait_logged("services did not stop")
+
 
 class OwnInterfaceTest(unittest.TestCase):
     def start(self, **options):
