Count a history without the overhead of a second request

A turn opened a hold of its own for its history, which counted 32 kB for a request that is counted already where it is received; a host would have refused at half as many turns.

On the code before, the new test fails: "32768 != 0".

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -109,6 +109,8 @@
         Bytes of the request's body, and of an answer that is not on its way yet.
     unread : int
         Bytes of the answer that wait for the caller to read them.
+    overhead : int
+        Memory of the request itself; 0 if it is counted elsewhere.
     read_at : float
         Monotonic seconds at which the caller last read, or had nothing to read.
     """
@@ -119,13 +121,14 @@
     measure: object = None
     kept: int = 0
     unread: int = 0
+    overhead: int = REQUEST_BYTES
     read_at: float = -math.inf
     released: bool = field(default=False, repr=False)
 
     @property
     def size(self):
         """int: Bytes of memory, with an allowance for the request itself."""
-        return REQUEST_BYTES + int((self.kept + self.unread) * BUFFER_OVERHEAD)
+        return self.overhead + int((self.kept + self.unread) * BUFFER_OVERHEAD)
 
 
 class HeldBytes:
@@ -160,9 +163,11 @@
         """float: Bytes of the largest body and history that a request may have."""
         return self.limit * ADMISSION_SHARE / BUFFER_OVERHEAD
 
-    def open(self, label, *, now, release=None, measure=None):
-        """Return a new `Hold` for a request."""
-        hold = Hold(label, release=release, measure=measure, read_at=now)
+    def open(self, label, *, now, release=None, measure=None, overhead=REQUEST_BYTES):
+        """Return a new `Hold` for a request, or for a part of one without overhead."""
+        hold = Hold(
+            label, release=release, measure=measure, overhead=overhead, read_at=now
+        )
         self._holds.add(hold)
         self._add(hold.size)
         return hold
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -53,7 +53,8 @@
     async def serve(self, admitted, reply):
         """Run one turn and answer it."""
         held = self._runtime.held
-        hold = held.open(admitted.call.request_id, now=self._runtime.clock.monotonic())
+        now = self._runtime.clock.monotonic()
+        hold = held.open(admitted.call.request_id, now=now, overhead=0)
         try:
             await self._serve(admitted, reply, hold)
         finally:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -150,6 +150,11 @@
                 self.assertEqual(self.sender.sent, [])
                 self.assertEqual(self.runtime.history.settled, [("r1", 0)])
 
+    async def test_turn_without_a_history_takes_no_memory_for_one(self):
+        """The request itself is counted where it is received."""
+        self.assertEqual(await self.turn(), 200)
+        self.assertEqual(self.runtime.held.highest, 0)
+
     async def test_chain_that_is_not_found_gives_the_tokens_back(self):
         await self.turn(previous_turn="foreign")
         self.assertEqual(self.runtime.history.settled, [("r1", 0)])
