Refuse a request whose upstreams all leave while a home is asked

Callers got status 500 if the home of a queue did not grant a slot and all upstreams of the service had left, or were out of reach, by then.

Cause: the host then granted a slot itself, by the function that also serves other hosts. That raises PeerError, which only they expect. lease() had checked for usable upstreams before it asked the home.

Now the check is repeated after the home was asked. The test fails without the change in two of three cases: PeerError: no upstream of 'engine' is reached here.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -298,6 +298,7 @@
         ask = replace(request, excluded=(*request.excluded, *avoided))
         async with self.shared.hold(home, ask, upstream_hint=upstream_hint) as grant:
             if grant is None or not self._may_adopt(pool, grant.upstream):
+                self._find_usable(request)  # upstreams may have left meanwhile
                 async with self.grant(request, upstream_hint=upstream_hint) as grant:
                     yield grant
                 return
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import unittest
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.calls import Upstream
@@ -254,6 +255,35 @@
                 async with asyncio.timeout(1.0):
                     self.assertEqual((await waiting).name, "engine-2")
 
+    async def test_request_is_refused_if_all_leave_while_a_home_is_asked(self):
+        """Cases are what happens to the engines meanwhile; the home does not answer."""
+        names = ("engine-1", "engine-2", "engine-3")
+        cases = [
+            ("removed", lambda pools: pools.set_upstreams([])),
+            (
+                "leaving",
+                lambda pools: [pools.note_leaving(pools.find(n)) for n in names],
+            ),
+            ("out of reach", lambda pools: [self.cut_off(n) for n in names]),
+        ]
+        for name, happen in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                pools = self.runtime.pools
+
+                @asynccontextmanager
+                async def hold(home, request, *, upstream_hint):
+                    happen(pools)
+                    yield None
+
+                pools.shared.hold = hold
+                with mock.patch.object(pools, "_find_home", return_value="b"):
+                    with self.assertRaises(CallError) as caught:
+                        async with await self.lease():
+                            pass
+                self.assertEqual(caught.exception.code, "overloaded")
+                self.assertGreater(caught.exception.retry_after, 0)
+
     def cut_off(self, name):
         now = self.runtime.clock.monotonic()
         self.runtime.pools.links.note_failed(name, now, now)
