--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -163,6 +163,9 @@
             if not admitted.in_flight:
                 task.cancel()
             raise
+        finally:
+            # An error of the task refers to this frame, and to what had been read.
+            del task
 
     def _end_abandoned(self, admitted, task):
         """Record the end of a request after its caller has left."""
