--- a/scripts/site_checker.py
+++ b/scripts/site_checker.py
@@ -43,6 +43,7 @@
     "CONFIG": "new versions are in force in time",
     "FAULT": "no process ends by itself or fails to start",
     "RECOVER": "requests are served after the last fault",
+    "errors": "no request ends with an internal error of a host",
     "finished": "all faults were injected",
 }
 
@@ -266,6 +267,8 @@
         elif attempt.status in (400, 401, 403, 404, 410, 413, 431):
             rule = "LOST turn" if attempt.after else "DENIED"
             problem = f"status {attempt.status}: {attempt.answer!r}"
+        elif attempt.status == 500 and "response-signature" not in attempt.headers:
+            rule, problem = "errors", f"status 500: {attempt.answer!r}"
         elif attempt.served:
             problem = _find_mixed(attempt, found)
         if problem:
