--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -103,6 +103,7 @@
         await self.site.wait_until(
             lambda: all(process.poll() is not None for process in processes)
         )
+        seconds = time.monotonic() - stopped_at
         for task in tasks:
             task.cancel()
         executed = {
@@ -120,6 +121,7 @@
         ]
         self.assertEqual(cut, [])
         self.assertEqual([process.returncode for process in processes], [0, 0])
+        self.assertLess(seconds, GRACE_SECONDS)
         refused = [each for _, _, each in results if each.status == 503]
         self.assertTrue(refused)
         for answer in refused:
