Read what has arrived before a wait is given up after a pause

A slow machine holds processes up without any fault of the platform.

Cause: after a pause of the process the event loop runs the timers that became due before the tasks that would read what has arrived. The wait for the copies, every request between hosts, the end of a turn, and the check for silent connections all took the pause for the other side's silence. Class: a host judges others by a time in which it did not run itself.

Change: a wait that was on while the loop was held up goes on for as long as the loop was late, for 1 s at most in all; silence counts only while this process ran.

Failed before: tests.test_timeouts with plain time-outs in 3 of its 4 pauses (TimeoutError; the answer was in the socket). The same test of gather_quorum passed on the code before: there the extension is for tasks behind further hosts. Now test_timeouts, test_peers, test_turns, test_history*, test_shared_queues, test_relays, test_builds: 108 passed.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -3,7 +3,6 @@
 On a route without retention, turns have no history and are not stored.
 """
 
-import asyncio
 import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
@@ -15,6 +14,7 @@
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.streams.frames import MAX_FRAME_BYTES
 from sapphireyard.tasks import start_task
+from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
 logger = logging.getLogger(__name__)
 
@@ -281,7 +281,7 @@
             upstream=admitted.upstream,
             context_tokens=call.prompt_tokens + tokens,
         )
-        async with asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
+        async with limit_wait(AnswerDeadline(COMMIT_TIMEOUT_SECONDS)):
             await self._runtime.history.commit(turn)
         text = ChainText(
             admitted.customer.name,
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -22,6 +22,7 @@
     TurnCommit,
 )
 from sapphireyard.tasks import start_task
+from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
 logger = logging.getLogger(__name__)
 
@@ -301,7 +302,7 @@
             start_task(self._ask_set(host), name="set") for host in self._copies.members
         ]
         try:
-            async with asyncio.timeout(CHANGE_TIMEOUT_SECONDS):
+            async with limit_wait(AnswerDeadline(CHANGE_TIMEOUT_SECONDS)):
                 await changed.wait()
         except TimeoutError:
             raise error from None
@@ -433,9 +434,9 @@
         future.add_done_callback(_retrieve)
     results = []
     errors = []
-    deadline = asyncio.get_running_loop().time() + timeout
+    deadline = AnswerDeadline(timeout)
     while len(results) < needed:
-        remaining = deadline - asyncio.get_running_loop().time()
+        remaining = deadline.remaining()
         if len(results) + len(waiting) < needed or remaining <= 0:
             break
         done, waiting = await asyncio.wait(
--- a/sapphireyard/streams/connections.py
+++ b/sapphireyard/streams/connections.py
@@ -241,9 +241,11 @@
             before = loop.time()
             await asyncio.sleep(self._peers.ping_seconds)
             now = loop.time()
-            if now - before > silence or not self._is_busy():
-                # No answer is pending, or this process itself was suspended.
+            if not self._is_busy():
                 self._received_at = now
+            # While this process was held up it read nothing.
+            late = now - before - self._peers.ping_seconds
+            self._received_at = min(now, self._received_at + max(0.0, late))
             if now - self._received_at > silence:
                 logger.warning(
                     "no data from peer %s for %.1f s; connection closed",
--- a/sapphireyard/streams/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -18,6 +18,7 @@
 from sapphireyard.streams.frames import MessageCodec, MessageTooLarge
 from sapphireyard.streams.generated_messages import Hello
 from sapphireyard.tasks import start_task
+from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
 logger = logging.getLogger(__name__)
 
@@ -202,13 +203,13 @@
 
     async def stream(self, host, message, *, timeout):
         """Yield the messages that answer a request; see `ask` for errors."""
-        deadline = asyncio.get_running_loop().time() + timeout
+        deadline = AnswerDeadline(timeout)
         async with contextlib.aclosing(
             self._request(host, message, timeout)
         ) as answers:
             while True:
                 try:
-                    async with asyncio.timeout_at(deadline):
+                    async with limit_wait(deadline):
                         answer = await anext(answers)
                 except StopAsyncIteration:
                     return
