--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -66,6 +66,21 @@
                     await self.check_second_request(path)
                     self.assertEqual(self.upstream.connections, 1)
 
+    async def test_answer_that_is_due_is_not_taken_for_that_of_the_next_request(self):
+        """An answer of the first request comes late, when the second one is sent.
+
+        The second one's own answer is still due when the late one is rejected.
+        """
+        await self.answer(answer(), End.STAY, path="/book/1")
+        self.upstream.late = build_head("r1", EMPTY)
+        self.upstream.first_answers = [(0.1, answer("r2"), End.STAY)]
+        await self.answer(path="/book/1", request_id="r2")
+        self.assertEqual(self.reply.status, 502)
+        self.upstream.late = b""
+        await asyncio.sleep(2 * ARRIVAL_SECONDS)  # its own answer is still due
+        await self.answer(answer("r3"), End.STAY, path="/book/1", request_id="r3")
+        self.assertEqual(self.reply.status, 200)
+
     async def test_refusal_without_an_id_counts_on_a_new_connection(self):
         self.upstream.first_answers = [(refuse(503, None), End.STAY)]
         await self.answer(answer(), End.STAY, path="/book/1")
