Give a request to no further host once its caller has left

The request counts as handed over, goes on without its caller, and when that relay can't be reached, the next one gets it, 0.7 s after the caller left (GONE).

Cause: the handover begins before a connection exists, and neither the step from the direct send to a relay nor that to the next relay looked for the caller again.

Change: the handover knows that its caller has left, and is not begun anew. Failed before: test_relays, 'UpstreamFailed not raised'. Now test_relays, test_departed_callers and test_exchange pass.

--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -122,9 +122,12 @@
     ----------
     begun : bool
         Bytes of it may have been sent, perhaps by another host.
+    abandoned : bool
+        Its caller has left since: no further host may send it.
     """
 
     begun: bool = False
+    abandoned: bool = False
 
 
 @dataclass
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -204,6 +204,8 @@
             await asyncio.shield(task)
         except asyncio.CancelledError:
             admitted.abandoned = True
+            if admitted.handover is not None:
+                admitted.handover.abandoned = True
             task.add_done_callback(partial(self._end_abandoned, admitted))
             if not admitted.in_flight:
                 task.cancel()
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -148,6 +148,8 @@
         scarce = self._links.isolated or self._runtime.pools.is_scarce(upstream.service)
         relays = self._rank_relays(upstream, regions=dispatch.regions)
         for host in relays[: ASKED_RELAYS if scarce else 1]:
+            if dispatch.handover.abandoned:
+                raise UpstreamFailed("its caller has left", sent=False)
             dispatch = replace(dispatch, timeout=max(0.0, deadline - self._now()))
             try:
                 return await stack.enter_async_context(
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -236,6 +236,23 @@
                 self.assertFalse(caught.exception.sent)
                 self.assertEqual(self.list_sent(), [])
 
+    async def test_request_whose_caller_leaves_goes_to_no_further_relay(self):
+        """It reached an upstream after its caller had left."""
+        host = self.fleet["a"]
+        call = ProgramCall("r1", "POST", "/book/1", "h", "key", 0.0, headers=())
+        dispatch = Dispatch(call, UPSTREAM, "c", b"body", 2.0)
+
+        def leave():
+            dispatch.handover.begun = dispatch.handover.abandoned = True
+
+        host.link.state = "refused"
+        host.link.on_send = leave
+        with self.assertRaises(UpstreamFailed) as caught:
+            async with host.sender.send(dispatch):
+                pass
+        self.assertFalse(caught.exception.sent)
+        self.assertEqual(self.list_sent(), [])
+
     async def test_evacuated_upstream_gets_nothing_through_a_relay(self):
         """The host that asks has not heard of the evacuation."""
         self.fleet["a"].link.state = "refused"
