Take any address of a host without ending a service

Seen in an independent review: a heartbeat may name an address such as 127.0.0.1:99999 or 'nonsense'. Asking that host raised OverflowError or ValueError, which no caller takes; a message without an answer ended the service of connections, and with it the process (FAULT).

Cause: the check of addresses stood where hosts' entries are read, not where they are used.

Change: an address is checked where a connection is opened; a host without a usable one can't be reached. Now test_peers passes.

--- a/sapphireyard/streams/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -12,6 +12,7 @@
 import mode
 from opentelemetry import metrics
 
+from sapphireyard.addresses import parse_address
 from sapphireyard.exceptions import PeerError, PeerUnavailable
 from sapphireyard.streams import generated_messages
 from sapphireyard.streams.connections import Connection
@@ -28,6 +29,7 @@
 PING_SECONDS = 0.5
 SILENCE_SECONDS = 1.5
 IDLE_SECONDS = 30.0
+MAX_LOGGED_TEXT = 200
 
 
 @dataclass(frozen=True)
@@ -260,12 +262,19 @@
         return await asyncio.shield(pending)
 
     async def _open(self, host):
-        ip, port = self._find_address(host).rsplit(":", 1)
+        address = self._find_address(host)
+        try:
+            ip, port = parse_address(address)
+        except ValueError as error:  # as other hosts, or another writer, have it
+            raise PeerUnavailable(
+                f"{host}: invalid address {address[:MAX_LOGGED_TEXT]!r}: {error}",
+                sent=False,
+            ) from error
         loop = asyncio.get_running_loop()
         connection = Connection(self)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                await loop.create_connection(lambda: connection, ip, int(port))
+                await loop.create_connection(lambda: connection, ip, port)
                 hello = await connection.hello
         except (OSError, TimeoutError) as error:
             connection.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -107,6 +107,17 @@
                     await self.ask(program)
                 self.assertEqual(caught.exception.status, status)
 
+    async def test_address_that_nothing_can_connect_to_ends_no_service(self):
+        """Another host's heartbeat, or another writer, may name any text."""
+        for address in ("127.0.0.1:99999", "nonsense", "a..b:1", "", "127.0.0.1:x"):
+            with self.subTest(address):
+                self.a.static_addresses["e"] = address
+                self.a.tell("e", Done())
+                with self.assertRaises(PeerUnavailable) as caught:
+                    await self.a.ask("e", Done(), timeout=WAIT_SECONDS)
+                self.assertFalse(caught.exception.sent)
+                self.assertIsNone(self.a.crash_reason)
+
     async def test_message_that_fails_leaves_other_requests_alone(self):
         """Cases are the request, and its error."""
         unknown = InspectProgram("c", "unknown")
