Refuse waiting requests at once when the last upstream has left

Cause: waiting requests were refused only if upstreams were listed and none was usable. Failed before: test_pools, TimeoutError in both cases. Now test_pools passes.

--- a/sapphireyard/exchange/pools.py
+++ b/sapphireyard/exchange/pools.py
@@ -59,6 +59,7 @@
 more, is remembered: longer than any takes to leave."""
 UNREACHABLE = "no host reaches an upstream", PROBE_SECONDS
 """Why requests are refused, and their Retry-After: upstreams are probed again."""
+NO_UPSTREAM = "no upstream is listed", NO_UPSTREAM_RETRY_SECONDS
 OUTSIDE_REGIONS = "no upstream in the allowed regions is usable", MAX_RETRY_SECONDS
 EVACUATED = "operators have evacuated all upstreams", MAX_RETRY_SECONDS
 
@@ -583,7 +584,8 @@
         pool.refusal = None
         if staying and not usable:
             pool.refusal = UNREACHABLE if allowed else EVACUATED
-            self._refuse_waiting(service, pool, now)
+        if not usable:
+            self._refuse_waiting(service, pool, pool.refusal or NO_UPSTREAM, now)
         is_any_back = False
         for name, upstream in pool.upstreams.items():
             state = UpstreamState.UP
@@ -622,12 +624,12 @@
         }
         return reached.intersection(healthy) or reached
 
-    def _refuse_waiting(self, service, pool, now):
+    def _refuse_waiting(self, service, pool, refusal, now):
         """Refuse the requests that wait for a service without a usable upstream."""
         for request_id, waiter in list(self._waiting.items()):
             if waiter.request.pool != service or waiter.future.done():
                 continue
-            waiter.future.set_exception(_build_refusal(service, *pool.refusal))
+            waiter.future.set_exception(_build_refusal(service, *refusal))
             self._execute(pool.scheduler.cancel(request_id, now))
 
     def _find_granted_here(self, heartbeat):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -284,6 +284,30 @@
                 self.assertEqual(caught.exception.code, "overloaded")
                 self.assertGreater(caught.exception.retry_after, 0)
 
+    async def test_waiting_request_is_refused_once_no_upstream_is_left(self):
+        """It waited for its deadline. Cases are what happens to the last engine."""
+        cases = [
+            ("removed", lambda pools: pools.set_upstreams([])),
+            ("leaving", lambda pools: pools.note_leaving(pools.find("engine-1"))),
+        ]
+        for name, happen in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                pools = self.runtime.pools
+                pools.set_upstreams([Upstream("engine-1", "engine", "-", slots=1)])
+                async with await self.lease():
+                    deadline = self.runtime.clock.monotonic() + 9.0
+                    lease = await self.lease(program="c/q", deadline=deadline)
+                    waiting = asyncio.ensure_future(lease.__aenter__())
+                    await asyncio.sleep(0.01)
+                    self.assertFalse(waiting.done())
+                    happen(pools)
+                    with self.assertRaises(CallError) as caught:
+                        async with asyncio.timeout(0.5):
+                            await waiting
+                self.assertEqual(caught.exception.code, "overloaded")
+                self.assertGreater(caught.exception.retry_after, 0)
+
     def cut_off(self, name):
         now = self.runtime.clock.monotonic()
         self.runtime.pools.links.note_failed(name, now, now)
