Write records again whatever kept them from the disk

Seen in an independent review: after 'can't start new thread' a batch of records was gone, and the next sync counted it as durable (LOST).

Cause: a failed batch was put back for errors of the disk only. Failed before: test_history.FailingDiskTest with RuntimeError. Now test_history passes.

--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -169,10 +169,10 @@
         try:
             data = b"".join(record for record, _ in batch)
             await loop.run_in_executor(None, self._write, data)
-        except OSError as error:
+        except Exception as error:  # none may make a lost batch look written
             self._pending = batch + self._pending
             self._failure = error
-            logger.error("log could not be written to the disk: %s", error)
+            logger.error("log could not be written to the disk: %r", error)
             loop.call_later(RETRY_SECONDS, self._retry)
             return
         finally:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -363,13 +363,20 @@
 
         A record whose sync failed may be there twice, which changes no state.
         """
-        for name in ("os.open", "os.write", "os.fdatasync", "os.fsync"):
-            with self.subTest(name):
+        disk_full = OSError(errno.ENOSPC, "disk full")
+        no_thread = RuntimeError("can't start new thread")
+        cases = [
+            *((f"os.{call}", disk_full) for call in ("open", "write", "fdatasync")),
+            ("os.fsync", disk_full),
+            ("os.write", no_thread),
+        ]
+        for name, error in cases:
+            with self.subTest(name, error=error):
                 kept = self.read_all()
-                full, first, second = (f"{name} {n}".encode() * 30 for n in range(3))
+                texts = (f"{name} {type(error).__name__} {n}" for n in range(3))
+                full, first, second = (text.encode() * 30 for text in texts)
                 self.log.append(full)
                 await self.log.sync()  # the next record begins a file
-                error = OSError(errno.ENOSPC, "disk full")
                 with mock.patch(f"sapphireyard.history.log.{name}", side_effect=error):
                     self.log.append(first)
                     for _ in range(2):
