Write a receipt that cannot be read again

Found in an independent review, by reading: a receipt with another writer's content kept a watcher from following the store. It now counts as none. Failed before: test_receipts, ValueError in 4 of 4 cases.

--- a/sapphireyard/configuration/receipts.py
+++ b/sapphireyard/configuration/receipts.py
@@ -5,8 +5,12 @@
 counts as in force only once more than half have left a receipt.
 """
 
+import logging
+
 from sapphireyard.exceptions import StoreConflict
 
+logger = logging.getLogger(__name__)
+
 RECEIPT_PREFIX = "config/receipt/"
 """Prefix of the names of receipts, one for each failure domain."""
 
@@ -34,7 +38,7 @@
         name, value = RECEIPT_PREFIX + domain, str(version).encode()
         while True:
             stored = await self._store.get(name)
-            if stored is not None and int(stored.value) >= version:
+            if _read_version(stored) >= version:
                 return
             try:
                 if stored is None:
@@ -65,7 +69,7 @@
         readers = []
         for domain in sorted(domains):
             stored = await self._store.get(RECEIPT_PREFIX + domain)
-            if stored is not None and int(stored.value) >= version:
+            if _read_version(stored) >= version:
                 readers.append(domain)
         return readers
 
@@ -76,3 +80,14 @@
     A fleet without hosts has nothing that could be out of date.
     """
     return not domains or 2 * len(readers) > len(domains)
+
+
+def _read_version(stored):
+    """Return the version of a receipt; 0 if there is none or it cannot be read."""
+    if stored is None:
+        return 0
+    try:
+        return int(stored.value)
+    except ValueError:
+        logger.warning("invalid receipt %s", stored.name)
+        return 0
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sapphireyard.configuration.receipts import Receipts, is_majority
+from sapphireyard.configuration.receipts import RECEIPT_PREFIX, Receipts, is_majority
 from standins.memory import MemoryStore
 
 DOMAINS = ("a", "b", "c")
@@ -32,3 +32,19 @@
                 await receipts.leave("a", left)
                 self.assertEqual(await receipts.list_readers(DOMAINS, 3), readers)
         self.assertEqual(await receipts.list_readers(DOMAINS, 5), [])
+
+    async def test_receipt_that_cannot_be_read_is_written_again(self):
+        store = MemoryStore()
+        receipts = Receipts(store)
+        for value in (b"", b"x", b"\xff", b"1.5"):
+            with self.subTest(value):
+                name = RECEIPT_PREFIX + "a"
+                stored = await store.get(name)
+                if stored is None:
+                    await store.create(name, value)
+                else:
+                    version = stored.version
+                    await store.update(name, value, expected_version=version)
+                self.assertEqual(await receipts.list_readers(DOMAINS, 1), [])
+                await receipts.leave("a", 1)
+                self.assertEqual(await receipts.list_readers(DOMAINS, 1), ["a"])
