Record only what a move of partitions has written

Found in an independent review: if an entry had changed meanwhile, a compaction still recorded the partition as recovered under the new owner's epoch, and moves counted what they had left out. No sequence of events that reaches this was found; tests.test_ownership, _machine, test_takeover, test_ownership_service pass.

--- a/sapphireyard/ownership/moves.py
+++ b/sapphireyard/ownership/moves.py
@@ -127,8 +127,7 @@
         try:
             snapshots, expected = await self._write_snapshots(quiesced)
             if expected:
-                await self._write_move(expected, target, snapshots, offer)
-                moved = len(expected)
+                moved = len(await self._write_move(expected, target, snapshots, offer))
         except (StoreUnavailable, JournalSealed) as error:
             logger.warning("move to %s abandoned: %s", target, error)
         self._moving.difference_update(quiesced)
@@ -212,29 +211,34 @@
         return snapshots, expected
 
     async def _write_move(self, expected, target, snapshots, offer):
-        """Assign partitions whose entries are as expected to the target."""
-        partitions = list(expected)
+        """Assign partitions whose entries are as expected; return those that were.
+
+        A move that took effect, but was followed by other changes before its answer
+        came, counts as none: its partitions are recovered like any others.
+        """
+        written = []
         since = offer.journal_next
         if target == self.runtime.host:
             since = self.runtime.journal.next_number
 
         def plan(assignment):
+            written.clear()
             if not assignment.has_member(target, offer.incarnation):
                 return None
-            unchanged = [p for p in partitions if assignment.entries[p] == expected[p]]
-            if not unchanged:
+            written.extend(p for p in expected if assignment.entries[p] == expected[p])
+            if not written:
                 return None
             new_owner = assignment.members[target]
             return plan_move(
-                assignment, unchanged, new_owner, snapshots=snapshots, since=since
+                assignment, written, new_owner, snapshots=snapshots, since=since
             )
 
         assignment = await self._assignments.change(plan)
         if target == self.runtime.host:
-            for partition in partitions:
+            for partition in written:
                 self.runtime.ownership.record_compaction(partition, assignment)
         self.runtime.ownership.adopt(assignment)
-        for partition in partitions:
+        for partition in written:
             entry = assignment.entries[partition]
             logger.info(
                 "partition handed over",
@@ -249,6 +253,7 @@
                     "snapshot": snapshots.get(partition),
                 },
             )
+        return written
 
     def _is_compaction_due(self, partition):
         entry = self.runtime.ownership.assignment.entries[partition]
