--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -53,6 +53,8 @@
         IP:PORT.
     connections, requests : int
         Connections accepted and requests received so far.
+    heads : list of bytes
+        Heads of the requests received so far.
     sent_bytes : int
         Bytes of `Endless` steps that were written so far.
     closed : asyncio.Event
@@ -65,6 +67,7 @@
     address: str = ""
     connections: int = 0
     requests: int = 0
+    heads: list = field(default_factory=list)
     sent_bytes: int = 0
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: object = None
@@ -106,6 +109,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         await reader.readexactly(_find_length(head))
         self.requests += 1
+        self.heads.append(head)
         if self.late and not is_first:
             writer.write(self.late)
             await asyncio.sleep(LATE_SECONDS)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -30,7 +30,7 @@
     async def check_second_request(self, path="/book/1"):
         """Fail if the second request on a connection is refused, or sent twice."""
         await self.answer(answer("r2"), End.STAY, path=path, request_id="r2")
-        self.assertEqual(self.upstream.requests, 2)
+        self.assertEqual(self.upstream.requests, 2, self.upstream.heads)
         self.assertNotIn(self.reply.status, NOT_RUN_STATUSES)
 
     async def test_late_refusal_does_not_answer_the_next_send(self):
