Send a long history while it is read, whatever its length

Callers saw: turn 5 of a conversation with 3.9 MB a turn, and turn 35 with 500 kB, refused with 413 ("a history may have bytes"), and each later try too. 413 ends a program. Each turn was within max-body-bytes, and nothing bounds the number of turns.

Relays had the same limit at 4 MiB, as they got the history inside one message.

Evidence: test_conversation_goes_on_however_long_it_is on, against the deployed programs, failed at both conversations: "AssertionError: 413 != 503".

Change: a history above 2 MiB, or without room in memory now, is read from the copies in windows of 1 MiB while it is sent, with the length stated; each window may come from another copy. A relay gets turn and size, and reads the history itself, in a message of its own class: an older build must not send the body alone. If no copy can be read in the middle, the engine is not blamed and the caller gets 502.

The test that demanded the 413 asked for the fault. It is replaced by one with more cases that also bounds the memory of each turn, and demands a 503 with Retry-After where not even a window has room.

Measured: the new test passes, with each process below the memory of the smallest hosts (150 and 160 MB); 35 tests of relays and builds, 55 of turns, histories and memory pass.

--- a/sapphireyard/exceptions.py
+++ b/sapphireyard/exceptions.py
@@ -161,6 +161,10 @@
         super().__init__(detail, sent=False)
 
 
+class HistoryLost(UpstreamFailed):
+    """The history of a request could not be read to its end while it was sent."""
+
+
 class CallError(SapphireyardError):
     """An error answer to a caller.
 
--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.answers import BodyEnd
+from sapphireyard.exceptions import CallError, HistoryLost
 
 
 async def _keep_uncounted(size):
@@ -143,13 +144,15 @@
     customer : str
         Name of the customer; empty on public routes.
     body : bytes
-        Body that the upstream receives.
+        Body that the upstream receives, after `history` if there is one.
     timeout : float
         Seconds left until the request's deadline.
     regions : frozenset of str or None
         Regions that the request may be sent to; None without a limit.
     handover : Handover
         Shared by all copies; set by the sender.
+    history : LongText or None
+        Beginning of the body that is not kept in memory.
     """
 
     call: ProgramCall
@@ -159,6 +162,27 @@
     timeout: float
     regions: frozenset | None = None
     handover: Handover = field(default_factory=Handover)
+    history: object = None
+
+    @property
+    def size(self):
+        """int: Bytes that the upstream receives."""
+        return len(self.body) + (self.history.size if self.history else 0)
+
+    async def stream(self):
+        """Yield the history, and then the body.
+
+        Raises
+        ------
+        HistoryLost
+            The history cannot be read to its end.
+        """
+        try:
+            async for window in self.history.stream():
+                yield window
+        except CallError as error:
+            raise HistoryLost(f"history not read: {error}") from error
+        yield self.body
 
 
 @dataclass
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -11,6 +11,7 @@
 from sapphireyard.exceptions import (
     EXECUTED_UNKNOWN,
     CallError,
+    HistoryLost,
     UpstreamFailed,
     UpstreamLate,
     UpstreamLeft,
@@ -418,7 +419,7 @@
         if isinstance(error, UpstreamLate):
             self._runtime.pools.report_doubtful(upstream.name)
             return
-        if isinstance(error, UpstreamLeft):
+        if isinstance(error, (UpstreamLeft, HistoryLost)):
             return
         self._runtime.pools.report(upstream, ok=False)
         # One that leaves and is gone has not been ended by the request.
@@ -482,8 +483,10 @@
             regions=admitted.regions,
         )
 
-    def build_dispatch(self, admitted, upstream, *, prefix=b""):
-        """Return the `Dispatch` to an upstream, with `prefix` in front of the body.
+    def build_dispatch(self, admitted, upstream, *, prefix=b"", history=None):
+        """Return the `Dispatch` to an upstream.
+
+        `prefix`, or the `LongText` `history`, is sent in front of the body.
 
         Records the upstream as the one chosen last. Raises `CallError` if the request
         has been barred while it waited for a slot.
@@ -503,6 +506,7 @@
             body,
             max(0.0, timeout),
             admitted.regions,
+            history=history,
         )
 
     async def _refuse(self, reply, error):
--- a/sapphireyard/exchange/generated_relays.py
+++ b/sapphireyard/exchange/generated_relays.py
@@ -40,6 +40,23 @@
     """
 
 
+@dataclass
+class RelayedTurn:
+    """
+    A request whose body begins with the text of a chain, which the relay reads from the copies. A class of its own, so that older builds do not send the body alone.
+    """
+
+    request: RelayedRequest
+    turn: str
+    """
+    Last turn of the chain.
+    """
+    size: int
+    """
+    Bytes of the text of the chain.
+    """
+
+
 @dataclass
 class RelayedHead:
     """
--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -158,11 +158,6 @@
         """int: Requests for which bytes are kept."""
         return len(self._holds)
 
-    @property
-    def largest(self):
-        """float: Bytes of the largest body and history that a request may have."""
-        return self.limit * ADMISSION_SHARE / BUFFER_OVERHEAD
-
     def open(self, label, *, now, release=None, measure=None, overhead=REQUEST_BYTES):
         """Return a new `Hold` for a request, or for a part of one without overhead."""
         hold = Hold(
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -37,8 +37,10 @@
     RelayedHead,
     RelayedHeader,
     RelayedRequest,
+    RelayedTurn,
 )
 from sapphireyard.fleet.relays import rank_relays
+from sapphireyard.history.chains import WINDOW_BYTES
 from sapphireyard.tasks import lasting_task, start_task
 
 logger = logging.getLogger(__name__)
@@ -82,6 +84,7 @@
         self.open_requests = 0
         runtime.peers.codec.register_module(generated_relays)
         runtime.peers.register_stream(RelayedRequest, self._serve_request)
+        runtime.peers.register_stream(RelayedTurn, self._serve_turn)
         runtime.peers.register(LinkQuery, self._serve_query)
 
     @property
@@ -213,10 +216,21 @@
                 end=end,
             )
 
-    async def _serve_request(self, message, context):
+    async def _serve_turn(self, message, context):
+        """Send another host's request after the history that it continues."""
+        history = self._runtime.history.build_long(message.turn, message.size)
+        answers = self._serve_request(message.request, context, history=history)
+        async with aclosing(answers):
+            async for answer in answers:
+                yield answer
+
+    async def _serve_request(self, message, context, *, history=None):
         """Send another host's request over this host's own link."""
+        size = len(message.body)
+        if history is not None:
+            size += min(history.size, WINDOW_BYTES)
         upstream = self._runtime.pools.find(message.upstream)
-        refusal = self._find_refusal(upstream, message)
+        refusal = self._find_refusal(upstream, message, size)
         if refusal:
             self._log_relayed(message, context, refusal)
             yield RelayedFailure(refusal, sent=False)
@@ -224,10 +238,11 @@
         outcome = "broken off"
         held = self._runtime.held
         hold = held.open(message.request_id, now=self._now())
-        held.keep(hold, len(message.body))
+        held.keep(hold, size)
         self.open_requests += 1
         try:
-            async for answer in self._relay(_decode_request(message, upstream)):
+            dispatch = replace(_decode_request(message, upstream), history=history)
+            async for answer in self._relay(dispatch):
                 yield answer
             outcome = "served"
         except UpstreamFailed as error:
@@ -238,8 +253,11 @@
             held.close(hold)
             self._log_relayed(message, context, outcome)
 
-    def _find_refusal(self, upstream, message):
-        """Return why a request for an upstream is not relayed, or an empty string."""
+    def _find_refusal(self, upstream, message, size):
+        """Return why a request for an upstream is not relayed, or an empty string.
+
+        `size` is the number of bytes that it takes in memory.
+        """
         now = self._now()
         if self.closing and not self.closing.takes(now + message.timeout, now):
             return "host is leaving"
@@ -250,7 +268,7 @@
             return reason
         if not self._links.is_up(upstream.name):
             return "upstream is out of reach here too"
-        if not self._runtime.held.admits(len(message.body)):
+        if not self._runtime.held.admits(size):
             return "no memory for the request"
         return ""
 
@@ -328,8 +346,9 @@
 
 
 def _encode_request(dispatch):
+    """Return the message for a relay."""
     call = dispatch.call
-    return RelayedRequest(
+    request = RelayedRequest(
         upstream=dispatch.upstream.name,
         request_id=call.request_id,
         method=call.method,
@@ -339,6 +358,9 @@
         body=dispatch.body,
         timeout=dispatch.timeout,
     )
+    if dispatch.history is None:
+        return request
+    return RelayedTurn(request, dispatch.history.turn, dispatch.history.size)
 
 
 def _decode_request(message, upstream):
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -10,7 +10,8 @@
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
 from sapphireyard.exchange.held import RETRY_SECONDS
-from sapphireyard.history.client import ChainText
+from sapphireyard.history.chains import WINDOW_BYTES
+from sapphireyard.history.client import MAX_WHOLE_BYTES, ChainText
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.streams.frames import MAX_FRAME_BYTES
 from sapphireyard.tasks import start_task
@@ -28,8 +29,7 @@
 MAX_TURN_BYTES = MAX_FRAME_BYTES - 64 * 1024
 """Largest input and output of a kept turn, which copies get in one message."""
 OUTPUT_SHARE = 0.25
-"""Share of the largest turn, and of the largest history, that is kept free for the
-output of a turn when it is accepted."""
+"""Share of the largest turn that is kept free for its output when it is accepted."""
 COMMIT_TIMEOUT_SECONDS = 2.0
 """Longest time for which the end of a complete answer is held back."""
 
@@ -107,13 +107,12 @@
         turn = admitted.call.previous_turn
         if admitted.route.retention is None:
             return ChainText(admitted.customer.name)
+        self._check_turn_size(admitted)
         if not turn:
-            self._check_room(admitted, 0)
             return ChainText(admitted.customer.name)
 
         def admit(size):
-            self._check_room(admitted, size)
-            self._keep_chain(hold, size)
+            return self._keep_chain(admitted, hold, size)
 
         chain = await self._runtime.history.read_chain(turn, admit=admit)
         if chain.customer != admitted.customer.name:
@@ -130,43 +129,48 @@
             raise CallError("turn_unknown", f"there is no turn {turn!r}")
         return chain
 
-    def _check_room(self, admitted, size):
-        """Refuse a turn whose history could not be continued, before it runs."""
+    @staticmethod
+    def _check_turn_size(admitted):
+        """Refuse a turn that copies could not keep, before it runs."""
         body = len(admitted.body)
-        free = 1 - OUTPUT_SHARE
-        if body > MAX_TURN_BYTES * free:
-            raise CallError(
-                "request_too_large",
-                f"a kept turn may have {int(MAX_TURN_BYTES * free)} bytes: got {body}",
-            )
-        largest = self._runtime.held.largest * free
-        if size + body > largest:
+        largest = int(MAX_TURN_BYTES * (1 - OUTPUT_SHARE))
+        if body > largest:
             raise CallError(
                 "request_too_large",
-                f"a history may have {int(largest)} bytes: got {size + body}",
+                f"a kept turn may have {largest} bytes: got {body}",
             )
 
-    def _keep_chain(self, hold, size):
-        """Count the text of a history; raise `CallError` if there is no room now."""
+    def _keep_chain(self, admitted, hold, size):
+        """Count the text of a history; return whether all of it may be in memory.
+
+        A long one is read from the copies while it is sent, in windows. Raises
+        `CallError` if there is no room for a window.
+        """
         held = self._runtime.held
-        missing = size - hold.kept
-        if not held.admits(missing):
+        is_short = size + len(admitted.body) <= MAX_WHOLE_BYTES
+        is_whole = is_short and held.admits(size - hold.kept)
+        missing = (size if is_whole else min(size, WINDOW_BYTES)) - hold.kept
+        is_admitted = held.admits(missing)
+        if not is_whole:
             logger.info(
-                "no memory for a history",
+                "history is read while it is sent",
                 extra={
                     "decision": "held",
                     "request_id": hold.label,
                     "size": size,
                     "total": held.total,
                     "limit": held.limit,
+                    "admitted": is_admitted,
                 },
             )
+        if not is_admitted:
             raise CallError(
                 "overloaded",
                 f"{held.total} bytes are kept for other requests",
                 retry_after=RETRY_SECONDS,
             )
         held.keep(hold, missing)
+        return is_whole
 
     async def _run(self, admitted, chain, synced, reply, reader):
         """Send the turn until an engine runs it; return whether it was committed."""
@@ -211,7 +215,7 @@
         async with lease as upstream:
             excluded.append(upstream.name)
             dispatch = self.exchange.build_dispatch(
-                admitted, upstream, prefix=chain.text
+                admitted, upstream, prefix=chain.text, history=chain.long
             )
             admitted.sends += 1
             watch = self.exchange.watch_silence(admitted)
@@ -283,13 +287,7 @@
         )
         async with limit_wait(AnswerDeadline(COMMIT_TIMEOUT_SECONDS)):
             await self._runtime.history.commit(turn)
-        text = ChainText(
-            admitted.customer.name,
-            chain.text + admitted.body + output,
-            admitted.upstream,
-            call.prompt_tokens + tokens,
-        )
-        self._runtime.history.cache(call.request_id, text)
+        self._runtime.history.cache(call.request_id, chain.extend(turn))
 
     @staticmethod
     def _keep_seconds(admitted):
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -163,6 +163,14 @@
     """
     Largest text in one message; 0 for all of it in a single one, as older builds expect it.
     """
+    start: int = 0
+    """
+    Bytes at the beginning of the text that are left out; older builds send them.
+    """
+    length: int = 0
+    """
+    Bytes of the text from there on; 0 for all. Older builds send all.
+    """
 
 
 @dataclass
@@ -190,6 +198,10 @@
     """
     Bytes of the whole text, the rest of which follows in ChainParts; 0 if the text is whole, as from older builds.
     """
+    start: int = 0
+    """
+    Position in the whole text at which the text of this message begins.
+    """
 
 
 @dataclass
--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -53,8 +53,8 @@
         IP:PORT.
     connections, requests : int
         Connections accepted and requests received so far.
-    heads : list of bytes
-        Heads of the requests received so far.
+    heads, bodies : list of bytes
+        Heads and bodies of the requests received so far.
     sent_bytes : int
         Bytes of `Endless` steps that were written so far.
     closed : asyncio.Event
@@ -68,6 +68,7 @@
     connections: int = 0
     requests: int = 0
     heads: list = field(default_factory=list)
+    bodies: list = field(default_factory=list)
     sent_bytes: int = 0
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: object = None
@@ -107,7 +108,7 @@
     async def _answer(self, reader, writer, is_first):
         """Answer one request; return whether the connection stays open."""
         head = await reader.readuntil(b"\r\n\r\n")
-        await reader.readexactly(_find_length(head))
+        self.bodies.append(await reader.readexactly(_find_length(head)))
         self.requests += 1
         self.heads.append(head)
         if self.late and not is_first:
