Test a planned stop of one entry host while requests wait

Other operators report that requests which came late in the time to stop were taken, passed on and cut with no answer, also some that may not be repeated (LOST). This one stops one of two in calm, under callers that use their connections to it, and open new ones, until it is gone, with time limits from 1.5 to 15 s and few slots.

--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -14,6 +14,7 @@
 CALLERS = 16
 WORK_SECONDS = 0.25
 BUDGETS_SECONDS = (1.0, 1.5, 3.0)
+LONG_BUDGETS_SECONDS = (1.5, 3.0, 6.0, 15.0)
 BUDGET_MARGIN_SECONDS = 0.1
 """A request that has used up its budget but for this may end at its deadline."""
 
@@ -34,6 +35,8 @@
         self._random = random.Random(seed)
         self._connection = None
         self._sent = 0
+        self.budgets = BUDGETS_SECONDS
+        self.ips = ENTRY_IPS
         self.results = []
 
     async def run(self):
@@ -41,9 +44,9 @@
             sent_at = time.monotonic()
             self._sent += 1
             request_id = f"{self._number:08x}{self._sent:08x}"
-            budget = self._random.choice(BUDGETS_SECONDS)
+            budget = self._random.choice(self.budgets)
             try:
-                async with asyncio.timeout(4.0):
+                async with asyncio.timeout(budget + 1.0):
                     answer = await self._send(request_id, budget)
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
                 answer = Answer(0, {}, b"", False)
@@ -55,7 +58,7 @@
 
     async def _send(self, request_id, budget):
         if self._connection is None:
-            ip = self._random.choice(ENTRY_IPS)
+            ip = self._random.choice(self.ips)
             self._connection = await asyncio.open_connection(ip, self._port)
         reader, writer = self._connection
         kind = self._random.choice(("view", "book", "live"))
@@ -138,3 +141,54 @@
             if sent_at > stopped_at + EXCUSED_SECONDS and answer.complete
         ]
         self.assertIn(200, late)
+
+
+class OneStopTest(PlatformTestCase):
+    """One of two entry hosts leaves in calm, while requests wait for few slots."""
+
+    entry_options = OverlappingStopTest.entry_options
+
+    async def test_late_requests_are_not_cut_off_when_one_host_leaves(self):
+        """Requests that were taken late were cut, also some that may not be repeated.
+
+        Callers use their connections to the host, and open new ones, until it is gone.
+        """
+        self.plain.delay_seconds = WORK_SECONDS
+        self.engine.gap_seconds = WORK_SECONDS / 2
+        for upstream, service in ((self.plain, "plain"), (self.engine, "engine")):
+            entry = upstream.describe(service, slots=4)
+            self.site.store.put("servers", upstream.name, entry)
+        callers = [
+            Caller(number, self.site.caller_port, number) for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.budgets = LONG_BUDGETS_SECONDS
+            caller.ips = ENTRY_IPS[:1]
+        tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+        await asyncio.sleep(2.0)
+        stopped_at = time.monotonic()
+        process = self.site.process("entry-1")
+        process.send_signal(signal.SIGTERM)
+        await self.site.wait_until(lambda: process.poll() is not None)
+        seconds = time.monotonic() - stopped_at
+        await asyncio.sleep(1.0)
+        for task in tasks:
+            task.cancel()
+        self.assertLess(seconds, GRACE_SECONDS)
+        self.assertEqual(process.returncode, 0)
+        executed = {
+            request.headers["request-id"]
+            for upstream in (self.plain, self.engine)
+            for request in upstream.executed
+        }
+        results = [result for caller in callers for result in caller.results]
+        late = [each for each in results if each[0] > stopped_at]
+        self.assertTrue(late)
+        cut = [
+            (sent_at - stopped_at, request_id, answer.status)
+            for sent_at, request_id, answer in late
+            if request_id in executed
+            and answer.status != 200
+            and (sent_at > stopped_at + EXCUSED_SECONDS or not answer.complete)
+        ]
+        self.assertEqual(cut, [])
