tests: a turn that is sent beside others returns its own id

`PlatformSite.send_turn` read the id from the counter of requests after the answer had come. Beside other requests that was the id of a later one: a caller that continued it got 404 turn_unknown, or another program's history. `HistoriesMemoryTest` continued such turns; it still passes (2 tests of its module), now with the histories that it means.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -352,7 +352,8 @@
         }
         if previous:
             headers["Previous-Turn"] = previous
+        turn = f"{self.request_count + 1:016x}"  # others may be sent meanwhile
         answer = await self.send(
             ip, "POST", "/chat/x", body=text, headers=headers, **options
         )
-        return f"{self.request_count:016x}", answer
+        return turn, answer
