Let history hosts that are stopped together leave one after the other

Nothing was lost.

Cause: HistoryProcess.drain returned at once, as all that must survive is on the disk. The turns that come next need a majority of the copies, and two of four were away.

Change: a host that stops says so in its heartbeats and goes on to serve until enough other members serve without it. Of several, the first by name leaves first.

--- a/sapphireyard/history/copies.py
+++ b/sapphireyard/history/copies.py
@@ -147,6 +147,30 @@
     ]
 
 
+def may_stop(copies, host, serving, stopping, *, tolerated):
+    """Return whether turns are served while a host is restarted.
+
+    Of several hosts that are to stop, the others wait for the first one by name.
+
+    Parameters
+    ----------
+    copies : CopySet
+        The set in force.
+    host : str
+        Host that is to stop.
+    serving, stopping : collection of str
+        Other members that serve, and hosts that are to stop as well.
+    tolerated : int
+        Disks that may be lost at once.
+    """
+    staying = [
+        name
+        for name in copies.members
+        if name != host and name in serving and not (name in stopping and name < host)
+    ]
+    return len(staying) >= write_quorum(len(copies.members), tolerated=tolerated)
+
+
 def explain_stay(copies, host, holders, *, tolerated):
     """Return why a host must keep its disk, or an empty string if it need not.
 
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -23,6 +23,7 @@
     explain_stay,
     fence_quorum,
     list_holders,
+    may_stop,
     plan_join,
     plan_leave,
     plan_recovery,
@@ -246,6 +247,24 @@
         await self._adopt(copies)
         await self._check_leave(copies, copies)
 
+    def may_stop(self):
+        """Return whether turns are served while this host is restarted."""
+        if not self._serving:
+            return True
+        membership = self._runtime.gossip.membership
+        heartbeats = [
+            membership.find(name).heartbeat
+            for name in self._copies.members
+            if name != self._runtime.host and not self._is_gone(name)
+        ]
+        return may_stop(
+            self._copies,
+            self._runtime.host,
+            {each.host for each in heartbeats if each.ready},
+            {each.host for each in heartbeats if each.leaving},
+            tolerated=self._tolerated,
+        )
+
     async def _check_leave(self, copies, announced):
         """Transfer all records; raise `CallError` if this host's disk is needed.
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -20,6 +20,7 @@
     explain_stay,
     fence_quorum,
     majority,
+    may_stop,
     plan_join,
     plan_leave,
     plan_recovery,
@@ -155,6 +156,26 @@
                 reason = explain_stay(copies, "a", set(holders), tolerated=tolerated)
                 self.assertEqual(not reason, may_leave, reason)
 
+    def test_hosts_that_stop_together_leave_a_majority(self):
+        """Each case has members, the host, those that serve and those that stop."""
+        cases = [
+            ("abcd", "a", "bcd", "", True),
+            ("abcd", "a", "bcd", "bcd", True),
+            ("abcd", "b", "acd", "acd", False),
+            ("abcd", "b", "cd", "cd", False),
+            ("abcd", "b", "acd", "cd", True),
+            ("abcd", "d", "abc", "c", False),
+            ("abc", "b", "ac", "c", True),
+            ("abc", "b", "a", "", False),
+            ("a", "a", "", "", False),
+        ]
+        for members, host, serving, stopping, expected in cases:
+            with self.subTest((members, host, serving, stopping)):
+                copies = CopySet(7, dict.fromkeys(members, "disk"))
+                self.assertEqual(
+                    may_stop(copies, host, serving, stopping, tolerated=1), expected
+                )
+
     def test_recovery_begins_only_when_a_loss_is_certain(self):
         """Each case has the state of each member.
 
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -6,15 +6,19 @@
 import time
 
 from tests.platform_site import Answer
-from tests.test_platform_processes import ENTRY_IPS, PlatformTestCase
+from tests.test_platform_processes import COPY_IPS, ENTRY_IPS, PlatformTestCase
 
 GRACE_SECONDS = 5.0
+HISTORY_GRACE_SECONDS = 8.0
 EXCUSED_SECONDS = 3.0
 """A request sent until then may be cut off at the end of the time to stop."""
 CALLERS = 16
 WORK_SECONDS = 0.25
 BUDGETS_SECONDS = (1.0, 1.5, 3.0)
 LONG_BUDGETS_SECONDS = (1.5, 3.0, 6.0, 15.0)
+RESTART_SECONDS = 0.5
+"""From the end of a process until the platform starts it again."""
+TURN_CALLERS = 6
 BUDGET_MARGIN_SECONDS = 0.1
 """A request that has used up its budget but for this may end at its deadline."""
 
@@ -192,3 +196,59 @@
             and (sent_at > stopped_at + EXCUSED_SECONDS or not answer.complete)
         ]
         self.assertEqual(cut, [])
+
+
+class HistoryStopsTest(PlatformTestCase):
+    """History hosts that are stopped in the same second, and started again."""
+
+    async def restart(self, number):
+        """Stop a history host as planned; start it when it has ended."""
+        name = f"copy-{number}"
+        process = self.site.process(name)
+        stopped_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            await asyncio.sleep(0.02)
+        self.assertLess(time.monotonic() - stopped_at, HISTORY_GRACE_SECONDS)
+        self.assertEqual(process.returncode, 0)
+        await asyncio.sleep(RESTART_SECONDS)
+        ip = COPY_IPS[number - 1]
+        self.site.start_process(name, "history", ip, failure_domain=f"d{number}")
+
+    async def converse(self, number, ended):
+        """Run turns of a program, one after the other; return their answers."""
+        answers = []
+        turn = ""
+        ip = ENTRY_IPS[number % len(ENTRY_IPS)]
+        while not ended.is_set():
+            sent, answer = await self.site.send_turn(
+                ip, b"text", previous=turn, program=f"p{number}", budget=10**6
+            )
+            answers.append(answer)
+            if answer.status == 200 and answer.complete:
+                turn = sent
+            await asyncio.sleep(0.02)
+        return answers
+
+    async def test_turns_go_on_while_two_history_hosts_are_restarted(self):
+        """They left at once, so that too few copies were left for each turn."""
+        ended = asyncio.Event()
+        callers = [
+            asyncio.ensure_future(self.converse(number, ended))
+            for number in range(TURN_CALLERS)
+        ]
+        await asyncio.sleep(0.5)
+        await asyncio.gather(self.restart(2), self.restart(3))
+        await self.site.wait_until(
+            lambda: all(
+                self.site.read_log(f"copy-{n}").count("history opened") == 2
+                for n in (2, 3)
+            )
+        )
+        await asyncio.sleep(1.0)
+        ended.set()
+        answers = [a for each in await asyncio.gather(*callers) for a in each]
+        failed = [(a.status, a.body) for a in answers if a.status != 200]
+        self.assertEqual(failed, [])
+        self.assertEqual([a for a in answers if not a.complete], [])
+        self.assertGreater(len(answers), 10 * TURN_CALLERS)
