Keep signals before anything but the interpreter's core is loaded

Cause: before the first statement signals have their default action. Most of that time was not the interpreter's: `site` with its paths, and `signal`, which imports enum, functools and collections. Both are ours to leave out: the deploy file names the interpreter's options, and serve.py its first import.

Tests start the programs with the options of the deploy file now. test_little_is_loaded_before_signals_are_kept failed before for both roles: "['signal'] True True".

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -5,8 +5,10 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 import tempfile
 import time
+import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -19,6 +21,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 SERVE = ROOT / "platform" / "serve.py"
+DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+INTERPRETER = (sys.executable, *DEPLOY["roles"]["entry"]["run"].split()[1:-2])
+"""Command that runs a program, with the interpreter's options of the deploy file."""
+LIBRARIES = {"PYTHONPATH": sysconfig.get_path("purelib")}
+"""Environment of programs, which find their libraries as on the platform."""
 STORE_IP = "127.0.0.1"
 WAIT_TIMEOUT_SECONDS = 20.0
 TAIL_LINES = 8
@@ -211,10 +218,15 @@
             *settings,
         ]
         path.write_text("\n".join(lines) + "\n")
-        environ = {**os.environ, "SAPPHIREYARD_NODE_FILE": str(path), **dict(environ)}
+        environ = {
+            **os.environ,
+            **LIBRARIES,
+            "SAPPHIREYARD_NODE_FILE": str(path),
+            **dict(environ),
+        }
         with open(folder / "log", "ab") as output:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, str(script), role],
+                [*INTERPRETER, str(script), role],
                 cwd=ROOT,
                 env=environ,
                 stdout=subprocess.PIPE if unread else output,
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from sapphireyard.signals import SIGNALS, SignalQueue
-from tests.platform_site import ROOT, SERVE, find_port
+from tests.platform_site import DEPLOY, ROOT, SERVE, find_port
 
 TIMEOUT_SECONDS = 20.0
 ROLES = ("entry", "history")
@@ -143,6 +143,25 @@
             time.sleep(0.05)
 
 
+class InterpreterStartTest(unittest.TestCase):
+    def test_little_is_loaded_before_signals_are_kept(self):
+        """SIGHUP in the start of the interpreter ended processes with status -1."""
+        first, _, _ = SERVE.read_text().partition("\nimport asyncio")
+        code = (
+            f"import sys; before = set(sys.modules); exec({first!r});"
+            " loaded = set(sys.modules) - before - set(sys.builtin_module_names);"
+            " import signal; print(sorted(loaded), 'site' in sys.modules,"
+            " signal.getsignal(signal.SIGHUP) is keep_early)"
+        )
+        for role, options in DEPLOY["roles"].items():
+            with self.subTest(role):
+                arguments = options["run"].split()
+                self.assertEqual(arguments[-2:], ["platform/serve.py", role])
+                command = [sys.executable, *arguments[1:-2], "-c", code]
+                output = subprocess.check_output(command, text=True)
+                self.assertEqual(output, "[] False True\n")
+
+
 class EarlySignalTest(SingleHostTestCase):
     def test_reload_while_a_process_starts_does_not_end_it(self):
         for role in ROLES:
