Keep a record once while it waits for the disk, and send long turns in turn

Callers would see: a history host that is ended for its memory when some callers send turns of megabytes at once, and turns that are refused until it is back (FAULT, LOST).

Cause: the log kept each pending record as the record and as its payload, and joined all of them for the write. A host sent the copies as many long turns at a time as it had accepted.

The parts of the cause are deterministic: test_records_that_wait_for_a_slow_disk_are_kept_once failed before with " not less than 2097152" for 8 MiB of records, test_long_turns_are_sent_to_the_copies_one_after_the_ other with "4 != 1".

Change: a pending record is its header and its payload; long payloads are written without a copy. Turns above 256 kB are committed one after the other at each host; shorter ones, and reservations, pass them.

--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -45,6 +45,9 @@
 unreachable and is not waited for."""
 MAX_WHOLE_BYTES = 2 * 1024 * 1024
 """Longest text of a chain that is read into memory as a whole."""
+MAX_PARALLEL_BYTES = 256 * 1024
+"""Longest turn that is sent to the copies beside others: each of them gets a message of
+that size."""
 CACHE_BYTES = 12 * 1024 * 1024
 """Texts of recent chains kept in memory; a twelfth of the smallest host's memory."""
 
@@ -97,6 +100,7 @@
         self._loss_known_at = 0.0
         self._cache = OrderedDict()
         self._cached_bytes = 0
+        self._long_commits = asyncio.Lock()
         runtime.peers.codec.register_module(generated_history)
         runtime.peers.codec.register_module(generated_fleet)
 
@@ -276,7 +280,9 @@
             ``history_unavailable``: too few copies have stored it.
         """
         turn.written_at = self._wall()
-        await self._retry_on_change(lambda copies: self._commit(copies, turn))
+        is_long = len(turn.input) + len(turn.output) > MAX_PARALLEL_BYTES
+        async with self._long_commits if is_long else contextlib.nullcontext():
+            await self._retry_on_change(lambda copies: self._commit(copies, turn))
 
     async def _commit(self, copies, turn):
         message = TurnCommit(copies.version, turn)
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -21,6 +21,8 @@
 HEADER = struct.Struct("!IQ")
 SEGMENT_BYTES = 4 * 1024 * 1024
 """Size from which a new file is started; files are only deleted as a whole."""
+WRITE_BYTES = 64 * 1024
+"""Size from which a record, or several, are passed to the disk."""
 SEGMENT_SUFFIX = ".records"
 IDENTITY_FILE = "identity"
 PROBE_FILE = "probe"
@@ -98,8 +100,8 @@
     def append(self, payload):
         """Add a record; return its position. `sync` makes it durable."""
         self._check()
-        record = HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
-        self._pending.append((record, payload))
+        header = HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload))
+        self._pending.append((header, payload))
         self._locations.append(payload)
         return self.end - 1
 
@@ -167,8 +169,7 @@
         begin = self.end - len(batch)
         loop = asyncio.get_running_loop()
         try:
-            data = b"".join(record for record, _ in batch)
-            await loop.run_in_executor(None, self._write, data)
+            await loop.run_in_executor(None, self._write, batch)
         except Exception as error:  # none may make a lost batch look written
             self._pending = batch + self._pending
             self._failure = error
@@ -188,25 +189,26 @@
         if not self._closed:
             self._start_flush()
 
-    def _write(self, data):
+    def _write(self, batch):
         """Write and sync; runs in a thread, as each call waits for the disk."""
         if self._file is None:
             self._start_segment()
         try:
-            view = memoryview(data)
-            while view:
-                view = view[os.write(self._file, view) :]
+            for data in _join_records(batch):
+                view = memoryview(data)
+                while view:
+                    view = view[os.write(self._file, view) :]
             os.fdatasync(self._file)
         except OSError:
             self.close()
             raise
 
     def _record_written(self, batch, begin):
-        for number, (record, payload) in enumerate(batch):
+        for number, (header, payload) in enumerate(batch):
             offset = self._segment_size + HEADER.size
             location = (self._segment_path, offset, len(payload))
             self._locations[begin + number - self._first_position] = location
-            self._segment_size += len(record)
+            self._segment_size += len(header) + len(payload)
         self._synced_end = begin + len(batch)
 
     def _start_segment(self):
@@ -257,6 +259,25 @@
         )
 
 
+def _join_records(batch):
+    """Yield the bytes of records: short ones joined, and long ones without a copy."""
+    parts, size = [], 0
+    for header, payload in batch:
+        parts.append(header)
+        if len(payload) >= WRITE_BYTES:
+            yield b"".join(parts)
+            yield payload
+            parts, size = [], 0
+            continue
+        parts.append(payload)
+        size += len(payload)
+        if size >= WRITE_BYTES:
+            yield b"".join(parts)
+            parts, size = [], 0
+    if parts:
+        yield b"".join(parts)
+
+
 def sync_folder(folder):
     """Make the creation and removal of files in a folder durable."""
     handle = os.open(folder, os.O_RDONLY)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -7,6 +7,7 @@
 import os
 import tempfile
 import threading
+import tracemalloc
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
@@ -14,6 +15,7 @@
 
 from sapphireyard.clocks import Clock
 from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.exchange.held import MEBIBYTE
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history.client import HistoryClient, gather_quorum
 from sapphireyard.history.copies import (
@@ -428,6 +430,28 @@
             self.log.append(b"third")
         self.assertEqual(self.read_all(), [b"first", b"second"])
 
+    async def test_records_that_wait_for_a_slow_disk_are_kept_once(self):
+        """Each was kept twice, and a third time while it was written.
+
+        A host with 160 MB took 232 MB for twelve turns of 3.9 MB at once.
+        """
+        log = RecordLog(self.folder / "slow")
+        list(log.open())
+        payloads = [bytes([number]) * MEBIBYTE for number in range(1, 9)]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for payload in payloads:
+            log.append(payload)
+        await log.sync()
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, MEBIBYTE)
+        for position, payload in enumerate(payloads):
+            self.assertEqual(log.read(position), payload)
+        log.close()
+        reopened = RecordLog(self.folder / "slow")
+        self.assertEqual([payload for _, payload in reopened.open()], payloads)
+        reopened.close()
+
     async def test_foreign_files_do_not_stop_the_start(self):
         self.log.append(b"first")
         await self.log.finish()
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -17,7 +17,7 @@
 from sapphireyard.fleet.generated_fleet import CopySet, Heartbeat
 from sapphireyard.fleet.membership import HISTORY, Membership
 from sapphireyard.history.chains import PART_BYTES, WINDOW_BYTES, ChainStream
-from sapphireyard.history.client import HistoryClient
+from sapphireyard.history.client import MAX_PARALLEL_BYTES, HistoryClient
 from sapphireyard.history.generated_history import (
     Chain,
     ChainPart,
@@ -316,6 +316,31 @@
             await self.client.read_chain("short")
         self.assertEqual(caught.exception.code, "turn_unknown")
 
+    async def test_long_turns_are_sent_to_the_copies_one_after_the_other(self):
+        """Each one is a message to each copy; several at once exhausted their memory.
+
+        Cases are the size of the turns, and how many are sent at a time.
+        """
+        for size, expected in ((MAX_PARALLEL_BYTES + 1, 1), (100, 4)):
+            with self.subTest(size):
+                sending = set()
+                most = []
+                commit = self.client._commit
+
+                async def count(copies, turn):
+                    sending.add(turn.turn)
+                    most.append(len(sending))
+                    await commit(copies, turn)
+                    sending.remove(turn.turn)
+
+                turns = [
+                    replace(build_turn(f"{size}-{number}"), input=bytes(size))
+                    for number in range(4)
+                ]
+                with mock.patch.object(self.client, "_commit", count):
+                    await asyncio.gather(*map(self.client.commit, turns))
+                self.assertEqual(max(most), expected)
+
     async def test_unknown_turn_is_not_denied_while_copies_are_away(self):
         await self.client.commit(build_turn("one"))
         for name, code in (
--- a/tests/test_long_histories.py
+++ b/tests/test_long_histories.py
@@ -23,6 +23,10 @@
 """Largest body of a request."""
 TOO_FEW_BYTES = MAX_WHOLE_BYTES + WINDOW_BYTES
 WAIT_SECONDS = 30.0
+CALLERS = 12
+TURNS = 3
+LONG_TURN_BYTES = 3_900_000
+LIMIT_MS = 8000
 
 
 class LongHistoryTest(AnswerTestCase):
@@ -106,6 +110,29 @@
                         ENTRY_IPS[0], f"p{number}", size, turn, chain
                     )
                 await self.converse(ENTRY_IPS[1], f"p{number}", 8, turn, chain)
+        self.check_memory()
+
+    async def send_long_turns(self, number, answers):
+        text = random.Random(number).randbytes(LONG_TURN_BYTES)
+        for _ in range(TURNS):
+            _, answer = await self.site.send_turn(
+                ENTRY_IPS[0], text, program=f"m{number}", milliseconds=LIMIT_MS
+            )
+            answers.append(answer)
+            await asyncio.sleep(float(answer.headers.get("Retry-After", 0)))
+
+    async def test_long_turns_at_once_do_not_exhaust_the_memory_of_copies(self):
+        """Each waited for the disk in up to four copies of its text."""
+        answers = []
+        await asyncio.gather(
+            *(self.send_long_turns(number, answers) for number in range(CALLERS))
+        )
+        whole = [each for each in answers if each.status == 200 and each.complete]
+        self.assertTrue(whole)
+        self.check_memory()
+
+    def check_memory(self):
+        """Fail if a process has ended, or has used more memory than it has."""
         for kind, count in (("entry", len(ENTRY_IPS)), ("copy", len(COPY_IPS))):
             for number in range(1, count + 1):
                 process = self.site.process(f"{kind}-{number}")
