List a fault: large bodies that arrive at once wait for each other's memory

Cause, by reading: HttpReply.read_body admits a body by its stated length, and counts what has arrived; several are admitted at a moment at which none has arrived. 408 is true, as nothing has run.

--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -22,6 +22,11 @@
 PARALLEL = 4
 WAIT_SECONDS = 20.0
 BODY_BYTES = 4 * 1024 * 1024
+LARGE_BODIES = 4
+LARGE_BODY_BYTES = 3_900_000
+LARGE_LIMIT_MS = 3000
+LARGE_ANSWER_SECONDS = 2.0
+"""Time in which each caller is served or refused, well before its limit."""
 
 
 def read_peak(process):
@@ -140,3 +145,62 @@
                 with self.subTest(f"{kind}-{number}"):
                     self.assertIs(process.poll(), None)
                     self.assertLess(read_peak(process), HISTORIES_MEMORY_MB[kind])
+
+
+class LargeBodiesTest(PlatformTestCase):
+    """Bodies that together need more memory than the host has for requests."""
+
+    entry_options = {"settings": ("limits.memory-mb=64",)}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        limits = {"max-header-bytes": 16384, "max-body-bytes": BODY_BYTES}
+        self.site.store.put("config", "main", build_configuration(2, limits=limits))
+        await self.site.wait_until(
+            lambda: '"version": 2' in self.site.read_log("entry-1")
+        )
+
+    async def send_body(self, number, ready, heads):
+        """Send three quarters of a body once all heads are sent, and then the rest.
+
+        Returns
+        -------
+        int
+            Status of the answer; 0 if it did not come in time.
+        """
+        port = self.site.caller_port
+        reader, writer = await asyncio.open_connection(ENTRY_IPS[0], port)
+        writer.write(
+            "POST /book/x HTTP/1.1\r\nHost: site.example\r\n"
+            f"Request-Id: {0xC0000 + number:016x}\r\nDeadline-Ms: {LARGE_LIMIT_MS}\r\n"
+            f"Credential: {KEY}\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n".encode()
+        )
+        await writer.drain()
+        heads.append(number)
+        if len(heads) == LARGE_BODIES:
+            await asyncio.sleep(0.2)
+            ready.set()
+        await ready.wait()
+        first = LARGE_BODY_BYTES * 3 // 4
+        try:
+            async with asyncio.timeout(LARGE_ANSWER_SECONDS):
+                for size in (first, LARGE_BODY_BYTES - first):
+                    writer.write(bytes(size))
+                    await writer.drain()
+                    await asyncio.sleep(0.1)
+                return int((await reader.readline()).split()[1])
+        except (TimeoutError, ConnectionError, IndexError):
+            return 0
+        finally:
+            writer.close()
+
+    async def test_bodies_that_arrive_at_once_do_not_wait_for_each_other(self):
+        """None was whole, and each kept the memory that the others waited for."""
+        ready = asyncio.Event()
+        heads = []
+        statuses = await asyncio.gather(
+            *(self.send_body(number, ready, heads) for number in range(LARGE_BODIES))
+        )
+        self.assertIn(200, statuses)
+        self.assertNotIn(0, statuses)
+        self.assertNotIn(408, statuses)
