--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -145,8 +145,8 @@
         self.assertIn("requirements.txt", deploy["build"])
         for role, entry in deploy["roles"].items():
             with self.subTest(role):
-                program, path, name = entry["run"].split()
-                self.assertEqual((program, name), ("python3", role))
+                program, option, path, name = entry["run"].split()
+                self.assertEqual((program, option, name), ("python3", "-S", role))
                 self.assertTrue((ROOT / path).exists())
 
     def test_folder_does_not_shadow_the_standard_module(self):
