--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -115,10 +115,22 @@
         Seconds before each event, and before the head of an answer.
     slots : int
         Requests that run at once; further ones wait.
+    framed : bool
+        Answers have a length or chunks; others end with their channel.
     """
 
     def __init__(
-        self, site, service, name, ip, *, events=0, gap=0.05, work=0.02, slots=8
+        self,
+        site,
+        service,
+        name,
+        ip,
+        *,
+        events=0,
+        gap=0.05,
+        work=0.02,
+        slots=8,
+        framed=True,
     ):
         self._site = site
         self._ip = ip
@@ -129,6 +141,7 @@
         self._starts = itertools.count(1)
         self.service, self.base_name, self.name = service, name, name
         self.events, self.gap, self.work, self.slots = events, gap, work, slots
+        self.framed = framed
         self.port = 0
         self.state = "ready"
         self.received = []
@@ -141,6 +154,7 @@
         self._server = await asyncio.start_server(self._serve, self._ip, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         self._born = time.time_ns() // 1_000_000
+        self._sequence = 0
         self._beat = asyncio.ensure_future(self._register())
         self._site.record(f"server {self.name} of {self.service} starts")
 
@@ -155,25 +169,45 @@
         loop = asyncio.get_running_loop()
         loop.call_later(3 * BEAT_SECONDS, self._site.remove_server, name)
 
+    async def leave(self, *, serve_seconds):
+        """End as planned: report it, go on serving, stop accepting, end all answers."""
+        self.state = "draining"
+        self._put_entry()
+        self._site.record(f"server {self.name} reports that it is draining")
+        await asyncio.sleep(serve_seconds)
+        self._server.close()
+        self._site.record(f"server {self.name} accepts no more channels")
+        while any(each.ran and not each.state for each in self.received):
+            await asyncio.sleep(0.01)
+        self._beat.cancel()
+        self._site.remove_server(self.name)
+        for writer in list(self._writers):
+            writer.close()
+        self._site.record(f"server {self.name} has ended")
+
     async def _register(self):
-        for sequence in itertools.count(1):
-            self._site.store.put(
-                "servers",
-                self.name,
-                {
-                    "service": self.service,
-                    "address": f"{self._ip}:{self.port}",
-                    "zone": "z1",
-                    "version": "v1",
-                    "slots": self.slots,
-                    "state": self.state,
-                    "cold-remaining-ms": 0,
-                    "sequence": sequence,
-                    "born": self._born,
-                },
-            )
+        while True:
+            self._put_entry()
             await asyncio.sleep(BEAT_SECONDS)
 
+    def _put_entry(self):
+        self._sequence += 1
+        self._site.store.put(
+            "servers",
+            self.name,
+            {
+                "service": self.service,
+                "address": f"{self._ip}:{self.port}",
+                "zone": "z1",
+                "version": "v1",
+                "slots": self.slots,
+                "state": self.state,
+                "cold-remaining-ms": 0,
+                "sequence": self._sequence,
+                "born": self._born,
+            },
+        )
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -212,14 +246,19 @@
             f"Request-Id: {request_id}",
             f"Response-Signature: {self.name}.{request_id}",
         ]
+        if self.state == "draining":
+            lines.append("Server-Leaving: 1")
+        if not self.framed:
+            lines.append("Connection: close")
         if not self.events:
             body = f"answer of {self.name} to {request_id}\n".encode()
-            lines.append(f"Content-Length: {len(body)}")
+            if self.framed:
+                lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            await writer.drain()
-            request.state = "answered"
-            return True
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            return await self._end(request, writer)
+        lines.append("Content-Type: text/event-stream")
+        if self.framed:
+            lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join([*lines, "", ""]).encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.gap)
@@ -227,12 +266,24 @@
                 request.state = f"cut after {number - 1} events"
                 return False
             event = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if self.framed:
+                event = b"%x\r\n%s\r\n" % (len(event), event)
+            writer.write(event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if self.framed:
+            writer.write(b"0\r\n\r\n")
+        return await self._end(request, writer)
+
+    async def _end(self, request, writer):
+        """End an answer; return whether the channel is kept."""
         await writer.drain()
+        if not self.framed:
+            writer.close()
+            await writer.wait_closed()
         request.state = "answered"
-        return True
+        request_id = request.headers.get("request-id", "")
+        self._site.record(f"{self.name} has answered {request_id} whole")
+        return self.framed
 
 
 class Site:
