--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,88 +1,83 @@
-"""One tenant's requests reach all entry hosts at once: each grants the whole burst."""
+"""The desired state drops a service while turns run there: they count no tokens."""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness_2 import (  # noqa: E402
-    BOUNDS,
-    HOST_NAME,
-    KEY,
-    TROUBLE,
-    build_configuration,
-    build_request,
-    receive,
-    run_case,
-)
+from harness_2 import TROUBLE, CaseFailed, build_configuration, run_case  # noqa: E402
 
-HOSTS = 7
-RATE = 20
-BURST = 60
-REQUESTS = 350
-WINDOW_SECONDS = BOUNDS["quota-window-s"]
-ALLOWED = (RATE * WINDOW_SECONDS + BURST) * (1 + BOUNDS["quota-overage"])
-ALLOWED += BOUNDS["quota-slack"]
-TOGETHER_SECONDS = 0.5
-USUAL_SECONDS = 20.0
-"""Time over which the same requests come without the disruption."""
+EVENTS = 10
+TOKENS_PER_EVENT = 14
+TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+FIRST_TURNS = 4
+BUDGET = FIRST_TURNS * TURN_TOKENS
+MORE_TURNS = 6
 
 
-async def send_after(site, host, delay):
-    """Send a request on a new channel after a delay; return the answer's status."""
-    await asyncio.sleep(delay)
-    reader, writer = await site.open_channel(host)
-    if TROUBLE:
-        await asyncio.sleep(TOGETHER_SECONDS)  # all channels are open by then
-    request_id = site.next_id()
-    headers = {
-        "Host": HOST_NAME,
-        "Request-Id": request_id,
-        "Deadline-Ms": "3000",
-        "Credential": KEY,
-    }
-    writer.write(build_request("GET", "/view/item", headers))
-    site.record(f"client sends {request_id} to {host}")
-    answer = await receive(reader)
-    site.record(f"client got {answer.status} for {request_id}")
-    writer.close()
-    return answer.status
+def move_service(configuration):
+    """Return a desired state whose turns run on another service."""
+    routes = [
+        {**route, "service": "engine-b"} if route["service"] == "engine" else route
+        for route in configuration["routes"]
+    ]
+    services = [
+        {**service, "name": "engine-b"} if service["name"] == "engine" else service
+        for service in configuration["services"]
+    ]
+    return {**configuration, "routes": routes, "services": services}
 
 
-def find_most(times):
-    """Return the most requests in a window."""
-    times = sorted(times)
-    return max(
-        (sum(at <= each < at + WINDOW_SECONDS for each in times) for at in times),
-        default=0,
+async def send_turn(site, host, number, previous=""):
+    """Send a turn of the program, which has one budget; return id and answer."""
+    return await site.request(
+        host,
+        "POST",
+        "/chat/turn",
+        body=b"part %d" % number,
+        Program_Id="program-1",
+        Session_Id=f"line-{number}",
+        Program_Deadline_Ms=60000,
+        Token_Budget=BUDGET,
+        Token_Count=f"100,{TURN_TOKENS}",
+        Model="m",
+        Previous_Turn=previous,
     )
 
 
 async def case(site):
-    tenant = {"name": "tenant", "api-keys": [KEY], "rate-per-s": RATE, "burst": BURST}
-    for number in range(12):
-        await site.add_server("plain", number, work=0.03, slots=6)
-    await site.add_server("engine", 20, events=3)
-    configuration = build_configuration(tenants=[tenant])
-    await site.start(entries=HOSTS, histories=3, configuration=configuration)
-    await asyncio.sleep(6)  # the allowance fills
-    hosts = [f"entry-{number % HOSTS + 1}" for number in range(REQUESTS)]
-    started_at = time.monotonic()
-    gap = 0.0 if TROUBLE else USUAL_SECONDS / REQUESTS
-    statuses = await asyncio.gather(
-        *(send_after(site, host, number * gap) for number, host in enumerate(hosts))
-    )
-    times = [each.at for each in site.runs if each.ran and each.at >= started_at]
-    most = find_most(times)
-    counts = {status: statuses.count(status) for status in set(statuses)}
+    for number in range(2):
+        await site.add_server("engine", number, events=EVENTS, gap=0.1)
+        await site.add_server("engine-b", 10 + number, events=EVENTS, gap=0.1)
+    await site.add_server("plain", 20)
+    configuration = build_configuration()
+    await site.start(entries=3, histories=4, configuration=configuration)
+    await asyncio.sleep(2)
+
+    turns = [
+        asyncio.ensure_future(send_turn(site, f"entry-{n % 3 + 1}", n))
+        for n in range(FIRST_TURNS)
+    ]
+    await asyncio.sleep(0.4)
+    if TROUBLE:
+        site.configure(move_service(configuration))
+    answers = [answer for _, answer in await asyncio.gather(*turns)]
+    if not all(answer.complete and answer.status == 200 for answer in answers):
+        raise CaseFailed("a first turn was not answered")
+    await asyncio.sleep(1)
+
+    for number in range(FIRST_TURNS, FIRST_TURNS + MORE_TURNS):
+        _, answer = await send_turn(site, f"entry-{number % 3 + 1}", number)
+        answers.append(answer)
+    tokens = sum(each.events for each in answers if each.status == 200)
+    tokens *= TOKENS_PER_EVENT
     site.record(
-        f"{len(times)} of {REQUESTS} requests ran, at most {most} in"
-        f" {WINDOW_SECONDS} s; {ALLOWED:g} are allowed; answers: {counts}"
+        f"the client got {tokens} tokens; its budget is {BUDGET},"
+        f" and one turn may have {TURN_TOKENS}"
     )
-    return most <= ALLOWED
+    return tokens <= BUDGET + TURN_TOKENS
 
 
 run_case(case, FOLDER)
