--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,11 +11,12 @@
 
 from harness_2 import CaseFailed, TROUBLE, build_configuration, run_case  # noqa: E402
 
-PROGRAMS = 6
+PROGRAMS = 8
 ENGINES = 7
 INPUT = b"continue"
+CRASHED_TURNS = 3
 CONTACT_SECONDS = 3.0
-AIM_SECONDS = 30.0
+AIM_SECONDS = 60.0
 TIME_BUDGET_SECONDS = 3.0
 RETRIES = 1
 SENDS = 3
@@ -39,7 +40,7 @@
         self._site = site
         self._host = f"entry-{number % 3 + 1}"
         self._name = f"p{number}"
-        self._aim_at = time.monotonic() + AIM_SECONDS
+        self.aim_at = time.monotonic() + AIM_SECONDS
         self.last = ""
 
     async def send(self, text, *, host=None, seconds=3.0):
@@ -52,9 +53,9 @@
             Program_Id=self._name,
             Session_Id=f"{self._name}-line",
             milliseconds=int(seconds * 1000),
-            Program_Deadline_Ms=int((self._aim_at - time.monotonic()) * 1000),
+            Program_Deadline_Ms=int((self.aim_at - time.monotonic()) * 1000),
             Token_Budget=20000,
-            Token_Count="100,140",
+            Token_Count="100,280",
             Model="m",
             Prompt_Prefix="5c1e07a2:512",
             Previous_Turn=self.last,
@@ -66,7 +67,7 @@
 
 async def case(site):
     for number in range(ENGINES):
-        await site.add_server("engine", number, events=10, gap=0.06)
+        await site.add_server("engine", number, events=20, gap=0.06)
     await site.add_server("plain", 20)
     await site.start(entries=3, histories=4, configuration=build_configuration())
     await asyncio.sleep(2)
@@ -87,7 +88,8 @@
     busiest = max(by_server, key=lambda each: len(by_server[each]))
     site.record(f"{busiest.name} has run {len(by_server[busiest])} conversations")
     turns = [asyncio.ensure_future(each.send(INPUT)) for each in by_server[busiest]]
-    await asyncio.sleep(0.35)
+    await site.wait_running(CRASHED_TURNS, [busiest])
+    await asyncio.sleep(0.2)
     running = sum(each.ran and not each.state for each in busiest.received)
     site.record(f"{busiest.name} runs {running} turns")
     if TROUBLE:
@@ -122,7 +124,7 @@
             host = f"entry-{random.randint(1, 3)}"
             left = deadline - time.monotonic()
             request_id, answer = await program.send(INPUT, host=host, seconds=left)
-            tries += 1
+            tries += time.monotonic() < program.aim_at
             ran = ran or site.has_run(request_id)
             wait = float(answer.headers.get("retry-after", 0))
             left = deadline - time.monotonic()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -60,7 +60,8 @@
         asyncio.ensure_future(send_turn(site, f"entry-{n % 3 + 1}", n))
         for n in range(FIRST_TURNS)
     ]
-    await asyncio.sleep(0.4)
+    await site.wait_running(FIRST_TURNS)
+    await asyncio.sleep(0.1)
     if TROUBLE:
         site.configure(move_service(configuration))
     answers = [answer for _, answer in await asyncio.gather(*turns)]
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -445,6 +445,18 @@
             r.ran and r.headers.get("request-id") == request_id for r in self.runs
         )
 
+    async def wait_running(self, count, servers=None):
+        """Wait until servers, all of them by default, run so many requests."""
+        deadline = time.monotonic() + START_SECONDS
+        while True:
+            names = {each.name for each in servers or self.servers}
+            runs = [r for r in self.runs if r.ran and not r.state and r.server in names]
+            if len(runs) >= count:
+                return
+            if time.monotonic() > deadline:
+                raise CaseFailed(f"{len(runs)} requests run, {count} are needed")
+            await asyncio.sleep(0.02)
+
     def next_id(self):
         """Return a new id of a client's attempt."""
         return f"{self._run_id:08x}{next(self._ids):08x}"
