--- a/review/6/case.py
+++ b/review/6/case.py
@@ -66,4 +66,4 @@
     return ran == 0
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER / "record.txt")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -139,4 +139,4 @@
     return site.has_run(first_id), tries, ran
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER / "record.txt")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -81,4 +81,4 @@
     return tokens <= BUDGET + TURN_TOKENS
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER / "record.txt")
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -58,10 +58,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to ``record.txt`` of a case."""
+    """Writes what was sent, answered and run to the ``record.txt`` of a case."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._started_at = time.monotonic()
 
     def __call__(self, text):
@@ -291,14 +291,14 @@
 
     Parameters
     ----------
-    folder : str or Path
-        Folder of the case, for its record.
+    record_path : str or Path
+        File for the record of the case.
     settings : dict of str to str, optional
         Further lines of all settings files.
     """
 
-    def __init__(self, folder, *, settings=()):
-        self.record = Record(folder)
+    def __init__(self, record_path, *, settings=()):
+        self.record = Record(record_path)
         self.store = SiteStore()
         self.servers = []
         self.runs = []
@@ -310,6 +310,7 @@
         self._port = find_ports(f"{self._net}.1", 4)
         self._ids = itertools.count(1)
         self._run_id = random.getrandbits(32)
+        self._runner = None
         self._version = 0
 
     async def start(self, *, entries, histories, configuration):
@@ -508,7 +509,8 @@
         for server in self.servers:
             server._beat.cancel()
             server._server.close()
-        await self._runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
         if os.environ.get("KEEP"):
             print(f"logs in {self._folder}")
         else:
@@ -658,24 +660,29 @@
     return {**configuration, **changes}
 
 
-def run_case(case, folder, **options):
+def run_case(case, record_path, **options):
     """Run ``await case(site)``, which returns whether the rule held; exit."""
+    try:
+        status = asyncio.run(_run_case(case, record_path, options))
+    except BaseException as error:  # a failed start or end says nothing of the rule
+        print(f"the case could not run: {error!r}")
+        status = NOT_RUN
+    sys.exit(status)
 
-    async def run():
-        site = Site(folder, **options)
-        task = asyncio.current_task()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        try:
-            async with asyncio.timeout(LIMIT_SECONDS):
-                held = await case(site)
-            text = "the rule held" if held else "THE RULE IS BROKEN"
-            status = HELD if held else BROKEN
-        except (Exception, asyncio.CancelledError) as error:
-            text, status = f"the case could not run: {error!r}", NOT_RUN
-        finally:
-            await site.stop()
-        site.record(text)
-        print(text)
-        return status
 
-    sys.exit(asyncio.run(run()))
+async def _run_case(case, record_path, options):
+    site = Site(record_path, **options)
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            held = await case(site)
+        text = "the rule held" if held else "THE RULE IS BROKEN"
+        status = HELD if held else BROKEN
+    except (Exception, asyncio.CancelledError) as error:
+        text, status = f"the case could not run: {error!r}", NOT_RUN
+    finally:
+        await site.stop()
+    site.record(text)
+    print(text)
+    return status
