A version that cannot be read confirms no older one

Cause: the feed logged a version that it could not decode and returned, and the read was then counted as a confirmation of the version in force. "Read" stood for "read and understood". The same happened when there was no configuration any more, and through other hosts' heartbeats.

Change: Configuration.reject() records that the newest version cannot be used; until another one is applied nothing confirms the version in force, so that keys are refused with 503 when its last confirmation is too old. A version that no heartbeat can carry is not told to other hosts as another one.

--- a/sapphireyard/exchange/configuration.py
+++ b/sapphireyard/exchange/configuration.py
@@ -19,6 +19,8 @@
 UNCERTAIN_AGE_SECONDS = 2.6
 """Age of the last confirmation from which "no such route" may be wrong: one watch
 of the store, its answer, and a margin."""
+MAX_SHARED_VERSION = 2**63 - 1
+"""Heartbeats carry versions in 64 bits; each host confirms a larger one by itself."""
 RETRY_SECONDS = 0.5
 """Retry-After for requests that a newer version may allow."""
 OUTAGE_RETRY_SECONDS = 1.0
@@ -43,6 +45,7 @@
         self._confirmed_at = float("-inf")
         self._listeners = []
         self._newest_reported = 0
+        self._unreadable = ""
 
     @property
     def outdated(self):
@@ -75,7 +78,10 @@
 
     def apply(self, table):
         """Put a newer version in force; older ones are ignored."""
-        if table.version <= self._table.version:
+        if table.version < self._table.version:
+            return
+        self._unreadable = ""
+        if table.version == self._table.version:
             return
         logger.info(
             "configuration in force",
@@ -91,9 +97,29 @@
         for listener in self._listeners:
             listener(table)
 
+    def reject(self, reason):
+        """Record that the newest version cannot be read.
+
+        Until another one is applied, nothing confirms the version in force: it may
+        have keys that the newest one withdraws.
+        """
+        if reason == self._unreadable:
+            return
+        self._unreadable = reason
+        logger.error(
+            "configuration cannot be read",
+            extra={
+                "decision": "configuration",
+                "why": reason,
+                "version": self._table.version,
+                "age": round(self.age, 2) if self.loaded else None,
+            },
+        )
+
     def confirm(self, sent_at):
         """Record that the version in force was the newest at `sent_at` or later."""
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        if not self._unreadable:
+            self._confirmed_at = max(self._confirmed_at, sent_at)
 
     def confirm_by_peer(self, version, age, answered_at):
         """Use another host's confirmation if it has the same version.
@@ -114,6 +140,13 @@
             return
         self.confirm(answered_at - age)
 
+    def describe(self):
+        """Return the fields of a heartbeat that confirm the version to other hosts."""
+        version = self._table.version
+        if not 0 < version <= MAX_SHARED_VERSION:
+            return {"configuration_version": 0, "configuration_age": -1.0}
+        return {"configuration_version": version, "configuration_age": self.age}
+
     def check(self):
         """Raise `CallError` unless requests with keys may be served."""
         if not self.loaded:
@@ -123,10 +156,11 @@
                 retry_after=OUTAGE_RETRY_SECONDS,
             )
         if not self.fresh:
+            detail = f"the configuration was last confirmed {self.age:.1f} s ago"
+            if self._unreadable:
+                detail += "; the newest version cannot be read"
             raise CallError(
-                "configuration_stale",
-                f"the configuration was last confirmed {self.age:.1f} s ago",
-                retry_after=OUTAGE_RETRY_SECONDS,
+                "configuration_stale", detail, retry_after=OUTAGE_RETRY_SECONDS
             )
 
     def build_refusal(self, code, detail):
--- a/tests/test_freshness_proof.py
+++ b/tests/test_freshness_proof.py
@@ -7,6 +7,7 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.configuration import Configuration
 from sapphireyard.exchange.routes import RouteTable
+from sapphireyard.fleet.datagrams import HeartbeatEncoder, decode_heartbeat
 from sapphireyard.fleet.directory import Candidate, choose_addresses
 from sapphireyard.fleet.generated_fleet import Heartbeat
 from sapphireyard.fleet.gossip import Gossip
@@ -86,6 +87,25 @@
                 self.configuration.confirm_by_peer(version, age, answered_at)
                 self.assertAlmostEqual(self.configuration.age, 104.0 - confirmed_at)
 
+    def test_what_other_hosts_are_told(self):
+        """A version that no heartbeat can carry must not be told as another one."""
+        for version, told in (
+            (3, 3),
+            (2**63 - 1, 2**63 - 1),
+            (2**63, 0),
+            (10**400, 0),
+        ):
+            with self.subTest(version):
+                self.setUp()
+                self.configuration.apply(RouteTable(version=version))
+                self.configuration.confirm(sent_at=99.0)
+                fields = self.configuration.describe()
+                age = 1.0 if told else -1.0
+                self.assertEqual(list(fields.values()), [told, age])
+                payload = HeartbeatEncoder(build_heartbeat(**fields)).encode([])
+                heartbeat = decode_heartbeat(payload)
+                self.assertEqual(heartbeat.configuration_version, told)
+
     def test_newer_version_of_another_host_is_noticed(self):
         self.configuration.apply(RouteTable(version=3))
         for version, outdated in ((2, False), (3, False), (4, True)):
