Own interface: a damaged manifest is not an outage of the store

Callers saw: on the product's own interface, a withdrawn key went on working without end at hosts that hear three failure domains, while the manifest in the store was damaged, missing, or listed a missing part.

A majority of domains vouches for the installed version while the store is down, as long as no newer version is known. A manifest that cannot be read, or whose parts cannot, made no version known, so that it counted as an outage.

Change: Freshness.note_unreadable() records that there is a newer version; the version of a manifest is noted before its parts are loaded.

--- a/sapphireyard/configuration/configuration.py
+++ b/sapphireyard/configuration/configuration.py
@@ -179,6 +179,7 @@
                 logger.info("configuration not read from the store: %s", error)
             except (ValueError, KeyError, TypeError):
                 self._revision = None
+                self._freshness.note_unreadable()
                 logger.exception("configuration in the store is damaged")
             await self.sleep(self._poll_seconds)
 
@@ -231,7 +232,10 @@
         manifest, _ = await self._repository.read()
         self._store_version = manifest.version if manifest is not None else 0
         if manifest is None:
+            if self.version:
+                self._freshness.note_unreadable()
             return
+        self._freshness.note_version(manifest.version)
         if manifest.version < self.version:
             logger.warning(
                 "store has configuration version %d, older than the current version %d",
--- a/sapphireyard/configuration/freshness.py
+++ b/sapphireyard/configuration/freshness.py
@@ -40,6 +40,14 @@
         self._newest_known = max(self._newest_known, version)
         return version > self._version
 
+    def note_unreadable(self):
+        """Record that the store has a version that this host cannot read.
+
+        The store is not down: no quorum vouches for the installed version until a
+        newer one is installed.
+        """
+        self.note_version(self._version + 1)
+
     def confirm(self, version, *, asked_at, age):
         """Record that `version` was the newest when the store last confirmed it.
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -18,7 +18,9 @@
 from sapphireyard.configuration.keys import create_key, digest_key
 from sapphireyard.configuration.manifests import (
     ManifestRepository,
+    decode_manifest,
     diff_manifests,
+    encode_manifest,
     patch_manifest,
 )
 from sapphireyard.configuration.tables import check_rows
@@ -280,6 +282,45 @@
             with self.assertRaises(CallError):
                 hosts[0].check_fresh()
 
+    async def test_unreadable_version_is_no_outage(self):
+        """Hosts that hear each other must not vouch for the version before it.
+
+        Cases are what stands in the store: a damaged manifest, none, and one whose
+        parts are missing.
+        """
+        for name in ("damaged", "none", "parts"):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                for host, domain in zip(self.names, "abc", strict=True):
+                    self.members[host].failure_domain = domain
+                await self.publish()
+                hosts = [await self.start(host) for host in self.names]
+                await wait_for(lambda: all(host.age_seconds == 0 for host in hosts))
+                await self.damage(name)
+                self.clock.now += 5  # watchers ask their peers from now on
+                await self.advance_clock(15)
+                for host in hosts:
+                    with self.assertRaises(CallError) as caught:
+                        host.check_fresh()
+                    self.assertEqual(caught.exception.code, "configuration_stale")
+                    await host.stop()
+
+    async def damage(self, name):
+        """Leave a newer version in the store that no host can read."""
+        stored = await self.store.get("config/manifest")
+        if name == "none":
+            await self.store.delete("config/manifest", expected_version=stored.version)
+            return
+        value = b"{"
+        if name == "parts":
+            manifest = decode_manifest(stored.value.decode())
+            manifest.version += 1
+            manifest.parts["keys"] = ["missing"]
+            value = encode_manifest(manifest).encode()
+        await self.store.update(
+            "config/manifest", value, expected_version=stored.version
+        )
+
     async def test_withdrawal_in_force_holds_in_an_outage(self):
         for host, domain in zip(self.names, "abc", strict=True):
             self.members[host].failure_domain = domain
