Numbers of any size, and null, are read in what the platform sends

Callers saw: a desired state with a number above 10**15 (no limit, 2**53 - 1) or with null for a field without a value had no effect at any host; an upstream with such a number of slots, or 8.0, was not used, so that its service got 503; a settings file with one would not have let a process start.

Cause: the schemas of what the platform sends had maxima that its pages do not have, and told null from a field that is left out, and 8.0 from 8. One such value made the whole object unreadable.

Change: PlatformModel, the base of these models, reads a quantity above 10**15 as 10**15, which has the same effect, keeps versions exact, takes null as left out and a whole float as an integer.

--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -14,6 +14,7 @@
 PACKAGE = ROOT / "sapphireyard"
 PLATFORM_SCHEMA = ROOT / "platform" / "schema"
 PLATFORM_PACKAGE = ROOT / "platform" / "adapter"
+PLATFORM_BASE_CLASS = "adapter.models.PlatformModel"
 VALIDATED_SCHEMAS = {
     "settings",
     "tables",
@@ -80,6 +81,8 @@
     if validated:
         extra = "ignore" if from_platform or source.stem in OPEN_SCHEMAS else "forbid"
         command += ["--extra-fields", extra, "--field-constraints"]
+    if from_platform:
+        command += ["--base-class", PLATFORM_BASE_CLASS]
     subprocess.run(command, check=True, cwd=ROOT)
 
 
