One crash of an upstream counts once for equal requests

Cause: each request that was in flight, on each host, gave the same crash a random id of its own, and three ids bar a request. The observers of an event were counted, not the event.

Change: identify_crash() derives the id from the upstream's name and the start time of its run, so that it is the same for all requests and hosts. Failures of a run whose start time is unknown are one crash for 10 s. A crash that is counted after its request was completed elsewhere is forgotten like the others.

Evidence: test_crash_that_several_hosts_observe_counts_once, on processes, failed before (503 crashes_upstreams) and passes now. The tests in which a request crashes upstreams again and again let these start anew, as crashed ones do; their counts are unchanged.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import secrets
 from collections import Counter
 from functools import partial
 
@@ -21,7 +20,7 @@
 from sapphireyard.exchange.plain import PlainService
 from sapphireyard.exchange.requests import AdmittedRequest
 from sapphireyard.exchange.routes import Customer
-from sapphireyard.fleet.crashes import CRASHES_TO_BAR
+from sapphireyard.fleet.crashes import CRASHES_TO_BAR, identify_crash
 from sapphireyard.scheduling.scheduling import SlotRequest
 from sapphireyard.tasks import start_task
 
@@ -39,8 +38,6 @@
 the first token, so that a refused caller still has time to retry."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer of a plain service, which is buffered until it is complete."""
-CRASH_ID_BITS = 48
-"""Large enough that the random ids of one request's crashes do not collide."""
 PUBLIC = Customer("")
 """Customer of requests on routes that need no key."""
 
@@ -431,7 +428,7 @@
         if await self._sender.is_listening(upstream) is not False:
             return
         digest = admitted.digest
-        crash = secrets.randbits(CRASH_ID_BITS)
+        crash = identify_crash(upstream.name, upstream.started_at)
         crashes = self._runtime.crashes.record_crash(digest, crash, self._now())
         logger.info(
             "upstream down after a request",
@@ -440,6 +437,7 @@
                 "request_id": admitted.call.request_id,
                 "upstream": upstream.name,
                 "digest": digest,
+                "crash": crash,
                 "crashes": crashes,
                 "barred": crashes >= CRASHES_TO_BAR,
             },
--- a/sapphireyard/fleet/crashes.py
+++ b/sapphireyard/fleet/crashes.py
@@ -1,14 +1,21 @@
 """Requests that crash the upstreams that run them, as known to all entry hosts.
 
-Each crash that a host observes gets a unique id. Heartbeats carry the ids, so that
-all hosts count the same crashes, and a restarted host learns of them from the others.
+A crash has the same id for all requests that were in flight, and on all hosts that
+observe it. Heartbeats carry the ids, so that all hosts count the same crashes, and a
+restarted host learns of them from the others.
 """
 
+import time
 from collections import OrderedDict
 from dataclasses import dataclass
 from hashlib import blake2b
 
 DIGEST_BYTES = 8
+CRASH_ID_BYTES = 6
+"""Long enough that the ids of one request's crashes do not collide."""
+UNKNOWN_RUN_SECONDS = 10.0
+"""Time in which the failures of an upstream whose start time is unknown are one crash.
+Observers on both sides of a boundary count two, which bar nothing."""
 CRASHES_TO_BAR = 3
 """Crashes after which a request is barred: one or two upstreams may have failed for
 another reason while they ran it."""
@@ -38,6 +45,25 @@
     return digest.hexdigest()
 
 
+def identify_crash(upstream, started_at, *, wall_time=time.time):
+    """Return the id of the crash that ended a run of an upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    started_at : float
+        Start time of the run; 0 if it is unknown.
+    wall_time : callable, optional
+        Returns the seconds since the epoch.
+    """
+    run = f"{started_at:.0f}"
+    if not started_at:
+        run = f"unknown {wall_time() // UNKNOWN_RUN_SECONDS:.0f}"
+    digest = blake2b(f"{upstream} {run}".encode(), digest_size=CRASH_ID_BYTES)
+    return int.from_bytes(digest.digest())
+
+
 @dataclass
 class _CrashRecord:
     """The crashes of one request, and the time of the last one."""
@@ -78,17 +104,18 @@
         digest : str
             Digest of the request that was running.
         crash : int
-            Unique id of this crash.
+            Id of this crash, as from `identify_crash`.
         now : float
             Monotonic seconds.
 
         Returns
         -------
         int
-            Known crashes of the request.
+            Known crashes of the request since it was completed last.
         """
         self._add(digest, {crash}, now, now)
-        return len(self._records[digest].crashes)
+        record = self._records.get(digest)
+        return len(record.crashes) if record else 0
 
     def clear(self, digest, now):
         """Forget the crashes of a request that has been completed."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
+from sapphireyard.exceptions import UpstreamFailed
+from sapphireyard.exchange.calls import ProgramCall
+from sapphireyard.exchange.requests import AdmittedRequest
 from sapphireyard.fleet.crashes import (
     CRASHES_TO_BAR,
     MAX_CRASHES,
     MAX_REPORTED,
     MAX_REQUESTS,
     RETENTION_SECONDS,
+    UNKNOWN_RUN_SECONDS,
     CrashLedger,
     digest_request,
+    identify_crash,
 )
 from tests.exchange_case import ExchangeTestCase
 
@@ -57,6 +63,36 @@
         restarted.merge(other.summarize(10.0), 1010.0)
         self.assertGreater(restarted.barred_for(DIGEST, 1010.0), 0)
 
+    def test_crash_that_is_counted_after_a_completed_run(self):
+        """Other requests that the same crash ended fail after one was repeated."""
+        self.crash(1.0, 2.0, 3.0)
+        self.ledger.clear(DIGEST, 4.0)
+        self.assertEqual(self.ledger.record_crash(DIGEST, 3000, 4.5), 0)
+        self.assertEqual(self.ledger.barred_for(DIGEST, 4.5), 0.0)
+        self.assertEqual(self.ledger.record_crash(DIGEST, 5000, 5.0), 1)
+
+    def test_ids_of_crashes(self):
+        """Cases are two runs by name, start time, wall time; whether one crash."""
+        cases = [
+            ("same run", ("a", 7.0, 50.0), ("a", 7.0, 99.0), True),
+            ("next run", ("a", 7.0, 50.0), ("a", 8.0, 50.0), False),
+            ("other upstream", ("a", 7.0, 50.0), ("b", 7.0, 50.0), False),
+            ("unknown run", ("a", 0.0, 50.0), ("a", 0.0, 51.0), True),
+            (
+                "unknown runs",
+                ("a", 0.0, 50.0),
+                ("a", 0.0, 50.0 + UNKNOWN_RUN_SECONDS),
+                False,
+            ),
+        ]
+        for name, one, other, same in cases:
+            with self.subTest(name):
+                ids = {
+                    identify_crash(upstream, started_at, wall_time=lambda: wall)
+                    for upstream, started_at, wall in (one, other)
+                }
+                self.assertEqual(len(ids) == 1, same)
+
     def test_old_crashes_expire_on_all_hosts(self):
         """Hosts that report a crash to each other do not keep it alive."""
         other = CrashLedger()
@@ -105,11 +141,25 @@
             return not self.down
 
         self.sender.is_listening = is_listening
+        table = self.runtime.configuration.table
+        call = ProgramCall("r0", "POST", "/book/1", "h", "k", 0.0, program="p")
+        self.admitted = AdmittedRequest(
+            call, table.routes[1], table.customers["c"], "plain", 0.0, body=b"body"
+        )
+
+    def restart_upstreams(self, started_at):
+        """Let all upstreams run anew, as after a crash."""
+        self.runtime.pools.set_upstreams(
+            replace(upstream, started_at=started_at)
+            for pool in self.runtime.pools._pools.values()
+            for upstream in list(pool.upstreams.values())
+        )
 
     async def repeat(self, path, times, **fields):
         """Serve a request several times; return the statuses."""
         statuses = []
         for n in range(times):
+            self.restart_upstreams(float(n + 1))
             for pool in ("plain", "engine"):  # so that none is ejected
                 for name in self.runtime.pools._pools[pool].upstreams:
                     self.runtime.pools._outliers.report(name, ok=True, now=n)
@@ -139,6 +189,31 @@
                 self.assertEqual(len(self.sender.sent), sends)
                 self.assertEqual(statuses[-1], status)
 
+    async def test_requests_that_one_crash_ends_are_not_barred(self):
+        """Many callers may have sent the same request to an upstream that crashes.
+
+        Cases are the start times of the upstream that runs them, and whether they are
+        barred afterwards.
+        """
+        cases = [
+            ([5.0] * 8, False),
+            ([0.0] * 8, False),
+            ([5.0, 5.0, 6.0, 6.0, 6.0], False),
+            ([5.0, 6.0, 7.0], True),
+        ]
+        for runs, barred in cases:
+            with self.subTest(runs):
+                await self.asyncSetUp()
+                for started_at in runs:
+                    self.restart_upstreams(started_at)
+                    upstream = self.runtime.pools.find("plain-1")
+                    self.exchange.record_failure(
+                        self.admitted, upstream, UpstreamFailed("lost", crashed=True)
+                    )
+                    await asyncio.sleep(0)
+                status = await self.serve("/book/1")
+                self.assertEqual(status, 503 if barred else 200)
+
     async def test_completed_run_between_crashes_clears_them(self):
         self.sender.script = ["lost", "lost", "complete"] * 3
         statuses = await self.repeat("/book/1", 9)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -379,6 +379,35 @@
             upstream.answers = [site_upstream.NO_CAPACITY]
         await self.site.wait_until(is_blocked)
 
+    async def test_crash_that_several_hosts_observe_counts_once(self):
+        """Equal turns in flight at two hosts are not barred once the engine is back."""
+        self.engine.answers = [site_upstream.CRASH]
+        self.engine.delay_seconds = 0.3
+        hosts = (*ENTRY_IPS, *ENTRY_IPS)
+        await asyncio.gather(
+            *(
+                self.site.send_turn(ip, b"again", program=f"p{number}")
+                for number, ip in enumerate(hosts)
+            )
+        )
+        logs = ("entry-1", "entry-2")
+        await self.site.wait_until(
+            lambda: sum(map(self.count_crashes, logs)) == len(hosts)
+        )
+        self.engine.answers = [site_upstream.COMPLETE]
+        port = int(self.engine.address.rsplit(":", 1)[1])
+        await self.engine.start(port=port)
+        entry = self.engine.describe("engine", born=2)
+        self.site.store.put("servers", self.engine.name, entry)
+        await asyncio.sleep(1)
+        for ip in ENTRY_IPS:
+            _, answer = await self.site.send_turn(ip, b"again", program=f"q{ip}")
+            self.assertNotIn(b"crashes_upstreams", answer.body)
+            self.assertEqual(answer.status, 200)
+
+    def count_crashes(self, name):
+        return self.site.read_log(name).count("upstream down after a request")
+
     async def test_cut_stream_does_not_look_complete(self):
         self.engine.answers = [site_upstream.TRUNCATED, site_upstream.COMPLETE]
         _, answer = await self.site.send_turn(ENTRY_IPS[0], b"A")
