Turns that continue different turns are different requests

Callers saw: three engines that crashed within two minutes while they ran turns of three conversations with the same short input barred that input for the whole customer, though no turn had run twice.

Cause: requests count as repeats if customer, path and body are equal. The body that an engine gets is the whole chain, of which the caller sends the last part only.

Change: the digest of a kept turn includes the turn that it continues.

Evidence: test_turns_with_the_same_input_are_barred_one_by_one failed before (the fourth conversation's turn was refused) and passes now; a turn that is repeated is still barred after three crashes.

--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -120,7 +120,10 @@
     @cached_property
     def digest(self):
         """str: Equal for all repeats of the request; needs the body."""
-        return digest_request(self.customer.name, self.call.path, self.body)
+        turn = self.call.previous_turn if self.route.retention is not None else ""
+        return digest_request(
+            self.customer.name, self.call.path, self.body, previous_turn=turn
+        )
 
     @property
     def aim_at(self):
--- a/sapphireyard/fleet/crashes.py
+++ b/sapphireyard/fleet/crashes.py
@@ -35,10 +35,14 @@
 """Requests in one heartbeat, those with the newest crashes: some 1 kB."""
 
 
-def digest_request(customer, path, body):
-    """Return the digest that identifies repeats of a request, in hexadecimal."""
+def digest_request(customer, path, body, *, previous_turn=""):
+    """Return the digest that identifies repeats of a request, in hexadecimal.
+
+    Turns that continue different ones are different requests, whatever their input:
+    upstreams get the whole chain.
+    """
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (customer.encode(), path.encode()):
+    for part in (customer.encode(), path.encode(), previous_turn.encode()):
         digest.update(part)
         digest.update(b"\0")
     digest.update(body)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -130,6 +130,8 @@
         self.assertNotEqual(
             digest_request("c", "/p", b""), digest_request("c/p", "", b"")
         )
+        turns = {digest_request(*base, previous_turn=each) for each in ("", "t0", "t1")}
+        self.assertEqual(len(turns), 3)
 
 
 class CrashingRequestTest(ExchangeTestCase):
@@ -155,11 +157,17 @@
             for upstream in list(pool.upstreams.values())
         )
 
-    async def repeat(self, path, times, **fields):
-        """Serve a request several times; return the statuses."""
+    async def repeat(self, path, times, *, run=0, **fields):
+        """Serve a request several times, each by new runs of the upstreams.
+
+        Returns
+        -------
+        list of int
+            The statuses.
+        """
         statuses = []
         for n in range(times):
-            self.restart_upstreams(float(n + 1))
+            self.restart_upstreams(float(run + n + 1))
             for pool in ("plain", "engine"):  # so that none is ejected
                 for name in self.runtime.pools._pools[pool].upstreams:
                     self.runtime.pools._outliers.report(name, ok=True, now=n)
@@ -219,6 +227,20 @@
         statuses = await self.repeat("/book/1", 9)
         self.assertEqual(statuses, [502, 502, 200] * 3)
 
+    async def test_turns_with_the_same_input_are_barred_one_by_one(self):
+        """Each conversation's turn has crashed one upstream only.
+
+        Cases are the turns that they continue, and the sends: a turn that is repeated
+        is barred.
+        """
+        for previous, sends in ((["t1", "t2", "t3", "t4"], 4), (["t1"] * 4, 3)):
+            with self.subTest(previous):
+                await self.asyncSetUp()
+                self.sender.script = ["lost"] * 99
+                for number, turn in enumerate(previous):
+                    await self.repeat("/chat/1", 1, run=number, previous_turn=turn)
+                self.assertEqual(len(self.sender.sent), sends)
+
     async def test_refusal_has_a_retry_after(self):
         self.sender.script = ["lost"] * 99
         await self.repeat("/book/1", 4)
