What a turn spends is counted by the figures it was admitted with

Cause: the tokens of an event were looked up in the configuration in force when the turn ended, and a service without an entry there counted nothing. A running request read again what it had been admitted with.

Change: the figure is fixed when the request is admitted; if the version in force at the end has a higher one, that counts. Each event of a service that states no engine counts one token, not none. The sum fits what copies store.

--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -262,8 +262,10 @@
         if self.closing is not None and not self.closing.takes(deadline, now):
             raise self.closing.build_refusal(now)
         key = call.program or call.request_id
+        service = route.choose_service(key)
+        tokens_per_event = table.find_tokens_per_event(service) or 1
         return AdmittedRequest(
-            call, route, customer, route.choose_service(key), deadline
+            call, route, customer, service, deadline, tokens_per_event
         )
 
     def _authenticate(self, call, table):
--- a/sapphireyard/exchange/requests.py
+++ b/sapphireyard/exchange/requests.py
@@ -26,6 +26,8 @@
         Service that runs it.
     deadline : float
         Monotonic seconds by which it must be answered.
+    tokens_per_event : int
+        Tokens that each event of its answer counts, as configured when it was admitted.
     sends : int
         Number of times that it was sent to an upstream.
     sent_at : float
@@ -64,6 +66,7 @@
     customer: Customer
     service: str
     deadline: float
+    tokens_per_event: int = 1
     sends: int = 0
     sent_at: float = 0.0
     upstream: str = ""
--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -194,6 +194,19 @@
         name = self.keys.get(digest_key(key)) if key else None
         return self.customers.get(name)
 
+    def find_tokens_per_event(self, service):
+        """Return the tokens that each event of a service counts.
+
+        Returns
+        -------
+        int or None
+            1 for a service that states no engine; None if there is no such service.
+        """
+        found = self.services.get(service)
+        if found is None:
+            return None
+        return found.engine.tokens_per_event if found.engine else 1
+
     def find_quota(self, name):
         """Return the `QuotaRule` of a customer by name; None without a limit.
 
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -30,6 +30,8 @@
 """Largest input and output of a kept turn, which copies get in one message."""
 OUTPUT_SHARE = 0.25
 """Share of the largest turn that is kept free for its output when it is accepted."""
+MAX_TOKENS = 10**15
+"""No budget of a program is as high; copies store 64 bits."""
 COMMIT_TIMEOUT_SECONDS = 2.0
 """Longest time for which the end of a complete answer is held back."""
 
@@ -70,7 +72,7 @@
             committed = await self._run(admitted, chain, synced, reply, reader)
         finally:
             if synced is not None and not committed:
-                tokens = reader.events * self._tokens_per_event(admitted)
+                tokens = self._count_tokens(admitted, reader)
                 self._runtime.history.settle(
                     self._program(admitted),
                     admitted.call.request_id,
@@ -272,7 +274,7 @@
         """Make the turn durable before the caller sees its end."""
         call = admitted.call
         output = bytes(reader.output)
-        tokens = reader.events * self._tokens_per_event(admitted)
+        tokens = self._count_tokens(admitted, reader)
         turn = Turn(
             call.request_id,
             call.previous_turn,
@@ -294,11 +296,18 @@
         """Return the seconds for which records of a turn are kept."""
         return (admitted.route.retention or 0.0) + RETENTION_MARGIN_SECONDS
 
-    def _tokens_per_event(self, admitted):
-        service = self._runtime.configuration.table.services.get(admitted.service)
-        if service is None or service.engine is None:
-            return 0
-        return service.engine.tokens_per_event
+    def _count_tokens(self, admitted, reader):
+        """Return the tokens that a turn has generated.
+
+        A version of the configuration that came during the turn may have another
+        figure, or no such service any more. The higher one counts: what is counted
+        too low is spent once more.
+        """
+        current = self._runtime.configuration.table.find_tokens_per_event(
+            admitted.service
+        )
+        tokens = reader.events * max(admitted.tokens_per_event, current or 0)
+        return min(tokens, MAX_TOKENS)
 
     @staticmethod
     def _program(admitted):
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,14 +4,21 @@
 import contextlib
 import random
 import unittest
+from dataclasses import replace
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.held import MEBIBYTE, HeldBytes
+from sapphireyard.exchange.routes import EngineLimits, Service
 from sapphireyard.history.client import MAX_WHOLE_BYTES
 from tests.exchange_case import EVENTS, ExchangeTestCase
 
 
+def build_engine(tokens_per_event):
+    """Return a service of engines."""
+    return Service("engine", 100, EngineLimits(8, 90_000, tokens_per_event))
+
+
 class TurnTest(ExchangeTestCase):
     async def turn(self, **fields):
         values = {"token_budget": 1000, "output_tokens": 280, "prompt_tokens": 100}
@@ -80,6 +87,46 @@
                 self.assertEqual(self.runtime.history.settled, settled)
         self.assertEqual(self.reply.log[-1], ("abort",))
 
+    async def test_version_that_comes_during_a_turn_forgets_no_tokens(self):
+        """What a turn has generated counts, whatever its service has become meanwhile.
+
+        Cases are the engine's tokens per event in the new version, None for a service
+        without an engine, or no service at all; and the tokens of the two events.
+        """
+        cases = [
+            ("dropped", {}, 28),
+            ("no engine", {"engine": Service("engine", 100)}, 28),
+            ("lower", {"engine": build_engine(1)}, 28),
+            ("zero", {"engine": build_engine(0)}, 28),
+            ("higher", {"engine": build_engine(20)}, 40),
+            ("moved", {"engine-b": build_engine(14)}, 28),
+        ]
+        for name, services, tokens in cases:
+            for script in ("complete", "cut"):
+                with self.subTest(name=name, script=script):
+                    await self.asyncSetUp()
+                    self.sender.script = [script]
+                    self.runtime.history.synced.clear()
+                    turn = asyncio.ensure_future(self.turn())
+                    while not self.sender.sent:
+                        await asyncio.sleep(0)
+                    table = self.runtime.configuration.table
+                    self.apply_table(replace(table, version=2, services=services))
+                    self.runtime.pools.set_services(services)
+                    self.runtime.history.synced.set()
+                    await turn
+                    stored = [each.tokens for each in self.runtime.history.turns]
+                    settled = [count for _, count in self.runtime.history.settled]
+                    self.assertEqual(stored + settled, [tokens])
+
+    async def test_events_of_a_service_without_an_engine_count(self):
+        table = self.runtime.configuration.table
+        services = {**table.services, "engine": Service("engine", 100)}
+        self.apply_table(replace(table, version=2, services=services))
+        await self.turn()
+        (stored,) = self.runtime.history.turns
+        self.assertEqual(stored.tokens, 2)
+
     async def test_run_whose_reservation_is_not_durable_is_no_refusal(self):
         """The engine is already running the turn when the copies fail."""
 
