Own interface: a dropped pool does not fail the calls that wait for it

Callers saw: a call that waited, or was repeated, while a new version dropped its pool ended with an internal error instead of a refusal.

Evidence: test_call_whose_pool_was_dropped_is_refused_as_not_run and test_progress_limits_of_a_pool_that_was_dropped failed before with KeyError.

--- a/sapphireyard/programs/executor.py
+++ b/sapphireyard/programs/executor.py
@@ -230,8 +230,10 @@
 
     def _choose_excluded(self, pool, failed_upstreams):
         """Return the upstreams that must not get the call."""
-        upstreams = self._runtime.configuration.current.pools[pool].upstreams
-        names = [upstream.name for upstream in upstreams]
+        current = self._runtime.configuration.current.pools.get(pool)
+        if current is None:  # dropped since the call was accepted
+            return tuple(failed_upstreams)
+        names = [upstream.name for upstream in current.upstreams]
         usable = self._runtime.outliers.usable(names, self._now())
         return tuple(
             name for name in names if name in failed_upstreams or name not in usable
--- a/sapphireyard/programs/senders.py
+++ b/sapphireyard/programs/senders.py
@@ -4,6 +4,7 @@
 import functools
 import json
 
+from sapphireyard.configuration.tables import Pool
 from sapphireyard.programs.executions import UpstreamAnswer
 from sapphireyard.upstreams.completions import (
     CompletionAssembler,
@@ -106,7 +107,8 @@
 
     def _build_progress_limits(self, execution):
         """Return the progress limits, with time to prefill the prompt added."""
-        pool = self._runtime.configuration.current.pools[execution.route.pool]
+        pools = self._runtime.configuration.current.pools
+        pool = pools.get(execution.route.pool, Pool)  # it may have been dropped since
         tokens = execution.program.context_tokens
         tokens += len(execution.call.body) // BYTES_PER_TOKEN
         seconds = FIRST_BYTE_SECONDS + tokens / pool.prefill_rate
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -19,6 +19,7 @@
 from sapphireyard.programs.executor import Executor
 from sapphireyard.programs.programs import Program
 from sapphireyard.programs.runs import Run
+from sapphireyard.programs.senders import ModelSender
 from sapphireyard.streams.generated_messages import ForwardCall
 from sapphireyard.upstreams.upstreams import (
     UpstreamError,
@@ -38,6 +39,22 @@
         yield SimpleNamespace(upstream=SimpleNamespace(name="engine"))
 
 
+class EndingSlots(FakeSlots):
+    """Slots that are refused after a number of leases."""
+
+    def __init__(self, leases, refusal):
+        self._leases = leases
+        self._refusal = refusal
+
+    @asynccontextmanager
+    async def lease(self, request):
+        if not self._leases:
+            raise self._refusal
+        self._leases -= 1
+        async with super().lease(request) as grant:
+            yield grant
+
+
 class FakeSender:
     def __init__(self, outcomes):
         self._outcomes = list(outcomes)
@@ -106,6 +123,28 @@
                     await build_executor(outcomes).execute(execution)
                 self.assertEqual(raised.exception.executed, executed)
 
+    async def test_call_whose_pool_was_dropped_is_refused_as_not_run(self):
+        """A version that drops the pool may come while a call waits.
+
+        Cases are the outcomes of the attempts before.
+        """
+        for outcomes, executed in (([], "no"), ([UNSENT], "no"), ([SENT], "unknown")):
+            with self.subTest(outcomes):
+                executor = build_executor(outcomes)
+                executor._runtime.configuration.current.pools = {}
+                refusal = CallError("overloaded", "pool 'pool' has no upstreams")
+                executor._runtime.slots = EndingSlots(len(outcomes), refusal)
+                with self.assertRaises(CallError) as raised:
+                    await executor.execute(build_execution())
+                self.assertEqual(raised.exception.code, "overloaded")
+                self.assertEqual(raised.exception.executed, executed)
+
+    def test_progress_limits_of_a_pool_that_was_dropped(self):
+        runtime = mock.MagicMock()
+        runtime.configuration.current.pools = {}
+        limits = ModelSender(runtime)._build_progress_limits(build_execution())
+        self.assertGreater(limits.first_byte, 0)
+
     async def test_refused_retry_of_a_suspect_reports_unknown_execution(self):
         table = [([], "no"), ([SENT], "unknown")]
         for outcomes, executed in table:
