Only heads of HTTP/1 with an existing status count as answers

Callers saw: an answer with status 600, 700 or 999, one that began "RTSP/1.0" or "HTTP/2.0", one with control characters in its reason phrase, and a success with an empty signature, as whole answers of the upstream. On the own interface status 000 was a success.

Cause: whatever the HTTP parser accepts counted as an answer. It takes any three digits, other protocols and any bytes in the reason phrase; checks behind it looked at some values only, and each client had its own.

Change: StrictConnection, through which this project's clients read, ends a connection on such a head. The clients of engines, host lists and of the operator's tool use it too now.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 import select
 from dataclasses import dataclass
 from functools import partial
@@ -28,6 +29,12 @@
 """Time-out of connections; one between failure domains takes 3 ms."""
 
 END_OF_HEAD = b"\r\n\r\n"
+VERSION = b"HTTP/1.0 "
+VERSION_PATTERN = re.compile(rb"HTTP/1\.[0-9] ")
+FIRST_STATUS = 100
+LAST_STATUS = 599
+REASON_PATTERN = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+"""Reason phrases; bytes beyond ASCII are allowed in them, controls are not."""
 BODILESS_STATUSES = frozenset({204, 304})
 MAX_UNREAD_ANSWERS = 64
 """Answers, interim ones too, that may wait on a connection to be read."""
@@ -61,7 +68,9 @@
     """A client connection that takes no other bytes for an answer, or for its end.
 
     Bytes that follow an answer belong to no request: their connection is not reused,
-    while aiohttp would give them to the next request.
+    while aiohttp would give them to the next request. A head must be one of HTTP/1
+    with a status that exists; the parser also takes those of some other protocols, and
+    any three digits.
 
     aiohttp takes any end of the connection for the end of a body that has neither a
     length nor chunks, also if this host closes it, as when it stops; the reader of
@@ -77,6 +86,7 @@
     def __init__(self, loop):
         super().__init__(loop)
         self._stray_bytes = 0
+        self._head_start = b""
         self._opened_at = loop.time()
         self._poll = select.poll()
         self.total_requests = 0
@@ -161,7 +171,28 @@
     def _is_reading_body(self):
         return self._payload is not None and not self._payload.is_eof()
 
+    def feed_data(self, data, size=0):
+        # The parser calls this for each head.
+        self._head_start = b""
+        flaw = find_flaw(data[0])
+        if flaw:
+            self._give_up(flaw)
+        elif self.exception() is None:
+            super().feed_data(data, size)
+
+    def _begins_answer(self, data):
+        """Return whether bytes that belong to no body may be a part of a head."""
+        if not self._head_start:
+            data = data.lstrip(b"\r\n")
+        missing = len(VERSION) - len(self._head_start)
+        self._head_start += data[: max(0, missing)]
+        start = self._head_start
+        return VERSION_PATTERN.fullmatch(start + VERSION[len(start) :]) is not None
+
     def _receive(self, data):
+        if not (self._is_reading_body() or self._begins_answer(data)):
+            self._give_up("bytes that begin no answer")
+            return
         before = self._payload
         size_before = before.total_bytes if before is not None else 0
         super().data_received(data)
@@ -190,6 +221,17 @@
         super().connection_lost(exc)
 
 
+def find_flaw(head):
+    """Return why a parsed head is no answer, or an empty string."""
+    if not FIRST_STATUS <= head.code <= LAST_STATUS:
+        return f"status {head.code:03} does not exist"
+    if head.version.major != 1:
+        return f"version {head.version.major}.{head.version.minor} was not asked for"
+    if not REASON_PATTERN.fullmatch(head.reason or ""):
+        return "reason phrase has control characters"
+    return ""
+
+
 def build_connector(connection_class=StrictConnection, **options):
     """Return a `TCPConnector` whose connections are of a class of this project.
 
--- a/sapphireyard/exchange/answers.py
+++ b/sapphireyard/exchange/answers.py
@@ -1,5 +1,6 @@
 """What the status of an upstream's answer means, or that there is none."""
 
+from sapphireyard.answers import LAST_STATUS
 from sapphireyard.exceptions import UpstreamFailed
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -22,11 +23,12 @@
 def check_answer(answer):
     """Raise `UpstreamFailed` for an answer that must not be forwarded.
 
-    An interim answer, such as one that switches protocols, answers no request. A
+    An interim answer, such as one that switches protocols, answers no request, nor does
+    one with a status that does not exist, as a relay may have passed on. A
     success must carry the upstream's signature. A status that tells callers that the
     request has not run is valid only as a refusal by the upstream.
     """
-    if answer.status < FIRST_FINAL_STATUS:
+    if not FIRST_FINAL_STATUS <= answer.status <= LAST_STATUS:
         raise UpstreamFailed(f"status {answer.status} is no final answer")
     if 200 <= answer.status < 300 and not answer.signed:
         raise UpstreamFailed("answer without a signature")
--- a/sapphireyard/operators/operator.py
+++ b/sapphireyard/operators/operator.py
@@ -17,6 +17,7 @@
 import aiohttp
 import cappa
 
+from sapphireyard.answers import build_connector
 from sapphireyard.clocks import Clock
 from sapphireyard.configuration.keys import describe_key
 from sapphireyard.configuration.manifests import TABLES
@@ -139,7 +140,8 @@
     """Send a request to a host and yield its response."""
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
     url = f"http://{options.address}/{path}"
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    connector = build_connector()
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
         async with session.request(method, url, **arguments) as response:
             yield response
 
--- a/sapphireyard/scheduling/host_lists.py
+++ b/sapphireyard/scheduling/host_lists.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pydantic
 
+from sapphireyard.answers import build_connector
 from sapphireyard.exceptions import SapphireyardError
 
 READ_TIMEOUT_SECONDS = 2.0
@@ -71,7 +72,9 @@
         """
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with aiohttp.ClientSession(
+                connector=build_connector(), timeout=timeout
+            ) as session:
                 async with session.get(self._url) as response:
                     response.raise_for_status()
                     text = await response.text()
--- a/sapphireyard/upstreams/engines.py
+++ b/sapphireyard/upstreams/engines.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from sapphireyard.answers import build_connector
 from sapphireyard.exceptions import SapphireyardError
 from sapphireyard.upstreams.orders import EngineState
 
@@ -40,7 +41,7 @@
     async def open(self):
         """Open the session; must be called on the running loop."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True),
+            connector=build_connector(force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -27,6 +27,9 @@
 READ_TIMEOUT_SECONDS = 20.0
 """Read time-out of requests that `Upstreams.watch_progress` does not watch."""
 
+FIRST_FINAL_STATUS = 200
+"""Lowest HTTP status of an answer that is not an interim one."""
+
 FIRST_FAILURE_STATUS = 500
 """Lowest HTTP status that counts as a failure of the upstream."""
 
@@ -164,7 +167,7 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         try:
             async with self._unpooled.get(url, timeout=timeout) as response:
-                return response.status < FIRST_FAILURE_STATUS
+                return FIRST_FINAL_STATUS <= response.status < FIRST_FAILURE_STATUS
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
@@ -230,6 +233,7 @@
         try:
             post = session.post(url, data=data, headers=headers, **options)
             async with post as response:
+                _check_final(url, response)
                 _check_leaving(url, response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -284,6 +288,13 @@
         self.text = text
 
 
+def _check_final(url, response):
+    """Raise `UpstreamError` for an interim answer, which answers no request."""
+    if response.status < FIRST_FINAL_STATUS:
+        detail = f"{url}: status {response.status} is no final answer"
+        raise UpstreamError(detail, sent=True)
+
+
 def _check_leaving(url, response):
     """Raise `UpstreamLeaving` for a closing 503 answer with ``Retry-After``."""
     seconds = response.headers.get("Retry-After", "")
