What a host reads of answers without end is bounded for all requests together

Where the limit is enforced the process ends, and with it all other requests.

Cause: each answer was bounded (8 MB), but not all together: - each connection read up to 0.75 MB ahead (aiohttp's buffers and 256 KiB of the system at a time), which nothing counted; - the bytes of an answer that was given up stayed in memory until the next garbage collection, as the error of a broken body refers to itself through its frames, and these to the bytes; - answers that waited for room in the memory for requests waited for each other, and filled it up to where new requests are refused.

Change: connections read ahead 8 KiB, twice over at most, and take 32 KiB of the system at a time. What was read of an answer that fails is dropped with it. An answer that states a length above the bound is not read at all.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -38,6 +38,11 @@
 BODILESS_STATUSES = frozenset({204, 304})
 MAX_UNREAD_ANSWERS = 64
 """Answers, interim ones too, that may wait on a connection to be read."""
+READ_BUFFER_BYTES = 8 * 1024
+"""Bytes of a body that a connection reads ahead, twice over at most. A host has
+hundreds of connections, and nothing else counts these bytes."""
+RECEIVE_BYTES = 32 * 1024
+"""Bytes that a connection takes from the system at a time."""
 MAX_STRAY_BYTES = 256 * 1024
 """Bytes in a row that may carry none of a body: several times the largest head."""
 
@@ -64,6 +69,10 @@
     """A connection was reset, or closed by this host, before the end of a body."""
 
 
+class BodyTooLong(aiohttp.ClientPayloadError):
+    """A body exceeds the largest size that its reader takes."""
+
+
 class StrictConnection(ResponseHandler):
     """A client connection that takes no other bytes for an answer, or for its end.
 
@@ -93,6 +102,8 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        # There is no public way to set what the transport receives at a time.
+        transport.max_size = RECEIVE_BYTES
         # Encrypted connections carry more than answers.
         if transport.get_extra_info("sslcontext") is None:
             connection = transport.get_extra_info("socket")
@@ -285,6 +296,22 @@
     end.outcome = CLOSED if end.framing == CONNECTION else COMPLETE
 
 
+async def read_limited(response, limit):
+    """Return the body of an answer.
+
+    Raises
+    ------
+    aiohttp.ClientError
+        The body broke off, or exceeds `limit` bytes.
+    """
+    data = bytearray()
+    async for piece in response.content.iter_any():
+        data += piece
+        if len(data) > limit:
+            raise BodyTooLong(f"body exceeds {limit} bytes")
+    return bytes(data)
+
+
 async def try_connect(address, *, timeout=CONNECT_TIMEOUT_SECONDS):
     """Open a connection and close it.
 
--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -206,6 +206,8 @@
         limit; None if the answer does not tell.
     relay : str
         Host through which the answer came; empty for this host's own connection.
+    size : int
+        Bytes of the body as the head states them; 0 if it does not.
     chunks : async iterator of bytes
         The body; raises `UpstreamFailed` if it ends early.
     end : BodyEnd
@@ -219,6 +221,7 @@
     leaving: bool = False
     rate: float | None = None
     relay: str = ""
+    size: int = 0
     chunks: object = field(default=None, repr=False)
     end: BodyEnd = field(default_factory=BodyEnd)
 
--- a/sapphireyard/exchange/events.py
+++ b/sapphireyard/exchange/events.py
@@ -39,6 +39,13 @@
         """bool: Whether the bytes so far end inside an event."""
         return self.trailing_bytes > 0
 
+    def release(self):
+        """Keep the counts only."""
+        self._open_bytes = self.trailing_bytes
+        self._incomplete_line = b""
+        self._data = []
+        self.output = bytearray()
+
     def _process_line(self, line):
         if line.startswith(COMMENT):
             return
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -385,10 +385,29 @@
 
     async def read_body(self, admitted, answer, upstream):
         """Return the complete body; raise `UpstreamFailed` if there is none."""
-        data = await read_all(answer.chunks, MAX_ANSWER_BYTES, admitted.call.keep)
+        if answer.size > MAX_ANSWER_BYTES:
+            raise UpstreamFailed(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+        with self.open_answer(admitted) as keep:
+            data = await read_all(answer.chunks, MAX_ANSWER_BYTES, keep)
         await self.check_end(answer, upstream)
         return data
 
+    @contextlib.contextmanager
+    def open_answer(self, admitted):
+        """Yield a coroutine function that counts the bytes of an answer.
+
+        ``await keep(size)`` waits for room among the answers that are being read, and
+        then like the request's own; a negative size takes bytes back.
+        """
+        with self._runtime.held.unfinished.open() as grow:
+
+            async def keep(size):
+                if size > 0:
+                    await grow(size)
+                await admitted.call.keep(size)
+
+            yield keep
+
     async def check_end(self, answer, upstream):
         """Raise `UpstreamFailed` if an upstream may have broken off its answer.
 
@@ -594,7 +613,10 @@
                 raise UpstreamFailed(f"answer exceeds {limit} bytes")
             await keep(len(chunk))
             parts.append(chunk)
+        return b"".join(parts)
     except UpstreamFailed:
         await keep(-sum(map(len, parts)))
         raise
-    return b"".join(parts)
+    finally:
+        # The error of a broken body refers to itself, and to this frame.
+        parts.clear()
--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.history.client import CACHE_BYTES
+from sapphireyard.unfinished import UnfinishedAnswers
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +29,9 @@
 ADMISSION_SHARE = 0.75
 """Share of the bytes from which new requests are refused. The rest is for the answers
 of requests that have been accepted."""
+UNFINISHED_SHARE = 0.25
+"""Largest share of the bytes that answers may take while they are being read, besides
+one of the largest size: new requests are admitted meanwhile."""
 UNREAD_SHARE = 0.5
 """Largest share of the bytes that one caller may leave unread."""
 STALLED_SECONDS = 30.0
@@ -145,10 +149,13 @@
         Bytes kept now.
     highest : int
         Most bytes that were kept.
+    unfinished : UnfinishedAnswers
+        The part of the bytes that belongs to answers that are being read.
     """
 
     def __init__(self, limit=math.inf):
         self.limit = limit
+        self.unfinished = UnfinishedAnswers(limit * UNFINISHED_SHARE / BUFFER_OVERHEAD)
         self.total = 0
         self.highest = 0
         self._holds = set()
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -79,6 +79,8 @@
                     tokens,
                     keep_seconds=keep_seconds,
                 )
+            # The error of a broken stream refers to itself, and to this reader.
+            reader.release()
 
     async def _prepare(self, admitted, keep_seconds, hold):
         """Return the chain before a turn, and the task that syncs its reservation.
@@ -250,6 +252,14 @@
 
     async def _forward(self, admitted, answer, synced, reply, reader):
         """Forward events as they come, the first once the reservation is durable."""
+        with self.exchange.open_answer(admitted) as keep:
+            await self._forward_chunks(admitted, answer, synced, reply, reader, keep)
+        if reader.partial:
+            raise UpstreamFailed("stream ended inside an event")
+        if not reader.events:
+            raise UpstreamFailed("stream without an event")
+
+    async def _forward_chunks(self, admitted, answer, synced, reply, reader, keep):
         is_first = True
         async for chunk in answer.chunks:
             if is_first:
@@ -263,12 +273,8 @@
             _check_size(reader)
             if admitted.route.retention is not None:
                 _check_kept_size(admitted, reader)
-            await admitted.call.keep(len(chunk))
+            await keep(len(chunk))
             await reply.write(chunk)
-        if reader.partial:
-            raise UpstreamFailed("stream ended inside an event")
-        if not reader.events:
-            raise UpstreamFailed("stream without an event")
 
     async def _commit(self, admitted, chain, reader):
         """Make the turn durable before the caller sees its end."""
