Answers of stores, engines and host lists have a largest size

These clients read an answer to its end, however long; those of the own interface bounded each answer, and not all together.

Change: read_limited() ends a body above a limit. The own interface's answers share one UnfinishedAnswers.

Evidence: EndlessForOthersTest, UnfinishedAnswersTest. What these clients did before was read, not run.

--- a/sapphireyard/scheduling/host_lists.py
+++ b/sapphireyard/scheduling/host_lists.py
@@ -5,9 +5,12 @@
 import aiohttp
 import pydantic
 
-from sapphireyard.answers import build_connector
+from sapphireyard.answers import build_connector, read_limited
 from sapphireyard.exceptions import SapphireyardError
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Far above any list; what exceeds it is no answer."""
+
 READ_TIMEOUT_SECONDS = 2.0
 """Timeout of one request for the list."""
 
@@ -77,7 +80,7 @@
             ) as session:
                 async with session.get(self._url) as response:
                     response.raise_for_status()
-                    text = await response.text()
+                    text = await read_limited(response, MAX_ANSWER_BYTES)
             return HostListAnswer.model_validate_json(text).hosts
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise HostListError(f"{self._url}: {error!r}") from error
--- a/sapphireyard/storage/objects.py
+++ b/sapphireyard/storage/objects.py
@@ -8,7 +8,12 @@
 import aiohttp
 from yarl import URL
 
-from sapphireyard.answers import CONNECTION, build_connector, find_framing
+from sapphireyard.answers import (
+    CONNECTION,
+    build_connector,
+    find_framing,
+    read_limited,
+)
 from sapphireyard.exceptions import StoreConflict, StoreUnavailable, WatchExpired
 from sapphireyard.storage.stores import ObjectChange, Store, StoredObject, WatchResult
 
@@ -23,6 +28,9 @@
 WATCH_GRACE_SECONDS = 2.0
 """Extra time for the answer to a watch after the watch's own timeout."""
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Far above any object or page; what exceeds it is no answer."""
+
 CONNECTIONS = 32
 """Limit on open connections, including those of pending watches."""
 
@@ -132,7 +140,7 @@
             async with session.request(
                 method, url, timeout=timeout, trace_request_ctx=_Attempts(), **options
             ) as response:
-                body = await response.read()
+                body = await read_limited(response, MAX_ANSWER_BYTES)
                 if find_framing(response) == CONNECTION:
                     # A value that broke off could not be told from a whole one.
                     raise StoreUnavailable(f"{kind} {path}: answer without a length")
--- a/sapphireyard/upstreams/engines.py
+++ b/sapphireyard/upstreams/engines.py
@@ -5,11 +5,14 @@
 
 import aiohttp
 
-from sapphireyard.answers import build_connector
+from sapphireyard.answers import build_connector, read_limited
 from sapphireyard.exceptions import SapphireyardError
 from sapphireyard.upstreams.orders import EngineState
 
 REQUEST_TIMEOUT_SECONDS = 3.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Far above any report; what exceeds it is no answer."""
+
 CONNECT_SECONDS = 1.0
 
 STALE_FENCING_STATUS = 409
@@ -91,7 +94,9 @@
             async with self._session.request(
                 method, f"http://{address}{path}", json=body, timeout=timeout
             ) as response:
-                text = await response.text()
+                text = (await read_limited(response, MAX_ANSWER_BYTES)).decode(
+                    errors="replace"
+                )
                 status = response.status
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             raise EngineFailure(f"{method} {address}{path}: {error!r}") from error
--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -14,12 +14,15 @@
 
 from sapphireyard.answers import (
     CONNECTION,
+    READ_BUFFER_BYTES,
     build_connector,
     find_framing,
     is_listening,
+    read_limited,
 )
 from sapphireyard.exceptions import SapphireyardError
 from sapphireyard.tasks import start_task
+from sapphireyard.unfinished import UnfinishedAnswers
 from sapphireyard.upstreams.completions import dump_json
 from sapphireyard.upstreams.liveness import PROBE_TIMEOUT_SECONDS, ProgressWatch, Step
 
@@ -39,6 +42,9 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 """Size limit of a streamed answer, in which each token takes some 200 bytes."""
 
+MAX_UNFINISHED_BYTES = 64 * 1024 * 1024
+"""Bytes of all answers that are being read, besides one of the largest size."""
+
 UNAVAILABLE_STATUS = 503
 
 NO_READ_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
@@ -82,6 +88,7 @@
         self._runtime = runtime
         self._pooled = None
         self._unpooled = None
+        self._unfinished = UnfinishedAnswers(MAX_UNFINISHED_BYTES)
 
     async def on_start(self):
         timeout = aiohttp.ClientTimeout(
@@ -104,6 +111,7 @@
             timeout=timeout,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=True,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
     async def stream_completion(self, address, body, *, program):
@@ -130,9 +138,9 @@
         post = self._post(self._pooled, url, body, headers, timeout=NO_READ_TIMEOUT)
         async with post as response:
             if response.status != 200:
-                text = await _read_text(response)
+                text = await self._read_text(response)
                 raise UpstreamRefusal(response.status, text)
-            async for data in _read_events(response):
+            async for data in self._read_events(response):
                 if data == STREAM_END:
                     return
                 yield data
@@ -150,16 +158,54 @@
         headers = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
         url = f"http://{address}/{path}"
         async with self._post(session, url, body, headers) as response:
-            text = await _read_text(response)
+            text = await self._read_text(response)
             await _check_end(address, response)
             return response.status, text
 
+    async def _read_text(self, response):
+        data = bytearray()
+        with self._unfinished.open() as grow:
+            async for piece in response.content.iter_any():
+                if len(data) + len(piece) > MAX_ANSWER_BYTES:
+                    raise UpstreamError(
+                        f"the answer exceeds {MAX_ANSWER_BYTES} bytes", sent=True
+                    )
+                await grow(len(piece))
+                data += piece
+            return data.decode(errors="replace")
+
+    async def _read_events(self, response):
+        buffer = bytearray()
+        size = searched = counted = 0
+        with self._unfinished.open() as grow:
+            async for piece in response.content.iter_any():
+                size += len(piece)
+                buffer += piece.replace(b"\r", b"")
+                while (end := buffer.find(b"\n\n", searched)) >= 0:
+                    searched = 0
+                    event = bytes(buffer[:end]).decode(errors="replace")
+                    del buffer[: end + 2]
+                    data = _join_data(event)
+                    if data is not None:
+                        yield data
+                searched = max(0, len(buffer) - 1)
+                if len(buffer) > MAX_ANSWER_BYTES:
+                    raise UpstreamError(
+                        f"an event exceeds {MAX_ANSWER_BYTES} bytes", sent=True
+                    )
+                if size > MAX_STREAM_BYTES:
+                    raise UpstreamError(
+                        f"a stream exceeds {MAX_STREAM_BYTES} bytes", sent=True
+                    )
+                await grow(len(buffer) - counted)
+                counted = len(buffer)
+
     async def release_program(self, address, program):
         """Ask an engine to drop the cached state of a program."""
         url = f"http://{address}/cache/release"
         body = dump_json({"program": program})
         async with self._post(self._pooled, url, body, {}) as response:
-            await response.read()
+            await read_limited(response, MAX_ANSWER_BYTES)
 
     async def probe(self, address):
         """Return whether an upstream answers on a new connection."""
@@ -316,37 +362,10 @@
     )
 
 
-async def _read_text(response):
-    data = bytearray()
-    async for piece in response.content.iter_any():
-        data += piece
-        if len(data) > MAX_ANSWER_BYTES:
-            raise UpstreamError(
-                f"the answer exceeds {MAX_ANSWER_BYTES} bytes", sent=True
-            )
-    return data.decode(errors="replace")
-
-
-async def _read_events(response):
-    buffer = bytearray()
-    size = searched = 0
-    async for piece in response.content.iter_any():
-        size += len(piece)
-        buffer += piece.replace(b"\r", b"")
-        while (end := buffer.find(b"\n\n", searched)) >= 0:
-            searched = 0
-            event = bytes(buffer[:end]).decode(errors="replace")
-            del buffer[: end + 2]
-            data = [
-                line[5:].strip() for line in event.split("\n") if line[:5] == "data:"
-            ]
-            if data:
-                yield "\n".join(data)
-        searched = max(0, len(buffer) - 1)
-        if len(buffer) > MAX_ANSWER_BYTES:
-            raise UpstreamError(f"an event exceeds {MAX_ANSWER_BYTES} bytes", sent=True)
-        if size > MAX_STREAM_BYTES:
-            raise UpstreamError(f"a stream exceeds {MAX_STREAM_BYTES} bytes", sent=True)
+def _join_data(event):
+    """Return the data of an event; None if it has none."""
+    lines = [line[5:].strip() for line in event.split("\n") if line[:5] == "data:"]
+    return "\n".join(lines) if lines else None
 
 
 def parse_chunk(data):
