History hosts remember the crashes that entry hosts report

Cause: the crashes were known to entry hosts only, each of which learned them from the others.

Change: history hosts, which get heartbeats of entry hosts, keep what these report (CrashMemory) and report it in their own. A request that has been completed since is forgotten once no entry host reports it any more; one that stopped reporting because it restarted changes nothing.

Evidence: test_barred_request_is_barred_after_all_entry_hosts_restart fails without the change (the request ran) and passes with it.

--- a/sapphireyard/fleet/crashes.py
+++ b/sapphireyard/fleet/crashes.py
@@ -129,6 +129,10 @@
         known = self._cleared.pop(digest, _CrashRecord(frozenset(), now))
         self._cleared[digest] = _CrashRecord(known.crashes | record.crashes, now)
 
+    def forget(self, digest):
+        """Drop a request's crashes, until they are reported again."""
+        self._records.pop(digest, None)
+
     def barred_for(self, digest, now):
         """Return the seconds for which a request must not run; 0 if it may."""
         record = self._records.get(digest)
@@ -180,3 +184,34 @@
             for digest, record in list(records.items()):
                 if record.is_expired(now):
                     del records[digest]
+
+
+class CrashMemory:
+    """The crashes that entry hosts report, for when all of them restart at once.
+
+    A request that its hosts report no longer has been completed, or its crashes are
+    too old: it is forgotten once no run of an entry host that has reported it still
+    does. A host that stops reporting because it stopped forgets nothing here.
+    """
+
+    def __init__(self):
+        self._ledger = CrashLedger()
+        self._reports = {}
+
+    def note_report(self, heartbeat, now):
+        """Take over the crashes in an entry host's heartbeat."""
+        incarnation, before = self._reports.get(heartbeat.host, (0, frozenset()))
+        reported = frozenset(heartbeat.crashes)
+        if not (reported or before):
+            return
+        self._reports[heartbeat.host] = heartbeat.incarnation, reported
+        self._ledger.merge(heartbeat.crashes, now)
+        if heartbeat.incarnation != incarnation:
+            return
+        for digest in before - reported:
+            if not any(digest in each for _, each in self._reports.values()):
+                self._ledger.forget(digest)
+
+    def summarize(self, now):
+        """Return the crashes to report in a heartbeat, as `CrashLedger` does."""
+        return self._ledger.summarize(now)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
 from sapphireyard.exceptions import UpstreamFailed
 from sapphireyard.exchange.calls import ProgramCall
@@ -15,6 +16,7 @@
     RETENTION_SECONDS,
     UNKNOWN_RUN_SECONDS,
     CrashLedger,
+    CrashMemory,
     digest_request,
     identify_crash,
 )
@@ -134,6 +136,48 @@
         self.assertEqual(len(turns), 3)
 
 
+class MemoryTest(unittest.TestCase):
+    def setUp(self):
+        self.memory = CrashMemory()
+
+    def report(self, host, run, *digests):
+        heartbeat = SimpleNamespace(
+            host=host, incarnation=run, crashes={each: [0, 1, 2, 3] for each in digests}
+        )
+        self.memory.note_report(heartbeat, 1.0)
+
+    def test_crashes_outlast_their_hosts(self):
+        """Cases are reports by host, run and digests, and what is remembered."""
+        cases = [
+            ("reported", [("a", 1, "x")], {"x"}),
+            ("completed", [("a", 1, "x"), ("a", 1)], set()),
+            ("restarted", [("a", 1, "x"), ("a", 2), ("a", 2)], {"x"}),
+            (
+                "all restarted",
+                [("a", 1, "x"), ("b", 1, "x"), ("a", 2), ("b", 2)],
+                {"x"},
+            ),
+            ("known elsewhere", [("a", 1, "x"), ("b", 1, "x"), ("a", 1)], {"x"}),
+            (
+                "completed everywhere",
+                [("a", 1, "x"), ("b", 1, "x"), ("a", 1), ("b", 1)],
+                set(),
+            ),
+            ("one of two", [("a", 1, "x", "y"), ("a", 1, "y")], {"y"}),
+            (
+                "completed after a restart",
+                [("a", 1, "x"), ("a", 2), ("a", 2, "x"), ("a", 2)],
+                set(),
+            ),
+        ]
+        for name, reports, remembered in cases:
+            with self.subTest(name):
+                self.setUp()
+                for report in reports:
+                    self.report(*report)
+                self.assertEqual(set(self.memory.summarize(1.0)), remembered)
+
+
 class CrashingRequestTest(ExchangeTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -379,6 +379,34 @@
             upstream.answers = [site_upstream.NO_CAPACITY]
         await self.site.wait_until(is_blocked)
 
+    async def test_barred_request_is_barred_after_all_entry_hosts_restart(self):
+        names = ("i-plain-2", "i-plain-3", "i-plain-4", "i-plain-5")
+        for name in names:
+            upstream = SiteUpstream(name, answers=[site_upstream.CRASH])
+            await upstream.start()
+            self.site.store.put("servers", name, upstream.describe("plain"))
+        self.plain.answers = [site_upstream.CRASH]
+        await self.site.wait_until(
+            lambda: all(name in self.site.read_log("entry-1") for name in names)
+        )
+
+        async def is_barred(ip):
+            answer = await self.site.send(ip, "POST", "/book/1", body=b"x")
+            return b"crashes_upstreams" in answer.body
+
+        await self.site.wait_until(lambda: is_barred(ENTRY_IPS[0]))
+        await asyncio.sleep(1)
+        hosts = ("entry-1", "entry-2")
+        for name in hosts:
+            self.site.kill(name)
+        for number, (name, ip) in enumerate(zip(hosts, ENTRY_IPS), 1):
+            self.site.start_process(
+                name, "entry", ip, failure_domain=f"d{number}", bootstrap=False
+            )
+        await self.site.wait_ready(*ENTRY_IPS)
+        for ip in ENTRY_IPS:
+            self.assertTrue(await is_barred(ip), ip)
+
     async def test_crash_that_several_hosts_observe_counts_once(self):
         """Equal turns in flight at two hosts are not barred once the engine is back."""
         self.engine.answers = [site_upstream.CRASH]
