A slow service is not asked twice for what it would have answered

Callers saw: seven upstreams without any trouble that take 2.5 s of 3 s, at six requests a second: 0 of 150 requests were served, all 504; at 1.5 s and 30 a second 89 of 750. With one attempt a route all were served.

Cause: a try without an answer was given up after 40 % of the time for a second one, whatever the service takes. The second could not end in time, and upstreams go on with the first: a slow service got twice its requests and answered none.

Change: Durations keeps what completed requests of a service take. A try is given up only after 1.5 times what slow ones take, and only if another one would probably end in time; not if nothing is known of the service yet.

Changed check: test_silent_upstreams lets its service answer once before. Statuses and sends are the same; the case without an earlier answer is in the new test, and asks for the one attempt.

--- a/sapphireyard/exchange/plain.py
+++ b/sapphireyard/exchange/plain.py
@@ -9,6 +9,7 @@
     check_answer,
     find_silent_seconds,
 )
+from sapphireyard.upstreams.durations import Durations
 from sapphireyard.upstreams.retries import RetryBudget
 
 UNSENT_RETRIES = 3
@@ -16,6 +17,8 @@
 RETRY_RATIO = 0.5
 """Retries of requests that may have run, by requests: they never double a load."""
 MIN_RETRIES_PER_SECOND = 1.0
+LATE_FACTOR = 1.5
+"""Times what slow requests of a service take after which a try is given up."""
 
 
 class PlainService:
@@ -36,6 +39,7 @@
         self._sender = sender
         self._exchange = exchange
         self._retries = RetryBudget(ratio=RETRY_RATIO, floor=MIN_RETRIES_PER_SECOND)
+        self._durations = Durations()
 
     async def serve(self, admitted, reply):
         """Send a request to a plain service; forward its answer once complete."""
@@ -81,7 +85,9 @@
         """Raise `UpstreamLate` if an upstream is silent and another one may be tried.
 
         The retry is taken from the budget at that moment: without one, the upstream
-        has the rest of the time.
+        has the rest of the time. It also has if it is no slower than others, or if the
+        other one would probably not end in time: upstreams go on with what is given
+        up, and a slow service would get twice the requests and answer none.
         """
         route = admitted.route
         if not route.repeatable or admitted.sends >= route.attempts:
@@ -93,6 +99,8 @@
             return
         loop = asyncio.get_running_loop()
         seconds = find_silent_seconds(admitted.deadline - self._now())
+        slow = self._durations.find_slow(admitted.service, self._now()) or 0.0
+        seconds = max(seconds, LATE_FACTOR * slow)
         try:
             async with asyncio.timeout(None) as limit:
                 timer = loop.call_later(seconds, self._end_try, admitted, limit)
@@ -106,9 +114,17 @@
             raise UpstreamLate(f"silent for {seconds:.2f} s") from error
 
     def _end_try(self, admitted, limit):
-        if not admitted.answered and self._may_retry(admitted):
+        if admitted.answered or not self._fits(admitted):
+            return
+        if self._may_retry(admitted):
             limit.reschedule(asyncio.get_running_loop().time())
 
+    def _fits(self, admitted):
+        """Return whether another try would probably end before the deadline."""
+        now = self._now()
+        slow = self._durations.find_slow(admitted.service, now)
+        return slow is not None and now + slow <= admitted.deadline
+
     def _may_retry(self, admitted):
         return self._retries.may_retry(admitted.service, self._now())
 
@@ -150,9 +166,11 @@
                 admitted.handover = None
             admitted.may_have_run = True
             check_answer(answer)
-            self._exchange.record_success(
-                admitted, upstream, ok=answer.status < SERVER_ERROR
-            )
+            ok = answer.status < SERVER_ERROR
+            self._exchange.record_success(admitted, upstream, ok=ok)
+            if ok:
+                now = self._now()
+                self._durations.note(admitted.service, now - admitted.sent_at, now)
             return answer.status, answer.headers, data
 
     def _now(self):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,7 +6,12 @@
 from sapphireyard.fleet.quotas import QuotaRule
 from sapphireyard.upstreams.outliers import EJECTION_SECONDS
 from sapphireyard.upstreams.retries import RetryBudget
-from tests.exchange_case import ExchangeTestCase, RecordingReply, build_table
+from tests.exchange_case import (
+    SLOW_SECONDS,
+    ExchangeTestCase,
+    RecordingReply,
+    build_table,
+)
 
 
 class PlainTest(ExchangeTestCase):
@@ -170,7 +175,8 @@
     async def test_silent_upstreams(self):
         """A repeatable request is sent to another upstream while there is time.
 
-        Cases are the path, the script, the status for the caller, and the sends.
+        The service has been seen to answer in that time. Cases are the path, the
+        script, the status for the caller, and the sends.
         """
         cases = [
             ("/view/1", ["hang"], 200, 2),
@@ -182,10 +188,37 @@
             with self.subTest(path=path, script=script):
                 await self.asyncSetUp()  # the configuration becomes stale in 5 s
                 self.exchange._plain._retries = RetryBudget(ratio=1.0)
+                self.assertEqual(await self.serve("/view/1"), 200)
+                self.reply = RecordingReply()
+                self.sender.sent.clear()
                 self.sender.script = list(script)
                 self.assertEqual(await self.serve(path), status)
                 self.assertEqual(len(self.sender.sent), sends)
 
+    async def test_slow_service_is_no_silent_upstream(self):
+        """A second try would load it once more, and not end in time either.
+
+        Cases are the seconds of requests that were completed before, and the sends.
+        Upstreams take half of the time; a try is given up after 0.4 of it at first.
+        """
+        cases = [
+            ([], 1),
+            ([SLOW_SECONDS] * 9, 1),
+            ([SLOW_SECONDS * 1.3] * 9, 1),
+            ([0.1] * 8 + [SLOW_SECONDS] * 2, 1),
+            ([0.1] * 10, 2),
+        ]
+        for seconds, sends in cases:
+            with self.subTest(seconds):
+                await self.asyncSetUp()
+                self.exchange._plain._retries = RetryBudget(ratio=1.0)
+                for each in seconds:
+                    now = self.runtime.clock.monotonic()
+                    self.exchange._plain._durations.note("plain", each, now)
+                self.sender.script = ["slow"]
+                self.assertEqual(await self.serve("/view/1"), 200)
+                self.assertEqual(len(self.sender.sent), sends)
+
     async def test_silent_upstream_keeps_a_request_without_a_retry(self):
         """If the budget allows no other try, the first one has all the time."""
         self.exchange._plain._retries = RetryBudget(ratio=0.0, floor=0.0)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from sapphireyard.upstreams.durations import MAX_RESULTS, WINDOW_SECONDS, Durations
 from sapphireyard.upstreams.liveness import ProgressLimits, ProgressWatch, Step
 from sapphireyard.upstreams.outliers import OutlierDetector
 from sapphireyard.upstreams.retries import RetryBudget, make_retrying
@@ -45,6 +46,26 @@
         self.assertTrue(budget.may_retry("b", 0.0))
 
 
+class DurationsTest(unittest.TestCase):
+    def test_slow_requests(self):
+        """Cases are times and seconds of requests, the time, and the slow seconds."""
+        cases = [
+            ([], 0.0, None),
+            ([(0.0, 2.0)], 1.0, 2.0),
+            ([(0.0, 2.0)], WINDOW_SECONDS + 1, None),
+            ([(0.0, 2.0), (20.0, 0.5)], WINDOW_SECONDS + 1, 0.5),
+            ([(0.0, n / 10) for n in range(1, 12)], 1.0, 1.0),
+            ([(0.0, 9.0)] + [(0.0, 1.0)] * MAX_RESULTS, 1.0, 1.0),
+        ]
+        for results, now, slow in cases:
+            with self.subTest(results=results[:3], now=now):
+                durations = Durations()
+                for at, seconds in results:
+                    durations.note("s", seconds, at)
+                self.assertEqual(durations.find_slow("s", now), slow)
+                self.assertIsNone(durations.find_slow("other", now))
+
+
 class RetryingTest(unittest.IsolatedAsyncioTestCase):
     async def test_retries_while_allowed(self):
         for allowed, attempts in ((True, 3), (False, 1)):
