--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -414,6 +414,15 @@
                 route = table.find_route(host, path)
                 self.assertEqual(route.name if route else None, expected)
 
+    def test_host_names_are_compared_in_any_case(self):
+        """Callers' host names are in lower case when they get here."""
+        path = ("routes", 0, "hostname")
+        for written in ("site.example", "Site.Example", "SITE.EXAMPLE"):
+            with self.subTest(written):
+                table = decode_configuration(change_configuration(path, written))
+                route = table.find_route("site.example", "/chat/x")
+                self.assertEqual(route.name, "chat")
+
     def test_split_traffic_follows_the_weights(self):
         configuration = build_configuration()
         route = configuration["routes"][2]
