Large bodies that arrive at once do not wait for each other

Cause: the same as of the answers without end: each body kept what the others waited for, and none could become whole.

Change: bodies of requests share the rule of answers, now UnfinishedBodies: beyond 16 KiB each and half of the room together, only the largest is read until it is whole. The others wait, and are read after it.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from sapphireyard.history.client import CACHE_BYTES
-from sapphireyard.unfinished import UnfinishedAnswers
+from sapphireyard.unfinished import UnfinishedBodies
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +32,8 @@
 UNFINISHED_SHARE = 0.25
 """Largest share of the bytes that answers may take while they are being read, besides
 one of the largest size: new requests are admitted meanwhile."""
+ARRIVING_SHARE = 0.5
+"""The same of bodies that callers send. The largest one fits beside them."""
 UNREAD_SHARE = 0.5
 """Largest share of the bytes that one caller may leave unread."""
 STALLED_SECONDS = 30.0
@@ -149,13 +151,15 @@
         Bytes kept now.
     highest : int
         Most bytes that were kept.
-    unfinished : UnfinishedAnswers
-        The part of the bytes that belongs to answers that are being read.
+    unfinished, arriving : UnfinishedBodies
+        The parts of the bytes that belong to answers, and to bodies of requests, that
+        are being read.
     """
 
     def __init__(self, limit=math.inf):
         self.limit = limit
-        self.unfinished = UnfinishedAnswers(limit * UNFINISHED_SHARE / BUFFER_OVERHEAD)
+        self.unfinished = UnfinishedBodies(limit * UNFINISHED_SHARE / BUFFER_OVERHEAD)
+        self.arriving = UnfinishedBodies(limit * ARRIVING_SHARE / BUFFER_OVERHEAD)
         self.total = 0
         self.highest = 0
         self._holds = set()
--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -22,7 +22,7 @@
 )
 from sapphireyard.exceptions import SapphireyardError
 from sapphireyard.tasks import start_task
-from sapphireyard.unfinished import UnfinishedAnswers
+from sapphireyard.unfinished import UnfinishedBodies
 from sapphireyard.upstreams.completions import dump_json
 from sapphireyard.upstreams.liveness import PROBE_TIMEOUT_SECONDS, ProgressWatch, Step
 
@@ -88,7 +88,7 @@
         self._runtime = runtime
         self._pooled = None
         self._unpooled = None
-        self._unfinished = UnfinishedAnswers(MAX_UNFINISHED_BYTES)
+        self._unfinished = UnfinishedBodies(MAX_UNFINISHED_BYTES)
 
     async def on_start(self):
         timeout = aiohttp.ClientTimeout(
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -15,7 +15,7 @@
 from sapphireyard.scheduling.host_lists import HostListError, HttpHostList
 from sapphireyard.storage import objects
 from sapphireyard.storage.objects import ObjectStore
-from sapphireyard.unfinished import FREE_BYTES, UnfinishedAnswers
+from sapphireyard.unfinished import FREE_BYTES, UnfinishedBodies
 from sapphireyard.upstreams import (
     engines as engines_module,
     upstreams as upstreams_module,
@@ -196,7 +196,7 @@
                     self.assertLess(server.sent_bytes, MAX_SENT_BYTES)
 
 
-class UnfinishedAnswersTest(unittest.IsolatedAsyncioTestCase):
+class UnfinishedBodiesTest(unittest.IsolatedAsyncioTestCase):
     async def grow(self, answers, *sizes):
         """Let each answer in turn take bytes; return which of them may."""
         tasks = [asyncio.ensure_future(g(s)) for g, s in zip(answers, sizes)]
@@ -206,7 +206,7 @@
         return done
 
     async def asyncSetUp(self):
-        self.unfinished = UnfinishedAnswers(10 * FREE_BYTES)
+        self.unfinished = UnfinishedBodies(10 * FREE_BYTES)
         self.stack = [contextlib.ExitStack() for _ in range(4)]
         self.answers = [
             each.enter_context(self.unfinished.open()) for each in self.stack
