--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -241,6 +241,39 @@
                 self.assertEqual(len(self.sender.sent), sends)
                 self.assertEqual(statuses[-1], status)
 
+    async def test_what_is_no_crash(self):
+        """Cases are what the upstream does afterwards, as far as it is known.
+
+        A link that was cut or reset looks like a crash until another host reaches the
+        upstream; one that leaves in order is no crash.
+        """
+        cases = [
+            ("down", False, {}, 1),
+            ("listens", True, {}, 0),
+            ("unknown: no host reaches it", None, {}, 0),
+            ("leaves", False, {"leaving": True}, 0),
+            ("gone", False, None, 0),
+        ]
+        for name, listening, changes, crashes in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+
+                async def is_listening(upstream):
+                    return listening
+
+                self.sender.is_listening = is_listening
+                upstream = self.runtime.pools.find("plain-1")
+                listed = [] if changes is None else [replace(upstream, **changes)]
+                self.runtime.pools.set_upstreams(listed)
+                self.exchange.record_failure(
+                    self.admitted, upstream, UpstreamFailed("lost", crashed=True)
+                )
+                await asyncio.sleep(0)
+                counted = sum(
+                    len(ids) - 1 for ids in self.runtime.crashes.summarize(0).values()
+                )
+                self.assertEqual(counted, crashes)
+
     async def test_requests_that_one_crash_ends_are_not_barred(self):
         """Many callers may have sent the same request to an upstream that crashes.
 
