--- a/sapphireyard/fleet/crashes.py
+++ b/sapphireyard/fleet/crashes.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from sapphireyard.fleet.membership import ENTRY
+
 DIGEST_BYTES = 8
 CRASH_ID_BYTES = 6
 """Long enough that the ids of one request's crashes do not collide."""
@@ -199,7 +201,12 @@
         self._reports = {}
 
     def note_report(self, heartbeat, now):
-        """Take over the crashes in an entry host's heartbeat."""
+        """Take over the crashes in a heartbeat.
+
+        Other hosts only repeat what entry hosts report, also after these stopped.
+        """
+        if heartbeat.role != ENTRY:
+            return
         incarnation, before = self._reports.get(heartbeat.host, (0, frozenset()))
         reported = frozenset(heartbeat.crashes)
         if not (reported or before):
