--- a/standins/site_upstream.py
+++ b/standins/site_upstream.py
@@ -86,6 +86,8 @@
         Delay before each event.
     headers : list of str, optional
         Further lines of the head of each answer.
+    body : bytes, optional
+        Body of the answers of a plain service; names the request by default.
 
     Attributes
     ----------
@@ -101,6 +103,7 @@
     delay_seconds: float = 0.0
     gap_seconds: float = 0.0
     headers: list = field(default_factory=list)
+    body: bytes = b""
     received: list = field(default_factory=list)
     executed: list = field(default_factory=list)
     connections: int = 0
@@ -173,7 +176,7 @@
             return False
         if self.events:
             return await self._stream(answer, request, writer)
-        body = f"answer of {self.name} to {request.target}".encode()
+        body = self.body or f"answer of {self.name} to {request.target}".encode()
         if answer in (UNFRAMED, UNFRAMED_RESET):
             self._write_head(writer, request, 200, None)
             writer.write(body)
