Answers that were let go are freed at once, not by the next garbage collection

What callers saw: nothing; the host kept the whole answer of each caller that it had let go. With 100 callers that do not take answers of 3 MB, HeldBytes counted 6 MB while 81 MB of such answers were in memory.

Cause: an answer holds its Hold, and the Hold the methods of the answer that let its caller go. As a cycle, both stay until the collector runs.

Result: the new test of test_held fails without the change.

--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -183,6 +183,8 @@
         if hold in self._holds:
             self._holds.remove(hold)
             self.total -= hold.size
+        # Its owner refers to it: as a cycle, both would stay until a collection.
+        hold.release = hold.measure = None
 
     def admits(self, size):
         """Return whether a new request with a body of `size` bytes may be read."""
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -1,7 +1,9 @@
 """Tests of the decisions on the bytes that a host keeps for its requests."""
 
+import gc
 import math
 import unittest
+import weakref
 
 from sapphireyard.exchange.held import (
     BUFFER_OVERHEAD,
@@ -24,6 +26,21 @@
     return int(mebibytes * MEBIBYTE / BUFFER_OVERHEAD)
 
 
+class Owner:
+    """Something for which bytes are held, as an answer to a caller."""
+
+    def __init__(self, held):
+        self.hold = held.open(
+            "a", now=0.0, release=self.let_go, measure=self.count_unread
+        )
+
+    def let_go(self):
+        pass
+
+    def count_unread(self):
+        return 0
+
+
 class HeldBytesTest(unittest.TestCase):
     def test_room_by_the_memory_of_the_process(self):
         cases = [
@@ -72,6 +89,17 @@
                 self.assertEqual(held.admits(fill(size)), admitted)
                 self.assertEqual(held.fits(fill(size)), fits)
 
+    def test_an_owner_is_freed_with_its_hold(self):
+        """Its answer stayed in memory until the next garbage collection."""
+        held = HeldBytes(MEBIBYTE)
+        owner = Owner(held)
+        reference = weakref.ref(owner)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        held.close(owner.hold)
+        del owner
+        self.assertIsNone(reference())
+
     def test_total_is_zero_once_all_are_closed(self):
         held = HeldBytes(MEBIBYTE)
         first, second = held.open("a", now=0.0), held.open("b", now=0.0)
