Bodies that do not end give back the memory that others wait for

What callers saw: 150 bodies that stop a byte before their end took 337 to 408 MB of an entry host of 150 MB; 20 of them kept ordinary bodies of 1 MB waiting for up to 3 s.

Cause: bytes were counted after they had been read, beside 512 KiB of each body that were not counted; of the bodies without room only the largest went on, until its deadline, which its caller chooses. The own interface counted no bodies at all.

Change: ArrivingBodies reserves memory before it is read. Who finds none waits for 1.5 s at most, small bodies first. Only while one waits, bodies whose callers have stopped, or are slower than 1 MiB/s, are refused with 503: they have not run.

Weighed: ending the largest body, which has almost arrived; a shorter deadline, which slow callers need in calm.

--- a/sapphireyard/callers/gateway.py
+++ b/sapphireyard/callers/gateway.py
@@ -16,6 +16,7 @@
 import mode
 from aiohttp import web
 
+from sapphireyard.bodies import ArrivingBodies
 from sapphireyard.callers._problems import build_problem_response
 from sapphireyard.callers._requests import (
     check_chat_body,
@@ -44,6 +45,8 @@
 
 LIMITS = SimpleNamespace(header_seconds=10.0, idle_seconds=3600.0)
 """Times for the head of a request, and for a connection without one."""
+BODY = "body"
+"""Key of a request's `ArrivingBody`."""
 
 CLIENT_CLOSED_STATUS = 499
 """Status for requests whose caller has disconnected."""
@@ -71,6 +74,7 @@
         self._address = ""
         self._listener_closed = False
         self._requests = {}
+        self._bodies = ArrivingBodies(runtime.settings.body_memory_bytes)
         self.draining = False
 
     @property
@@ -168,8 +172,11 @@
         """Return the handler's response, or an error response if it raises."""
         task = asyncio.current_task()
         self._requests[task] = ""
+        stop = getattr(request.protocol, "stop_body", request.content.set_exception)
         try:
-            return await handler(request)
+            with self._bodies.open(stop, length=request.content_length) as body:
+                request[BODY] = body
+                return await handler(request)
         except CallError as error:
             return build_problem_response(error)
         except web.HTTPRequestEntityTooLarge:
@@ -269,14 +276,28 @@
         limit = self._runtime.settings.body_bytes
         if (request.content_length or 0) > limit:
             raise CallError("request_too_large", f"the limit is {limit} bytes")
+        body = request[BODY]
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                return parse_json_object(await request.read())
+                await self._bodies.grow(body, 0)
+                async for piece in request.content.iter_any():
+                    if body.received + len(piece) > limit:
+                        raise CallError(
+                            "request_too_large", f"the limit is {limit} bytes"
+                        )
+                    await self._bodies.grow(body, len(piece))
+                    body.parts.append(piece)
         except TimeoutError as error:
             raise CallError(
                 "invalid_request",
                 f"the body was not received within {BODY_TIMEOUT_SECONDS:g} s",
             ) from error
+        except web.RequestPayloadError as error:
+            raise CallError("invalid_request", f"cannot read body: {error}") from error
+        body.complete = True
+        text = b"".join(body.parts)
+        body.parts.clear()
+        return parse_json_object(text)
 
     def _find_route(self, principal, name, *, kind):
         """Return the route called `name` that a principal may see.
--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass, field
 
+from sapphireyard.bodies import ArrivingBodies
 from sapphireyard.history.client import CACHE_BYTES
 from sapphireyard.intake import CONNECTION_BYTES
 from sapphireyard.unfinished import UnfinishedBodies
@@ -34,7 +35,7 @@
 """Largest share of the bytes that answers may take while they are being read, besides
 one of the largest size: new requests are admitted meanwhile."""
 ARRIVING_SHARE = 0.5
-"""The same of bodies that callers send. The largest one fits beside them."""
+"""The same of bodies that callers send."""
 PENDING_SHARE = 0.15
 """Largest share that all connections may hold of heads and of further requests."""
 UNREAD_SHARE = 0.5
@@ -137,16 +138,19 @@
         Bytes kept now for requests.
     highest : int
         Most bytes that were kept.
-    unfinished, arriving : UnfinishedBodies
-        The parts of the bytes that belong to answers, and to bodies of requests, that
-        are being read.
+    unfinished : UnfinishedBodies
+        The part of the bytes that belongs to answers that are being read.
+    arriving : ArrivingBodies
+        The part that is reserved for bodies of requests that are being read.
     """
 
     def __init__(self, limit=math.inf, *, count_others=lambda: 0):
         self.limit = limit
         self._count_others = count_others
         self.unfinished = UnfinishedBodies(limit * UNFINISHED_SHARE / BUFFER_OVERHEAD)
-        self.arriving = UnfinishedBodies(limit * ARRIVING_SHARE / BUFFER_OVERHEAD)
+        self.arriving = ArrivingBodies(
+            limit * ARRIVING_SHARE / BUFFER_OVERHEAD, fits=self.admits
+        )
         self.total = 0
         self.highest = 0
         self._holds = set()
--- a/sapphireyard/unfinished.py
+++ b/sapphireyard/unfinished.py
@@ -1,10 +1,9 @@
-"""The memory of bodies that are still being read, of all requests together.
+"""The memory of answers that are still being read, of all requests together.
 
 Handles upstreams that answer without end, at full speed, while many callers wait for
 them: none of these answers can be told from a large one before it has reached the
-largest size, and together they would take the memory of the host. It also handles
-callers that send large bodies at the same moment, each of which would keep what the
-others wait for.
+largest size, and together they would take the memory of the host. The bodies of
+requests are in `bodies`.
 """
 
 import asyncio
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -45,7 +45,7 @@
         runtime = SimpleNamespace(
             host="a",
             clock=Clock(),
-            settings=SimpleNamespace(body_bytes=4096),
+            settings=SimpleNamespace(body_bytes=4096, body_memory_bytes=2**20),
             configuration=FakeConfiguration(),
             peers=FakePeers(),
             ownership=SimpleNamespace(locate=lambda key: SimpleNamespace(host="a")),
