Links between hosts keep little before they know who calls

What callers saw: 100 connections to the address for other hosts took 0.9 GB of an entry or history host, or of a process of the own interface: each may send a frame of 8 MiB, before its hello too. Requests and pings of a peer that reads nothing kept their answers in memory; small frames kept the event loop busy.

Cause: no bound before the hello, none for the frames of all connections together, none for requests being served, and answers that were written whether or not they were taken. Frames of connections that had ended stayed in memory as part of a cycle.

Change: accepted links count in the intake of their process, with 4 KiB and 2 s for the hello. Frames above 64 KiB are received as far as UnfinishedFrames has room, from hosts that are known; stalled ones are closed while others wait. 64 frames are served at a time, in the slices of the event loop. 1024 requests of a link are served at a time, 16 of a host that is not known; an id that is in use is an error. Answers wait until the other end reads; if it takes nothing for 3 s, the connection is closed. All processes give large buffers back to the system.

--- a/sapphireyard/_binaries.py
+++ b/sapphireyard/_binaries.py
@@ -6,6 +6,7 @@
 import sys
 
 from sapphireyard._options import load_settings
+from sapphireyard.allocator import return_large_buffers
 from sapphireyard.logs import configure_logging, reserve_standard_descriptors
 from sapphireyard.metrics import configure_metrics
 from sapphireyard.signals import SignalQueue
@@ -35,6 +36,7 @@
     settings = load_settings(model, argv=sys.argv[1:], environ=os.environ, name=name)
     configure_logging(settings, host=settings.host)
     configure_metrics()
+    return_large_buffers()
     status = asyncio.run(run(settings, signals))
     signals.ignore()
     sys.exit(status)
--- a/sapphireyard/entry.py
+++ b/sapphireyard/entry.py
@@ -122,7 +122,7 @@
         max_pending=settings.body_memory_bytes,
     )
     runtime.programs = Programs()
-    runtime.peers = Peers(runtime)
+    runtime.peers = Peers(runtime, frame_bytes=settings.body_memory_bytes)
     runtime.configuration = ConfigurationService(runtime)
     runtime.journal = JournalService(runtime)
     runtime.ownership = OwnershipService(runtime)
--- a/sapphireyard/exchange/held.py
+++ b/sapphireyard/exchange/held.py
@@ -38,6 +38,9 @@
 """The same of bodies that callers send."""
 PENDING_SHARE = 0.15
 """Largest share that all connections may hold of heads and of further requests."""
+FRAMES_SHARE = 0.25
+"""The same of large messages between hosts that are being received; a single one may
+be larger."""
 UNREAD_SHARE = 0.5
 """Largest share of the bytes that one caller may leave unread."""
 STALLED_SECONDS = 30.0
--- a/sapphireyard/streams/connections.py
+++ b/sapphireyard/streams/connections.py
@@ -11,6 +11,7 @@
 import logging
 
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
+from sapphireyard.intake import IDLE, UNUSED, WIDE_WINDOW_BYTES, set_window
 from sapphireyard.streams.frames import (
     FrameError,
     FrameKind,
@@ -19,10 +20,28 @@
     encode_frame,
 )
 from sapphireyard.streams.generated_messages import Failure
+from sapphireyard.streams.unfinished_frames import SMALL_FRAME_BYTES
 from sapphireyard.tasks import start_task
 
 logger = logging.getLogger(__name__)
 
+HELLO_BYTES = 4 * 1024
+HELLO_SECONDS = 2.0
+"""Bytes that a connection may send, and time that it has, before its hello."""
+FRAMES_AT_ONCE = 64
+"""Frames that are served without a pause."""
+MAX_INCOMING = 1024
+MAX_INCOMING_OF_STRANGERS = 16
+"""Requests of one connection that are served at a time, and the same for a host that is
+not known."""
+UNTAKEN_SECONDS = 3.0
+"""Time without a byte taken after which the other end counts as not reading."""
+STRANGER_SECONDS = 3.0
+"""Time in which a host becomes known that sends a large frame."""
+RETRY_SECONDS = 1.0
+"""Retry-After of a request beyond the limit."""
+READ_BYTES = 32 * 1024
+"""Bytes that a connection takes from the system at a time."""
 STREAM_WINDOW_ITEMS = 64
 """Items that may be in flight in one stream before the sender needs a credit."""
 
@@ -37,12 +56,26 @@
     ----------
     peers : Peers
         The owner, which serves incoming requests.
+    accepted : bool, optional
+        Whether the other end opened it.
+
+    Attributes
+    ----------
+    frame_bytes : int
+        Size of the large frame that is being received; 0 if there is none.
     """
 
-    def __init__(self, peers):
+    def __init__(self, peers, *, accepted=False):
         self._peers = peers
+        self._accepted = accepted
         self._reader = FrameReader()
         self._transport = None
+        self._made_at = 0.0
+        self._queued = False
+        self._frame_since = 0.0
+        self._sent_bytes = 0
+        self._taken = (0, 0.0)
+        self.frame_bytes = 0
         self._ids = itertools.count(1)
         self._incoming = {}
         self._outgoing = {}
@@ -71,9 +104,33 @@
         """bool: Whether requests can still be sent."""
         return self._transport is not None and not self.closed.is_set()
 
+    @property
+    def received_at(self):
+        """float: Monotonic seconds at which the last bytes arrived."""
+        return self._received_at
+
+    @property
+    def claim(self):
+        """(int, float) or None: See `Intake`; hosts that are known are kept."""
+        if self.remote is None:
+            return UNUSED, self._made_at
+        if self._is_busy() or self._peers.knows(self.host):
+            return None
+        return IDLE, self._used_at
+
+    def let_go(self, reason):
+        """Close the connection, as the process has no room for it."""
+        self.close()
+
     def connection_made(self, transport):
         self._transport = transport
-        self._received_at = self._used_at = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self._made_at = self._received_at = self._used_at = now
+        self._taken = (0, now)
+        # There is no public way to set what the transport receives at a time.
+        transport.max_size = READ_BYTES
+        if self._accepted:
+            self._peers.intake.add(self)
         name, fields = self._peers.codec.dump(self._peers.build_hello())
         self._send(FrameKind.HELLO, 0, name, fields)
         self._silence_task = start_task(
@@ -82,15 +139,75 @@
 
     def data_received(self, data):
         self._received_at = asyncio.get_running_loop().time()
+        self._serve_frames(data)
+
+    def go_on(self):
+        """Serve what has arrived, after a pause."""
+        self._queued = False
+        if not self.closed.is_set():
+            self._received_at = asyncio.get_running_loop().time()
+            self._serve_frames(b"")
+
+    def _serve_frames(self, data):
+        """Serve some of the frames that have arrived; the others have their turn."""
         try:
-            for frame in self._reader.feed(data):
+            frames = self._reader.feed(data, limit=FRAMES_AT_ONCE)
+            for frame in frames:
                 self._receive(frame)
         except (FrameError, ValueError, TypeError, IndexError) as error:
             logger.warning("protocol error by peer %s: %s", self.host or "?", error)
             self.close()
+            return
+        if frames and self.frame_bytes:
+            self._end_frame()
+        self._limit_reading(more=len(frames) == FRAMES_AT_ONCE)
+
+    def _limit_reading(self, *, more):
+        """Read no more than can be served, or than there is memory for."""
+        pending = self._reader.pending
+        if self._accepted:
+            self._peers.intake.note(self, 0 if self.frame_bytes else pending)
+            if self.remote is None and pending > HELLO_BYTES:
+                logger.warning("%d bytes before a hello; connection closed", pending)
+                self.close()
+                return
+        if more:
+            self._hold_back()
+            self._peers.intake.slices.add(self.go_on)
+        elif pending > SMALL_FRAME_BYTES and not self._may_receive():
+            self._hold_back()
+        elif self._transport is not None:
+            self._queued = False
+            self._transport.resume_reading()
+
+    def _hold_back(self):
+        self._queued = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _may_receive(self):
+        """Return whether the large frame that has begun may be received."""
+        frames = self._peers.frames
+        if frames.is_granted(self):
+            return True
+        now = asyncio.get_running_loop().time()
+        if not self.frame_bytes:
+            self.frame_bytes = self._reader.wanted
+            self._frame_since = now
+        if self._accepted and not self._peers.knows(self.host):
+            return False  # `_detect_silence` asks again
+        set_window(self._transport, WIDE_WINDOW_BYTES)
+        return frames.request(self)
+
+    def _end_frame(self):
+        self.frame_bytes = 0
+        self._peers.frames.release(self)
 
     def connection_lost(self, error):
         self.closed.set()
+        self._peers.intake.remove(self)
+        self._peers.frames.release(self)
+        self._reader.drop()
         self._can_write.set()
         if self._silence_task:
             self._silence_task.cancel()
@@ -146,6 +263,7 @@
             return
         frame = encode_frame(*parts)
         self._peers.sent_bytes += len(frame)
+        self._sent_bytes += len(frame)
         self._transport.write(frame)
 
     def _receive(self, frame):
@@ -153,7 +271,8 @@
         if kind not in (FrameKind.PING, FrameKind.PONG):
             self._used_at = self._received_at
         if kind == FrameKind.PING:
-            self._send(FrameKind.PONG, 0)
+            if self._can_write.is_set():  # otherwise other bytes are on their way
+                self._send(FrameKind.PONG, 0)
         elif kind == FrameKind.HELLO:
             self._receive_hello(*rest[:2])
         elif kind == FrameKind.REQUEST:
@@ -181,15 +300,33 @@
             self.close()
             return
         self.hello.set_result(hello)
+        if self._peers.knows(hello.host):
+            set_window(self._transport, WIDE_WINDOW_BYTES)
         self._peers.receive_hello(self, hello)
 
     def _receive_request(self, request_id, name, fields, timeout):
+        if request_id in self._incoming:
+            raise FrameError(f"request {request_id} is being served")
         responder = _Responder(self, request_id)
+        known = not self._accepted or self._peers.knows(self.host)
+        if len(self._incoming) >= (
+            MAX_INCOMING if known else MAX_INCOMING_OF_STRANGERS
+        ):
+            self._refuse(responder)
+            return
         task = start_task(responder.run(name, fields, timeout), name="answer")
         task.responder = responder
         self._incoming[request_id] = task
         task.add_done_callback(lambda _: self._incoming.pop(request_id, None))
 
+    def _refuse(self, responder):
+        """Refuse a request; close the connection if its sender reads nothing."""
+        if self._can_write.is_set():
+            responder.refuse(f"{len(self._incoming)} requests are being served")
+            return
+        logger.warning("peer %s sends and does not read", self.host)
+        self.close()
+
     def _receive_tell(self, name, fields):
         try:
             message = self._peers.codec.load(name, fields)
@@ -241,7 +378,10 @@
             before = loop.time()
             await asyncio.sleep(self._peers.ping_seconds)
             now = loop.time()
-            if not self._is_busy():
+            if self._is_overdue(now):
+                self.close()
+                return
+            if not self._is_busy() and not self.frame_bytes:
                 self._received_at = now
             # While this process was held up it read nothing.
             late = now - before - self._peers.ping_seconds
@@ -260,6 +400,25 @@
             if self._is_busy():
                 self._send(FrameKind.PING, 0)
 
+    def _is_overdue(self, now):
+        """Return whether the other end has not said hello, or reads nothing."""
+        self._peers.frames.check(now)
+        if self._queued:
+            self._received_at = now
+        if self._accepted and self.remote is None:
+            return now - self._made_at > HELLO_SECONDS
+        if self.frame_bytes and not self._peers.frames.is_granted(self):
+            if self._accepted and not self._peers.knows(self.host):
+                return now - self._frame_since > STRANGER_SECONDS
+            if self._peers.frames.request(self):
+                self.go_on()
+        taken, since = self._taken
+        unsent = self._transport.get_write_buffer_size()
+        if not unsent or self._sent_bytes - unsent > taken:
+            self._taken = (self._sent_bytes - unsent, now)
+            return False
+        return now - since > UNTAKEN_SECONDS
+
     def _is_busy(self):
         """Return whether a request is pending in either direction."""
         return bool(self._outgoing or self._incoming)
@@ -282,6 +441,22 @@
         self._credits.release()
 
     async def run(self, name, fields, timeout):
+        connection = self._connection
+        try:
+            failure = await self._answer(name, fields, timeout)
+        except asyncio.CancelledError:
+            self._fail("internal_error", "the request was cancelled")
+            raise
+        if failure is not None:
+            await connection._can_write.wait()
+            self._fail(*failure)
+
+    def refuse(self, detail):
+        """Answer that the request is not served."""
+        self._fail("overloaded", detail, "no", RETRY_SECONDS)
+
+    async def _answer(self, name, fields, timeout):
+        """Send the messages of an answer; return the failure that ends it, or None."""
         connection = self._connection
         try:
             message = connection._peers.codec.load(name, fields)
@@ -295,21 +470,19 @@
                         FrameKind.ITEM, self._request_id, item_name, item_fields
                     )
             connection._send(FrameKind.END, self._request_id)
-        except asyncio.CancelledError:
-            self._fail("internal_error", "the request was cancelled")
-            raise
         except CallError as error:
-            self._fail(error.code, error.detail, error.executed, error.retry_after)
+            return error.code, error.detail, error.executed, error.retry_after
         except TimeoutError:
-            self._fail("deadline_exceeded", "no answer before the deadline")
+            return "deadline_exceeded", "no answer before the deadline"
         except MessageTooLarge as error:
             logger.error("answer to %s: %s", name, error)
-            self._fail("internal_error", str(error))
+            return "internal_error", str(error)
         except PeerError as error:
-            self._fail("internal_error", str(error))
+            return "internal_error", str(error)
         except Exception:
             logger.exception("request %s failed", name)
-            self._fail("internal_error", "internal error")
+            return "internal_error", "internal error"
+        return None
 
     def _fail(self, code, detail, executed="unknown", retry_after=None):
         failure = Failure(
--- a/sapphireyard/streams/frames.py
+++ b/sapphireyard/streams/frames.py
@@ -143,9 +143,32 @@
     def __init__(self):
         self._buffer = bytearray()
 
-    def feed(self, data):
+    @property
+    def pending(self):
+        """int: Bytes that are buffered."""
+        return len(self._buffer)
+
+    @property
+    def wanted(self):
+        """int: Bytes of the frame that has begun; 0 if its size is not known."""
+        if len(self._buffer) < HEADER.size:
+            return 0
+        return HEADER.size + HEADER.unpack_from(self._buffer)[0]
+
+    def drop(self):
+        """Forget what is buffered, as its connection has ended."""
+        self._buffer.clear()
+
+    def feed(self, data, *, limit=None):
         """Return the list of frames completed by `data`.
 
+        Parameters
+        ----------
+        data : bytes
+            What has arrived.
+        limit : int, optional
+            Frames that are returned at most; the next call returns the others.
+
         Raises
         ------
         FrameError
@@ -154,7 +177,7 @@
         self._buffer += data
         frames = []
         start = 0
-        while True:
+        while limit is None or len(frames) < limit:
             frame, start = self._read_frame(start)
             if frame is None:
                 break
--- a/sapphireyard/streams/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -14,10 +14,12 @@
 
 from sapphireyard.addresses import parse_address
 from sapphireyard.exceptions import PeerError, PeerUnavailable
+from sapphireyard.intake import LISTEN_BACKLOG, open_listener
 from sapphireyard.streams import generated_messages
 from sapphireyard.streams.connections import Connection
 from sapphireyard.streams.frames import MessageCodec, MessageTooLarge
 from sapphireyard.streams.generated_messages import Hello
+from sapphireyard.streams.unfinished_frames import UnfinishedFrames
 from sapphireyard.tasks import start_task
 from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
@@ -29,6 +31,8 @@
 PING_SECONDS = 0.5
 SILENCE_SECONDS = 1.5
 IDLE_SECONDS = 30.0
+FRAME_BYTES = 32 * 1024 * 1024
+"""Bytes of all large frames that are received at a time, unless settings say so."""
 MAX_LOGGED_TEXT = 200
 
 
@@ -55,6 +59,16 @@
         Seconds without received data after which a connection is closed as dead.
     idle_seconds : float, optional
         Seconds without a request after which a connection is closed.
+    frame_bytes : float, optional
+        Bytes of all large frames that are received at a time.
+
+    Attributes
+    ----------
+    intake : Intake
+        The connections that the process has accepted.
+    knows : callable
+        Returns whether a name belongs to a host of the fleet; only these may send
+        large frames.
     """
 
     def __init__(
@@ -64,9 +78,13 @@
         ping_seconds=PING_SECONDS,
         silence_seconds=SILENCE_SECONDS,
         idle_seconds=IDLE_SECONDS,
+        frame_bytes=FRAME_BYTES,
     ):
         super().__init__()
         self._runtime = runtime
+        self.intake = runtime.intake
+        self.frames = UnfinishedFrames(frame_bytes)
+        self.knows = lambda host: True
         self.ping_seconds = ping_seconds
         self.silence_seconds = silence_seconds
         self.idle_seconds = idle_seconds
@@ -113,9 +131,11 @@
         """Open the listening socket; called before other services start."""
         if self._server is not None:
             return
-        ip, port = self._runtime.settings.peer_address.rsplit(":", 1)
+        listener = open_listener(self._runtime.settings.peer_address)
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, ip, int(port))
+        self._server = await loop.create_server(
+            self._accept, sock=listener, backlog=LISTEN_BACKLOG
+        )
 
     async def on_start(self):
         await self.listen()
@@ -127,7 +147,7 @@
             connection.close()
 
     def _accept(self):
-        connection = Connection(self)
+        connection = Connection(self, accepted=True)
         self._accepted.add(connection)
         return connection
 
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -26,12 +26,16 @@
 )
 from sapphireyard.history.log import LogFailed
 from sapphireyard.history.service import HistoryService
+from sapphireyard.intake import Intake
 from sapphireyard.streams.peers import Peers
 from standins.memory import MemoryStore
 from tests.test_history import LONG, build_turn
 
 WAIT_SECONDS = 10.0
 
+NOTICE_SECONDS = 0.02
+"""Time in which other hosts learn that the connections of one have ended."""
+
 
 class SteadyMembership(Membership):
     """A membership in which all hosts are live without heartbeats, except some."""
@@ -75,6 +79,7 @@
         self.store = store
         self.clock = JumpingClock()
         self.configuration = self.ownership = None
+        self.intake = Intake()
         self.peers = Peers(self)
         self.gossip = SimpleNamespace(membership=SteadyMembership(name))
         self.address = ""
@@ -142,6 +147,7 @@
             return
         await service.stop()
         await self.hosts[name].peers.on_stop()
+        await asyncio.sleep(NOTICE_SECONDS)
         if self.copies.get(name) is service:
             del self.copies[name]
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
+from sapphireyard.intake import Intake
 from sapphireyard.streams import peers as peers_module
 from sapphireyard.streams.frames import MAX_FRAME_BYTES, MessageTooLarge
 from sapphireyard.streams.generated_messages import (
@@ -33,7 +34,12 @@
 def build_peers(host, **options):
     settings = SimpleNamespace(peer_address="127.0.0.1:0")
     runtime = SimpleNamespace(
-        host=host, incarnation=1, settings=settings, configuration=None, ownership=None
+        host=host,
+        incarnation=1,
+        settings=settings,
+        configuration=None,
+        ownership=None,
+        intake=Intake(),
     )
     return Peers(runtime, **options)
 
