Bytes of upstreams that wait unread are bounded

What callers saw: nothing yet. Upstreams that answer without end, 250 callers of each of two routes: 171 MB of 150 with what had arrived and was not read, which is memory too.

Cause: as for accepted connections, the system gives each connection that is not read some MB of receive buffer.

Change: connections to upstreams, stores and lists of hosts have a receive buffer of 16 KiB.

Result: the new test fails before (171 MB of 150) and passes; the other two of test_platform_endless hold.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -4,6 +4,7 @@
 import logging
 import re
 import select
+import socket
 from dataclasses import dataclass
 from functools import partial
 
@@ -43,6 +44,8 @@
 hundreds of connections, and nothing else counts these bytes."""
 RECEIVE_BYTES = 32 * 1024
 """Bytes that a connection takes from the system at a time."""
+WINDOW_BYTES = 16 * 1024
+"""Receive buffer of a connection; what arrives while it is not read is memory too."""
 MAX_STRAY_BYTES = 256 * 1024
 """Bytes in a row that may carry none of a body: several times the largest head."""
 
@@ -253,12 +256,20 @@
     **options
         Arguments of the connector.
     """
-    connector = aiohttp.TCPConnector(**options)
+    connector = aiohttp.TCPConnector(socket_factory=_open_socket, **options)
     # There is no public way to set the class of the connections.
     connector._factory = partial(connection_class, loop=asyncio.get_running_loop())
     return connector
 
 
+def _open_socket(address):
+    """Return a socket for an address whose receive buffer is small."""
+    family, kind, protocol, _, _ = address
+    connection = socket.socket(family, kind, protocol)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    return connection
+
+
 def find_framing(response):
     """Return how the end of a body is found, as in `BodyEnd`.
 
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -6,6 +6,7 @@
 from standins.scripted_upstream import End, Endless, ScriptedUpstream
 from standins.site_upstream import SiteUpstream
 from tests.answer_case import chunk
+from tests.crowds import Watch
 from tests.platform_site import KEY, build_configuration
 from tests.test_endless import EVENTS, HEADERS, LINE, NOISE
 from tests.test_platform_memory import read_peak
@@ -129,6 +130,14 @@
         answer = await self.site.send(ENTRY_IPS[0], "GET", "/sound/1")
         self.assertEqual(answer.status, 200)
 
+    async def test_unread_bytes_of_upstreams_are_memory_too(self):
+        process = self.site.process("entry-1")
+        for name, steps in BODIES.items():
+            with self.subTest(name):
+                with Watch(process.pid, ENTRY_IPS[0]) as watch:
+                    await self.send_all(CALLERS, steps)
+                self.assertLess(watch.memory, MEMORY_MB)
+
     async def test_callers_of_a_sound_service_are_served(self):
         whole = HEAD + b"Content-Length: 4\r\n\r\ndone"
         for name, steps in {"sound": (whole,), **BODIES}.items():
