Bodies that were given up are freed at once, not by the next garbage collection

What callers saw: nothing; 150 bodies that stop a byte before their end took 131 MB of an entry host of 150 MB, whose bodies may reserve 15 MB.

Cause: the error that ends a body refers to itself through its frames, and these to what was read of the body.

Change: the pieces are dropped with the body.

The new test fails before.

--- a/sapphireyard/bodies.py
+++ b/sapphireyard/bodies.py
@@ -126,6 +126,8 @@
         finally:
             self._bodies.remove(body)
             self.total -= body.reserved
+            # The error that ends a body refers to itself, and to the body.
+            body.parts.clear()
 
     async def grow(self, body, size):
         """Count bytes that have been read; return once the next may be read.
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -105,6 +105,14 @@
         self.assertEqual(caught.exception.executed, "no")
         self.assertEqual(self.stopped, [])
 
+    async def test_a_stopped_body_keeps_nothing(self):
+        """The error that ended it kept it until the next garbage collection."""
+        stalled = await self.begin(LARGE)
+        stalled.parts.append(bytes(1000))
+        await asyncio.sleep(STALLED_SECONDS)
+        await self.begin(SMALL)
+        self.assertEqual(stalled.parts, [])
+
     async def test_a_complete_body_is_not_stopped(self):
         complete = await self.begin(LARGE)
         complete.complete = True
