Single requests at the limits are served; tests use the real listener

test_gateway opens the listener of the gateway, so that the gateway needs no special case for other servers.

--- a/sapphireyard/callers/gateway.py
+++ b/sapphireyard/callers/gateway.py
@@ -172,9 +172,9 @@
         """Return the handler's response, or an error response if it raises."""
         task = asyncio.current_task()
         self._requests[task] = ""
-        stop = getattr(request.protocol, "stop_body", request.content.set_exception)
+        stop, length = request.protocol.stop_body, request.content_length
         try:
-            with self._bodies.open(stop, length=request.content_length) as body:
+            with self._bodies.open(stop, length=length) as body:
                 request[BODY] = body
                 return await handler(request)
         except CallError as error:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,12 +5,12 @@
 from types import SimpleNamespace
 
 import aiohttp
-from aiohttp.test_utils import TestServer
 
 from sapphireyard.callers.gateway import Gateway
 from sapphireyard.clocks import Clock
 from sapphireyard.configuration.tables import Route
 from sapphireyard.exceptions import CallError
+from sapphireyard.intake import Intake
 from sapphireyard.streams.generated_messages import AnswerEnd, AnswerStart
 
 WAIT_SECONDS = 5.0
@@ -45,7 +45,13 @@
         runtime = SimpleNamespace(
             host="a",
             clock=Clock(),
-            settings=SimpleNamespace(body_bytes=4096, body_memory_bytes=2**20),
+            settings=SimpleNamespace(
+                body_bytes=4096,
+                body_memory_bytes=2**20,
+                header_bytes=4096,
+                caller_address="127.0.0.1:0",
+            ),
+            intake=Intake(),
             configuration=FakeConfiguration(),
             peers=FakePeers(),
             ownership=SimpleNamespace(locate=lambda key: SimpleNamespace(host="a")),
@@ -55,16 +61,16 @@
             ),
         )
         self.gateway = Gateway(runtime)
-        self.server = TestServer(self.gateway.build_application())
-        await self.server.start_server()
+        await self.gateway.listen()
+        self.url = f"http://{self.gateway.address}"
         self.session = aiohttp.ClientSession()
 
     async def asyncTearDown(self):
         await self.session.close()
-        await self.server.close()
+        await self.gateway.stop()
 
     async def call(self, route, **headers):
-        url = self.server.make_url(f"/v1/call/{route}")
+        url = f"{self.url}/v1/call/{route}"
         headers = {name.replace("_", "-"): value for name, value in headers.items()}
         async with self.session.post(url, json={}, headers=headers) as response:
             return response, await response.json(content_type=None)
@@ -113,7 +119,7 @@
         ]
         for name, path, headers, body, status in cases:
             with self.subTest(name):
-                url = self.server.make_url(path)
+                url = f"{self.url}{path}"
                 async with self.session.post(
                     url, data=body, headers=headers
                 ) as response:
@@ -123,7 +129,7 @@
         for path in ("/v1/call/closed", "/v1/chat/completions"):
             with self.subTest(path):
                 reader, writer = await asyncio.open_connection(
-                    self.server.host, self.server.port
+                    *self.gateway.address.split(":")
                 )
                 head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
                 writer.write(head.encode())
--- a/tests/test_platform_crowds.py
+++ b/tests/test_platform_crowds.py
@@ -326,6 +326,51 @@
                 self.assertLessEqual(watch.descriptors, FEW_DESCRIPTORS)
 
 
+class CalmTest(CrowdTestCase):
+    """Single requests at the very limits, at a host that has nothing else to do."""
+
+    async def send(self, *pieces, pause=0.0):
+        """Send a request in pieces; return the status of its answer."""
+        reader, writer = await asyncio.open_connection(
+            ENTRY_IPS[0], self.site.caller_port
+        )
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(pause)
+            return int((await reader.readline()).split()[1])
+        finally:
+            writer.close()
+
+    async def test_a_single_request_inside_the_limits_is_served(self):
+        length = f"Content-Length: {BODY_BYTES}"
+        chunked = "Transfer-Encoding: chunked"
+        head = build_head(1, fields=["Content-Length: 0"])
+        path = b"/book/x"
+        overhead = len(b"POST  HTTP/1.1\r\n\r\n")
+        room = HEADER_BYTES - (len(head) - overhead)
+        many = b"a:b\r\n" * (room // 6)  # two bytes are for a space and a line end
+        large = b"X-Large: %s\r\n" % (b"v" * (room - len(b"X-Large: \r\n")))
+        piece = bytes(BODY_BYTES // 16)
+        small = b"1\r\nc\r\n" * (BODY_BYTES // 64)
+        cases = [
+            ("a large field", (head[:-2] + large + b"\r\n",), 0),
+            ("many fields", (head[:-2] + many + b"\r\n",), 0),
+            ("a long path", (head.replace(path, path + b"p" * room),), 0),
+            ("a large body", (build_head(1, fields=[length]), *[piece] * 16), 0),
+            ("a slow body", (build_head(1, fields=[length]), *[piece] * 16), 0.1),
+            (
+                "chunks of a byte",
+                (build_head(1, fields=[chunked]), *[small] * 64, b"0\r\n\r\n"),
+                0,
+            ),
+        ]
+        for name, pieces, pause in cases:
+            with self.subTest(name):
+                self.assertEqual(await self.send(*pieces, pause=pause), 200)
+
+
 class LinksTest(CrowdTestCase):
     """Links between hosts, to which anyone can connect."""
 
