Many small bodies that do not end do not keep new requests out

What callers saw: beside 1,500 callers whose bodies of 1 to 15 kB stop before their end, 8 of 31 ordinary requests were refused, until the bodies' time was over; callers that come again would keep all others out. Large bodies in chunks that wait for each other were all refused after 1.5 s.

Cause: bodies up to 16 KiB reserve nothing, so that nothing asked for their memory back; bodies that grow in steps may all hold a part.

Change: a request that finds no memory has late bodies stopped first, small ones too, and looks again within 0.15 s. If all bodies that have memory wait for more, the newest one gives way at once.

The new tests of test_bodies fail before.

--- a/sapphireyard/bodies.py
+++ b/sapphireyard/bodies.py
@@ -29,6 +29,9 @@
 DUE_BYTES_PER_SECOND = 2 * 1024 * 1024
 """Rate by which a small body is due before a large one that began to wait earlier."""
 POLL_SECONDS = 0.05
+ADMISSION_POLLS = 3
+ADMISSION_BYTES = 2 * 1024 * 1024
+"""Times that a new request looks for memory, and bytes that it has others give back."""
 RETRY_SECONDS = 1.0
 """Retry-After of a body for which there is no memory."""
 
@@ -48,8 +51,8 @@
     reserved : int
         Bytes that it may keep, beyond `FREE_BYTES`.
     granted_at, received_at : float
-        Monotonic seconds since which it has had its first memory, and at which the last
-        bytes arrived.
+        Monotonic seconds since which it has had its memory, and at which the last bytes
+        arrived.
     wanted : int
         Bytes that it waits for; 0 if it waits for its caller.
     waiting_since : float
@@ -83,6 +86,11 @@
         expected = (now - self.granted_at - GRACE_SECONDS) * MIN_BYTES_PER_SECOND
         return self.received < expected
 
+    @property
+    def size(self):
+        """int: Bytes that it may keep."""
+        return max(self.reserved, FREE_BYTES)
+
     @property
     def due_at(self):
         """float: Monotonic seconds; of the bodies that wait, the earliest is next."""
@@ -120,6 +128,7 @@
     def open(self, stop, *, length=None):
         """Yield the `ArrivingBody` of a request, for `grow`; see there."""
         body = ArrivingBody(stop, length)
+        body.granted_at = body.received_at = asyncio.get_running_loop().time()
         self._bodies.add(body)
         try:
             yield body
@@ -129,6 +138,21 @@
             # The error that ends a body refers to itself, and to the body.
             body.parts.clear()
 
+    async def admit(self):
+        """Return whether there is memory for a request.
+
+        Small bodies that do not end may take all of it, many together: those that are
+        late are stopped before a request is refused.
+        """
+        for _ in range(ADMISSION_POLLS):
+            if self._fits(0):
+                return True
+            now = asyncio.get_running_loop().time()
+            if not self._stop_late(now, needed=ADMISSION_BYTES):
+                return False
+            await asyncio.sleep(POLL_SECONDS)
+        return self._fits(0)
+
     async def grow(self, body, size):
         """Count bytes that have been read; return once the next may be read.
 
@@ -191,32 +215,53 @@
         first = min(self._waiting, key=lambda each: each.due_at)
         if first is body and self._reserve(body, step, now):
             return True
-        self._stop_late(now, needed=first.wanted)
+        holding = self.total + first.wanted > self._limit
+        if not self._stop_late(now, needed=first.wanted, holding=holding):
+            self._break_tie(now)
         return False
 
-    def _stop_late(self, now, *, needed):
-        """Stop bodies whose callers are late, until enough will be free."""
-        late = [each for each in self._bodies if each.reserved and not each.stopped]
-        late = [each for each in late if each.is_late(now)]
-        freed = sum(each.reserved for each in self._bodies if each.stopped)
+    def _stop_late(self, now, *, needed, holding=False):
+        """Stop bodies whose callers are late, until enough will be free.
+
+        If `holding`, only those that have reserved memory.
+
+        Returns
+        -------
+        bool
+            Whether memory of stopped bodies will be free soon.
+        """
+        freed = sum(each.size for each in self._bodies if each.stopped)
+        late = [each for each in self._bodies if each.is_late(now) and not each.stopped]
+        if holding:
+            late = [each for each in late if each.reserved]
         for body in sorted(late, key=lambda each: each.received_at):
             if freed >= needed:
-                return
-            freed += body.reserved
-            body.stopped = True
-            logger.info(
-                "body given up",
-                extra={
-                    "decision": "body",
-                    "received": body.received,
-                    "length": body.length,
-                    "silent": round(now - body.received_at, 2),
-                    "seconds": round(now - body.granted_at, 2),
-                    "reserved": self.total,
-                    "waiting": len(self._waiting),
-                },
-            )
-            body.stop(self._build_error())
+                break
+            freed += body.size
+            self._stop(body, now)
+        return bool(freed)
+
+    def _break_tie(self, now):
+        """Stop the newest body if all that have memory wait for more."""
+        holding = [each for each in self._bodies if each.reserved]
+        if len(holding) > 1 and all(each.wanted for each in holding):
+            self._stop(max(holding, key=lambda each: each.granted_at), now)
+
+    def _stop(self, body, now):
+        body.stopped = True
+        logger.info(
+            "body given up",
+            extra={
+                "decision": "body",
+                "received": body.received,
+                "length": body.length,
+                "silent": round(now - body.received_at, 2),
+                "seconds": round(now - body.granted_at, 2),
+                "reserved": self.total,
+                "waiting": len(self._waiting),
+            },
+        )
+        body.stop(self._build_error())
 
     def _build_error(self):
         return CallError(
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -113,6 +113,37 @@
         await self.begin(SMALL)
         self.assertEqual(stalled.parts, [])
 
+    async def test_small_bodies_that_do_not_end_make_room_for_requests(self):
+        """Cases are whether they are late, and whether a request is admitted."""
+        for late in (False, True):
+            with self.subTest(late=late):
+                self.bodies = ArrivingBodies(
+                    LIMIT, fits=lambda size: len(self.bodies._bodies) < 5
+                )
+                small = [await self.begin(100) for _ in range(5)]
+                if late:
+                    await asyncio.sleep(STALLED_SECONDS + 0.05)
+                self.assertEqual(await self.bodies.admit(), late)
+                for body in small:
+                    body.close()
+
+    async def test_bodies_that_wait_for_each_other_do_not_all_wait(self):
+        """The newest one gives way at once, and the others go on."""
+        bodies = [self.open() for _ in range(3)]
+
+        async def send(body):
+            while body.received < LIMIT // 2:
+                await self.bodies.grow(body, 50_000)
+                await asyncio.sleep(0.01)
+            body.close()
+
+        ends = await asyncio.wait_for(
+            asyncio.gather(*map(send, bodies), return_exceptions=True), WAIT_SECONDS
+        )
+        self.assertEqual(
+            [isinstance(end, CallError) for end in ends], [False] * 2 + [True]
+        )
+
     async def test_a_complete_body_is_not_stopped(self):
         complete = await self.begin(LARGE)
         complete.complete = True
