Answers to bodies that are not read say that their connection is closed

What callers saw: the next request on the connection of a 413 got no answer.

Cause: since the connection of a body that is given up (413, 400, 503) is closed after a second in which the rest is dropped, but the answer did not say so: a caller uses the connection again.

Change: these answers have Connection: close, on the platform and on the own interface.

Result: the new test of test_platform_input failed for both of its cases before.

--- a/sapphireyard/serving.py
+++ b/sapphireyard/serving.py
@@ -137,6 +137,11 @@
         """int: Bytes of answers that the caller has not taken yet."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    @property
+    def is_closing(self):
+        """bool: Whether the connection is closed after the answer."""
+        return self._dropped_bytes is not None
+
     def connection_made(self, transport):
         super().connection_made(transport)
         # There is no public way to set what the transport receives at a time.
@@ -162,8 +167,10 @@
         self._advance()
 
     async def finish_response(self, request, resp, start_time):
+        if self.is_closing and not resp.prepared:
+            resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        if self._dropped_bytes is not None and self.transport is not None:
+        if self.is_closing and self.transport is not None:
             self._shut_down()
             await asyncio.sleep(LINGER_SECONDS)
         self._has_request = False
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -168,6 +168,20 @@
                 self.assertGreaterEqual(seconds, minimum)
                 self.assertLess(seconds, maximum)
 
+    async def test_answer_to_a_body_that_is_not_read_closes_its_connection(self):
+        """Otherwise the caller uses it again, and the next request gets no answer."""
+        cases = [
+            ("too long", post(b"Content-Length: 200000", body=bytes(1000)), 413),
+            ("no chunk", post(CHUNKED, body=b"zz\r\n"), 400),
+        ]
+        for name, data, status in cases:
+            with self.subTest(name):
+                answer = await self.site.send_raw(ENTRY_IPS[0], data)
+                head, _, body = answer.partition(b"\r\n\r\n")
+                self.assertTrue(head.startswith(b"HTTP/1.1 %d" % status), answer)
+                self.assertIn(b"Connection: close", head)
+                self.assertTrue(body.endswith(b"}"), answer)
+
     async def test_incomplete_body_times_out(self):
         """The request ends at the caller's deadline; no upstream receives it."""
         data = post(b"Content-Length: 5", body=b"ab").replace(b"3000", b"500")
