--- a/sapphireyard/bodies.py
+++ b/sapphireyard/bodies.py
@@ -156,11 +156,6 @@
     async def grow(self, body, size):
         """Count bytes that have been read; return once the next may be read.
 
-        Returns
-        -------
-        bool
-            Whether memory was reserved just now.
-
         Raises
         ------
         CallError
@@ -171,10 +166,9 @@
         body.received_at = loop.time()
         step = self._find_step(body)
         if not step:
-            return False
+            return
         if self._waiting or not self._reserve(body, step, loop.time()):
             await self._wait(body, step, loop)
-        return True
 
     async def _wait(self, body, step, loop):
         body.wanted = step
