--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -445,6 +445,9 @@
     async def run():
         record = Record(folder)
         site = Site(record, **options)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         result = NOT_RUN
         try:
             async with asyncio.timeout(115):
@@ -453,6 +456,8 @@
             record.note(f"cannot run: {error}")
         except TimeoutError:
             record.note("cannot run: it takes too long")
+        except asyncio.CancelledError:
+            record.note("cannot run: it was stopped")
         finally:
             await site.stop()
         text = {HELD: "the rule held", BROKEN: "the rule is BROKEN", NOT_RUN: "not run"}
