--- a/review/servers_3.py
+++ b/review/servers_3.py
@@ -6,11 +6,16 @@
 every 200 ms) or ``/view/5x200/name`` (a body in five parts). An answer has chunks, or,
 if ``unframed``, neither a length nor chunks: it ends with its channel. Each line of LOG
 is a JSON object that says what was received, run and sent.
+
+SIGUSR1 plays a machine that goes down: the system closes the channels of the server's
+process in order, and from then on the machine answers no packet of a new channel.
 """
 
 import asyncio
 import hashlib
 import json
+import signal
+import socket
 import sys
 import time
 
@@ -41,6 +46,13 @@
         self._name = name
         self._log = log
         self._framed = framed
+        self._writers = set()
+
+    def close_channels(self):
+        """Close all channels in order, in the middle of their answers."""
+        self._note("goes dark", "")
+        for writer in self._writers:
+            writer.close()
 
     def _note(self, what, request_id, **fields):
         entry = {"at": time.time(), "server": self._name, "what": what}
@@ -50,12 +62,14 @@
 
     async def serve(self, reader, writer):
         """Serve the requests of one channel."""
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader, writer):
@@ -109,13 +123,47 @@
         writer.write("\r\n".join([f"HTTP/1.1 {status}", *fields, "", ""]).encode())
 
 
+class Listener:
+    """A listening socket that can be made to drop the packets of new channels."""
+
+    def __init__(self, ip, port):
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((ip, port))
+        self._address = ip, port
+        self._fillers = []
+
+    async def serve(self, handler):
+        """Serve until the process is killed."""
+        server = await asyncio.start_server(handler, sock=self._socket)
+        await server.serve_forever()
+
+    def go_silent(self):
+        """Accept nothing more, and fill the queue of new channels."""
+        asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._socket.listen(0)
+        while True:
+            filler = socket.socket()
+            filler.settimeout(0.05)
+            self._fillers.append(filler)
+            try:
+                filler.connect(self._address)
+            except TimeoutError:
+                return
+
+
 async def main(name, ip, port, log, *options):
     """Serve until the process is killed."""
     with open(log, "a") as output:
         server = Server(name, output, framed="unframed" not in options)
-        listener = await asyncio.start_server(server.serve, ip, int(port))
-        async with listener:
-            await listener.serve_forever()
+        listener = Listener(ip, int(port))
+
+        def go_dark():
+            listener.go_silent()
+            server.close_channels()
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, go_dark)
+        await listener.serve(server.serve)
 
 
 if __name__ == "__main__":
