--- a/review/11/case.py
+++ b/review/11/case.py
@@ -131,4 +131,4 @@
     return HELD if reached else BROKEN
 
 
-run_case(FOLDER, case)
+run_case(FOLDER / "record.txt", case)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -66,4 +66,4 @@
     return HELD if reached else BROKEN
 
 
-run_case(FOLDER, case, retention=RETENTION_SECONDS, timeout_ms=30000, gap_ms=1500)
+run_case(FOLDER / "record.txt", case, retention=RETENTION_SECONDS, timeout_ms=30000, gap_ms=1500)
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -62,8 +62,8 @@
 class Record:
     """What was sent, answered and run, as lines of record.txt."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._began = time.time()
         self.note(f"TROUBLE={int(TROUBLE)}")
 
@@ -439,11 +439,11 @@
     answer.complete = True
 
 
-def run_case(folder, case, **options):
+def run_case(path, case, **options):
     """Run a case with its site; exit with its result."""
 
     async def run():
-        record = Record(folder)
+        record = Record(path)
         site = Site(record, **options)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -462,7 +462,7 @@
             await site.stop()
         text = {HELD: "the rule held", BROKEN: "the rule is BROKEN", NOT_RUN: "not run"}
         record.note(f"result {result}: {text[result]}")
-        print(f"{Path(folder).name}: TROUBLE={int(TROUBLE)} {text[result]}")
+        print(f"{Path(path).parent.name}: TROUBLE={int(TROUBLE)} {text[result]}")
         return result
 
     sys.exit(asyncio.run(run()))
