Copies follow each other's logs and fetch what they have missed

Cause: nothing keeps account of the records that a copy misses. A turn counts once three of four copies have it, and the fourth never got it: - a copy that was frozen, cut off or slow was never repaired, as `_repair` ran at the start of the process only; - that run asked hosts whose addresses the process did not know yet, failed with "is not a member", and was not repeated; - it asked for records written since its newest one, less 15 s by the writers' wall clocks, so that older ones stayed lost.

Change: each serving copy asks the others, every 0.5 s, for the keys of the records in their logs from a cursor on, and fetches the records that it lacks. A key is a digest of program and turn with the rank of the record; a cursor names a file and a place in it, so that the restart of a copy makes nobody examine its log again. The newest records have one interval to arrive by themselves. Records are sent with the retention that is left to them, so that copies cannot renew each other's expired records; the same holds now for hosts that join. Copies of builds without keys are copied once.

--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -279,6 +279,69 @@
     """
 
 
+@dataclass
+class KeysQuery:
+    """
+    Asks a copy for the keys of the records on its disk.
+    """
+
+    after: int
+    """
+    Cursor in the copy's log from which on keys are wanted; 0 for its beginning.
+    """
+
+
+@dataclass
+class RecordKeys:
+    """
+    Keys of consecutive records in one file of a copy's log.
+    """
+
+    disk: str
+    """
+    Identity of the disk; cursors of another disk mean nothing.
+    """
+    first: int
+    """
+    Cursor of the first key; each further key has the next one.
+    """
+    keys: bytes
+    """
+    Eight bytes a record, the highest byte first; 0 for a record that is not copied.
+    """
+    next: int
+    """
+    Cursor after the last key.
+    """
+    more: bool
+    """
+    The log has further records after that.
+    """
+
+
+@dataclass
+class RecordsAt:
+    """
+    Asks a copy for single records.
+    """
+
+    disk: str
+    cursors: list[int]
+
+
+@dataclass
+class RecordsFound:
+    """
+    Those of the wanted records that have not expired, kept for the time that is left to them.
+    """
+
+    examined: int
+    """
+    How many of the wanted cursors this answer covers.
+    """
+    records: list[bytes]
+
+
 @dataclass
 class RecordBatch:
     """
--- a/sapphireyard/history/log.py
+++ b/sapphireyard/history/log.py
@@ -2,9 +2,13 @@
 
 A record consists of a length, a checksum and the payload. Reading a file stops at
 the first torn record; what follows it was never synced.
+
+Positions count from the first record that was there when the log was opened. A cursor
+names a record by its file and its place there, which a restart does not change.
 """
 
 import asyncio
+import bisect
 import logging
 import os
 import secrets
@@ -25,6 +29,8 @@
 """Size from which a record, or several, are passed to the disk."""
 SEGMENT_SUFFIX = ".records"
 IDENTITY_FILE = "identity"
+CURSOR_BITS = 32
+"""Bits of a cursor for the place of a record in its file."""
 PROBE_FILE = "probe"
 PROBE_BYTES = 4096
 RETRY_SECONDS = 1.0
@@ -56,6 +62,7 @@
         self._segment_bytes = segment_bytes
         self._locations = []
         self._first_position = 0
+        self._starts = []  # number of each file, and position of its first record
         self._pending = []
         self._file = None
         self._segment_path = None
@@ -82,6 +89,11 @@
         """int: Position after the last record."""
         return self._first_position + len(self._locations)
 
+    @property
+    def synced_end(self):
+        """int: Position after the last durable record."""
+        return self._synced_end
+
     def open(self):
         """Read all files and yield (position, payload) of their records."""
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -89,6 +101,7 @@
         for path in _list_segments(self._folder):
             self._next_segment = int(path.stem) + 1
             for offset, payload in _read_segment(path):
+                self._record_start(path, self.end)
                 self._locations.append((path, offset, len(payload)))
                 yield self.end - 1, payload
         self._synced_end = self.end
@@ -118,6 +131,36 @@
             file.seek(offset + start)
             return file.read(length - start if size is None else size)
 
+    def find_cursor(self, position):
+        """Return the cursor of a durable record, or of the next one after the last."""
+        place = bisect.bisect_right(self._starts, position, key=lambda each: each[1])
+        if not place:
+            return 0
+        number, start = self._starts[place - 1]
+        return (number << CURSOR_BITS) + position - start
+
+    def find_position(self, cursor):
+        """Return the position of the first durable record from a cursor on."""
+        number, index = divmod(cursor, 1 << CURSOR_BITS)
+        place = bisect.bisect_left(self._starts, number, key=lambda each: each[0])
+        if place == len(self._starts):
+            return self._synced_end
+        found, start = self._starts[place]
+        if found != number:
+            return start
+        return min(start + index, self._find_file_end(place))
+
+    def find_range(self, cursor):
+        """Return the range of durable positions from a cursor on, in one file."""
+        begin = self.find_position(cursor)
+        place = bisect.bisect_right(self._starts, begin, key=lambda each: each[1])
+        return begin, self._find_file_end(place - 1)
+
+    def _find_file_end(self, place):
+        if place + 1 < len(self._starts):
+            return self._starts[place + 1][1]
+        return self._synced_end
+
     async def sync(self):
         """Return once all records appended so far are durable.
 
@@ -203,7 +246,15 @@
             self.close()
             raise
 
+    def _record_start(self, path, position):
+        """Record at which position a file begins."""
+        number = int(path.stem)
+        if not self._starts or self._starts[-1][0] != number:
+            self._starts.append((number, position))
+
     def _record_written(self, batch, begin):
+        if batch:
+            self._record_start(self._segment_path, begin)
         for number, (header, payload) in enumerate(batch):
             offset = self._segment_size + HEADER.size
             location = (self._segment_path, offset, len(payload))
@@ -247,6 +298,7 @@
             path.unlink(missing_ok=True)
         del self._locations[:dropped]
         self._first_position += dropped
+        self._starts = [each for each in self._starts if each[1] >= self.first]
         logger.info(
             "files deleted",
             extra={
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -34,7 +34,9 @@
     ChainQuery,
     DiskQuery,
     DiskStatus,
+    KeysQuery,
     RecordBatch,
+    RecordsAt,
     RecordsKept,
     RecordsQuery,
     Reservation,
@@ -52,6 +54,11 @@
     check_writable,
     read_identity,
 )
+from sapphireyard.history.repair import (
+    REPAIR_SECONDS,
+    RecordRepair,
+    RecordSource,
+)
 from sapphireyard.history.state import HistoryState
 from sapphireyard.history.stored_set import StoredSet
 from sapphireyard.history.survey import ask_disks, list_serving
@@ -82,8 +89,6 @@
 """Chains of several messages that are sent at a time; other answers go between them."""
 PURGE_SECONDS = 5.0
 FOLDER_RETRY_SECONDS = 1.0
-REPAIR_OVERLAP_SECONDS = 15.0
-"""A restarted host also fetches records up to this much older than its newest one."""
 
 
 class HistoryService(mode.Service):
@@ -104,6 +109,10 @@
         self._log = RecordLog(Path(runtime.settings.data_folder) / "records")
         self._state = HistoryState()
         self._transfer = RecordTransfer(runtime.peers, self._log, self._read_batch)
+        self._source = RecordSource(self._log, self._export)
+        self._repair = RecordRepair(
+            runtime.peers, self._state.lacks, self._store, self._copy_all
+        )
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
         self._long_reads = asyncio.Semaphore(LONG_READS)
@@ -111,7 +120,6 @@
         self._set_position = None
         self._serving = False
         self._retiring = False
-        self._newest_written_at = 0.0
         self._join_at = float("-inf")
         self._watched = ()  # members one of which may have to be replaced
         self._gone = set()
@@ -124,6 +132,8 @@
         runtime.peers.register_stream(ChainQuery, self._serve_chain)
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
+        runtime.peers.register(KeysQuery, self._serve_keys)
+        runtime.peers.register(RecordsAt, self._serve_records_at)
         runtime.peers.register(DiskQuery, self._serve_disk)
         runtime.peers.register(SetQuery, self._serve_set)
 
@@ -162,11 +172,8 @@
                 "set_version": self._copies.version,
                 "members": self._copies.members,
                 "standing": self._standing,
-                "newest_written_at": self._newest_written_at,
             },
         )
-        if self._serving:
-            self.add_future(self._repair())
 
     async def _prepare_folder(self):
         """Read the identity of the disk, and wait while the disk cannot be written."""
@@ -198,6 +205,17 @@
                     logger.info("could not join the set of copies: %s", error)
             await self.sleep(MAINTAIN_SECONDS)
 
+    @lasting_task
+    async def _repair_regularly(self):
+        while not self.should_stop:
+            if self._serving:
+                members = [name for name in self._copies.members if self._follows(name)]
+                await self._repair.run(members)
+            await self.sleep(REPAIR_SECONDS)
+
+    def _follows(self, host):
+        return host != self._runtime.host and not self._is_gone(host)
+
     @lasting_timer(PURGE_SECONDS)
     async def _purge_regularly(self):
         try:
@@ -217,6 +235,7 @@
             self._append_set()
             await self._log.sync()
         self._log.drop_before(kept)
+        self._source.drop_before(self._log.first)
 
     def update_copies(self, copies):
         """Adopt a newer set that another host already uses."""
@@ -475,16 +494,14 @@
                 task.cancel()
         return reached
 
-    async def _fetch(
-        self, host, copies, position, written_after=0.0, *, resuming=False
-    ):
+    async def _fetch(self, host, copies, position, *, resuming=False):
         try:
             while True:
-                query = build_query(position, copies, written_after, resuming=resuming)
+                query = build_query(position, copies, resuming=resuming)
                 batch = await self._runtime.peers.ask(
                     host, query, timeout=BATCH_TIMEOUT_SECONDS
                 )
-                self._apply_batch(batch)
+                self._apply_records(batch.records)
                 if batch.position <= position:
                     return position
                 position = batch.position
@@ -492,13 +509,6 @@
             logger.info("could not fetch records from %s: %s", host, error)
             return None
 
-    async def _repair(self):
-        """Copy the records that other members received while this host was down."""
-        others = [name for name in self._copies.members if name != self._runtime.host]
-        since = self._newest_written_at - REPAIR_OVERLAP_SECONDS
-        for host in others[: self._count_fences(self._copies)]:
-            await self._fetch(host, CopySet(), 0, written_after=since)
-
     async def _adopt(self, copies):
         """Use a newer set from now on, also after a restart."""
         if copies.version < self._copies.version:
@@ -605,6 +615,16 @@
             )
         return self._read_batch(message.after, message.written_after)
 
+    async def _serve_keys(self, message, context):
+        self._check(self._copies.version)
+        return self._source.list_keys(self._disk_id, message.after)
+
+    async def _serve_records_at(self, message, context):
+        self._check(self._copies.version)
+        if message.disk != self._disk_id:
+            raise CallError("history_unavailable", "this copy has another disk")
+        return self._source.find(message.cursors)
+
     async def _serve_set(self, message, context):
         self._check(self._copies.version)
         return self._copies
@@ -615,8 +635,7 @@
         return DiskStatus(self._disk_id, self._serving, self._standing)
 
     async def _serve_batch(self, message, context):
-        self._apply_batch(message)
-        await self._log.sync()
+        await self._store(message.records)
         return RecordsKept()
 
     def _check(self, set_version):
@@ -633,41 +652,64 @@
         self._set_position = self._append(self._copies)
 
     def _append(self, record):
-        self._newest_written_at = max(
-            self._newest_written_at, getattr(record, "written_at", 0.0)
-        )
-        return self._log.append(msgpack.packb(self._codec.dump(record)))
+        position = self._log.append(self._pack(record))
+        self._source.add(record)
+        return position
 
     def _replay(self, payload, position):
         record = self._unpack(payload)
+        self._source.add(record)
         if isinstance(record, CopySet):
             self._copies = record
             self._set_position = position
             return
-        self._newest_written_at = max(self._newest_written_at, record.written_at)
         self._state.apply(record, position, self._now())
 
-    def _apply_batch(self, batch):
-        for payload in batch.records:
+    def _apply_records(self, records):
+        """Apply packed records of another copy; return how many were new."""
+        new = 0
+        for payload in records:
             record = self._unpack(payload)
             if isinstance(record, CopySet):
                 continue
             if self._state.apply(record, self._log.end, self._now()):
                 self._append(record)
+                new += 1
+        return new
+
+    async def _copy_all(self, host):
+        """Copy all records of a host; return whether it sent them."""
+        position = await self._fetch(host, CopySet(), 0)
+        await self._log.sync()
+        return position is not None
+
+    async def _store(self, records):
+        """Apply and sync packed records of another copy; return how many were new."""
+        new = self._apply_records(records)
+        await self._log.sync()
+        return new
 
-    def _read_batch(self, after, written_after):
+    def _export(self, position, written_after=0.0):
+        """Return the packed record at a position as another copy keeps it, or None."""
+        payload = self._log.read(position)
+        record = None if payload is None else self._unpack(payload)
+        if record is None or isinstance(record, CopySet):
+            return None
+        if record.written_at < written_after:
+            return None
+        record = self._state.limit_retention(record, self._now())
+        return None if record is None else self._pack(record)
+
+    def _read_batch(self, after, written_after=0.0):
         records = []
         size = 0
         position = max(after, self._log.first)
         end = min(self._log.end, position + BATCH_RECORDS)
         while position < end and size < BATCH_BYTES:
-            payload = self._log.read(position)
+            payload = self._export(position, written_after)
             position += 1
             if payload is None:
                 continue
-            record = self._unpack(payload)
-            if isinstance(record, CopySet) or record.written_at < written_after:
-                continue
             records.append(payload)
             size += len(payload)
         return RecordBatch(position, records)
@@ -690,6 +732,9 @@
     def _now(self):
         return self._runtime.clock.monotonic()
 
+    def _pack(self, record):
+        return msgpack.packb(self._codec.dump(record))
+
     def _unpack(self, payload):
         return self._codec.load(*msgpack.unpackb(payload))
 
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -4,7 +4,7 @@
 records have the same state.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sapphireyard.history.generated_history import (
     Reservation,
@@ -12,6 +12,7 @@
     Spending,
     Turn,
 )
+from sapphireyard.history.keys import RANKS, build_digest, split_key
 
 
 @dataclass
@@ -22,7 +23,7 @@
     ----------
     position : int
         Position of its record in the log.
-    previous, customer, upstream : str
+    previous, customer, program, upstream : str
         As in `Turn`.
     tokens : int
         Tokens of the prompt and the answer together.
@@ -35,6 +36,7 @@
     position: int
     previous: str
     customer: str
+    program: str
     upstream: str
     tokens: int
     size: int
@@ -53,9 +55,12 @@
         self._turns = {}
         self._programs = {}
         self._expiries = {}  # by program: end of retention, position of first record
+        self._ranks = {}  # by digest of a turn: highest rank of its records
 
     def apply(self, record, position, now):
         """Apply a record that arrived at `now`; return whether it was new."""
+        digest = build_digest(record.program, record.turn)
+        self._ranks[digest] = max(self._ranks.get(digest, 0), RANKS[type(record)])
         if isinstance(record, Turn):
             return self._add_turn(record, position, now)
         if isinstance(record, Settlement):
@@ -83,6 +88,37 @@
             turn = stored.previous
         return list(reversed(chain.values()))
 
+    def lacks(self, key):
+        """Return whether no record is known that has a key, or replaces it."""
+        digest, rank = split_key(key)
+        return self._ranks.get(digest, 0) < rank
+
+    def limit_retention(self, record, now):
+        """Return a stored record for another copy, with the retention left to it.
+
+        Returns None if it has expired, or a later record replaces it. Of a turn that
+        has expired, its spending may be left.
+        """
+        spending = self._programs.get(record.program, {}).get(record.turn)
+        remaining = 0.0
+        if spending is not None:
+            remaining = self._expiries[record.program][0] - now
+        if isinstance(record, Turn):
+            stored = self._turns.get(record.turn)
+            left = 0.0 if stored is None else stored.expires_at - now
+            if left > 0:
+                return replace(record, keep_seconds=max(left, remaining))
+            record = Settlement(
+                record.program,
+                record.turn,
+                record.tokens,
+                written_at=record.written_at,
+            )
+        is_replaced = isinstance(record, Reservation) and spending and spending[1]
+        if remaining <= 0 or is_replaced:
+            return None
+        return replace(record, keep_seconds=remaining)
+
     def spendings(self, program):
         """Return the `Spending` of each turn of a program."""
         known = self._programs.get(program, {})
@@ -104,14 +140,28 @@
             None if nothing is left.
         """
         for turn in [t for t, stored in self._turns.items() if stored.expires_at < now]:
-            del self._turns[turn]
+            stored = self._turns.pop(turn)
+            self._forget_rank(stored.program, turn)
         for program in [p for p, expiry in self._expiries.items() if expiry[0] < now]:
             del self._expiries[program]
-            self._programs.pop(program, None)
+            for turn in self._programs.pop(program, ()):
+                self._forget_rank(program, turn)
         positions = [stored.position for stored in self._turns.values()]
         positions += [position for _, position in self._expiries.values()]
         return min(positions, default=None)
 
+    def _forget_rank(self, program, turn):
+        """Lower the rank of a turn to that of the records that are left of it."""
+        digest = build_digest(program, turn)
+        stored = self._turns.get(turn)
+        if stored is not None and stored.program == program:
+            return
+        spending = self._programs.get(program, {}).get(turn)
+        if spending is None:
+            self._ranks.pop(digest, None)
+        else:
+            self._ranks[digest] = RANKS[Settlement if spending[1] else Reservation]
+
     def _add_turn(self, turn, position, now):
         is_new = self._store_turn(turn, position, now)
         return self._record_spending(turn, position, now, settled=True) or is_new
@@ -126,6 +176,7 @@
             position,
             turn.previous,
             turn.customer,
+            turn.program,
             turn.upstream,
             turn.context_tokens,
             len(turn.input) + len(turn.output),
--- a/sapphireyard/history/transfer.py
+++ b/sapphireyard/history/transfer.py
@@ -48,7 +48,7 @@
         try:
             await self._peers.ask(host, query, timeout=BATCH_TIMEOUT_SECONDS)
             while position < self._log.end:
-                batch = self._read_batch(position, 0.0)
+                batch = self._read_batch(position)
                 await self._peers.ask(host, batch, timeout=BATCH_TIMEOUT_SECONDS)
                 position = self._positions[host, disk] = batch.position
         except (PeerError, CallError) as error:
@@ -57,13 +57,12 @@
         return True
 
 
-def build_query(position, copies, written_after=0.0, *, resuming=False):
+def build_query(position, copies, *, resuming=False):
     """Return a query that announces a set; an empty one changes nothing."""
     return RecordsQuery(
         position,
-        written_after,
-        copies.version,
-        copies.members,
-        copies.lost_before,
-        resuming,
+        set_version=copies.version,
+        members=copies.members,
+        lost_before=copies.lost_before,
+        resuming=resuming,
     )
--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import shutil
+from collections import Counter
 from contextlib import contextmanager
 from pathlib import Path
 from types import SimpleNamespace
@@ -15,7 +16,7 @@
 from sapphireyard.history import generated_history
 from sapphireyard.history.client import HistoryClient
 from sapphireyard.history.generated_history import Turn
-from sapphireyard.history.log import LogFailed
+from sapphireyard.history.log import CURSOR_BITS, LogFailed
 from sapphireyard.history.service import HistoryService
 from sapphireyard.streams.frames import MessageCodec
 from standins.memory import MemoryStore
@@ -29,6 +30,8 @@
 JOIN_SECONDS = 8.0
 """Time after which all hosts that can join have joined."""
 KEEP_SECONDS = 1000.0
+REPAIRED_SECONDS = 4.3
+"""Time in which a copy that is back gets what it has missed: `catch-up-s`."""
 PURGE_SECONDS = 12.0
 """Time within which copies have deleted what has expired."""
 FILE_RECORDS = 4
@@ -85,6 +88,10 @@
     def end(self):
         return self.first + len(self._records)
 
+    @property
+    def synced_end(self):
+        return min(self.end, self._synced_end)
+
     @property
     def files(self):
         return len({file for file, _ in self._records})
@@ -108,6 +115,33 @@
         payload = self._records[index][1]
         return payload[start:] if size is None else payload[start : start + size]
 
+    def find_cursor(self, position):
+        cursors = self._list_cursors()
+        if not cursors:
+            return 0
+        index = position - self.first
+        file, place = cursors[min(index, len(cursors) - 1)]
+        return (file << CURSOR_BITS) + place + (index == len(cursors))
+
+    def find_position(self, cursor):
+        wanted = divmod(cursor, 1 << CURSOR_BITS)
+        earlier = sum(each < wanted for each in self._list_cursors())
+        return min(self.first + earlier, self.synced_end)
+
+    def find_range(self, cursor):
+        begin = self.find_position(cursor)
+        rest = self._records[begin - self.first : self.synced_end - self.first]
+        return begin, begin + sum(file == rest[0][0] for file, _ in rest)
+
+    def _list_cursors(self):
+        """Return the number of the file of each record, and its place there."""
+        counts = Counter()
+        cursors = []
+        for file, _ in self._records:
+            cursors.append((file, counts[file]))
+            counts[file] += 1
+        return cursors
+
     async def sync(self):
         wanted = self.end
         await asyncio.sleep(SYNC_SECONDS)
@@ -458,6 +492,15 @@
         for entry in ENTRIES:
             for name in self.texts:
                 await self._check(entry, name, must_answer=True)
+        await asyncio.sleep(REPAIRED_SECONDS)
+        self.check_repaired()
+
+    def check_repaired(self):
+        """Check that each member has the chains of all acknowledged turns."""
+        for host, service in self.services.items():
+            lacking = [t for t in self.texts if not service._state.find_chain(t)]
+            if service.serving and lacking:
+                raise AssertionError(f"{host} lacks the chains of {lacking}")
 
     async def wipe(self, name):
         """Lose one disk; another one only once the lost one has been replaced."""
--- a/tests/test_history_machine.py
+++ b/tests/test_history_machine.py
@@ -11,7 +11,13 @@
 
 from hypothesis import example, given, settings, strategies as st
 
-from tests.history_world import COPIES, ENTRIES, LATENCY_SECONDS, World
+from tests.history_world import (
+    COPIES,
+    ENTRIES,
+    LATENCY_SECONDS,
+    REPAIRED_SECONDS,
+    World,
+)
 from tests.virtual_loop import VirtualLoop
 
 EXAMPLES = 100
@@ -70,6 +76,8 @@
             elif name == "restore_network":
                 world.network.cuts.clear()
                 world.network.lossy.clear()
+            elif name == "check_repaired":
+                world.check_repaired()
             elif name == "sleep":
                 await asyncio.sleep(*arguments)
             elif name == "cut":
@@ -138,6 +146,17 @@
 """The files in which copies first wrote the set are deleted before all are killed."""
 
 
+EACH_COPY_MISSES_A_TURN = [
+    ("commit_at", {"a", "b", "c"}, 0),
+    ("commit_at", {"b", "c", "d"}, 1),
+    ("commit_at", {"a", "c", "d"}, 1),
+    ("commit_at", {"a", "b", "d"}, 2),
+    ("sleep", REPAIRED_SECONDS),
+    ("check_repaired",),
+]
+"""Four turns of one chain, each stored by three of four copies."""
+
+
 class HistoryMachineTest(unittest.TestCase):
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
     @example(JOIN_WITHOUT_THE_HOLDERS)
@@ -145,6 +164,7 @@
     @example(POWER_LOST_AFTER_A_RETIREMENT)
     @example(POWER_LOST_BEFORE_REPLACEMENTS)
     @example(ALL_KILLED_AFTER_THE_RETENTION)
+    @example(EACH_COPY_MISSES_A_TURN)
     @given(st.lists(steps, min_size=10, max_size=40))
     def test_nothing_acknowledged_is_lost_or_denied(self, script):
         loop = VirtualLoop()
