--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -11,8 +11,9 @@
 from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
 from sapphireyard.exchange.held import RETRY_SECONDS
 from sapphireyard.history.chains import WINDOW_BYTES
-from sapphireyard.history.client import MAX_WHOLE_BYTES, ChainText
+from sapphireyard.history.client import MAX_WHOLE_BYTES
 from sapphireyard.history.generated_history import Turn
+from sapphireyard.history.reader import ChainText
 from sapphireyard.streams.frames import MAX_FRAME_BYTES
 from sapphireyard.tasks import start_task
 from sapphireyard.timeouts import AnswerDeadline, limit_wait
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -4,15 +4,14 @@
 import contextlib
 import logging
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from sapphireyard.exceptions import CallError, PeerError, PeerUnavailable
 from sapphireyard.fleet import generated_fleet
 from sapphireyard.fleet.generated_fleet import CopySet
-from sapphireyard.fleet.membership import SILENCE_SECONDS
 from sapphireyard.history import generated_history
-from sapphireyard.history.chains import ChainStream, LongText, open_any
-from sapphireyard.history.copies import fence_quorum, write_quorum
+from sapphireyard.history.chains import LongText
+from sapphireyard.history.copies import write_quorum
 from sapphireyard.history.generated_history import (
     Reservation,
     ReservationSynced,
@@ -21,17 +20,19 @@
     SpendingQuery,
     TurnCommit,
 )
+from sapphireyard.history.quorums import (
+    COPIES_CHANGED,
+    build_unavailable,
+    gather_quorum,
+)
+from sapphireyard.history.reader import ChainReader
 from sapphireyard.tasks import start_task
 from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
 logger = logging.getLogger(__name__)
 
-NEAREST_TIMEOUT_SECONDS = 0.25
-"""Longest wait for the nearest copy before the others are asked too."""
 ANSWER_TIMEOUT_SECONDS = 1.0
 """Longest wait for enough copies; a disk sync takes 1 to 5 ms."""
-RETRY_SECONDS = 0.3
-"""Retry-After while too few copies answer: several heartbeats."""
 COMMIT_RETRY_SECONDS = 0.05
 """Pause before a turn is sent again to a copy whose connection was lost."""
 CHANGE_TIMEOUT_SECONDS = 0.6
@@ -39,7 +40,6 @@
 older build tell it in their heartbeats only, every 0.3 s."""
 MAX_CHANGES = 3
 """Changes of the set that one operation follows."""
-COPIES_CHANGED = "copies_changed"
 REACHABLE_SECONDS = 1.0
 """Silence from which a copy, which sends three heartbeats a second, counts as
 unreachable and is not waited for."""
@@ -52,38 +52,6 @@
 """Texts of recent chains kept in memory; a twelfth of the smallest host's memory."""
 
 
-@dataclass(frozen=True)
-class ChainText:
-    """The texts of a chain of turns.
-
-    Parameters
-    ----------
-    customer : str
-        Customer that owns the chain.
-    text : bytes
-        Inputs and outputs in order, the oldest first; empty if `long` has them.
-    upstream : str, optional
-        Engine that served the last turn.
-    tokens : int, optional
-        Tokens of the whole chain as an engine reads it.
-    long : LongText, optional
-        The text if it is not kept in memory.
-    """
-
-    customer: str = ""
-    text: bytes = b""
-    upstream: str = ""
-    tokens: int = 0
-    long: LongText | None = None
-
-    def extend(self, turn):
-        """Return the `ChainText` after a `Turn`; None if it is not kept in memory."""
-        if self.long is not None:
-            return None
-        text = self.text + turn.input + turn.output
-        return ChainText(self.customer, text, turn.upstream, turn.context_tokens)
-
-
 class HistoryClient:
     """Reads chains from one copy and writes to all of them.
 
@@ -101,6 +69,7 @@
         self._cache = OrderedDict()
         self._cached_bytes = 0
         self._long_commits = asyncio.Lock()
+        self._reader = ChainReader(runtime, self.build_long)
         runtime.peers.codec.register_module(generated_history)
         runtime.peers.codec.register_module(generated_fleet)
 
@@ -159,7 +128,7 @@
                 cached, text=b"", long=self.build_long(turn, len(cached.text))
             )
         chain = await self._retry_on_change(
-            lambda copies: self._read(copies, turn, admit)
+            lambda copies: self._reader.read(copies, turn, admit)
         )
         self.cache(turn, chain)
         return chain
@@ -169,7 +138,7 @@
 
         async def read(start, length):
             chain = await self._retry_on_change(
-                lambda copies: self._read(
+                lambda copies: self._reader.read(
                     copies, turn, lambda size: True, start=start, length=length
                 )
             )
@@ -217,7 +186,7 @@
         needed = self._quorum(copies)
         reachable = self._count_reachable(copies)
         if reachable < needed:
-            raise _build_unavailable(
+            raise build_unavailable(
                 f"{reachable} copies are reachable, {needed} are needed", ()
             )
         message = Reservation(
@@ -375,78 +344,6 @@
             raise
         raise PeerError(f"{host} did not confirm that the reservation is durable")
 
-    async def _read(self, copies, turn, admit, *, start=0, length=0):
-        """Return the `ChainText` of a turn from the nearest copy, or else from any.
-
-        `start` and `length` restrict it to a range of the text.
-        """
-        hosts = self._order_copies(copies)
-        failed = []
-        nearest = hosts[:1]
-        while len(failed) <= len(hosts):
-            asked = [host for host in nearest or hosts if host not in failed]
-            streams = [
-                ChainStream(
-                    self._runtime.peers, host, copies.version, turn, start, length
-                )
-                for host in asked
-            ]
-            stream = await self._open(copies, streams, turn, is_last=not nearest)
-            nearest = ()
-            if stream is None:
-                continue
-            async with contextlib.aclosing(stream):
-                head = stream.head
-                if not admit(stream.size):
-                    long = self.build_long(turn, stream.size)
-                    return ChainText(
-                        head.customer, b"", head.upstream, head.tokens, long
-                    )
-                try:
-                    text = await stream.read_text()
-                except (PeerError, CallError) as error:
-                    logger.info("chain not read from %s: %s", stream.host, error)
-                    failed.append(stream.host)
-                    continue
-            return ChainText(head.customer, text, head.upstream, head.tokens)
-        raise _build_unavailable(f"turn {turn!r} was not read whole", ())
-
-    async def _open(self, copies, streams, turn, *, is_last):
-        """Open the `ChainStream` of one of several copies, and return it.
-
-        Returns None if none has the turn, unless all that are left were asked.
-        """
-        timeout = ANSWER_TIMEOUT_SECONDS if is_last else NEAREST_TIMEOUT_SECONDS
-        stream, absent, errors = await open_any(streams, timeout)
-        if stream is not None or not is_last:
-            return stream
-        members = len(copies.members)
-        tolerated = self._runtime.settings.tolerated_losses
-        if members and absent >= fence_quorum(members, tolerated=tolerated):
-            if copies.lost_before:
-                raise CallError(
-                    "history_unavailable", f"turn {turn!r} may be among those lost"
-                )
-            raise CallError("turn_unknown", f"there is no turn {turn!r}")
-        raise _build_unavailable(
-            f"turn {turn!r} was not found, but only {absent} of {members} copies"
-            " reported that they lack it",
-            errors,
-        )
-
-    def _order_copies(self, copies):
-        """Return the members in the order in which to ask them."""
-        membership = self._runtime.gossip.membership
-        now = self._runtime.clock.monotonic()
-        domain = self._runtime.settings.failure_domain
-
-        def distance(host):
-            member = membership.find(host)
-            near = member is not None and member.heartbeat.failure_domain == domain
-            return membership.silent_for(host, now) > SILENCE_SECONDS, not near, host
-
-        return sorted(copies.members, key=distance)
-
     def _count_reachable(self, copies):
         membership = self._runtime.gossip.membership
         if not membership.active:  # copies send nothing to standby hosts
@@ -466,54 +363,6 @@
         )
 
 
-async def gather_quorum(futures, needed, timeout):
-    """Return the results of the first `needed` futures that succeed.
-
-    Raises
-    ------
-    CallError
-        ``history_unavailable``: too many failed, or too few answered in time.
-    """
-    waiting = set(futures)
-    for future in waiting:  # a cancelled caller would not retrieve their errors
-        future.add_done_callback(_retrieve)
-    results = []
-    errors = []
-    deadline = AnswerDeadline(timeout)
-    while len(results) < needed:
-        remaining = deadline.remaining()
-        if len(results) + len(waiting) < needed or remaining <= 0:
-            break
-        done, waiting = await asyncio.wait(
-            waiting, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
-        )
-        errors += [each.exception() for each in done if each.exception()]
-        results += [each.result() for each in done if not each.exception()]
-    if len(results) >= needed:
-        return results
-    raise _build_unavailable(
-        f"{len(results)} copies have answered, {needed} are needed", errors
-    )
-
-
-def _build_unavailable(detail, errors):
-    """Return the `CallError` for too few answers.
-
-    Its code is ``copies_changed`` if the set that was used is outdated.
-    """
-    codes = {error.code for error in errors if isinstance(error, CallError)}
-    code = COPIES_CHANGED if COPIES_CHANGED in codes else "history_unavailable"
-    if errors:
-        detail = f"{detail}; {errors[0]}"
-    return CallError(code, detail, retry_after=RETRY_SECONDS)
-
-
-def _retrieve(future):
-    """Retrieve the error of a future that nothing awaits any more."""
-    if not future.cancelled():
-        future.exception()
-
-
 def _sum_other_turns(answers, turn):
     """Return the tokens of a program's other turns, merged over all answers."""
     known = {}
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -32,7 +32,7 @@
 from sapphireyard.fleet.membership import Membership
 from sapphireyard.fleet.quotas import FleetQuotas, QuotaRule
 from sapphireyard.history.chains import LongText
-from sapphireyard.history.client import ChainText
+from sapphireyard.history.reader import ChainText
 from sapphireyard.intake import Intake
 from sapphireyard.streams.frames import MessageCodec
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -17,7 +17,7 @@
 from sapphireyard.exceptions import CallError, PeerUnavailable
 from sapphireyard.exchange.held import MEBIBYTE
 from sapphireyard.fleet.generated_fleet import CopySet
-from sapphireyard.history.client import HistoryClient, gather_quorum
+from sapphireyard.history.client import HistoryClient
 from sapphireyard.history.copies import (
     explain_stay,
     fence_quorum,
@@ -38,6 +38,7 @@
     Turn,
 )
 from sapphireyard.history.log import RecordLog
+from sapphireyard.history.quorums import gather_quorum
 from sapphireyard.history.state import HistoryState
 
 LONG = 4e9
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sapphireyard.exceptions import CallError
-from sapphireyard.history.client import gather_quorum
+from sapphireyard.history.quorums import gather_quorum
 from sapphireyard.timeouts import AnswerDeadline, limit_wait
 
 SECONDS = 0.2
