--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -1,6 +1,7 @@
 """A host that keeps a copy of all histories and of the spending of programs."""
 
 import asyncio
+import contextlib
 import logging
 from dataclasses import replace
 from pathlib import Path
@@ -16,6 +17,7 @@
 from sapphireyard.fleet import generated_fleet
 from sapphireyard.fleet.generated_fleet import CopySet
 from sapphireyard.history import generated_history
+from sapphireyard.history.chain_source import ChainSource
 from sapphireyard.history.copies import (
     FORGOTTEN,
     JOINING,
@@ -29,8 +31,6 @@
     plan_recovery,
 )
 from sapphireyard.history.generated_history import (
-    Chain,
-    ChainPart,
     ChainQuery,
     DiskQuery,
     DiskStatus,
@@ -85,8 +85,6 @@
 """Size of a batch of records; well below the largest frame."""
 BATCH_RECORDS = 200
 """Records examined for one batch; a copy serves no other request meanwhile."""
-LONG_READS = 4
-"""Chains of several messages that are sent at a time; other answers go between them."""
 PURGE_SECONDS = 5.0
 FOLDER_RETRY_SECONDS = 1.0
 
@@ -109,13 +107,13 @@
         self._log = RecordLog(Path(runtime.settings.data_folder) / "records")
         self._state = HistoryState()
         self._transfer = RecordTransfer(runtime.peers, self._log, self._read_batch)
+        self._chains = ChainSource(self._log, self._state, self._unpack)
         self._source = RecordSource(self._log, self._export)
         self._repair = RecordRepair(
             runtime.peers, self._state.lacks, self._store, self._copy_all
         )
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
-        self._long_reads = asyncio.Semaphore(LONG_READS)
         self._disk_id = ""
         self._set_position = None
         self._serving = False
@@ -554,57 +552,9 @@
 
     async def _serve_chain(self, message, context):
         self._check(message.set_version)
-        chain = self._state.find_chain(message.turn)
-        if chain is None:
-            yield Chain(absent=self._state.find_turn(message.turn) is None)
-            return
-        last = chain[-1]
-        size = sum(turn.size for turn in chain)
-        begin = max(0, message.start)
-        end = min(size, begin + message.length) if message.length > 0 else size
-        head = Chain(
-            True, False, last.customer, last.upstream, last.tokens, b"", size, begin
-        )
-        wanted = end - begin
-        if not message.part_bytes or wanted <= message.part_bytes:
-            parts = self._read_parts(chain, begin, end, max(wanted, 1))
-            yield replace(head, text=b"".join(parts))
-            return
-        yield head
-        async with self._long_reads:
-            for part in self._read_parts(chain, begin, end, message.part_bytes):
-                yield ChainPart(part)
-
-    def _read_parts(self, chain, begin, end, part_bytes):
-        """Yield a range of the text of a chain in parts; one is kept at a time."""
-        part = b""
-        for position, start, size in self._list_ranges(chain, begin, end):
-            stop = start + size
-            while start < stop:
-                wanted = min(part_bytes - len(part), stop - start)
-                part += self._read_record(position, start, wanted)
-                start += wanted
-                if len(part) == part_bytes:
-                    yield part
-                    part = b""
-        if part:
-            yield part
-
-    def _list_ranges(self, chain, begin, end):
-        """Yield position, start and size of what records hold of a range of a text."""
-        offset = 0
-        for turn in chain:
-            if offset >= end:
-                return
-            if offset + turn.size <= begin:
-                offset += turn.size
-                continue
-            for start, size in self._locate_texts(turn.position):
-                first = max(begin, offset)
-                last = min(end, offset + size)
-                if first < last:
-                    yield turn.position, start + first - offset, last - first
-                offset += size
+        async with contextlib.aclosing(self._chains.serve(message)) as parts:
+            async for part in parts:
+                yield part
 
     async def _serve_records(self, message, context):
         if not self._serving and not (message.resuming and self._disk_id):
@@ -714,21 +664,6 @@
             size += len(payload)
         return RecordBatch(position, records)
 
-    def _locate_texts(self, position):
-        """Return where a record has the input and the output of its turn, with sizes.
-
-        The same bytes elsewhere in the record serve as well.
-        """
-        payload = self._read_record(position)
-        turn = self._unpack(payload)
-        return [(payload.find(text), len(text)) for text in (turn.input, turn.output)]
-
-    def _read_record(self, position, start=0, size=None):
-        payload = self._log.read(position, start, size)
-        if payload is None:
-            raise CallError("history_unavailable", "a turn expires while it is read")
-        return payload
-
     def _now(self):
         return self._runtime.clock.monotonic()
 
--- a/tests/test_history_service.py
+++ b/tests/test_history_service.py
@@ -68,7 +68,7 @@
         """The nearest copy breaks off midway; only one at a time sends the chain."""
         text = bytes(40 * PART_BYTES)
         await self.client.commit(replace(build_turn("long"), input=text))
-        nearest = self.copies["a"]
+        nearest = self.copies["a"]._chains
         read = nearest._read_record
 
         def fail(position, start=0, size=None):
