What a running turn needs is renewed while it runs

Cause: copies keep a turn for its retention and 15 s more, and keep its chain for longer only when the next turn is stored, at that turn's end. A turn that is sent late and runs for longer than 15 s finds its chain expired, and is stored without it. A program's spending expired in the same way: on a route without retention a reservation was kept for 15 s, so that a budget could be spent again while the turn that had reserved it was still running.

Change: the entry host renews the chain and the program's spending every 5 s for as long as a turn runs, so that copies keep both for the whole retention from then on. Turns of less than 5 s send nothing more than before. Copies of older builds refuse the message, which has no effect.

Measured: tests.test_turns finds renewals for each kind of turn that needs them, and tests.test_retention reads a chain after a turn that ran for twice its retention, also with copies that miss renewals in turn or are restarted; neither has a message to send on the code before.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -3,6 +3,7 @@
 On a route without retention, turns have no history and are not stored.
 """
 
+import asyncio
 import logging
 
 from sapphireyard.exceptions import EXECUTED_UNKNOWN, CallError, UpstreamFailed
@@ -11,7 +12,7 @@
 from sapphireyard.exchange.exchange import MAX_ANSWER_BYTES
 from sapphireyard.exchange.held import RETRY_SECONDS
 from sapphireyard.history.chains import WINDOW_BYTES
-from sapphireyard.history.client import MAX_WHOLE_BYTES
+from sapphireyard.history.client import MAX_WHOLE_BYTES, RENEWAL_SECONDS
 from sapphireyard.history.generated_history import Turn
 from sapphireyard.history.reader import ChainText
 from sapphireyard.streams.frames import MAX_FRAME_BYTES
@@ -69,9 +70,11 @@
         admitted.mark("history", self._runtime.clock.monotonic())
         reader = admitted.reader = EventReader()
         committed = False
+        renewing = start_task(self._renew(admitted, keep_seconds), name="renewal")
         try:
             committed = await self._run(admitted, chain, synced, reply, reader)
         finally:
+            renewing.cancel()
             if synced is not None and not committed:
                 tokens = self._count_tokens(admitted, reader)
                 self._runtime.history.settle(
@@ -83,6 +86,19 @@
             # The error of a broken stream refers to itself, and to this reader.
             reader.release()
 
+    async def _renew(self, admitted, keep_seconds):
+        """Keep the chain before a turn, and the program's spending, while it runs.
+
+        Their retention may end before the turn does, which needs both for longer.
+        """
+        call = admitted.call
+        turn = call.previous_turn if admitted.route.retention is not None else ""
+        while turn or call.token_budget is not None:
+            await asyncio.sleep(RENEWAL_SECONDS)
+            self._runtime.history.renew(
+                self._program(admitted), turn, keep_seconds=keep_seconds
+            )
+
     async def _prepare(self, admitted, keep_seconds, hold):
         """Return the chain before a turn, and the task that syncs its reservation.
 
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -13,6 +13,7 @@
 from sapphireyard.history.chains import LongText
 from sapphireyard.history.copies import write_quorum
 from sapphireyard.history.generated_history import (
+    Renewal,
     Reservation,
     ReservationSynced,
     SetQuery,
@@ -38,6 +39,9 @@
 CHANGE_TIMEOUT_SECONDS = 0.6
 """Longest wait to learn of a set that copies already use. They are asked; those of an
 older build tell it in their heartbeats only, every 0.3 s."""
+RENEWAL_SECONDS = 5.0
+"""Interval in which what a running turn needs is renewed: a third of the margin by
+which copies keep it for longer than it counts."""
 MAX_CHANGES = 3
 """Changes of the set that one operation follows."""
 REACHABLE_SECONDS = 1.0
@@ -240,6 +244,21 @@
         message = Settlement(program, turn, tokens, keep_seconds, self._wall())
         self._ask_members(self._copies, message, name="settlement")
 
+    def renew(self, program, turn, *, keep_seconds):
+        """Keep what a running turn needs for longer; return without waiting.
+
+        Parameters
+        ----------
+        program : str
+            Its program, the spending of which is kept.
+        turn : str
+            The turn that it continues, which is kept with its chain; empty for none.
+        keep_seconds : float
+            Seconds for which both are kept at least.
+        """
+        message = Renewal(self._copies.version, program, turn, keep_seconds)
+        self._ask_members(self._copies, message, name="renewal")
+
     async def commit(self, turn):
         """Return once a turn is durable.
 
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -151,6 +151,34 @@
     """
 
 
+@dataclass
+class Renewal:
+    """
+    Keeps what a running turn needs: the chain before it and its program's spending.
+    """
+
+    set_version: int
+    program: str
+    """
+    Customer and program, as in a reservation.
+    """
+    turn: str
+    """
+    Turn that the running one continues; empty for none.
+    """
+    keep_seconds: float
+    """
+    Seconds for which a copy keeps both at least after receiving this.
+    """
+
+
+@dataclass
+class Renewed:
+    """
+    The copy keeps what it has of it.
+    """
+
+
 @dataclass
 class ChainQuery:
     """
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -39,6 +39,8 @@
     RecordsAt,
     RecordsKept,
     RecordsQuery,
+    Renewal,
+    Renewed,
     Reservation,
     ReservationCounted,
     ReservationSynced,
@@ -127,6 +129,7 @@
         runtime.peers.register(SpendingQuery, self._serve_spending)
         runtime.peers.register(Settlement, self._serve_settlement)
         runtime.peers.register(TurnCommit, self._serve_commit)
+        runtime.peers.register(Renewal, self._serve_renewal)
         runtime.peers.register_stream(ChainQuery, self._serve_chain)
         runtime.peers.register(RecordsQuery, self._serve_records)
         runtime.peers.register(RecordBatch, self._serve_batch)
@@ -550,6 +553,12 @@
         await self._log.sync()
         return TurnSynced()
 
+    async def _serve_renewal(self, message, context):
+        self._check(message.set_version)
+        expires_at = self._now() + message.keep_seconds
+        self._state.renew(message.program, message.turn, expires_at)
+        return Renewed()
+
     async def _serve_chain(self, message, context):
         self._check(message.set_version)
         async with contextlib.aclosing(self._chains.serve(message)) as parts:
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -107,6 +107,13 @@
             turn = stored.previous
         return list(reversed(chain.values())), ""
 
+    def renew(self, program, turn, expires_at):
+        """Keep a chain and the spending of a program at least until `expires_at`."""
+        self._extend_chain(turn, expires_at)
+        if program in self._expiries:
+            end, first = self._expiries[program]
+            self._expiries[program] = max(end, expires_at), first
+
     def lacks(self, key):
         """Return whether no record is known that has a key, or replaces it."""
         digest, rank = split_key(key)
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -181,6 +181,7 @@
         self.text = b"before:"
         self.turns = []
         self.settled = []
+        self.renewed = []
         self.refuse = None
         self.readable = None
         self.cached = None
@@ -212,6 +213,9 @@
     def settle(self, program, turn, tokens, *, keep_seconds):
         self.settled.append((turn, tokens))
 
+    def renew(self, program, turn, *, keep_seconds):
+        self.renewed.append((program, turn, keep_seconds))
+
     async def commit(self, turn):
         await self.committed.wait()
         self.log.append(("committed",))
--- /dev/null
+++ b/tests/test_retention.py
@@ -0,0 +1,92 @@
+"""Turns and spending are kept for as long as they are needed."""
+
+import asyncio
+import unittest
+
+from sapphireyard.exceptions import CallError
+from sapphireyard.history.generated_history import Reservation
+from sapphireyard.history.state import HistoryState
+from tests.history_case import HistoryCase
+from tests.test_history import build_turn
+
+KEEP_SECONDS = 75.0
+
+
+class LongTurnTest(HistoryCase):
+    """Four copies on whose clocks time passes as the tests say."""
+
+    async def advance(self, seconds):
+        """Let time pass on all clocks; the copies drop what has expired."""
+        for host in self.hosts.values():
+            host.clock.advance += seconds
+        for copy in self.copies.values():
+            await copy.purge_expired()
+
+    async def test_chain_outlives_a_turn_that_continues_it(self):
+        """Guards against a chain that expires during a long turn (review/14).
+
+        Each case has whether copies miss what renews it, or are restarted.
+        """
+        for case in ("calm", "missed", "restarted"):
+            with self.subTest(case):
+                await self.client.commit(
+                    build_turn(f"{case}-1", keep_seconds=KEEP_SECONDS)
+                )
+                await self.client.commit(
+                    build_turn(f"{case}-2", f"{case}-1", keep_seconds=KEEP_SECONDS)
+                )
+                for second in range(0, 2 * int(KEEP_SECONDS), 50):
+                    await self.advance(50.0)
+                    away = ("abcd"[second // 50 % 4],) if case == "missed" else ()
+                    with self.unreachable(*away):
+                        self.client.renew("c/p", f"{case}-2", keep_seconds=KEEP_SECONDS)
+                        await asyncio.sleep(0.1)
+                    if case == "restarted":
+                        await self.stop_copy("a")
+                        await self.start_copy("a", bootstrap=False)
+                        await self.wait_until_serving("a")
+                last = build_turn(f"{case}-3", f"{case}-2", keep_seconds=KEEP_SECONDS)
+                await self.client.commit(last)
+                self.client._cache.clear()
+                chain = await self.client.read_chain(f"{case}-3")
+                self.assertEqual(len(chain.text), 6 * len(f"<{case}-1>"))
+
+    async def test_spending_outlives_a_turn_that_reserved_it(self):
+        """Guards against a budget that is spent twice while a long turn runs."""
+        options = {"keep_seconds": 15.0}
+        await (await self.client.reserve("c/p", "long", 80, 100, **options))
+        for _ in range(3):
+            await self.advance(10.0)
+            self.client.renew("c/p", "", **options)
+            await asyncio.sleep(0.1)
+        with self.assertRaises(CallError) as caught:
+            await self.client.reserve("c/p", "next", 80, 100, **options)
+        self.assertEqual(caught.exception.code, "budget_exceeded")
+
+
+class RenewalTest(unittest.TestCase):
+    def test_renewal_keeps_what_is_there(self):
+        """Each case has what is renewed at 50 s, and what is left at 100 s."""
+        cases = [
+            ("c/p", "two", {"one", "two"}, {"c/p"}),
+            ("c/p", "one", {"one"}, {"c/p"}),
+            ("c/p", "", set(), {"c/p"}),
+            ("c/q", "two", {"one", "two"}, set()),
+            ("c/q", "none", set(), set()),
+        ]
+        for program, turn, turns, programs in cases:
+            with self.subTest((program, turn)):
+                state = HistoryState()
+                state.apply(build_turn("one", keep_seconds=KEEP_SECONDS), 0, 0.0)
+                state.apply(build_turn("two", "one", keep_seconds=KEEP_SECONDS), 1, 0.0)
+                state.apply(Reservation(1, "c/p", "r", 9, KEEP_SECONDS), 2, 0.0)
+                state.renew(program, turn, 50.0 + KEEP_SECONDS)
+                state.expire(100.0)
+                found = {each for each in ("one", "two") if state.find_turn(each)}
+                self.assertEqual(found, turns)
+                found = {each for each in ("c/p", "c/q") if state.spendings(each)}
+                self.assertEqual(found, programs)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.exchange.events import EventReader
@@ -20,9 +21,18 @@
 
 
 class TurnTest(ExchangeTestCase):
-    async def turn(self, **fields):
+    async def turn(self, path="/chat/1", **fields):
         values = {"token_budget": 1000, "output_tokens": 280, "prompt_tokens": 100}
-        return await self.serve("/chat/1", **{**values, **fields})
+        return await self.serve(path, **{**values, **fields})
+
+    def add_route(self, name):
+        """Add a streaming route without retention."""
+        table = self.runtime.configuration.table
+        chat = next(each for each in table.routes if each.name == "chat")
+        route = replace(chat, name=name, prefix=f"/{name}/", retention=None)
+        self.apply_table(
+            replace(table, version=table.version + 1, routes=(*table.routes, route))
+        )
 
     async def test_order_of_what_the_caller_sees(self):
         """No event before its tokens are durable, no end before the turn is."""
@@ -48,6 +58,33 @@
         self.assertEqual(self.sender.sent[0].body, b"before:body")
         self.assertEqual(self.runtime.history.settled, [])
 
+    async def test_chain_and_spending_are_kept_while_a_turn_runs(self):
+        """Guards against a chain that expires during a long turn (review/14).
+
+        Each case has the request, and what is renewed.
+        """
+        cases = [
+            ("/chat/1", {"previous_turn": "t0"}, ("c/p", "t0")),
+            ("/chat/1", {"previous_turn": "t0", "token_budget": None}, ("c/p", "t0")),
+            ("/chat/1", {}, ("c/p", "")),
+            ("/chat/1", {"token_budget": None}, None),
+            ("/live/1", {"previous_turn": "t0"}, ("c/p", "")),
+        ]
+        for path, fields, renewed in cases:
+            with self.subTest((path, fields)):
+                await self.asyncSetUp()
+                self.add_route("live")
+                self.sender.script = ["slow"]
+                with mock.patch("sapphireyard.exchange.turns.RENEWAL_SECONDS", 0.2):
+                    await self.turn(path, program="p", **fields)
+                found = self.runtime.history.renewed
+                self.assertEqual({each[:2] for each in found}, {renewed} - {None})
+                if renewed:
+                    self.assertGreaterEqual(len(found), 3)
+                count = len(found)
+                await asyncio.sleep(0.5)
+                self.assertEqual(len(found), count)
+
     async def test_turns_without_a_program_share_no_budget(self):
         """Each case has program and id of the request, and the stored program."""
         cases = [("p", "r1", "c/p"), ("", "r1", "c/r1"), ("", "r2", "c/r2")]
