A chain in an entry host's memory does not outlive the copies

Cause: the entry host's memory had no time limit, and nobody asked the copies, which had dropped the chain. The turn was stored without what comes before it.

Change: copies tell for how long they keep a chain, and its text in memory is used up to 10 s before that; after that it is read from them, which says what any other entry host says (404 once it is gone). A loss of histories empties that memory. As a last line, a copy tells at a commit whether it has the turn before; a turn of which no copy that answered has the one before is not acknowledged.

--- a/sapphireyard/history/assembly.py
+++ b/sapphireyard/history/assembly.py
@@ -76,6 +76,11 @@
         """int: Bytes of the whole text."""
         return sum(piece.head.size for piece in self._pieces)
 
+    @property
+    def kept_seconds(self):
+        """float: Seconds for which the copies keep all parts."""
+        return min(piece.head.kept_seconds for piece in self._pieces)
+
     async def locate(self, turn):
         """Find the parts of the chain of a turn, the newest first.
 
--- a/sapphireyard/history/chain_source.py
+++ b/sapphireyard/history/chain_source.py
@@ -21,12 +21,15 @@
         What they amount to.
     unpack : callable
         Returns the record in a payload.
+    clock : Clock
+        Clock of this host.
     """
 
-    def __init__(self, log, state, unpack):
+    def __init__(self, log, state, unpack, clock):
         self._log = log
         self._state = state
         self._unpack = unpack
+        self._clock = clock
         self._long_reads = asyncio.Semaphore(LONG_READS)
 
     async def serve(self, message):
@@ -37,6 +40,7 @@
             return
         last = chain[-1]
         size = sum(turn.size for turn in chain)
+        expires_at = min(turn.expires_at for turn in chain)
         begin = max(0, message.start)
         end = min(size, begin + message.length) if message.length > 0 else size
         head = Chain(
@@ -47,6 +51,7 @@
             tokens=last.tokens,
             size=size,
             start=begin,
+            kept_seconds=max(0.0, expires_at - self._clock.monotonic()),
         )
         if message.head_only:
             yield head
--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -42,6 +42,9 @@
 RENEWAL_SECONDS = 5.0
 """Interval in which what a running turn needs is renewed: a third of the margin by
 which copies keep it for longer than it counts."""
+CACHE_MARGIN_SECONDS = 2 * RENEWAL_SECONDS
+"""Time before copies may drop a chain in which its text in memory is not used any more:
+a turn that continues it needs the copies to have it at the first renewal."""
 MAX_CHANGES = 3
 """Changes of the set that one operation follows."""
 REACHABLE_SECONDS = 1.0
@@ -93,6 +96,8 @@
             return
         if copies.lost_before > self._copies.lost_before:
             self._loss_known_at = self._runtime.clock.monotonic()
+            for turn in list(self._cache):
+                self._drop_cached(turn)
         self._copies = copies
         self._changed.set()
         self._changed = asyncio.Event()
@@ -123,9 +128,8 @@
             ``turn_unknown`` if enough copies report that there is no such turn,
             else ``history_unavailable``.
         """
-        cached = self._cache.get(turn)
+        cached = self._find_cached(turn)
         if cached is not None and admit(len(cached.text)):
-            self._cache.move_to_end(turn)
             return cached
         if cached is not None:
             return replace(
@@ -156,11 +160,28 @@
             return
         if len(chain.text) > MAX_WHOLE_BYTES:
             return
-        self._cache[turn] = chain
+        usable_until = (
+            self._runtime.clock.monotonic() + chain.kept_seconds - CACHE_MARGIN_SECONDS
+        )
+        self._cache[turn] = chain, usable_until
         self._cached_bytes += len(chain.text)
         while self._cached_bytes > CACHE_BYTES and len(self._cache) > 1:
-            _, oldest = self._cache.popitem(last=False)
-            self._cached_bytes -= len(oldest.text)
+            self._drop_cached(next(iter(self._cache)))
+
+    def _find_cached(self, turn):
+        """Return the cached `ChainText` of a turn that copies still keep, or None."""
+        chain, usable_until = self._cache.get(turn, (None, 0.0))
+        if chain is None:
+            return None
+        if self._runtime.clock.monotonic() > usable_until:
+            self._drop_cached(turn)
+            return None
+        self._cache.move_to_end(turn)
+        return chain
+
+    def _drop_cached(self, turn):
+        chain, _ = self._cache.pop(turn)
+        self._cached_bytes -= len(chain.text)
 
     async def reserve(self, program, turn, tokens, budget, *, keep_seconds):
         """Reserve tokens for a turn.
@@ -265,7 +286,8 @@
         Raises
         ------
         CallError
-            ``history_unavailable``: too few copies have stored it.
+            ``history_unavailable``: too few copies have stored it, or it continues
+            a turn that is not kept any more.
         """
         turn.written_at = self._wall()
         is_long = len(turn.input) + len(turn.output) > MAX_PARALLEL_BYTES
@@ -278,7 +300,13 @@
             start_task(self._commit_at(host, message), name="turn")
             for host in copies.members
         ]
-        await gather_quorum(tasks, self._quorum(copies), ANSWER_TIMEOUT_SECONDS)
+        answers = await gather_quorum(
+            tasks, self._quorum(copies), ANSWER_TIMEOUT_SECONDS
+        )
+        if all(answer.previous_absent for answer in answers):
+            raise CallError(
+                "history_unavailable", f"turn {turn.previous!r} is not kept any more"
+            )
 
     async def _commit_at(self, host, message):
         """Store a turn at a copy, and again if the connection to it is lost.
--- a/sapphireyard/history/generated_history.py
+++ b/sapphireyard/history/generated_history.py
@@ -150,6 +150,11 @@
     The turn is on the copy's disk.
     """
 
+    previous_absent: bool = False
+    """
+    The copy has no turn of the name that it continues.
+    """
+
 
 @dataclass
 class Renewal:
@@ -242,6 +247,10 @@
     """
     Position in the whole text at which the text of this message begins.
     """
+    kept_seconds: float = 0
+    """
+    Seconds for which the copy keeps all turns of the text; 0 if it does not tell, as older builds.
+    """
     missing: str = ''
     """
     Turn before the part that the copy has, which it lacks; empty if it has all.
--- a/sapphireyard/history/reader.py
+++ b/sapphireyard/history/reader.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sapphireyard.exceptions import CallError, PeerError
 from sapphireyard.fleet.membership import SILENCE_SECONDS
@@ -35,6 +35,8 @@
         Tokens of the whole chain as an engine reads it.
     long : LongText, optional
         The text if it is not kept in memory.
+    kept_seconds : float, optional
+        Seconds for which copies keep all its turns; 0 if they do not tell.
     """
 
     customer: str = ""
@@ -42,13 +44,19 @@
     upstream: str = ""
     tokens: int = 0
     long: LongText | None = None
+    kept_seconds: float = 0.0
 
     def extend(self, turn):
         """Return the `ChainText` after a `Turn`; None if it is not kept in memory."""
         if self.long is not None:
             return None
-        text = self.text + turn.input + turn.output
-        return ChainText(self.customer, text, turn.upstream, turn.context_tokens)
+        return ChainText(
+            self.customer,
+            self.text + turn.input + turn.output,
+            turn.upstream,
+            turn.context_tokens,
+            kept_seconds=turn.keep_seconds,
+        )
 
 
 class ChainReader:
@@ -92,17 +100,14 @@
             async with contextlib.aclosing(stream):
                 head = stream.head
                 if not admit(stream.size):
-                    long = self._build_long(turn, stream.size)
-                    return ChainText(
-                        head.customer, b"", head.upstream, head.tokens, long
-                    )
+                    return self._describe_long(turn, head, stream.size)
                 try:
                     text = await stream.read_text()
                 except (PeerError, CallError) as error:
                     logger.info("chain not read from %s: %s", stream.host, error)
                     failed.append(stream.host)
                     continue
-            return ChainText(head.customer, text, head.upstream, head.tokens)
+            return _build_chain(head, text, head.kept_seconds)
         raise build_unavailable(f"turn {turn!r} was not read whole", ())
 
     async def _open(self, copies, streams, turn, *, is_last):
@@ -140,12 +145,14 @@
             tolerated=self._runtime.settings.tolerated_losses,
         )
         await assembly.locate(turn)
-        head = assembly.head
         if not admit(assembly.size):
-            long = self._build_long(turn, assembly.size)
-            return ChainText(head.customer, b"", head.upstream, head.tokens, long)
+            return self._describe_long(turn, assembly.head, assembly.size)
         text = await assembly.read_text(start, length)
-        return ChainText(head.customer, text, head.upstream, head.tokens)
+        return _build_chain(assembly.head, text, assembly.kept_seconds)
+
+    def _describe_long(self, turn, head, size):
+        """Return the `ChainText` of a chain that is not kept in memory."""
+        return replace(_build_chain(head, b"", 0.0), long=self._build_long(turn, size))
 
     def _order_copies(self, copies):
         """Return the members in the order in which to ask them."""
@@ -159,3 +166,10 @@
             return membership.silent_for(host, now) > SILENCE_SECONDS, not near, host
 
         return sorted(copies.members, key=distance)
+
+
+def _build_chain(head, text, kept_seconds):
+    """Return the `ChainText` that a copy has described by a `Chain`."""
+    return ChainText(
+        head.customer, text, head.upstream, head.tokens, kept_seconds=kept_seconds
+    )
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -109,7 +109,7 @@
         self._log = RecordLog(Path(runtime.settings.data_folder) / "records")
         self._state = HistoryState()
         self._transfer = RecordTransfer(runtime.peers, self._log, self._read_batch)
-        self._chains = ChainSource(self._log, self._state, self._unpack)
+        self._chains = ChainSource(self._log, self._state, self._unpack, runtime.clock)
         self._source = RecordSource(self._log, self._export)
         self._repair = RecordRepair(
             runtime.peers, self._state.lacks, self._store, self._copy_all
@@ -547,11 +547,13 @@
 
     async def _serve_commit(self, message, context):
         self._check(message.set_version)
+        previous = message.turn.previous
+        is_absent = bool(previous) and self._state.find_turn(previous) is None
         if self._state.find_turn(message.turn.turn) is None:
             position = self._append(message.turn)
             self._state.apply(message.turn, position, self._now())
         await self._log.sync()
-        return TurnSynced()
+        return TurnSynced(is_absent)
 
     async def _serve_renewal(self, message, context):
         self._check(message.set_version)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -36,6 +36,7 @@
     ReservationSynced,
     Settlement,
     Turn,
+    TurnSynced,
 )
 from sapphireyard.history.log import RecordLog
 from sapphireyard.history.quorums import gather_quorum
@@ -573,6 +574,7 @@
             self.breaks[host] -= 1
             raise PeerUnavailable(f"connection to {host} ended")
         self.stored.append(host)
+        return TurnSynced()
 
 
 class CommitTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from sapphireyard.exceptions import CallError
 from sapphireyard.history.generated_history import Reservation
+from sapphireyard.history.reader import ChainText
 from sapphireyard.history.state import HistoryState
 from tests.history_case import HistoryCase
 from tests.test_history import build_turn
@@ -64,6 +66,71 @@
         self.assertEqual(caught.exception.code, "budget_exceeded")
 
 
+class CachedChainTest(HistoryCase):
+    """Chains in the memory of an entry host, and the copies' retention."""
+
+    async def advance(self, seconds):
+        """Let time pass on all clocks; the copies drop what has expired."""
+        for host in self.hosts.values():
+            host.clock.advance += seconds
+        for copy in self.copies.values():
+            await copy.purge_expired()
+
+    async def test_chain_in_memory_does_not_outlive_the_copies(self):
+        """Guards against turns whose chain only one entry host still has.
+
+        Each case has the seconds after which the turn is read, and whether it is found.
+        Turns are in memory as they were committed here, or read.
+        """
+        for is_read in (False, True):
+            for seconds, is_found in ((64.0, True), (76.0, False)):
+                with self.subTest((is_read, seconds)):
+                    name = f"{is_read}-{seconds}"
+                    turn = build_turn(name, keep_seconds=KEEP_SECONDS)
+                    await self.client.commit(turn)
+                    if is_read:
+                        await self.client.read_chain(name)
+                    else:
+                        self.client.cache(name, ChainText("c").extend(turn))
+                    await self.advance(seconds)
+                    try:
+                        chain = await self.client.read_chain(name)
+                        self.assertEqual(chain.text, turn.input + turn.output)
+                        found = True
+                    except CallError as error:
+                        self.assertEqual(error.code, "turn_unknown")
+                        found = False
+                    self.assertEqual(found, is_found)
+
+    async def test_chain_in_memory_is_forgotten_with_the_histories(self):
+        """Guards against turns whose chain was lost with the disks."""
+        turn = build_turn("one")
+        self.client.cache("one", ChainText("c").extend(turn))
+        copies = self.client.copies
+        lost = replace(copies, version=copies.version + 1)
+        self.client.update_copies(replace(lost, lost_before=lost.version))
+        self.assertEqual((len(self.client._cache), self.client._cached_bytes), (0, 0))
+
+    async def test_turn_is_not_acknowledged_without_its_chain(self):
+        """Guards against turns that are answered whole and cannot be continued.
+
+        Each case has the copies that have dropped the turn before.
+        """
+        cases = [("", True), ("a", True), ("ab", True), ("abcd", False)]
+        for dropped, is_acknowledged in cases:
+            with self.subTest(dropped):
+                await self.client.commit(build_turn(f"{dropped}-1"))
+                for name in dropped:
+                    self.copies[name]._state._turns.pop(f"{dropped}-1")
+                commit = self.client.commit(build_turn(f"{dropped}-2", f"{dropped}-1"))
+                if is_acknowledged:
+                    await commit
+                    continue
+                with self.assertRaises(CallError) as caught:
+                    await commit
+                self.assertEqual(caught.exception.code, "history_unavailable")
+
+
 class RenewalTest(unittest.TestCase):
     def test_renewal_keeps_what_is_there(self):
         """Each case has what is renewed at 50 s, and what is left at 100 s."""
