A copy searches a turn that it has dropped too early

What callers would see: nothing as long as other copies have the turn; it is one copy fewer for a chain that is still needed. A copy that the entry host cannot reach while a long turn runs gets no renewal, drops the chain, and has examined the others' logs up to there, so that their keys never bring it back.

Change: a copy notes a turn that is missing in a chain that it keeps, and until when the chain needs it. A turn that arrives late is kept for that long. If one is missing for 2 s, the copy examines all logs from their beginnings, and again after 4, 8, .. 64 s.

--- a/sapphireyard/history/repair.py
+++ b/sapphireyard/history/repair.py
@@ -32,6 +32,12 @@
 """Size from which an answer has no further record; other requests come in between."""
 UNKNOWN_MESSAGE = "internal_error"
 """Code with which builds that know no keys answer a question for them."""
+WANTED_SECONDS = 2.0
+"""Time after which a turn that is missing in a chain is searched in all logs, also in
+what was examined before: this copy had it once and dropped it too early."""
+MAX_WANTED_SECONDS = 64.0
+"""Longest interval of such searches, which is doubled with each of them."""
+MAX_LOGGED_TURNS = 10
 FETCH_PAUSE_SECONDS = 0.01
 """Pause between two such messages: at most some 13 MB a second of short records."""
 
@@ -68,8 +74,8 @@
     ----------
     peers : Peers
         Connections to the other copies.
-    lacks : callable
-        Returns whether the record with a key is not here.
+    state : HistoryState
+        What the records here amount to.
     store : callable
         ``await store(records)`` applies and syncs packed records; returns how many of
         them were new.
@@ -77,20 +83,48 @@
         ``await copy_all(host)`` copies all records of a host; returns whether it did.
     """
 
-    def __init__(self, peers, lacks, store, copy_all):
+    def __init__(self, peers, state, store, copy_all):
         self._peers = peers
-        self._lacks = lacks
+        self._state = state
+        self._lacks = state.lacks
         self._store = store
         self._copy_all = copy_all
         self._followed = {}
         self._fetching = asyncio.Lock()
+        self._wanted_since = None
+        self._search_after = WANTED_SECONDS
         self.fetched = 0
 
     async def run(self, hosts):
         """Examine the logs of several hosts once, and fetch what is lacking."""
         self._followed = {host: self._followed.get(host) for host in hosts}
+        self._search_wanted()
         await asyncio.gather(*(self._follow(host) for host in hosts))
 
+    def _search_wanted(self):
+        """Examine all logs from their beginnings if a turn is missing for long."""
+        now = asyncio.get_running_loop().time()
+        if not self._state.wanted:
+            self._wanted_since, self._search_after = None, WANTED_SECONDS
+            return
+        if self._wanted_since is None:
+            self._wanted_since = now
+        if now - self._wanted_since < self._search_after:
+            return
+        self._search_after = min(MAX_WANTED_SECONDS, 2 * self._search_after)
+        self._wanted_since = now
+        for followed in self._followed.values():
+            if followed is not None:
+                followed.cursor = 0
+        logger.info(
+            "missing turns are searched",
+            extra={
+                "decision": "repair",
+                "turns": sorted(self._state.wanted)[:MAX_LOGGED_TURNS],
+                "again_after": self._search_after,
+            },
+        )
+
     async def _follow(self, host):
         followed = self._followed[host] = self._followed[host] or FollowedLog()
         fetched = self.fetched
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -112,7 +112,7 @@
         self._chains = ChainSource(self._log, self._state, self._unpack, runtime.clock)
         self._source = RecordSource(self._log, self._export)
         self._repair = RecordRepair(
-            runtime.peers, self._state.lacks, self._store, self._copy_all
+            runtime.peers, self._state, self._store, self._copy_all
         )
         self._copies = CopySet()
         self._set = StoredSet(runtime.store)
--- a/sapphireyard/history/state.py
+++ b/sapphireyard/history/state.py
@@ -56,6 +56,12 @@
         self._programs = {}
         self._expiries = {}  # by program: end of retention, position of first record
         self._ranks = {}  # by digest of a turn: highest rank of its records
+        self._wanted = {}  # turns missing in chains, and until when these are kept
+
+    @property
+    def wanted(self):
+        """collection of str: Turns that are missing in chains that are kept."""
+        return self._wanted.keys()
 
     def apply(self, record, position, now):
         """Apply a record that arrived at `now`; return whether it was new."""
@@ -165,6 +171,8 @@
         int or None
             None if nothing is left.
         """
+        for turn in [t for t, end in self._wanted.items() if end < now]:
+            del self._wanted[turn]
         for turn in [t for t, stored in self._turns.items() if stored.expires_at < now]:
             stored = self._turns.pop(turn)
             self._forget_rank(stored.program, turn)
@@ -198,6 +206,8 @@
         if known is not None:
             known.expires_at = max(known.expires_at, expires_at)
             return False
+        # Turns that came before this one may need it for longer.
+        expires_at = max(expires_at, self._wanted.pop(turn.turn, 0.0))
         self._turns[turn.turn] = StoredTurn(
             position,
             turn.previous,
@@ -215,7 +225,10 @@
         """Keep a turn and all before it at least until `expires_at`."""
         while turn:
             stored = self._turns.get(turn)
-            if stored is None or stored.expires_at >= expires_at:
+            if stored is None:
+                self._wanted[turn] = max(expires_at, self._wanted.get(turn, 0.0))
+                return
+            if stored.expires_at >= expires_at:
                 return
             stored.expires_at = expires_at
             turn = stored.previous
--- a/tests/test_history_repair.py
+++ b/tests/test_history_repair.py
@@ -178,7 +178,7 @@
             self.copied.append(host)
             return True
 
-        return RecordRepair(copy, self.state.lacks, store, copy_all)
+        return RecordRepair(copy, self.state, store, copy_all)
 
     def count(self, turns):
         """Return how many of some turns are in the state."""
@@ -251,6 +251,27 @@
             await repair.run(["b"])
         self.assertEqual(self.copied, ["b"])
 
+    async def test_turn_that_was_dropped_too_early_is_searched(self):
+        """Guards against records that are passed over as they were here before."""
+        turns = [build_turn("one"), build_turn("two", "one"), build_turn("x", "none")]
+        repair = self.build(FakeCopy(turns))
+        for _ in range(2):
+            await repair.run(["b"])
+        self.state._turns.pop("one")
+        self.state._ranks.pop(build_key(turns[0]) & ~3)
+        self.state.renew("c/p", "two", 2 * LONG)
+        self.assertEqual(self.state.wanted, {"one", "none"})
+        with mock.patch("sapphireyard.history.repair.WANTED_SECONDS", 0.2):
+            await repair.run(["b"])
+            repair._search_after = 0.2
+            await asyncio.sleep(0.3)
+            for _ in range(2):
+                await repair.run(["b"])
+        self.assertEqual(len(self.state.find_chain("two")), 2)
+        self.assertEqual(self.state.find_turn("one").expires_at, 2 * LONG)
+        self.assertEqual(self.state.wanted, {"none"})
+        self.assertEqual(repair._search_after, 0.4)
+
     async def test_invalid_keys_end_the_look_only(self):
         copy = FakeCopy([])
         copy.ask = mock.AsyncMock(return_value=RecordKeys("d", 0, b"odd", 0, False))
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -7,11 +7,14 @@
 from sapphireyard.exceptions import CallError
 from sapphireyard.history.generated_history import Reservation
 from sapphireyard.history.reader import ChainText
+from sapphireyard.history.repair import REPAIR_SECONDS
 from sapphireyard.history.state import HistoryState
 from tests.history_case import HistoryCase
 from tests.test_history import build_turn
 
 KEEP_SECONDS = 75.0
+REPAIRED_SECONDS = 4.3
+"""Time in which a copy gets what it has missed: the shortest `catch-up-s`."""
 
 
 class LongTurnTest(HistoryCase):
@@ -37,6 +40,7 @@
                 await self.client.commit(
                     build_turn(f"{case}-2", f"{case}-1", keep_seconds=KEEP_SECONDS)
                 )
+                await asyncio.sleep(3 * REPAIR_SECONDS)  # all logs are examined
                 for second in range(0, 2 * int(KEEP_SECONDS), 50):
                     await self.advance(50.0)
                     away = ("abcd"[second // 50 % 4],) if case == "missed" else ()
@@ -52,6 +56,15 @@
                 self.client._cache.clear()
                 chain = await self.client.read_chain(f"{case}-3")
                 self.assertEqual(len(chain.text), 6 * len(f"<{case}-1>"))
+                await self.wait_for_chain(f"{case}-3")
+
+    async def wait_for_chain(self, turn):
+        """Wait until each copy has the whole chain of a turn."""
+        async with asyncio.timeout(REPAIRED_SECONDS):
+            while not all(
+                copy._state.find_chain(turn) for copy in self.copies.values()
+            ):
+                await asyncio.sleep(0.02)
 
     async def test_spending_outlives_a_turn_that_reserved_it(self):
         """Guards against a budget that is spent twice while a long turn runs."""
