A turn on a route without retention settles its reservation

What callers saw: the reservation of such a turn counted with the most tokens that it might have generated, until it expired 15 s later, so that a program could get 402 while its budget held one more turn.

Cause: a turn that ends whole replaces its reservation when it is stored; on a route without retention nothing is stored, and nothing else replaced it. Found by reading while looking for what expires too early.

Change: it is settled with the tokens that it has generated, as a turn that fails is.

Measured: the new test of tests.test_turns found no settlement before, and finds it now.

--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -265,7 +265,7 @@
             admitted.mark("last", self._runtime.clock.monotonic())
             await self._commit(admitted, chain, reader)
         await reply.finish()
-        return True
+        return admitted.route.retention is not None
 
     async def _forward(self, admitted, answer, synced, reply, reader):
         """Forward events as they come, the first once the reservation is durable."""
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -117,7 +117,8 @@
         if step == "unsigned":
             yield UpstreamAnswer(200, chunks=self.stream_parts([b"x"]))
             return
-        parts = EVENTS if dispatch.call.path.startswith("/chat/") else [b"answer"]
+        is_stream = dispatch.call.path.startswith(("/chat/", "/live/"))
+        parts = EVENTS if is_stream else [b"answer"]
         chunks = self.stream_parts(parts, cut=step == "cut")
         yield UpstreamAnswer(200, signed=True, chunks=chunks)
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -85,6 +85,13 @@
                 await asyncio.sleep(0.5)
                 self.assertEqual(len(found), count)
 
+    async def test_turn_without_retention_settles_its_reservation(self):
+        """Guards against budgets that are used up by what turns might have taken."""
+        self.add_route("live")
+        await self.turn("/live/1", program="p")
+        self.assertEqual(self.reply.log[-1], ("finish",))
+        self.assertEqual(self.runtime.history.settled, [("r1", 28)])
+
     async def test_turns_without_a_program_share_no_budget(self):
         """Each case has program and id of the request, and the stored program."""
         cases = [("p", "r1", "c/p"), ("", "r1", "c/r1"), ("", "r2", "c/r2")]
