The spending of a program is kept until the program has ended

What callers would see: a program with turns on a route without retention could spend its budget again 15 s after its last record.

Cause: spending was kept for the retention of the route of each turn, and 15 s. Without retention that is 15 s, and a tool, or a turn on another route, may take longer. After a loss of histories reservations were refused for as long, though records of other routes would have counted for longer.

Change: reservations, settlements and renewals are kept for the longest retention of all routes, for twice the time that the program has left, at most 600 s, and the margin.

Measured: the new table in tests.test_turns; without the change it finds 15 s for the route without retention instead of 75 s and 215 s.

--- a/sapphireyard/exchange/routes.py
+++ b/sapphireyard/exchange/routes.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from functools import cached_property
 
 import xxhash
 
@@ -182,6 +183,11 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         object.__setattr__(self, "_by_host", by_host)
 
+    @cached_property
+    def longest_retention(self):
+        """float: Longest retention of all routes, in seconds; 0 if none keeps turns."""
+        return max((route.retention or 0.0 for route in self.routes), default=0.0)
+
     def find_route(self, host, path):
         """Return the route with the longest prefix of `path`, or None."""
         for route in self._by_host.get(host, ()):
--- a/sapphireyard/exchange/turns.py
+++ b/sapphireyard/exchange/turns.py
@@ -24,6 +24,11 @@
 RETENTION_MARGIN_SECONDS = 15.0
 """Added to the retention: copies receive a turn, and start to count its retention,
 before its caller sees the end."""
+PROGRAM_FACTOR = 2.0
+"""A program may go on until twice the time has passed that it has left."""
+MAX_PROGRAM_SECONDS = 300.0
+"""Longest time of a program for which its spending is kept between two turns: callers
+choose it, and copies keep the log since a program's first record."""
 UNSENT_RETRIES = 2
 """Retries after failed connections, in addition to the route's attempts."""
 MAX_EVENT_BYTES = 1024 * 1024
@@ -65,7 +70,7 @@
             held.close(hold)
 
     async def _serve(self, admitted, reply, hold):
-        keep_seconds = self._keep_seconds(admitted)
+        keep_seconds = self._spending_seconds(admitted)
         chain, synced = await self._prepare(admitted, keep_seconds, hold)
         admitted.mark("history", self._runtime.clock.monotonic())
         reader = admitted.reader = EventReader()
@@ -316,9 +321,23 @@
 
     @staticmethod
     def _keep_seconds(admitted):
-        """Return the seconds for which records of a turn are kept."""
+        """Return the seconds for which a turn is kept."""
         return (admitted.route.retention or 0.0) + RETENTION_MARGIN_SECONDS
 
+    def _spending_seconds(self, admitted):
+        """Return the seconds for which the spending of a program is kept.
+
+        Its next turn may be on another route, and come at any time until the program
+        ends, or within the retention after that.
+        """
+        table = self._runtime.configuration.table
+        program_seconds = min(admitted.call.program_timeout or 0.0, MAX_PROGRAM_SECONDS)
+        return RETENTION_MARGIN_SECONDS + max(
+            admitted.route.retention or 0.0,
+            table.longest_retention,
+            PROGRAM_FACTOR * program_seconds,
+        )
+
     def _count_tokens(self, admitted, reader):
         """Return the tokens that a turn has generated.
 
--- a/tests/exchange_case.py
+++ b/tests/exchange_case.py
@@ -183,6 +183,7 @@
         self.turns = []
         self.settled = []
         self.renewed = []
+        self.reserved = []
         self.refuse = None
         self.readable = None
         self.cached = None
@@ -202,6 +203,7 @@
         return ChainText("c", b"", "up-1", 50, long)
 
     async def reserve(self, program, turn, tokens, budget, *, keep_seconds):
+        self.reserved.append((program, tokens, keep_seconds))
         if self.refuse:
             raise CallError(self.refuse, "no", retry_after=0.3)
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -11,6 +11,7 @@
 from sapphireyard.exchange.events import EventReader
 from sapphireyard.exchange.held import MEBIBYTE, HeldBytes
 from sapphireyard.exchange.routes import EngineLimits, Service
+from sapphireyard.exchange.turns import MAX_PROGRAM_SECONDS
 from sapphireyard.history.client import MAX_WHOLE_BYTES
 from tests.exchange_case import EVENTS, ExchangeTestCase
 
@@ -92,6 +93,29 @@
         self.assertEqual(self.reply.log[-1], ("finish",))
         self.assertEqual(self.runtime.history.settled, [("r1", 28)])
 
+    async def test_spending_is_kept_until_the_program_has_ended(self):
+        """Guards against a budget that is spent again on a route without retention.
+
+        Each case has the path, the seconds left to the program, and the seconds for
+        which its spending is kept; turns are kept for 60 s on one of the routes.
+        """
+        cases = [
+            ("/chat/1", None, 75.0),
+            ("/live/1", None, 75.0),
+            ("/live/1", 20.0, 75.0),
+            ("/live/1", 100.0, 215.0),
+            ("/chat/1", float("inf"), 2 * MAX_PROGRAM_SECONDS + 15.0),
+        ]
+        for path, seconds, expected in cases:
+            with self.subTest((path, seconds)):
+                await self.asyncSetUp()
+                self.add_route("live")
+                await self.turn(path, program="p", program_timeout=seconds)
+                (reserved,) = self.runtime.history.reserved
+                self.assertEqual(reserved, ("c/p", 280, expected))
+                kept = [each.keep_seconds for each in self.runtime.history.turns]
+                self.assertEqual(kept, [75.0] if path == "/chat/1" else [])
+
     async def test_turns_without_a_program_share_no_budget(self):
         """Each case has program and id of the request, and the stored program."""
         cases = [("p", "r1", "c/p"), ("", "r1", "c/r1"), ("", "r2", "c/r2")]
