Hosts accept few connections at a time on their port for each other

A process that reaches its limit can accept nobody.

Cause: the event loop accepts as many connections in one step as its backlog says, 1,024 on this port, before it is decided which are kept.

Change: 32 are accepted at a time; as many as before may wait in the system's queue.

--- a/sapphireyard/intake.py
+++ b/sapphireyard/intake.py
@@ -27,6 +27,8 @@
 """Connections, and bytes that they hold, where no settings limit them."""
 LISTEN_BACKLOG = 1024
 """Connections that may wait to be accepted; callers open many after a restart."""
+ACCEPTED_AT_ONCE = 32
+"""Connections that are accepted before it is decided which of them are kept."""
 CLOSED_SHARE = 1 / 32
 """Share of the connections that are closed at a time, as each choice takes a while."""
 
--- a/sapphireyard/streams/peers.py
+++ b/sapphireyard/streams/peers.py
@@ -14,7 +14,7 @@
 
 from sapphireyard.addresses import parse_address
 from sapphireyard.exceptions import PeerError, PeerUnavailable
-from sapphireyard.intake import LISTEN_BACKLOG, open_listener
+from sapphireyard.intake import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, open_listener
 from sapphireyard.streams import generated_messages
 from sapphireyard.streams.connections import Connection
 from sapphireyard.streams.frames import MessageCodec, MessageTooLarge
@@ -134,8 +134,10 @@
         listener = open_listener(self._runtime.settings.peer_address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, sock=listener, backlog=LISTEN_BACKLOG
+            self._accept, sock=listener, backlog=ACCEPTED_AT_ONCE
         )
+        # The event loop accepts as many at a time as it lets wait; more may wait.
+        listener.listen(LISTEN_BACKLOG)
 
     async def on_start(self):
         await self.listen()
