A silent upstream has not ended its answer

Cause: such an answer counts only if its upstream still accepts connections, and a time-out counted as accepting, so that a cut link was not taken for a crash. But a machine that has failed refuses nothing.

Change: whether an upstream accepts connections is yes, no, or unknown. A crash is counted if it is no, as before; an answer is whole only if it is yes. While it is unknown it is asked again for 2 s, as sound upstreams fall silent for a second. The hosts that are asked for their view tell unknown from yes as well. The own interface had the same fault and uses the same function.

--- a/sapphireyard/answers.py
+++ b/sapphireyard/answers.py
@@ -29,6 +29,10 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Time-out of connections; one between failure domains takes 3 ms."""
 
+SILENT_SECONDS = 2.0
+"""Longest silence of a sound server, with a margin."""
+ASK_AGAIN_SECONDS = 0.1
+
 END_OF_HEAD = b"\r\n\r\n"
 VERSION = b"HTTP/1.0 "
 VERSION_PATTERN = re.compile(rb"HTTP/1\.[0-9] ")
@@ -353,8 +357,29 @@
 
 
 async def is_listening(address):
-    """Return False if a server at IP:PORT refuses connections.
+    """Return whether a server at IP:PORT accepts connections; None if it is silent.
+
+    Silence does not count as a refusal: the network may be at fault.
+    """
+    reaction = await try_connect(address)
+    return None if reaction == SILENT else reaction == LISTENING
+
 
-    A time-out does not count as a refusal: the network may be at fault.
+async def ended_its_answer(ask):
+    """Return whether a server that closed a connection in order still accepts others.
+
+    A process that has crashed closes its connections in order, and one on a machine
+    that has failed does not refuse others. Sound servers may be silent for a second.
+
+    Parameters
+    ----------
+    ask : callable
+        ``await ask()`` returns whether the server accepts connections, or None.
     """
-    return await try_connect(address) != REFUSED
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + SILENT_SECONDS
+    while True:
+        found = await ask()
+        if found is not None or loop.time() >= give_up_at:
+            return bool(found)
+        await asyncio.sleep(ASK_AGAIN_SECONDS)
--- a/sapphireyard/exchange/calls.py
+++ b/sapphireyard/exchange/calls.py
@@ -244,9 +244,9 @@
 
     @abstractmethod
     async def is_listening(self, upstream):
-        """Return False if an upstream refuses connections, None if that is unknown.
+        """Return whether an upstream accepts connections; None if that is unknown.
 
-        A timeout does not count as a refusal: the network may be at fault.
+        Silence does not count as a refusal: the network may be at fault.
         """
 
 
--- a/sapphireyard/exchange/exchange.py
+++ b/sapphireyard/exchange/exchange.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from functools import partial
 
-from sapphireyard.answers import CLOSED
+from sapphireyard.answers import CLOSED, ended_its_answer
 from sapphireyard.exceptions import (
     EXECUTED_UNKNOWN,
     CallError,
@@ -415,7 +415,9 @@
         in order. If nothing else ends an answer, its upstream must still accept
         connections.
         """
-        if answer.end.outcome != CLOSED or await self._sender.is_listening(upstream):
+        if answer.end.outcome != CLOSED:
+            return
+        if await ended_its_answer(lambda: self._sender.is_listening(upstream)):
             return
         raise UpstreamFailed(
             "upstream is down after an answer without a length", crashed=True
--- a/sapphireyard/exchange/relays.py
+++ b/sapphireyard/exchange/relays.py
@@ -13,7 +13,7 @@
 
 import mode
 
-from sapphireyard.answers import BROKEN, LISTENING, REFUSED, BodyEnd
+from sapphireyard.answers import BROKEN, LISTENING, REFUSED, SILENT, BodyEnd
 from sapphireyard.exceptions import (
     EXECUTED_NO,
     CallError,
@@ -112,7 +112,7 @@
             return True
         if False in answers or reaction == REFUSED:
             return False
-        return None if reaction is None else True
+        return None
 
     @lasting_task
     async def _probe_links(self):
@@ -303,7 +303,7 @@
         reaction = await self._direct.try_connect(
             upstream, timeout=PROBE_TIMEOUT_SECONDS
         )
-        return LinkState(reaction != REFUSED)
+        return LinkState(None if reaction == SILENT else reaction == LISTENING)
 
     async def _query(self, host, upstream):
         """Return whether an upstream accepts a host's connections; None if unknown."""
--- a/sapphireyard/upstreams/upstreams.py
+++ b/sapphireyard/upstreams/upstreams.py
@@ -16,6 +16,7 @@
     CONNECTION,
     READ_BUFFER_BYTES,
     build_connector,
+    ended_its_answer,
     find_framing,
     is_listening,
     read_limited,
@@ -355,7 +356,9 @@
     If only the end of the connection ends an answer, the service must still accept
     connections: those of a crashed process may be closed in order.
     """
-    if find_framing(response) != CONNECTION or await is_listening(address):
+    if find_framing(response) != CONNECTION:
+        return
+    if await ended_its_answer(lambda: is_listening(address)):
         return
     raise UpstreamError(
         f"{address}: down after an answer without a length", sent=True, crashed=True
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -81,6 +81,37 @@
                 await self.answer(HEAD, b"body", PAUSE_SECONDS, end, path=path)
                 self.assertEqual(self.reply.status, status)
 
+    async def test_silent_upstream_has_not_ended_its_answer(self):
+        """Guards against a machine that failed and answers nothing (review/12).
+
+        Cases are the path, the seconds for which the upstream is silent after its
+        answer, and whether that counts as whole.
+        """
+        cases = [
+            ("/book/1", 0.0, True),
+            ("/book/1", 1.0, True),
+            ("/book/1", 60.0, False),
+            ("/chat/1", 1.0, True),
+            ("/chat/1", 60.0, False),
+        ]
+        loop = asyncio.get_running_loop()
+        for path, seconds, is_whole in cases:
+            with self.subTest((path, seconds)):
+                await self.asyncSetUp()
+                silent_until = loop.time() + seconds
+
+                async def is_listening(upstream, silent_until=silent_until):
+                    return None if loop.time() < silent_until else True
+
+                self.sender.is_listening = is_listening
+                body = EVENTS if path == "/chat/1" else [b"body"]
+                await self.answer(HEAD, *body, End.CLOSE, path=path)
+                is_complete = self.complete and self.reply.status == 200
+                self.assertEqual(is_complete, is_whole)
+                self.assertEqual(
+                    bool(self.runtime.history.turns), path == "/chat/1" and is_whole
+                )
+
     async def test_answer_counts_though_other_bytes_follow_it_at_once(self):
         """The bytes belong to no request; the next one gets another connection."""
         body = b"answer"
