An answer that ended while this host stood still is not whole

Cause: whoever accepts connections at an upstream's address was taken for the process that had answered. That holds as long as a restart does not fit between the end of the connection and the question. A host that stands still asks long after the end.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import socket
+import threading
+import time
 from collections import Counter
 
 from sapphireyard.answers import (
@@ -28,6 +31,16 @@
 RANDOM_CASES = 200
 
 
+def answer_once(server, data, accepted):
+    """Answer one request and close its connection; go on listening."""
+    connection, _ = server.accept()
+    with connection:
+        connection.recv(65536)
+        accepted.set()
+        time.sleep(PAUSE_SECONDS * 10)
+        connection.sendall(data)
+
+
 class LogTest(AnswerTestCase):
     async def test_log_and_metrics_tell_how_an_answer_ended(self):
         """Cases are the answer, its framing and ending, events, and bytes after them.
@@ -112,6 +125,31 @@
                     bool(self.runtime.history.turns), path == "/chat/1" and is_whole
                 )
 
+    async def test_answer_that_ended_while_the_host_stood_still_is_not_whole(self):
+        """Guards against a new run of an upstream that listens instead (review/15).
+
+        Cases are the head, for how long the host stands still before it reads the end,
+        and the status. The upstream runs in a thread, which goes on meanwhile.
+        """
+        cases = [(HEAD, 0.0, 200), (HEAD, 1.3, 502), (LENGTH_HEAD, 1.3, 200)]
+        for head, seconds, status in cases:
+            with self.subTest((head, seconds)):
+                await self.asyncSetUp()
+                body = b"".join(EVENTS)
+                with socket.create_server(("127.0.0.1", 0)) as server:
+                    self.set_upstreams("%s:%d" % server.getsockname())
+                    accepted = threading.Event()
+                    arguments = server, head + body, accepted
+                    thread = threading.Thread(target=answer_once, args=arguments)
+                    thread.start()
+                    serving = asyncio.ensure_future(self.serve("/book/1"))
+                    while not accepted.is_set():
+                        await asyncio.sleep(0.01)
+                    time.sleep(seconds)
+                    await serving
+                    thread.join()
+                self.assertEqual(self.reply.status, status)
+
     async def test_answer_counts_though_other_bytes_follow_it_at_once(self):
         """The bytes belong to no request; the next one gets another connection."""
         body = b"answer"
