How far a log was examined is remembered while its copy is silent

Seen: by reading. A copy that had been frozen counts all others as silent for a moment, forgot how far it had examined their logs, and examined them from their beginnings. Nothing is lost by it, but the repair of each pause would read all keys of all copies.

Change: only a copy that has left the set is forgotten.

Measured: the new test of tests.test_history_repair; it could not be run on the code before, as the repair has another signature.

--- a/sapphireyard/history/repair.py
+++ b/sapphireyard/history/repair.py
@@ -95,11 +95,21 @@
         self._search_after = WANTED_SECONDS
         self.fetched = 0
 
-    async def run(self, hosts):
-        """Examine the logs of several hosts once, and fetch what is lacking."""
-        self._followed = {host: self._followed.get(host) for host in hosts}
+    async def run(self, members, reachable):
+        """Examine the logs of other copies once, and fetch what is lacking.
+
+        Parameters
+        ----------
+        members : collection of str
+            The other copies; how far their logs have been examined is remembered.
+        reachable : collection of str
+            Those of them that are asked.
+        """
+        self._followed = {
+            host: self._followed.get(host) or FollowedLog() for host in members
+        }
         self._search_wanted()
-        await asyncio.gather(*(self._follow(host) for host in hosts))
+        await asyncio.gather(*(self._follow(host) for host in reachable))
 
     def _search_wanted(self):
         """Examine all logs from their beginnings if a turn is missing for long."""
@@ -114,8 +124,7 @@
         self._search_after = min(MAX_WANTED_SECONDS, 2 * self._search_after)
         self._wanted_since = now
         for followed in self._followed.values():
-            if followed is not None:
-                followed.cursor = 0
+            followed.cursor = 0
         logger.info(
             "missing turns are searched",
             extra={
@@ -126,7 +135,7 @@
         )
 
     async def _follow(self, host):
-        followed = self._followed[host] = self._followed[host] or FollowedLog()
+        followed = self._followed[host]
         fetched = self.fetched
         try:
             await self._fetch(host, followed, followed.awaited)
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -210,13 +210,11 @@
     async def _repair_regularly(self):
         while not self.should_stop:
             if self._serving:
-                members = [name for name in self._copies.members if self._follows(name)]
-                await self._repair.run(members)
+                members = set(self._copies.members) - {self._runtime.host}
+                reachable = [name for name in members if not self._is_gone(name)]
+                await self._repair.run(members, sorted(reachable))
             await self.sleep(REPAIR_SECONDS)
 
-    def _follows(self, host):
-        return host != self._runtime.host and not self._is_gone(host)
-
     @lasting_timer(PURGE_SECONDS)
     async def _purge_regularly(self):
         try:
--- a/tests/test_history_repair.py
+++ b/tests/test_history_repair.py
@@ -189,10 +189,10 @@
         turns = [build_turn(f"t{number}") for number in range(3)]
         copy = FakeCopy(turns)
         repair = self.build(copy)
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(self.count(turns), 0)
         self.state.apply(turns[0], 0, 0.0)
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(self.count(turns), 3)
         self.assertEqual(repair.fetched, 2)
 
@@ -200,12 +200,12 @@
         turns = [build_turn(f"t{number}") for number in range(205)]
         copy = FakeCopy(turns, page=50)
         repair = self.build(copy)
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(self.count(turns), 200)
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(self.count(turns), 205)
         copy.asked.clear()
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(copy.asked, [KeysQuery(205)])
 
     async def test_failures_lose_no_record(self):
@@ -228,19 +228,19 @@
 
                 copy.ask = fail
                 for _ in range(3):
-                    await repair.run(["b"])
+                    await repair.run(["b"], ["b"])
                 self.assertEqual(self.count(turns), 205)
 
     async def test_log_of_another_disk_is_examined_from_its_beginning(self):
         turns = [build_turn(f"t{number}") for number in range(3)]
         copy = FakeCopy(turns)
         repair = self.build(copy)
-        await repair.run(["b"])
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
+        await repair.run(["b"], ["b"])
         more = [build_turn(f"u{number}") for number in range(2)]
         copy.records, copy.disk = more, "disk-2"
-        await repair.run(["b"])
-        await repair.run(["b"])
+        await repair.run(["b"], ["b"])
+        await repair.run(["b"], ["b"])
         self.assertEqual(self.count(more), 2)
 
     async def test_host_of_an_older_build_is_copied_once(self):
@@ -248,7 +248,7 @@
         copy.ask = mock.AsyncMock(side_effect=CallError("internal_error", "unknown"))
         repair = self.build(copy)
         for _ in range(3):
-            await repair.run(["b"])
+            await repair.run(["b"], ["b"])
         self.assertEqual(self.copied, ["b"])
 
     async def test_turn_that_was_dropped_too_early_is_searched(self):
@@ -256,26 +256,37 @@
         turns = [build_turn("one"), build_turn("two", "one"), build_turn("x", "none")]
         repair = self.build(FakeCopy(turns))
         for _ in range(2):
-            await repair.run(["b"])
+            await repair.run(["b"], ["b"])
         self.state._turns.pop("one")
         self.state._ranks.pop(build_key(turns[0]) & ~3)
         self.state.renew("c/p", "two", 2 * LONG)
         self.assertEqual(self.state.wanted, {"one", "none"})
         with mock.patch("sapphireyard.history.repair.WANTED_SECONDS", 0.2):
-            await repair.run(["b"])
+            await repair.run(["b"], ["b"])
             repair._search_after = 0.2
             await asyncio.sleep(0.3)
             for _ in range(2):
-                await repair.run(["b"])
+                await repair.run(["b"], ["b"])
         self.assertEqual(len(self.state.find_chain("two")), 2)
         self.assertEqual(self.state.find_turn("one").expires_at, 2 * LONG)
         self.assertEqual(self.state.wanted, {"none"})
         self.assertEqual(repair._search_after, 0.4)
 
+    async def test_silent_copy_is_followed_on_from_where_it_was(self):
+        """Guards against logs that are examined anew after each pause."""
+        copy = FakeCopy([build_turn(f"t{number}") for number in range(3)])
+        repair = self.build(copy)
+        for reachable in (["b"], ["b"], [], ["b"]):
+            await repair.run(["b"], reachable)
+        self.assertEqual(copy.asked[-1], KeysQuery(3))
+        await repair.run([], [])
+        await repair.run(["b"], ["b"])
+        self.assertEqual(copy.asked[-1], KeysQuery(0))
+
     async def test_invalid_keys_end_the_look_only(self):
         copy = FakeCopy([])
         copy.ask = mock.AsyncMock(return_value=RecordKeys("d", 0, b"odd", 0, False))
-        await self.build(copy).run(["b"])
+        await self.build(copy).run(["b"], ["b"])
         self.assertEqual(self.copied, [])
 
 
