A copy counts a fetched record as known once its log has it

What would be seen: a copy whose disk fails while it fetches records counts them as stored, never fetches them again, and lacks them after its next restart.

Cause: records of other copies, in a repair and in a join, were applied to the state before the log took them, and the log refuses them while its disk fails.

Change: the log takes a record first, as with those of entry hosts.

Measured: the new test of tests.test_history_repair found the turn in the state of a copy whose log had refused it; it comes back once the disk can be written now.

--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -50,6 +50,7 @@
     TurnCommit,
     TurnSynced,
 )
+from sapphireyard.history.keys import build_key
 from sapphireyard.history.log import (
     LogFailed,
     RecordLog,
@@ -631,9 +632,11 @@
             record = self._unpack(payload)
             if isinstance(record, CopySet):
                 continue
-            if self._state.apply(record, self._log.end, self._now()):
-                self._append(record)
+            position = self._log.end
+            if self._state.lacks(build_key(record)):
+                position = self._append(record)
                 new += 1
+            self._state.apply(record, position, self._now())
         return new
 
     async def _copy_all(self, host):
--- a/tests/test_history_repair.py
+++ b/tests/test_history_repair.py
@@ -15,7 +15,7 @@
     Settlement,
 )
 from sapphireyard.history.keys import KEY_BYTES, KeyIndex, build_key, unpack_keys
-from sapphireyard.history.log import RecordLog
+from sapphireyard.history.log import LogFailed, RecordLog
 from sapphireyard.history.repair import (
     FETCH_BYTES,
     FETCH_RECORDS,
@@ -115,6 +115,24 @@
         await self.start_copy("d", bootstrap=False)
         await self.wait_until_repaired("d")
 
+    async def test_records_come_back_once_the_disk_can_be_written(self):
+        """Guards against records that a copy counts as stored and does not store."""
+        await self.miss_records("d", restart=True)
+        append = RecordLog.append
+
+        def fail(log, payload):
+            if "/d/" in str(log._folder) and failing:
+                raise LogFailed("disk full")
+            return append(log, payload)
+
+        failing = True
+        with mock.patch.object(RecordLog, "append", fail):
+            await self.start_copy("d", bootstrap=False)
+            await asyncio.sleep(3 * REPAIR_SECONDS)
+            self.assertIsNone(self.copies["d"]._state.find_turn("one"))
+            failing = False
+            await self.wait_until_repaired("d")
+
     async def test_expired_records_do_not_come_back(self):
         """Guards against records that copies give each other for ever.
 
