A batch of records fits into one message beside a long turn

What would be seen: a host that lost its disk never joins again, "a message of 8774699 bytes is longer than 8388608 bytes", so that the next loss stops all turns.

Cause: a batch ended once it had 512 KiB, and its last record came on top: a turn near the longest one that is kept, after shorter ones, made a message that no host sends. The joining host asked again for ever.

Change: a record that would exceed the size of a batch begins the next one.

Measured: the new test of tests.test_history_repair, with a turn of the longest size after nine of 50 kB, ran into its time-out of 8.6 s for an empty copy; it passes now.

--- a/sapphireyard/history/repair.py
+++ b/sapphireyard/history/repair.py
@@ -29,7 +29,7 @@
 FETCH_RECORDS = 64
 """Records asked for in one message."""
 FETCH_BYTES = 128 * 1024
-"""Size from which an answer has no further record; other requests come in between."""
+"""Size of an answer with several records; other requests come in between."""
 UNKNOWN_MESSAGE = "internal_error"
 """Code with which builds that know no keys answer a question for them."""
 WANTED_SECONDS = 2.0
@@ -253,14 +253,37 @@
 
     def find(self, cursors):
         """Return the `RecordsFound` for the first of some cursors."""
-        records = []
-        size = examined = 0
-        for cursor in cursors[:FETCH_RECORDS]:
-            if size >= FETCH_BYTES:
-                break
-            examined += 1
-            payload = self._export(self._log.find_position(cursor))
-            if payload is not None:
-                records.append(payload)
-                size += len(payload)
-        return RecordsFound(examined, records)
+        payloads = (
+            self._export(self._log.find_position(cursor))
+            for cursor in cursors[:FETCH_RECORDS]
+        )
+        return RecordsFound(*fill_batch(payloads, FETCH_BYTES))
+
+
+def fill_batch(payloads, limit):
+    """Take records for one message, which exceeds `limit` bytes only for a single one.
+
+    Parameters
+    ----------
+    payloads : iterable of bytes or None
+        Packed records; None for one that is left out.
+    limit : int
+        Size of the message in bytes, well below that of the largest frame.
+
+    Returns
+    -------
+    int
+        How many were examined.
+    list of bytes
+        Those that were taken.
+    """
+    taken = []
+    size = examined = 0
+    for payload in payloads:
+        size += len(payload or b"")
+        if taken and size > limit:
+            break
+        examined += 1
+        if payload is not None:
+            taken.append(payload)
+    return examined, taken
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -61,6 +61,7 @@
     REPAIR_SECONDS,
     RecordRepair,
     RecordSource,
+    fill_batch,
 )
 from sapphireyard.history.state import HistoryState
 from sapphireyard.history.stored_set import StoredSet
@@ -663,18 +664,11 @@
         return None if record is None else self._pack(record)
 
     def _read_batch(self, after, written_after=0.0):
-        records = []
-        size = 0
-        position = max(after, self._log.first)
-        end = min(self._log.end, position + BATCH_RECORDS)
-        while position < end and size < BATCH_BYTES:
-            payload = self._export(position, written_after)
-            position += 1
-            if payload is None:
-                continue
-            records.append(payload)
-            size += len(payload)
-        return RecordBatch(position, records)
+        begin = max(after, self._log.first)
+        end = min(self._log.end, begin + BATCH_RECORDS)
+        payloads = (self._export(each, written_after) for each in range(begin, end))
+        examined, records = fill_batch(payloads, BATCH_BYTES)
+        return RecordBatch(begin + examined, records)
 
     def _now(self):
         return self._runtime.clock.monotonic()
--- a/tests/test_history_repair.py
+++ b/tests/test_history_repair.py
@@ -1,12 +1,15 @@
 """Copies that missed records, in any way, get them back in bounded time."""
 
 import asyncio
+import shutil
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
 from sapphireyard.exceptions import CallError, PeerUnavailable
+from sapphireyard.exchange.turns import MAX_TURN_BYTES
 from sapphireyard.history.generated_history import (
     KeysQuery,
     RecordKeys,
@@ -115,6 +118,28 @@
         await self.start_copy("d", bootstrap=False)
         await self.wait_until_repaired("d")
 
+    async def test_longest_turns_come_back_beside_short_ones(self):
+        """Guards against batches that no frame can hold.
+
+        Each case has the copy that is replaced by an empty one, if any.
+        """
+        longest = bytes(MAX_TURN_BYTES)
+        for wiped in ("", "d"):
+            with self.subTest(wiped):
+                await self.stop_copy("d")
+                if wiped:
+                    shutil.rmtree(self.folder / wiped)
+                short = [build_turn(f"{wiped}short-{n}") for n in range(9)]
+                for turn in short:
+                    await self.client.commit(replace(turn, input=bytes(50_000)))
+                long = replace(build_turn(f"{wiped}long"), input=longest, output=b"")
+                await self.client.commit(long)
+                await self.start_copy("d", bootstrap=False)
+                state = self.copies["d"]._state
+                async with asyncio.timeout(2 * REPAIRED_SECONDS):
+                    while not state.find_turn(long.turn):
+                        await asyncio.sleep(0.02)
+
     async def test_records_come_back_once_the_disk_can_be_written(self):
         """Guards against records that a copy counts as stored and does not store."""
         await self.miss_records("d", restart=True)
@@ -385,8 +410,13 @@
         await self.append(log, source, *range(8))
         cursors = [source.list_keys("disk", 0).first] * 3 * FETCH_RECORDS
         self.assertEqual(source.find(cursors).examined, FETCH_RECORDS)
-        source._export = lambda position: bytes(FETCH_BYTES // 2)
-        self.assertEqual(source.find(cursors).examined, 2)
+        for size, examined in (
+            (FETCH_BYTES // 2, 2),
+            (FETCH_BYTES // 2 + 1, 1),
+            (2 * FETCH_BYTES, 1),
+        ):
+            source._export = lambda position, size=size: bytes(size)
+            self.assertEqual(source.find(cursors).examined, examined)
         page = source.list_keys("disk", 0)
         self.assertLessEqual(len(page.keys), PAGE_KEYS * KEY_BYTES)
 
