A settlement is sent until it is durable

What callers would see: 402 for a turn that the budget still holds, for a minute or more, after an entry host could not reach the copies for a second.

Cause: a settlement was sent to each copy once, and nobody noted whether any got it; the reservation then counts with the most tokens of its turn until it expires.

Change: it is sent again after 1, 2 and 4 s until more copies have it than may be lost at once; the others fetch it from these. If none of this helps, a log line says so.

--- a/sapphireyard/history/client.py
+++ b/sapphireyard/history/client.py
@@ -20,6 +20,7 @@
     Settlement,
     SpendingQuery,
     TurnCommit,
+    TurnSynced,
 )
 from sapphireyard.history.quorums import (
     COPIES_CHANGED,
@@ -34,6 +35,8 @@
 
 ANSWER_TIMEOUT_SECONDS = 1.0
 """Longest wait for enough copies; a disk sync takes 1 to 5 ms."""
+SETTLE_PAUSES_SECONDS = (1.0, 2.0, 4.0)
+"""Pauses before a settlement is sent again that too few copies have stored."""
 COMMIT_RETRY_SECONDS = 0.05
 """Pause before a turn is sent again to a copy whose connection was lost."""
 CHANGE_TIMEOUT_SECONDS = 0.6
@@ -263,7 +266,30 @@
     def settle(self, program, turn, tokens, *, keep_seconds):
         """Replace a reservation by the tokens used; return without waiting."""
         message = Settlement(program, turn, tokens, keep_seconds, self._wall())
-        self._ask_members(self._copies, message, name="settlement")
+        start_task(self._settle(message), name="settlement")
+
+    async def _settle(self, message):
+        """Send a settlement until more copies have it than may be lost.
+
+        The others fetch it from these. Without it the reservation goes on to count.
+        """
+        for pause in (*SETTLE_PAUSES_SECONDS, 0.0):
+            tasks = self._ask_members(self._copies, message, name="settlement")
+            answers = await asyncio.gather(*tasks, return_exceptions=True)
+            stored = sum(isinstance(answer, TurnSynced) for answer in answers)
+            if stored > self._runtime.settings.tolerated_losses:
+                return
+            await asyncio.sleep(pause)
+        logger.warning(
+            "settlement is not durable",
+            extra={
+                "decision": "settle",
+                "program": message.program,
+                "turn": message.turn,
+                "tokens": message.tokens,
+                "copies": stored,
+            },
+        )
 
     def renew(self, program, turn, *, keep_seconds):
         """Keep what a running turn needs for longer; return without waiting.
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -79,6 +79,34 @@
         self.assertEqual(caught.exception.code, "budget_exceeded")
 
 
+class SettlementTest(HistoryCase):
+    """Settlements that copies do not get at once."""
+
+    async def test_settlement_reaches_the_copies_later(self):
+        """Guards against reservations that count although their turn has ended.
+
+        Each case has the copies that cannot be reached when the turn ends.
+        """
+        options = {"keep_seconds": KEEP_SECONDS}
+        for away in ("", "abc", "abcd"):
+            with self.subTest(away):
+                program = f"c/{away}"
+                await (await self.client.reserve(program, "t1", 90, 100, **options))
+                with self.unreachable(*away):
+                    self.client.settle(program, "t1", 10, **options)
+                    await asyncio.sleep(0.2)
+                async with asyncio.timeout(REPAIRED_SECONDS):
+                    while any(
+                        [(each.turn, each.tokens) for each in found] != [("t1", 10)]
+                        for found in self.list_spendings(program)
+                    ):
+                        await asyncio.sleep(0.05)
+
+    def list_spendings(self, program):
+        """Return what each copy knows of the spending of a program."""
+        return [copy._state.spendings(program) for copy in self.copies.values()]
+
+
 class CachedChainTest(HistoryCase):
     """Chains in the memory of an entry host, and the copies' retention."""
 
