A copy follows another one on after that has lost its disk

What would be seen: a copy that lost its disk and joined again is not followed by those that were waiting for one of its records at that moment; what they miss later comes from the other copies only.

Cause: the awaited records were asked for by the old disk's cursors first, and the refusal ended each look.

Change: how far a log was examined belongs to the disk that the set of copies names.

--- a/sapphireyard/history/repair.py
+++ b/sapphireyard/history/repair.py
@@ -49,7 +49,7 @@
     Parameters
     ----------
     disk : str
-        Identity of its disk.
+        Identity of its disk, as the set names it.
     cursor : int
         Cursor up to which all records are here, or among the awaited.
     awaited : list of tuple of int and int
@@ -60,7 +60,7 @@
         Whether all its records were copied, as its build knows no keys.
     """
 
-    disk: str = ""
+    disk: str
     cursor: int = 0
     awaited: list = field(default_factory=list)
     away: bool = False
@@ -100,17 +100,24 @@
 
         Parameters
         ----------
-        members : collection of str
-            The other copies; how far their logs have been examined is remembered.
+        members : dict of str to str
+            The other copies and their disks; how far their logs have been examined is
+            remembered.
         reachable : collection of str
             Those of them that are asked.
         """
         self._followed = {
-            host: self._followed.get(host) or FollowedLog() for host in members
+            host: self._continue(host, disk) for host, disk in members.items()
         }
         self._search_wanted()
         await asyncio.gather(*(self._follow(host) for host in reachable))
 
+    def _continue(self, host, disk):
+        followed = self._followed.get(host)
+        if followed is not None and followed.disk == disk:
+            return followed
+        return FollowedLog(disk)
+
     def _search_wanted(self):
         """Examine all logs from their beginnings if a turn is missing for long."""
         now = asyncio.get_running_loop().time()
@@ -165,10 +172,7 @@
             host, KeysQuery(followed.cursor), timeout=ANSWER_TIMEOUT_SECONDS
         )
         if page.disk != followed.disk:
-            is_known = bool(followed.disk)
-            followed.disk, followed.cursor = page.disk, 0
-            if is_known:
-                return True
+            raise PeerError(f"{host} has another disk than the set names")
         lacking = [
             (page.first + number, key)
             for number, key in enumerate(unpack_keys(page.keys))
--- a/sapphireyard/history/service.py
+++ b/sapphireyard/history/service.py
@@ -212,9 +212,10 @@
     async def _repair_regularly(self):
         while not self.should_stop:
             if self._serving:
-                members = set(self._copies.members) - {self._runtime.host}
+                members = dict(self._copies.members)
+                del members[self._runtime.host]
                 reachable = [name for name in members if not self._is_gone(name)]
-                await self._repair.run(members, sorted(reachable))
+                await self._repair.run(members, reachable)
             await self.sleep(REPAIR_SECONDS)
 
     @lasting_timer(PURGE_SECONDS)
--- a/tests/test_history_repair.py
+++ b/tests/test_history_repair.py
@@ -200,6 +200,8 @@
             return RecordKeys(
                 self.disk, first, index.pack(first, end), end, end < len(self.records)
             )
+        if message.disk != self.disk:
+            raise CallError("history_unavailable", "this copy has another disk")
         found = [self.records[cursor] for cursor in message.cursors[:FETCH_RECORDS]]
         return RecordsFound(len(found), found)
 
@@ -223,6 +225,11 @@
 
         return RecordRepair(copy, self.state, store, copy_all)
 
+    @staticmethod
+    async def run_round(repair, *, disk="disk-1"):
+        """Let a repair follow the copy, which the set names with a disk."""
+        await repair.run({"b": disk}, ["b"])
+
     def count(self, turns):
         """Return how many of some turns are in the state."""
         return sum(self.state.find_turn(each.turn) is not None for each in turns)
@@ -232,10 +239,10 @@
         turns = [build_turn(f"t{number}") for number in range(3)]
         copy = FakeCopy(turns)
         repair = self.build(copy)
-        await repair.run(["b"], ["b"])
+        await self.run_round(repair)
         self.assertEqual(self.count(turns), 0)
         self.state.apply(turns[0], 0, 0.0)
-        await repair.run(["b"], ["b"])
+        await self.run_round(repair)
         self.assertEqual(self.count(turns), 3)
         self.assertEqual(repair.fetched, 2)
 
@@ -243,12 +250,12 @@
         turns = [build_turn(f"t{number}") for number in range(205)]
         copy = FakeCopy(turns, page=50)
         repair = self.build(copy)
-        await repair.run(["b"], ["b"])
+        await self.run_round(repair)
         self.assertEqual(self.count(turns), 200)
-        await repair.run(["b"], ["b"])
+        await self.run_round(repair)
         self.assertEqual(self.count(turns), 205)
         copy.asked.clear()
-        await repair.run(["b"], ["b"])
+        await self.run_round(repair)
         self.assertEqual(copy.asked, [KeysQuery(205)])
 
     async def test_failures_lose_no_record(self):
@@ -271,27 +278,36 @@
 
                 copy.ask = fail
                 for _ in range(3):
-                    await repair.run(["b"], ["b"])
+                    await self.run_round(repair)
                 self.assertEqual(self.count(turns), 205)
 
     async def test_log_of_another_disk_is_examined_from_its_beginning(self):
-        turns = [build_turn(f"t{number}") for number in range(3)]
-        copy = FakeCopy(turns)
-        repair = self.build(copy)
-        await repair.run(["b"], ["b"])
-        await repair.run(["b"], ["b"])
-        more = [build_turn(f"u{number}") for number in range(2)]
-        copy.records, copy.disk = more, "disk-2"
-        await repair.run(["b"], ["b"])
-        await repair.run(["b"], ["b"])
-        self.assertEqual(self.count(more), 2)
+        """Guards against a copy that is not followed any more once its disk is lost.
+
+        Each case has how often its log was examined before; once leaves records that
+        are awaited.
+        """
+        for rounds in (1, 2, 3):
+            with self.subTest(rounds):
+                self.setUp()
+                copy = FakeCopy([build_turn(f"t{number}") for number in range(3)])
+                repair = self.build(copy)
+                for _ in range(rounds):
+                    await self.run_round(repair)
+                more = [build_turn(f"u{number}") for number in range(2)]
+                copy.records, copy.disk = more, "disk-2"
+                await self.run_round(repair)
+                self.assertEqual(self.count(more), 0)
+                for _ in range(2):
+                    await self.run_round(repair, disk="disk-2")
+                self.assertEqual(self.count(more), 2)
 
     async def test_host_of_an_older_build_is_copied_once(self):
         copy = FakeCopy([])
         copy.ask = mock.AsyncMock(side_effect=CallError("internal_error", "unknown"))
         repair = self.build(copy)
         for _ in range(3):
-            await repair.run(["b"], ["b"])
+            await self.run_round(repair)
         self.assertEqual(self.copied, ["b"])
 
     async def test_turn_that_was_dropped_too_early_is_searched(self):
@@ -299,17 +315,17 @@
         turns = [build_turn("one"), build_turn("two", "one"), build_turn("x", "none")]
         repair = self.build(FakeCopy(turns))
         for _ in range(2):
-            await repair.run(["b"], ["b"])
+            await self.run_round(repair)
         self.state._turns.pop("one")
         self.state._ranks.pop(build_key(turns[0]) & ~3)
         self.state.renew("c/p", "two", 2 * LONG)
         self.assertEqual(self.state.wanted, {"one", "none"})
         with mock.patch("sapphireyard.history.repair.WANTED_SECONDS", 0.2):
-            await repair.run(["b"], ["b"])
+            await self.run_round(repair)
             repair._search_after = 0.2
             await asyncio.sleep(0.3)
             for _ in range(2):
-                await repair.run(["b"], ["b"])
+                await self.run_round(repair)
         self.assertEqual(len(self.state.find_chain("two")), 2)
         self.assertEqual(self.state.find_turn("one").expires_at, 2 * LONG)
         self.assertEqual(self.state.wanted, {"none"})
@@ -320,16 +336,18 @@
         copy = FakeCopy([build_turn(f"t{number}") for number in range(3)])
         repair = self.build(copy)
         for reachable in (["b"], ["b"], [], ["b"]):
-            await repair.run(["b"], reachable)
+            await repair.run({"b": "disk-1"}, reachable)
         self.assertEqual(copy.asked[-1], KeysQuery(3))
-        await repair.run([], [])
-        await repair.run(["b"], ["b"])
+        await repair.run({}, [])
+        await self.run_round(repair)
         self.assertEqual(copy.asked[-1], KeysQuery(0))
 
     async def test_invalid_keys_end_the_look_only(self):
         copy = FakeCopy([])
-        copy.ask = mock.AsyncMock(return_value=RecordKeys("d", 0, b"odd", 0, False))
-        await self.build(copy).run(["b"], ["b"])
+        copy.ask = mock.AsyncMock(
+            return_value=RecordKeys("disk-1", 0, b"odd", 0, False)
+        )
+        await self.run_round(self.build(copy))
         self.assertEqual(self.copied, [])
 
 
