--- a/tests/history_world.py
+++ b/tests/history_world.py
@@ -3,7 +3,7 @@
 import asyncio
 import shutil
 from collections import Counter
-from contextlib import contextmanager
+from contextlib import aclosing, contextmanager
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
@@ -32,6 +32,8 @@
 KEEP_SECONDS = 1000.0
 REPAIRED_SECONDS = 4.3
 """Time in which a copy that is back gets what it has missed: `catch-up-s`."""
+RENEWED_SECONDS = 1.2
+"""Time after which a client waits for no copy any more."""
 PURGE_SECONDS = 12.0
 """Time within which copies have deleted what has expired."""
 FILE_RECORDS = 4
@@ -226,7 +228,14 @@
     async def ask(self, host, message, *, timeout):
         receiver = await self._connect(host, timeout)
         message = self._copy(message)
-        answer = await receiver.handlers[type(message)](message, None)
+        handler = receiver.handlers.get(type(message))
+        if handler is not None:
+            answer = await handler(message, None)
+        else:
+            async with aclosing(
+                receiver.streams[type(message)](message, None)
+            ) as answers:
+                answer = await anext(answers)
         await self._deliver_answer(host, receiver, timeout)
         return self._copy(answer)
 
@@ -309,6 +318,8 @@
         self.clients = {}
         self.texts = {}
         self.granted = {}
+        self.settled = {}
+        self.occasions = Counter()
         self.retired = set()
         self.skipped = 0.0
         self._numbers = 0
@@ -385,17 +396,27 @@
 
     async def commit(self, entry, branch):
         """Commit a turn that continues an acknowledged one, or a new chain."""
-        self._numbers += 1
-        name = f"t{self._numbers}"
         known = sorted(self.texts)
-        previous = known[branch % len(known)] if known and branch % 3 else ""
+        await self._commit(
+            entry, known[branch % len(known)] if known and branch % 3 else ""
+        )
+
+    async def _commit(self, entry, previous):
+        """Commit a turn; return its name, or None if it is not acknowledged."""
+        name = f"t{self._next_number()}"
+        before = self.texts.get(previous, b"")
         text = f"<{name}>".encode()
         turn = Turn(name, previous, "c", "c/p", 0, text, b"", KEEP_SECONDS)
         try:
             await self.clients[entry].commit(turn)
         except CallError:
-            return
-        self.texts[name] = self.texts.get(previous, b"") + text
+            return None
+        self.texts[name] = before + text
+        return name
+
+    def _next_number(self):
+        self._numbers += 1
+        return self._numbers
 
     async def commit_at(self, places, branch):
         """Commit a turn while only some copies are reachable; ask each copy for it."""
@@ -407,6 +428,67 @@
             with self.reaching_only({name}):
                 await self._check("x", newest, must_answer=False)
 
+    async def commit_scattered(self, missing):
+        """Commit the turns of one chain, each of which another copy misses."""
+        healthy = self.healthy
+        previous = ""
+        for name in missing:
+            with self.reaching_only(set(COPIES) - {name}):
+                previous = await self._commit("x", previous) or previous
+        if not previous or not (healthy and self.healthy):
+            return
+        states = [each._state for each in self.services.values() if each.serving]
+        if not any(state.find_chain(previous) for state in states):
+            self.occasions["scattered chain"] += 1
+        await self._check("y", previous, must_answer=True)
+
+    async def commit_late(self, missing):
+        """Commit a turn that ran for longer than the turn before it is kept.
+
+        Parameters
+        ----------
+        missing : str
+            Copy that gets nothing from the entry hosts meanwhile.
+        """
+        previous = await self._commit("x", "")
+        if not previous or not self.healthy:
+            return
+        text = self.texts[previous]
+        with self.reaching_only(set(COPIES) - {missing}):
+            for _ in range(3):
+                self.clients["x"].renew("c/p", previous, keep_seconds=KEEP_SECONDS)
+                await asyncio.sleep(RENEWED_SECONDS)
+                self.skipped += KEEP_SECONDS / 2
+                await asyncio.sleep(PURGE_SECONDS)
+            self._forget_expected()
+            self.texts[previous] = text
+            last = await self._commit("x", previous)
+        states = [each._state for each in self.services.values() if each.serving]
+        if last and not all(state.find_turn(previous) for state in states):
+            self.occasions["turn expired at a copy while it was continued"] += 1
+        if self.healthy:
+            self.occasions["turn kept by renewals"] += 1
+            await self._check("y", last, must_answer=True)
+
+    async def settle_after_change(self, name):
+        """Settle a reservation after a member has left the set."""
+        program = f"c/s{self._next_number()}"
+        client = self.clients["x"]
+        options = {"keep_seconds": KEEP_SECONDS}
+        try:
+            await (await client.reserve(program, "t", TURN_TOKENS, BUDGET, **options))
+        except CallError:
+            return
+        version = client.copies.version
+        await self.retire(name)
+        client.settle(program, "t", 1, **options)
+        await asyncio.sleep(RENEWED_SECONDS)
+        if not self.healthy:
+            return
+        self.settled[program] = 1
+        if client.copies.version > version:
+            self.occasions["set changed before a settlement"] += 1
+
     async def read_at(self, places, branch):
         """Read a turn while only some copies are reachable."""
         with self.reaching_only(places):
@@ -449,8 +531,8 @@
     async def spend(self, branch):
         """Reserve tokens for two turns of a program at once, on both entry hosts."""
         program = f"c/q{branch % 2}"
-        self._numbers += 1
-        names = [f"r{self._numbers}{entry}" for entry in ENTRIES]
+        number = self._next_number()
+        names = [f"r{number}{entry}" for entry in ENTRIES]
         await asyncio.gather(
             *(self._spend(e, program, n) for e, n in zip(ENTRIES, names))
         )
@@ -472,9 +554,14 @@
     async def age(self):
         """Let all records expire, and wait until copies have deleted their files."""
         self.skipped += KEEP_SECONDS + 1.0
+        self._forget_expected()
+        await asyncio.sleep(PURGE_SECONDS)
+
+    def _forget_expected(self):
+        """Expect nothing any more of what has expired."""
         self.texts.clear()
         self.granted.clear()
-        await asyncio.sleep(PURGE_SECONDS)
+        self.settled.clear()
 
     async def heal(self):
         """End all faults; every acknowledged turn must be readable.
@@ -505,6 +592,10 @@
             lacking = [t for t in self.texts if not service._state.find_chain(t)]
             if service.serving and lacking:
                 raise AssertionError(f"{host} lacks the chains of {lacking}")
+            for program, tokens in self.settled.items() if service.serving else ():
+                found = [each.tokens for each in service._state.spendings(program)]
+                if found != [tokens]:
+                    raise AssertionError(f"{host} has {found} of {program}")
 
     async def wipe(self, name):
         """Lose one disk; another one only once the lost one has been replaced."""
--- a/tests/test_history_machine.py
+++ b/tests/test_history_machine.py
@@ -8,6 +8,7 @@
 import asyncio
 import tempfile
 import unittest
+from collections import Counter
 
 from hypothesis import example, given, settings, strategies as st
 
@@ -21,12 +22,23 @@
 from tests.virtual_loop import VirtualLoop
 
 EXAMPLES = 100
+MIN_OCCASIONS = 10
+OCCASIONS = (
+    "scattered chain",
+    "turn expired at a copy while it was continued",
+    "turn kept by renewals",
+    "set changed before a settlement",
+)
+"""What the promises must be put to in all examples together."""
 copies = st.sampled_from(COPIES)
 entries = st.sampled_from(ENTRIES)
 numbers = st.integers(0, 11)
 steps = st.one_of(
     st.tuples(st.just("commit"), entries, numbers),
     st.tuples(st.just("commit_at"), st.sets(copies, min_size=1, max_size=4), numbers),
+    st.tuples(st.just("commit_scattered"), st.permutations("abcd")),
+    st.tuples(st.just("commit_late"), copies),
+    st.tuples(st.just("settle_after_change"), copies),
     st.tuples(st.just("read"), entries, numbers),
     st.tuples(st.just("read_at"), st.sets(copies, min_size=1, max_size=3), numbers),
     st.tuples(st.just("spend"), numbers),
@@ -68,9 +80,9 @@
                 action = getattr(world, name)(*arguments)
                 running.append(asyncio.ensure_future(action))
                 await asyncio.sleep(LATENCY_SECONDS)
-            elif name == "age":
+            elif name in ("age", "commit_late"):
                 await asyncio.gather(*running)
-                await world.age()
+                await getattr(world, name)(*arguments)
             elif name == "lossy":
                 world.network.lossy.add(*arguments)
             elif name == "restore_network":
@@ -86,6 +98,7 @@
                 await getattr(world, name)(*arguments)
         await asyncio.gather(*running)
         await world.heal()
+        return world.occasions
     finally:
         for task in running:
             task.cancel()
@@ -159,6 +172,18 @@
 
 
 class HistoryMachineTest(unittest.TestCase):
+    """All occasions must be drawn, some times at least, or nothing is shown."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.occasions = Counter()
+
+    @classmethod
+    def tearDownClass(cls):
+        found = {name: cls.occasions[name] for name in OCCASIONS}
+        if min(found.values()) < MIN_OCCASIONS:
+            raise AssertionError(f"occasions drawn: {found}")
+
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
     @example(JOIN_WITHOUT_THE_HOLDERS)
     @example(POWER_LOST_WITH_THE_DISKS)
@@ -172,7 +197,7 @@
         asyncio.set_event_loop(loop)
         try:
             with tempfile.TemporaryDirectory() as folder:
-                loop.run_until_complete(play(script, folder))
+                self.occasions += loop.run_until_complete(play(script, folder))
         finally:
             asyncio.set_event_loop(None)
             loop.close()
