--- a/tests/history_case.py
+++ b/tests/history_case.py
@@ -145,6 +145,13 @@
                 await asyncio.sleep(0.02)
         self.client.update_copies(self.copies[name].copies)
 
+    async def advance(self, seconds):
+        """Let time pass on all clocks; the copies drop what has expired."""
+        for host in self.hosts.values():
+            host.clock.advance += seconds
+        for copy in self.copies.values():
+            await copy.purge_expired()
+
     @contextlib.contextmanager
     def unreachable(self, *names):
         """Cut the client off from some copies."""
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -20,13 +20,6 @@
 class LongTurnTest(HistoryCase):
     """Four copies on whose clocks time passes as the tests say."""
 
-    async def advance(self, seconds):
-        """Let time pass on all clocks; the copies drop what has expired."""
-        for host in self.hosts.values():
-            host.clock.advance += seconds
-        for copy in self.copies.values():
-            await copy.purge_expired()
-
     async def test_chain_outlives_a_turn_that_continues_it(self):
         """Guards against a chain that expires during a long turn (review/14).
 
@@ -110,13 +103,6 @@
 class CachedChainTest(HistoryCase):
     """Chains in the memory of an entry host, and the copies' retention."""
 
-    async def advance(self, seconds):
-        """Let time pass on all clocks; the copies drop what has expired."""
-        for host in self.hosts.values():
-            host.clock.advance += seconds
-        for copy in self.copies.values():
-            await copy.purge_expired()
-
     async def test_chain_in_memory_does_not_outlive_the_copies(self):
         """Guards against turns whose chain only one entry host still has.
 
