--- a/sapphireyard/history/repair.py
+++ b/sapphireyard/history/repair.py
@@ -160,7 +160,7 @@
                 "missed records fetched",
                 extra={
                     "decision": "repair",
-                    "host": host,
+                    "member": host,
                     "records": self.fetched - fetched,
                     "cursor": followed.cursor,
                 },
@@ -212,7 +212,7 @@
             "log of another copy",
             extra={
                 "decision": "repair",
-                "host": host,
+                "member": host,
                 "followed": not followed.away,
                 "error": str(error or ""),
             },
