--- a/sapphireyard/history/assembly.py
+++ b/sapphireyard/history/assembly.py
@@ -90,11 +90,11 @@
             ``history_unavailable``: too few copies answer, or one of the turns was
             not found.
         """
-        wanted, last = turn, turn
+        wanted = turn
         seen = set()
         while wanted:
             if wanted in seen or len(seen) == MAX_PARTS:
-                raise build_unavailable(f"the chain of turn {last!r} is not whole", ())
+                raise build_unavailable(f"the chain of turn {turn!r} is not whole", ())
             seen.add(wanted)
             piece = await self._locate_piece(wanted)
             self._pieces.insert(0, piece)
@@ -103,7 +103,7 @@
             "chain is read from several copies",
             extra={
                 "decision": "chain",
-                "turn": last,
+                "turn": turn,
                 "parts": [(piece.host, piece.turn) for piece in self._pieces],
             },
         )
